--- /dev/null
+++ b/adapter/callerhttp/chat.go
@@ -0,0 +1,155 @@
+package callerhttp
+
+import (
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"agateswitch/core/configuration"
+	"agateswitch/core/fleet"
+	"agateswitch/node/chat"
+	"agateswitch/sse"
+)
+
+const (
+	// bytesPerToken estimates the tokens of a prompt from its bytes.
+	bytesPerToken = 4
+	// defaultDecode is the expected number of generated tokens without a limit in the request.
+	defaultDecode = 256
+)
+
+// completionBody holds the fields of a chat completion that the router reads.
+type completionBody struct {
+	Model               string          `json:"model"`
+	Stream              bool            `json:"stream"`
+	Messages            json.RawMessage `json:"messages"`
+	MaxTokens           int64           `json:"max_tokens"`
+	MaxCompletionTokens int64           `json:"max_completion_tokens"`
+	PromptCacheKey      string          `json:"prompt_cache_key"`
+}
+
+func (s *Server) completion(w http.ResponseWriter, r *http.Request) {
+	contract, refusal := s.authenticate(r)
+	if refusal != nil {
+		WriteRefusal(w, refusal)
+		return
+	}
+	body, refusal := readBody(w, r)
+	if refusal != nil {
+		WriteRefusal(w, refusal)
+		return
+	}
+	var parsed completionBody
+	if err := json.Unmarshal(body, &parsed); err != nil {
+		WriteRefusal(w, fleet.Refuse(fleet.CodeBadRequest, "the body is not a chat completion: "+err.Error(), 0))
+		return
+	}
+	if refusal := s.checkCompletion(contract, parsed); refusal != nil {
+		WriteRefusal(w, refusal)
+		return
+	}
+	call := chat.Call{
+		Request: s.chatRequest(r, contract, parsed),
+		Body:    body, Stream: parsed.Stream, Silence: contract.Silence(),
+	}
+	s.Chat.Run(r.Context(), call, &chatSink{w: w, controller: http.NewResponseController(w)})
+}
+
+func (s *Server) checkCompletion(contract configuration.Contract, parsed completionBody) *fleet.Refusal {
+	pool, found := s.Config.Current().Pool(fleet.PoolID(parsed.Model))
+	if !found || pool.Type != configuration.PoolEngine {
+		return fleet.Refuse(fleet.CodeNotFound, "model "+strconv.Quote(parsed.Model)+" does not exist", 0)
+	}
+	if refusal := authorize(contract, pool.Name); refusal != nil {
+		return refusal
+	}
+	if len(parsed.Messages) == 0 {
+		return fleet.Refuse(fleet.CodeBadRequest, "messages is missing", 0)
+	}
+	if parsed.MaxTokens < 0 || parsed.MaxCompletionTokens < 0 {
+		return fleet.Refuse(fleet.CodeBadRequest, "max_tokens may not be negative", 0)
+	}
+	return nil
+}
+
+func (s *Server) chatRequest(r *http.Request, contract configuration.Contract, parsed completionBody) fleet.Request {
+	chatID := r.Header.Get(HeaderChat)
+	if chatID == "" {
+		chatID = parsed.PromptCacheKey
+	}
+	if chatID == "" {
+		chatID = string(requestID(r))
+	}
+	decode := max(parsed.MaxTokens, parsed.MaxCompletionTokens)
+	if decode == 0 {
+		decode = defaultDecode
+	}
+	return fleet.Request{
+		ID: requestID(r), Team: contract.Team, Pool: fleet.PoolID(parsed.Model),
+		// Chats of different teams never share an identity.
+		Chat:    fleet.ChatID(string(contract.Team) + "/" + chatID),
+		Prefill: fleet.Work(len(parsed.Messages)/bytesPerToken + 1), Decode: fleet.Work(decode),
+		Priority: contract.Priority, Deadline: time.Now().Add(contract.FirstToken()),
+	}
+}
+
+// readBody reads a whole body within its limits of size and time.
+func readBody(w http.ResponseWriter, r *http.Request) ([]byte, *fleet.Refusal) {
+	controller := http.NewResponseController(w)
+	controller.SetReadDeadline(time.Now().Add(BodyTimeout))
+	defer controller.SetReadDeadline(time.Time{})
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, MaxBodyBytes))
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		return nil, fleet.Refuse(fleet.CodeTooLarge, "the body is larger than "+strconv.Itoa(MaxBodyBytes)+" bytes", 0)
+	}
+	if err != nil {
+		return nil, fleet.Refuse(fleet.CodeBadRequest, "the body could not be read", 0)
+	}
+	return body, nil
+}
+
+// chatSink writes an answer to the caller.
+type chatSink struct {
+	w          http.ResponseWriter
+	controller *http.ResponseController
+	begun      bool
+	buffer     []byte
+}
+
+// Whole implements chat.Sink.
+func (c *chatSink) Whole(status int, contentType string, body []byte) {
+	c.w.Header().Set("Content-Type", contentType)
+	c.w.WriteHeader(status)
+	c.w.Write(body)
+}
+
+// Begin implements chat.Sink.
+func (c *chatSink) Begin(fleet.Grant) {
+	c.begun = true
+	c.w.Header().Set("Content-Type", "text/event-stream")
+	c.w.Header().Set("Cache-Control", "no-store")
+	c.w.WriteHeader(http.StatusOK)
+}
+
+// Event implements chat.Sink.
+func (c *chatSink) Event(event sse.Event) error {
+	c.buffer = sse.Append(c.buffer[:0], event)
+	c.controller.SetWriteDeadline(time.Now().Add(WriteTimeout))
+	if _, err := c.w.Write(c.buffer); err != nil {
+		return err
+	}
+	return c.controller.Flush()
+}
+
+// Refuse implements chat.Sink. A stream that has begun ends in an error event.
+func (c *chatSink) Refuse(refusal *fleet.Refusal) {
+	if !c.begun {
+		WriteRefusal(c.w, refusal)
+		return
+	}
+	c.Event(sse.Event{Name: "error", Data: EncodeRefusal(refusal)})
+}
--- /dev/null
+++ b/adapter/callerhttp/service.go
@@ -0,0 +1,142 @@
+package callerhttp
+
+import (
+	"io"
+	"net/http"
+	"strings"
+	"time"
+
+	"agateswitch/core/configuration"
+	"agateswitch/core/fleet"
+	"agateswitch/node/forward"
+
+	"github.com/google/uuid"
+)
+
+// hopByHop lists the headers that belong to one connection (RFC 9110, section 7.6.1).
+var hopByHop = []string{
+	"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization", "Proxy-Connection",
+	"Te", "Trailer", "Transfer-Encoding", "Upgrade",
+}
+
+func (s *Server) service(w http.ResponseWriter, r *http.Request) {
+	contract, refusal := s.authenticate(r)
+	if refusal != nil {
+		WriteRefusal(w, refusal)
+		return
+	}
+	prefix, rest, _ := strings.Cut(strings.TrimPrefix(r.URL.EscapedPath(), "/"), "/")
+	pool, found := s.Config.Current().PoolByPrefix(prefix)
+	if !found {
+		WriteRefusal(w, fleet.Refuse(fleet.CodeNotFound, "nothing is served under /"+prefix, 0))
+		return
+	}
+	if refusal := authorize(contract, pool.Name); refusal != nil {
+		WriteRefusal(w, refusal)
+		return
+	}
+	call, refusal := s.serviceCall(w, r, contract, pool, "/"+rest)
+	if refusal != nil {
+		WriteRefusal(w, refusal)
+		return
+	}
+	s.Forward.Run(r.Context(), call, &serviceSink{w: w})
+}
+
+func (s *Server) serviceCall(w http.ResponseWriter, r *http.Request, contract configuration.Contract,
+	pool configuration.Pool, path string) (forward.Call, *fleet.Refusal) {
+	id := requestID(r)
+	call := forward.Call{
+		Request: fleet.Request{
+			ID: id, Team: contract.Team, Pool: pool.Name, Chat: fleet.ChatID(id), Decode: 1,
+			Priority: contract.Priority, Deadline: time.Now().Add(contract.FirstToken()),
+		},
+		Pool: pool, Method: r.Method, Path: path, Header: forwardHeader(r.Header),
+		Body: r.Body, ContentLength: r.ContentLength,
+	}
+	if r.URL.RawQuery != "" {
+		call.Path += "?" + r.URL.RawQuery
+	}
+	if !pool.IsOnceOnly(r.Method, path) {
+		return call, nil
+	}
+	key, refusal := onceKey(r)
+	if refusal != nil {
+		return call, refusal
+	}
+	body, refusal := readBody(w, r)
+	call.IdempotencyKey, call.OnceBody, call.ContentLength = key, body, int64(len(body))
+	return call, refusal
+}
+
+func onceKey(r *http.Request) (string, *fleet.Refusal) {
+	header := r.Header.Get(HeaderIdempotencyKey)
+	if header == "" {
+		return "", fleet.Refuse(fleet.CodeKeyMissing, "this call may not be repeated and needs an "+HeaderIdempotencyKey, 0)
+	}
+	// The draft writes the key as a structured-field string, in quotes.
+	key, err := uuid.Parse(strings.Trim(header, `"`))
+	if err != nil || key.Version() != 7 {
+		return "", fleet.Refuse(fleet.CodeBadRequest, HeaderIdempotencyKey+" is not a UUIDv7", 0)
+	}
+	return key.String(), nil
+}
+
+// forwardHeader copies the headers that go on to the upstream.
+func forwardHeader(from http.Header) http.Header {
+	header := from.Clone()
+	dropHopByHop(header)
+	// The caller's key is between the caller and the router.
+	header.Del("Authorization")
+	return header
+}
+
+func dropHopByHop(header http.Header) {
+	for _, line := range header.Values("Connection") {
+		for _, name := range strings.Split(line, ",") {
+			header.Del(strings.TrimSpace(name))
+		}
+	}
+	for _, name := range hopByHop {
+		header.Del(name)
+	}
+}
+
+// serviceSink writes an answer to the caller.
+type serviceSink struct {
+	w http.ResponseWriter
+}
+
+// Answer implements forward.Sink.
+func (s *serviceSink) Answer(status int, header http.Header, body io.Reader) error {
+	header = header.Clone()
+	dropHopByHop(header)
+	for name, values := range header {
+		s.w.Header()[name] = values
+	}
+	s.w.WriteHeader(status)
+	controller := http.NewResponseController(s.w)
+	buffer := make([]byte, 32<<10)
+	for {
+		n, err := body.Read(buffer)
+		controller.SetWriteDeadline(time.Now().Add(WriteTimeout))
+		if n > 0 {
+			if _, err := s.w.Write(buffer[:n]); err != nil {
+				return err
+			}
+			controller.Flush()
+		}
+		if err == io.EOF {
+			return nil
+		}
+		if err != nil {
+			// Closing the connection is the only way to tell that the body was cut.
+			panic(http.ErrAbortHandler)
+		}
+	}
+}
+
+// Refuse implements forward.Sink.
+func (s *serviceSink) Refuse(refusal *fleet.Refusal) {
+	WriteRefusal(s.w, refusal)
+}
--- /dev/null
+++ b/adapter/kv/wire.go
@@ -0,0 +1,144 @@
+// Package kv speaks to the platform's key-value service by the JSON form of the etcd v3
+// API (the gRPC gateway's paths /v3/kv, /v3/lease and /v3/watch): keys and values are
+// base64, 64-bit numbers are decimal strings.
+package kv
+
+// The messages below are the subset of the etcd v3 API that this project uses. They are
+// exported for the stand-in, which serves the same subset.
+
+// KeyValue is mvccpb.KeyValue.
+type KeyValue struct {
+	Key         []byte `json:"key"`
+	Value       []byte `json:"value,omitempty"`
+	ModRevision int64  `json:"mod_revision,string"`
+	Lease       int64  `json:"lease,string,omitempty"`
+}
+
+// Header is etcdserverpb.ResponseHeader.
+type Header struct {
+	Revision int64 `json:"revision,string"`
+}
+
+// RangeRequest is etcdserverpb.RangeRequest.
+type RangeRequest struct {
+	Key      []byte `json:"key"`
+	RangeEnd []byte `json:"range_end,omitempty"`
+}
+
+// RangeResponse is etcdserverpb.RangeResponse.
+type RangeResponse struct {
+	Header Header     `json:"header"`
+	KVs    []KeyValue `json:"kvs,omitempty"`
+}
+
+// Compare is etcdserverpb.Compare with target MOD and result EQUAL.
+type Compare struct {
+	Result      string `json:"result"`
+	Target      string `json:"target"`
+	Key         []byte `json:"key"`
+	ModRevision int64  `json:"mod_revision,string"`
+}
+
+// PutRequest is etcdserverpb.PutRequest.
+type PutRequest struct {
+	Key   []byte `json:"key"`
+	Value []byte `json:"value,omitempty"`
+	Lease int64  `json:"lease,string,omitempty"`
+}
+
+// DeleteRangeRequest is etcdserverpb.DeleteRangeRequest.
+type DeleteRangeRequest struct {
+	Key []byte `json:"key"`
+}
+
+// RequestOp is etcdserverpb.RequestOp; one field is set.
+type RequestOp struct {
+	RequestPut         *PutRequest         `json:"request_put,omitempty"`
+	RequestDeleteRange *DeleteRangeRequest `json:"request_delete_range,omitempty"`
+}
+
+// TxnRequest is etcdserverpb.TxnRequest.
+type TxnRequest struct {
+	Compare []Compare   `json:"compare,omitempty"`
+	Success []RequestOp `json:"success,omitempty"`
+}
+
+// TxnResponse is etcdserverpb.TxnResponse.
+type TxnResponse struct {
+	Header    Header `json:"header"`
+	Succeeded bool   `json:"succeeded"`
+}
+
+// WatchCreateRequest is etcdserverpb.WatchCreateRequest.
+type WatchCreateRequest struct {
+	Key           []byte `json:"key"`
+	RangeEnd      []byte `json:"range_end,omitempty"`
+	StartRevision int64  `json:"start_revision,string,omitempty"`
+}
+
+// WatchRequest is etcdserverpb.WatchRequest.
+type WatchRequest struct {
+	CreateRequest *WatchCreateRequest `json:"create_request"`
+}
+
+// Event is mvccpb.Event. Type is "PUT" (or empty) or "DELETE".
+type Event struct {
+	Type string   `json:"type,omitempty"`
+	KV   KeyValue `json:"kv"`
+}
+
+// WatchResponse is etcdserverpb.WatchResponse.
+type WatchResponse struct {
+	Header  Header  `json:"header"`
+	Created bool    `json:"created,omitempty"`
+	Events  []Event `json:"events,omitempty"`
+}
+
+// WatchEnvelope is one line of the gateway's watch stream.
+type WatchEnvelope struct {
+	Result WatchResponse `json:"result"`
+}
+
+// LeaseGrantRequest is etcdserverpb.LeaseGrantRequest. TTL is in seconds.
+type LeaseGrantRequest struct {
+	TTL int64 `json:"TTL,string"`
+}
+
+// LeaseRequest names a lease, for keep-alive and revoke.
+type LeaseRequest struct {
+	ID int64 `json:"ID,string"`
+}
+
+// LeaseResponse is the answer to grant and keep-alive. TTL is in seconds.
+type LeaseResponse struct {
+	Header Header `json:"header"`
+	ID     int64  `json:"ID,string"`
+	TTL    int64  `json:"TTL,string"`
+}
+
+// LeaseKeepAliveEnvelope is the gateway's answer to keep-alive.
+type LeaseKeepAliveEnvelope struct {
+	Result LeaseResponse `json:"result"`
+}
+
+// Paths of the gateway.
+const (
+	PathRange          = "/v3/kv/range"
+	PathTxn            = "/v3/kv/txn"
+	PathWatch          = "/v3/watch"
+	PathLeaseGrant     = "/v3/lease/grant"
+	PathLeaseKeepAlive = "/v3/lease/keepalive"
+	PathLeaseRevoke    = "/v3/lease/revoke"
+)
+
+// PrefixEnd returns the end of the range that holds every key with the prefix.
+func PrefixEnd(prefix string) []byte {
+	end := []byte(prefix)
+	for i := len(end) - 1; i >= 0; i-- {
+		if end[i] < 0xff {
+			end[i]++
+			return end[:i+1]
+		}
+	}
+	return []byte{0}
+}
--- /dev/null
+++ b/cmd/agatectl/main.go
@@ -0,0 +1,99 @@
+// Command agatectl is the operators' command line. It talks to any router.
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"agateswitch/adapter/operatorclient"
+
+	"github.com/spf13/cobra"
+)
+
+// Exit codes.
+const (
+	exitFailure = 1
+	// exitUsage means that the call's words are wrong.
+	exitUsage = 2
+	// exitRefused means that the router refused the call.
+	exitRefused = 3
+)
+
+// usageError marks errors in the call itself.
+type usageError struct{ error }
+
+// options hold the flags that every command has.
+type options struct {
+	server string
+	token  string
+	output string
+}
+
+func (o *options) client() *operatorclient.Client {
+	return operatorclient.New(o.server, o.token)
+}
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	os.Exit(run(ctx, os.Args[1:]))
+}
+
+// run executes one command and returns its exit code.
+func run(ctx context.Context, args []string) int {
+	root := rootCommand()
+	root.SetArgs(args)
+	err := root.ExecuteContext(ctx)
+	if err == nil {
+		return 0
+	}
+	fmt.Fprintln(root.ErrOrStderr(), "agatectl:", err)
+	var usage usageError
+	var refused *operatorclient.FailureError
+	switch {
+	case errors.As(err, &usage):
+		return exitUsage
+	case errors.As(err, &refused):
+		return exitRefused
+	default:
+		return exitFailure
+	}
+}
+
+func rootCommand() *cobra.Command {
+	o := &options{}
+	root := &cobra.Command{
+		Use:   "agatectl",
+		Short: "Drive a fleet of agateswitch routers",
+		Long: "Drive a fleet of agateswitch routers, through any one of them.\n\n" +
+			"Exit codes: 0 done, 1 the call failed, 2 the call's words are wrong, 3 the router refused.",
+		SilenceUsage:  true,
+		SilenceErrors: true,
+		PersistentPreRunE: func(*cobra.Command, []string) error {
+			if o.output != "text" && o.output != "json" {
+				return usageError{fmt.Errorf("--output must be text or json, not %q", o.output)}
+			}
+			return nil
+		},
+	}
+	root.SetFlagErrorFunc(func(_ *cobra.Command, err error) error { return usageError{err} })
+	// Cobra prints to the error stream by default.
+	root.SetOut(os.Stdout)
+	flags := root.PersistentFlags()
+	flags.StringVar(&o.server, "server", envOr("AGATE_SERVER", "127.0.0.1:8081"), "operators' ip:port of any router (AGATE_SERVER)")
+	flags.StringVar(&o.token, "token", os.Getenv("AGATE_TOKEN"), "operator token (AGATE_TOKEN)")
+	flags.StringVarP(&o.output, "output", "o", "text", "output: text or json")
+	root.AddCommand(itemCommand(o, contractKind), itemCommand(o, poolKind), dataCentreCommand(o), statusCommand(o), explainCommand(o))
+	return root
+}
+
+func envOr(name, fallback string) string {
+	if value := os.Getenv(name); value != "" {
+		return value
+	}
+	return fallback
+}
--- /dev/null
+++ b/cmd/agateswitch/demo.go
@@ -0,0 +1,131 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"os"
+	"time"
+
+	"agateswitch/adapter/telemetry"
+	"agateswitch/demo"
+	"agateswitch/examples"
+
+	"github.com/juju/errors"
+	"github.com/spf13/cobra"
+)
+
+// progressInterval is the time between two lines of progress.
+const progressInterval = 2 * time.Second
+
+type demoFlags struct {
+	example  string
+	routers  int
+	runFor   time.Duration
+	seed     uint64
+	output   string
+	keep     bool
+	logLevel string
+}
+
+func demoCommand() *cobra.Command {
+	var flags demoFlags
+	command := &cobra.Command{
+		Use:   "demo",
+		Short: "Run a whole fleet in one process, under load, and report",
+		Long: "Runs stand-ins of the platform and of the upstreams, and several routers on loopback\n" +
+			"addresses, sends requests of returning chats, and prints what came of them. The exit\n" +
+			"code is 1 when an answer was lost, cut, crossed or run twice.",
+		Example: "  agateswitch demo --example blue-mahoe --routers 4 --run-for 20s\n  agateswitch demo --keep",
+		Args:    cobra.NoArgs,
+		RunE:    func(*cobra.Command, []string) error { return runDemo(flags) },
+	}
+	command.Flags().StringVar(&flags.example, "example", examples.Hoofline, "example to run: hoofline or blue-mahoe")
+	command.Flags().IntVar(&flags.routers, "routers", 3, "number of routers, 1 to 64")
+	command.Flags().DurationVar(&flags.runFor, "run-for", 10*time.Second, "how long to send requests")
+	command.Flags().Uint64Var(&flags.seed, "seed", 1, "seed of the load")
+	command.Flags().StringVarP(&flags.output, "output", "o", "text", "output: text or json")
+	command.Flags().BoolVar(&flags.keep, "keep", false, "leave the fleet running and print commands to try")
+	command.Flags().StringVar(&flags.logLevel, "log-level", "error", "level of the routers' logs")
+	return command
+}
+
+func (f demoFlags) check() error {
+	if f.routers < 1 || f.routers > 64 {
+		return usageError{errors.Errorf("--routers must be 1 to 64, not %d", f.routers)}
+	}
+	if f.runFor <= 0 {
+		return usageError{errors.Errorf("--run-for must be above zero, not %s", f.runFor)}
+	}
+	if f.output != "text" && f.output != "json" {
+		return usageError{errors.Errorf("--output must be text or json, not %q", f.output)}
+	}
+	return nil
+}
+
+func runDemo(flags demoFlags) error {
+	if err := flags.check(); err != nil {
+		return err
+	}
+	example, err := examples.Load(flags.example)
+	if err != nil {
+		return usageError{err}
+	}
+	logger, err := telemetry.NewLogger(os.Stderr, flags.logLevel, "text")
+	if err != nil {
+		return usageError{err}
+	}
+	life, _, stop := signalContexts()
+	defer stop()
+	fleet, err := demo.Start(life, example, flags.routers, logger)
+	if err != nil {
+		return err
+	}
+	defer fleet.Stop()
+	report := loadFleet(life, fleet, flags)
+	if err := writeReport(os.Stdout, report, flags.output); err != nil {
+		return err
+	}
+	if flags.keep && life.Err() == nil {
+		fleet.WriteHints(os.Stdout)
+		<-life.Done()
+	}
+	if len(report.Faults) > 0 {
+		return errors.Errorf("%d faults", len(report.Faults))
+	}
+	return nil
+}
+
+func loadFleet(life context.Context, fleet *demo.Fleet, flags demoFlags) demo.Report {
+	load, stop := context.WithTimeout(life, flags.runFor)
+	defer stop()
+	tally := demo.NewTally()
+	started := time.Now()
+	go showProgress(load, tally, flags, started)
+	fleet.Load(load, flags.seed, tally)
+	return fleet.Report(tally, time.Since(started))
+}
+
+func showProgress(ctx context.Context, tally *demo.Tally, flags demoFlags, started time.Time) {
+	ticker := time.NewTicker(progressInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ticker.C:
+			fmt.Fprintf(os.Stderr, "%s of %s: %d requests\n", time.Since(started).Round(time.Second), flags.runFor, tally.Total())
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func writeReport(w io.Writer, report demo.Report, output string) error {
+	if output == "json" {
+		encoder := json.NewEncoder(w)
+		encoder.SetIndent("", "  ")
+		return errors.Trace(encoder.Encode(report))
+	}
+	report.Write(w)
+	return nil
+}
--- /dev/null
+++ b/core/fleet/refusal.go
@@ -0,0 +1,69 @@
+package fleet
+
+import "time"
+
+// Ran tells whether a request can have run on an upstream.
+type Ran string
+
+// Values of Ran.
+const (
+	// NotRun means that nothing of the request reached an upstream.
+	NotRun Ran = "not_run"
+	// DidRun means that an upstream ran the request.
+	DidRun Ran = "run"
+	// RanUnknown means that the request may have run.
+	RanUnknown Ran = "unknown"
+)
+
+// Code is the machine-readable cause of a refusal.
+type Code string
+
+// Codes of refusals.
+const (
+	CodeUnauthorized     Code = "unauthorized"
+	CodeForbidden        Code = "forbidden"
+	CodeBadRequest       Code = "bad_request"
+	CodeTooLarge         Code = "too_large"
+	CodeNotFound         Code = "not_found"
+	CodeRateLimited      Code = "rate_limited"
+	CodeOverloaded       Code = "overloaded"
+	CodeNoUpstream       Code = "no_upstream"
+	CodeDeadline         Code = "deadline"
+	CodeUpstreamFailed   Code = "upstream_failed"
+	CodeOutcomeUnknown   Code = "outcome_unknown"
+	CodeInProgress       Code = "in_progress"
+	CodeKeyReused        Code = "idempotency_key_reused"
+	CodeKeyMissing       Code = "idempotency_key_missing"
+	CodeStoreDown        Code = "store_down"
+	CodeConflict         Code = "conflict"
+	CodeInvalid          Code = "invalid"
+	CodeStarting         Code = "starting"
+	CodeLeaving          Code = "leaving"
+	CodeResumeImpossible Code = "resume_impossible"
+	CodeInternal         Code = "internal"
+)
+
+// Refusal is a final answer that is not the upstream's. It is a value, not a failure
+// of the router: callers get it as it stands.
+type Refusal struct {
+	Code    Code
+	Message string
+	Ran     Ran
+	// RetryAfter tells the caller when to come back. Zero means that coming back does not help.
+	RetryAfter time.Duration
+}
+
+// Error makes Refusal usable where an error is expected.
+func (r *Refusal) Error() string {
+	return string(r.Code) + ": " + r.Message
+}
+
+// Refuse makes a refusal of a request that has not run.
+func Refuse(code Code, message string, retryAfter time.Duration) *Refusal {
+	return &Refusal{Code: code, Message: message, Ran: NotRun, RetryAfter: retryAfter}
+}
+
+// RefuseUnknown makes a refusal of a request that may have run.
+func RefuseUnknown(code Code, message string) *Refusal {
+	return &Refusal{Code: code, Message: message, Ran: RanUnknown}
+}
--- /dev/null
+++ b/core/membership/view.go
@@ -0,0 +1,101 @@
+// Package membership keeps a router's view of the fleet: the platform's lagging host
+// list, corrected by what this router saw itself.
+package membership
+
+import (
+	"sort"
+	"time"
+
+	"agateswitch/core/fleet"
+)
+
+// Bounds of the time for which a failed exchange makes a router suspect. The time
+// doubles with each further failure.
+const (
+	SuspectMin = time.Second
+	SuspectMax = 30 * time.Second
+)
+
+// View is one router's view. It is not safe for concurrent use.
+type View struct {
+	self      fleet.Host
+	routers   map[fleet.HostID]fleet.Host
+	upstreams map[fleet.PoolID][]fleet.Upstream
+	suspects  map[fleet.HostID]suspicion
+}
+
+type suspicion struct {
+	until    time.Time
+	duration time.Duration
+}
+
+// NewView makes a view that knows only the router itself.
+func NewView(self fleet.Host) *View {
+	return &View{
+		self:      self,
+		routers:   map[fleet.HostID]fleet.Host{self.ID: self},
+		upstreams: map[fleet.PoolID][]fleet.Upstream{},
+		suspects:  map[fleet.HostID]suspicion{},
+	}
+}
+
+// SetHosts takes a new host list. The router itself always stays in the view.
+func (v *View) SetHosts(routers []fleet.Host, upstreams []fleet.Upstream) {
+	v.routers = map[fleet.HostID]fleet.Host{v.self.ID: v.self}
+	for _, host := range routers {
+		if host.ID != v.self.ID {
+			v.routers[host.ID] = host
+		}
+	}
+	v.upstreams = map[fleet.PoolID][]fleet.Upstream{}
+	for _, upstream := range upstreams {
+		v.upstreams[upstream.Pool] = append(v.upstreams[upstream.Pool], upstream)
+	}
+}
+
+// SetSelfState changes the own state, which the host list may not show yet.
+func (v *View) SetSelfState(state fleet.LifeState) {
+	v.self.State = state
+	v.routers[v.self.ID] = v.self
+}
+
+// Suspect notes a failed exchange with a router.
+func (v *View) Suspect(now time.Time, id fleet.HostID) {
+	if id == v.self.ID {
+		return
+	}
+	previous := v.suspects[id]
+	if now.Before(previous.until) {
+		return
+	}
+	duration := min(max(2*previous.duration, SuspectMin), SuspectMax)
+	v.suspects[id] = suspicion{until: now.Add(duration), duration: duration}
+}
+
+// Confirm notes a successful exchange with a router.
+func (v *View) Confirm(id fleet.HostID) {
+	delete(v.suspects, id)
+}
+
+// Routers returns the routers that take work, in id order.
+func (v *View) Routers(now time.Time) []fleet.Host {
+	var alive []fleet.Host
+	for id, host := range v.routers {
+		if host.State == fleet.Live && !now.Before(v.suspects[id].until) {
+			alive = append(alive, host)
+		}
+	}
+	sort.Slice(alive, func(i, j int) bool { return alive[i].ID < alive[j].ID })
+	return alive
+}
+
+// Router finds a known router.
+func (v *View) Router(id fleet.HostID) (fleet.Host, bool) {
+	host, found := v.routers[id]
+	return host, found
+}
+
+// Upstreams returns the upstreams of a pool.
+func (v *View) Upstreams(pool fleet.PoolID) []fleet.Upstream {
+	return v.upstreams[pool]
+}
--- /dev/null
+++ b/core/rendezvous/rendezvous.go
@@ -0,0 +1,69 @@
+// Package rendezvous ranks nodes for a key by highest random weight
+// (Thaler and Ravishankar, 1998). Removing a node moves only that node's keys.
+package rendezvous
+
+import (
+	"math"
+	"sort"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Score returns the rank value of node for key. The highest score is first.
+func Score(key, node string) uint64 {
+	// The node hash is mixed with the key hash, so that each part is hashed once.
+	return Mix(xxhash.Sum64String(key), xxhash.Sum64String(node))
+}
+
+// Mix combines the hash of a key and the hash of a node into a score.
+func Mix(keyHash, nodeHash uint64) uint64 {
+	// The finalizer of SplitMix64 spreads each input bit over the whole word.
+	x := keyHash ^ (nodeHash * 0x9e3779b97f4a7c15)
+	x ^= x >> 30
+	x *= 0xbf58476d1ce4e5b9
+	x ^= x >> 27
+	x *= 0x94d049bb133111eb
+	return x ^ (x >> 31)
+}
+
+// Weighted returns a score whose winner is drawn in proportion to weight.
+// A weight of zero or less never wins against a positive one.
+func Weighted(key, node string, weight float64) float64 {
+	if weight <= 0 {
+		return math.Inf(-1)
+	}
+	// unit is in (0, 1): 53 bits of the score, moved off zero by half a step.
+	unit := (float64(Score(key, node)>>11) + 0.5) / (1 << 53)
+	return weight / -math.Log(unit)
+}
+
+// Order returns the nodes, best first, for key. It does not change nodes.
+func Order(key string, nodes []string) []string {
+	ordered := append([]string(nil), nodes...)
+	keyHash := xxhash.Sum64String(key)
+	scores := make(map[string]uint64, len(nodes))
+	for _, node := range nodes {
+		scores[node] = Mix(keyHash, xxhash.Sum64String(node))
+	}
+	sort.Slice(ordered, func(i, j int) bool {
+		if scores[ordered[i]] != scores[ordered[j]] {
+			return scores[ordered[i]] > scores[ordered[j]]
+		}
+		return ordered[i] < ordered[j]
+	})
+	return ordered
+}
+
+// First returns the best node for key, and false when there are none.
+func First(key string, nodes []string) (string, bool) {
+	best, found := "", false
+	var bestScore uint64
+	keyHash := xxhash.Sum64String(key)
+	for _, node := range nodes {
+		score := Mix(keyHash, xxhash.Sum64String(node))
+		if !found || score > bestScore || (score == bestScore && node < best) {
+			best, bestScore, found = node, score, true
+		}
+	}
+	return best, found
+}
--- /dev/null
+++ b/demo/fleet.go
@@ -0,0 +1,227 @@
+// Package demo runs a whole fleet in one process: stand-ins of the platform and of the
+// upstreams, and routers on loopback addresses, under a load of returning chats.
+package demo
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"agateswitch/adapter/hostlist"
+	"agateswitch/adapter/operatorclient"
+	"agateswitch/core/configuration"
+	"agateswitch/core/fleet"
+	"agateswitch/examples"
+	"agateswitch/node/router"
+	"agateswitch/settings"
+	"agateswitch/standin/engine"
+	"agateswitch/standin/hosts"
+	"agateswitch/standin/service"
+	"agateswitch/standin/store"
+
+	"github.com/charmbracelet/log"
+	"github.com/juju/errors"
+)
+
+// OperatorToken is the operators' token of demo fleets.
+const OperatorToken = "demo-operator-token"
+
+const resumeKey = "demo-resume-key-of-at-least-32-characters"
+
+// Speeds of the stand-in engines.
+const (
+	prefillPerToken = 200 * time.Microsecond
+	tokenInterval   = 2 * time.Millisecond
+)
+
+// Fleet is a running demo fleet.
+type Fleet struct {
+	Example examples.Example
+	// Entries and Operators are the ip:port addresses of the routers.
+	Entries   []string
+	Operators []string
+	Routers   []*router.Router
+	Store     *store.Server
+	Hosts     *hosts.Server
+	Engines   map[fleet.UpstreamID]*engine.Engine
+	Services  map[fleet.UpstreamID]*service.Service
+
+	log     *log.Logger
+	servers []*http.Server
+	running sync.WaitGroup
+	stop    context.CancelFunc
+}
+
+// Start brings up a fleet and its configuration. Stop ends it.
+func Start(ctx context.Context, example examples.Example, routers int, logger *log.Logger) (*Fleet, error) {
+	life, stop := context.WithCancel(context.WithoutCancel(ctx))
+	f := &Fleet{
+		Example: example, Store: store.New(), Hosts: hosts.New(), log: logger, stop: stop,
+		Engines: map[fleet.UpstreamID]*engine.Engine{}, Services: map[fleet.UpstreamID]*service.Service{},
+	}
+	if err := f.start(ctx, life, routers); err != nil {
+		f.Stop()
+		return nil, err
+	}
+	return f, nil
+}
+
+func (f *Fleet) start(ctx, life context.Context, routers int) error {
+	storeAddress, err := f.serve(f.Store)
+	if err != nil {
+		return err
+	}
+	hostsAddress, err := f.serve(f.Hosts)
+	if err != nil {
+		return err
+	}
+	for _, pool := range f.Example.Pools {
+		if err := f.startUpstreams(pool); err != nil {
+			return err
+		}
+	}
+	for i := range routers {
+		if err := f.startRouter(life, i, settings.Platform{Store: storeAddress, Hosts: hostsAddress}); err != nil {
+			return err
+		}
+	}
+	for _, started := range f.Routers {
+		select {
+		case <-started.Ready():
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+	return f.configure(ctx)
+}
+
+// serve starts an HTTP server on a free loopback address.
+func (f *Fleet) serve(handler http.Handler) (string, error) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", errors.Trace(err)
+	}
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: time.Second}
+	f.servers = append(f.servers, server)
+	f.running.Go(func() { server.Serve(listener) })
+	return listener.Addr().String(), nil
+}
+
+func (f *Fleet) startUpstreams(pool configuration.Pool) error {
+	dataCentres := f.Example.Topology.DataCentres
+	for i := range f.Example.Topology.Upstreams[pool.Name] {
+		id := fleet.UpstreamID(fmt.Sprintf("%s-%d", pool.Name, i+1))
+		address, err := f.serve(f.newUpstream(id, pool))
+		if err != nil {
+			return err
+		}
+		f.Hosts.Put(hostlist.TargetGroup{Targets: []string{address}, Labels: map[string]string{
+			hostlist.LabelRole: hostlist.RoleUpstream, hostlist.LabelID: string(id),
+			hostlist.LabelPool:       string(pool.Name),
+			hostlist.LabelDataCentre: string(dataCentres[i%len(dataCentres)]),
+			hostlist.LabelVersion:    "1",
+		}})
+	}
+	return nil
+}
+
+func (f *Fleet) newUpstream(id fleet.UpstreamID, pool configuration.Pool) http.Handler {
+	if pool.Type == configuration.PoolService {
+		f.Services[id] = service.New(string(id))
+		return f.Services[id]
+	}
+	f.Engines[id] = engine.New(engine.Options{
+		ID: string(id), PrefillPerToken: prefillPerToken, TokenInterval: tokenInterval,
+	})
+	return f.Engines[id]
+}
+
+func (f *Fleet) startRouter(life context.Context, index int, platform settings.Platform) error {
+	topology := f.Example.Topology
+	dataCentre := topology.DataCentres[index%len(topology.DataCentres)]
+	anyPort := "127.0.0.1:0"
+	configured := settings.Settings{
+		Host: settings.Host{
+			ID:         fleet.HostID(fmt.Sprintf("%s-%d", dataCentre, index/len(topology.DataCentres)+1)),
+			DataCentre: dataCentre, Region: topology.Region,
+		},
+		Listen:   settings.Listen{Callers: anyPort, Operators: anyPort, Peers: anyPort},
+		Platform: platform, OperatorToken: OperatorToken, ResumeKeys: []string{resumeKey},
+	}
+	listeners, err := router.Listen(configured.Listen)
+	if err != nil {
+		return err
+	}
+	started, err := router.New(configured, listeners, f.log)
+	if err != nil {
+		return err
+	}
+	f.Routers = append(f.Routers, started)
+	f.Entries = append(f.Entries, listeners.Callers.Addr().String())
+	f.Operators = append(f.Operators, listeners.Operators.Addr().String())
+	f.Hosts.Put(hostlist.TargetGroup{Targets: []string{listeners.Callers.Addr().String()}, Labels: map[string]string{
+		hostlist.LabelRole: hostlist.RoleRouter, hostlist.LabelID: string(configured.Host.ID),
+		hostlist.LabelDataCentre: string(dataCentre), hostlist.LabelRegion: string(topology.Region),
+		hostlist.LabelPeer: listeners.Peers.Addr().String(),
+	}})
+	f.running.Go(func() {
+		if err := started.Run(life, life); err != nil {
+			f.log.Error("router ended", "err", err)
+		}
+	})
+	return nil
+}
+
+// configure puts the example's pools and contracts through the operators' interface and
+// waits until every router has them in force.
+func (f *Fleet) configure(ctx context.Context) error {
+	client := operatorclient.New(f.Operators[0], OperatorToken)
+	var last configuration.Revision
+	for _, pool := range f.Example.Pools {
+		key := configuration.Key{Kind: configuration.KindPool, Name: string(pool.Name)}
+		accepted, err := client.Put(ctx, key, mustJSON(pool), operatorclient.ChangeOptions{})
+		if err != nil {
+			return err
+		}
+		last = accepted.Revision
+	}
+	// Contracts name pools, which the accepting router must have in force.
+	if err := client.WaitFor(ctx, last); err != nil {
+		return err
+	}
+	for _, contract := range f.Example.Contracts {
+		key := configuration.Key{Kind: configuration.KindContract, Name: string(contract.Team)}
+		accepted, err := client.Put(ctx, key, mustJSON(contract), operatorclient.ChangeOptions{})
+		if err != nil {
+			return err
+		}
+		last = accepted.Revision
+	}
+	for _, address := range f.Operators {
+		if err := operatorclient.New(address, OperatorToken).WaitFor(ctx, last); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// Stop ends every router and stand-in.
+func (f *Fleet) Stop() {
+	f.stop()
+	for _, server := range f.servers {
+		server.Close()
+	}
+	f.running.Wait()
+}
+
+func mustJSON(value any) []byte {
+	encoded, err := json.Marshal(value)
+	if err != nil {
+		panic(err)
+	}
+	return encoded
+}
--- /dev/null
+++ b/node/members/members.go
@@ -0,0 +1,105 @@
+// Package members keeps a router's view of the fleet up to date from the host list.
+package members
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"agateswitch/core/fleet"
+	"agateswitch/core/membership"
+	"agateswitch/port"
+
+	"github.com/charmbracelet/log"
+)
+
+// PollInterval is the time between two readings of the host list.
+const PollInterval = time.Second
+
+// Service is a port.Members. It is safe for concurrent use.
+type Service struct {
+	hosts port.HostList
+	log   *log.Logger
+	self  fleet.Host
+
+	mu   sync.Mutex
+	view *membership.View
+}
+
+// New makes the service of one router.
+func New(self fleet.Host, hosts port.HostList, logger *log.Logger) *Service {
+	return &Service{hosts: hosts, log: logger, self: self, view: membership.NewView(self)}
+}
+
+// Run reads the host list until ctx ends. While the list is down the last view stays.
+func (s *Service) Run(ctx context.Context) {
+	ticker := time.NewTicker(PollInterval)
+	defer ticker.Stop()
+	for {
+		s.Refresh(ctx)
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+// Refresh reads the host list once.
+func (s *Service) Refresh(ctx context.Context) {
+	hosts, err := s.hosts.Hosts(ctx)
+	if err != nil {
+		if ctx.Err() == nil {
+			s.log.Warn("host list unreadable, keeping the last one", "err", err)
+		}
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.view.SetHosts(hosts.Routers, hosts.Upstreams)
+}
+
+// Self implements port.Members.
+func (s *Service) Self() fleet.Host { return s.self }
+
+// Routers implements port.Members.
+func (s *Service) Routers() []fleet.Host {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.view.Routers(time.Now())
+}
+
+// Router implements port.Members.
+func (s *Service) Router(id fleet.HostID) (fleet.Host, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.view.Router(id)
+}
+
+// Upstreams implements port.Members.
+func (s *Service) Upstreams(pool fleet.PoolID) []fleet.Upstream {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.view.Upstreams(pool)
+}
+
+// Suspect implements port.Members.
+func (s *Service) Suspect(id fleet.HostID) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.view.Suspect(time.Now(), id)
+}
+
+// Confirm implements port.Members.
+func (s *Service) Confirm(id fleet.HostID) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.view.Confirm(id)
+}
+
+// Leave marks this router as leaving in its own view.
+func (s *Service) Leave() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.view.SetSelfState(fleet.Leaving)
+}
--- /dev/null
+++ b/node/router/router.go
@@ -0,0 +1,179 @@
+// Package router assembles one router from its parts and runs it.
+package router
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"time"
+
+	"agateswitch/adapter/callerhttp"
+	"agateswitch/adapter/hostlist"
+	"agateswitch/adapter/kv"
+	"agateswitch/adapter/operatorhttp"
+	"agateswitch/adapter/peer"
+	"agateswitch/adapter/telemetry"
+	"agateswitch/adapter/upstreamhttp"
+	"agateswitch/core/fleet"
+	"agateswitch/node/chat"
+	"agateswitch/node/claims"
+	"agateswitch/node/configsync"
+	"agateswitch/node/forward"
+	"agateswitch/node/grants"
+	"agateswitch/node/members"
+	"agateswitch/node/moves"
+	"agateswitch/settings"
+
+	"github.com/charmbracelet/log"
+	"github.com/juju/errors"
+	"golang.org/x/sync/errgroup"
+)
+
+// Listeners are the open sockets of a router.
+type Listeners struct {
+	Callers   net.Listener
+	Operators net.Listener
+	Peers     net.Listener
+}
+
+// Listen opens the sockets that the settings name.
+func Listen(addresses settings.Listen) (Listeners, error) {
+	var listeners Listeners
+	var err error
+	if listeners.Callers, err = net.Listen("tcp", addresses.Callers); err != nil {
+		return Listeners{}, errors.Annotate(err, "listening for callers")
+	}
+	if listeners.Operators, err = net.Listen("tcp", addresses.Operators); err != nil {
+		listeners.Callers.Close()
+		return Listeners{}, errors.Annotate(err, "listening for operators")
+	}
+	if listeners.Peers, err = net.Listen("tcp", addresses.Peers); err != nil {
+		listeners.Callers.Close()
+		listeners.Operators.Close()
+		return Listeners{}, errors.Annotate(err, "listening for peers")
+	}
+	return listeners, nil
+}
+
+// Router is one router process.
+type Router struct {
+	settings  settings.Settings
+	listeners Listeners
+	log       *log.Logger
+	metrics   *telemetry.Metrics
+	members   *members.Service
+	config    *configsync.Service
+	mesh      *peer.Mesh
+	callers   *http.Server
+	operators *http.Server
+}
+
+// New assembles a router on open listeners.
+func New(s settings.Settings, listeners Listeners, logger *log.Logger) (*Router, error) {
+	metrics, err := telemetry.NewMetrics()
+	if err != nil {
+		return nil, err
+	}
+	self := fleet.Host{
+		ID: s.Host.ID, DataCentre: s.Host.DataCentre, Region: s.Host.Region, State: fleet.Live,
+		HTTPAddress: listeners.Callers.Addr().String(), PeerAddress: listeners.Peers.Addr().String(),
+	}
+	logger = logger.With("host", self.ID)
+	r := &Router{settings: s, listeners: listeners, log: logger, metrics: metrics}
+	store := kv.New(s.Platform.Store, 0)
+	r.members = members.New(self, hostlist.New(s.Platform.Hosts), logger)
+	r.config = configsync.New(store, logger)
+	r.mesh = peer.New(self.ID, r.members)
+	versions := moves.New(r.config)
+	placer := grants.New(r.members, r.config, versions, r.mesh, time.Now().UnixNano(), logger)
+	upstreams := upstreamhttp.New()
+	callers := &callerhttp.Server{
+		Config: r.config, Members: r.members, Log: logger,
+		Chat:    chat.New(placer, upstreams, versions, logger),
+		Forward: forward.New(placer, upstreams, versions, claims.New(store, logger), logger),
+	}
+	operators := &operatorhttp.Server{
+		Token: s.OperatorToken, Config: r.config, Members: r.members, Placer: placer,
+	}
+	r.callers = &http.Server{Handler: callers.Handler()}
+	callerhttp.Harden(r.callers)
+	r.operators = &http.Server{Handler: r.operatorRoutes(operators.Handler())}
+	callerhttp.Harden(r.operators)
+	return r, nil
+}
+
+// operatorRoutes adds health and metrics to the operators' interface.
+func (r *Router) operatorRoutes(operators http.Handler) http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle("/operator/", operators)
+	mux.Handle("GET /metrics", r.metrics.Handler())
+	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusNoContent) })
+	mux.HandleFunc("GET /readyz", r.ready)
+	return mux
+}
+
+func (r *Router) ready(w http.ResponseWriter, _ *http.Request) {
+	select {
+	case <-r.config.Loaded():
+		w.WriteHeader(http.StatusNoContent)
+	default:
+		http.Error(w, "no configuration has been read yet", http.StatusServiceUnavailable)
+	}
+}
+
+// Ready is closed once the router has a configuration.
+func (r *Router) Ready() <-chan struct{} { return r.config.Loaded() }
+
+// Traffic returns the bytes sent to and received from other routers.
+func (r *Router) Traffic() (sent, received int64) { return r.mesh.Traffic() }
+
+// Run serves until ctx ends, then drains: the router leaves the entry answers, serves
+// for as long as callers may keep those, and finishes its running requests. Ending
+// forced cuts the drain short.
+func (r *Router) Run(ctx, forced context.Context) error {
+	life, stop := context.WithCancel(forced)
+	defer stop()
+	group, life := errgroup.WithContext(life)
+	group.Go(func() error { r.members.Run(life); return nil })
+	group.Go(func() error { r.config.Run(life); return nil })
+	group.Go(func() error { return r.mesh.Serve(life, r.listeners.Peers) })
+	group.Go(func() error { return serve(r.callers, r.listeners.Callers) })
+	group.Go(func() error { return serve(r.operators, r.listeners.Operators) })
+	group.Go(func() error {
+		select {
+		case <-ctx.Done():
+			r.drain(forced)
+		case <-life.Done():
+		}
+		stop()
+		r.callers.Close()
+		r.operators.Close()
+		return nil
+	})
+	r.log.Info("serving", "callers", r.listeners.Callers.Addr(), "operators", r.listeners.Operators.Addr(),
+		"peers", r.listeners.Peers.Addr())
+	return group.Wait()
+}
+
+func serve(server *http.Server, listener net.Listener) error {
+	err := server.Serve(listener)
+	if errors.Is(err, http.ErrServerClosed) {
+		return nil
+	}
+	return errors.Trace(err)
+}
+
+func (r *Router) drain(forced context.Context) {
+	r.members.Leave()
+	r.log.Info("leaving", "serving_for", time.Duration(r.settings.Drain))
+	select {
+	case <-time.After(time.Duration(r.settings.Drain)):
+	case <-forced.Done():
+		return
+	}
+	if err := r.callers.Shutdown(forced); err != nil {
+		r.log.Warn("stopped while requests were running", "err", err)
+		return
+	}
+	r.log.Info("left, nothing was running")
+}
--- /dev/null
+++ b/settings/settings.go
@@ -0,0 +1,169 @@
+// Package settings reads a router's settings file: JSON with comments, checked whole
+// before anything starts.
+package settings
+
+import (
+	"fmt"
+	"net/netip"
+	"os"
+	"time"
+
+	"agateswitch/core/fleet"
+
+	"github.com/juju/errors"
+)
+
+// Settings is the content of a settings file.
+type Settings struct {
+	Host     Host     `json:"host"`
+	Listen   Listen   `json:"listen"`
+	Platform Platform `json:"platform"`
+	// OperatorToken proves that a caller is an operator. At least 16 characters.
+	OperatorToken string `json:"operator_token"`
+	// ResumeKeys sign resume tokens; the first signs, all verify. At least 32 characters
+	// each, one or two of them. The same on every router.
+	ResumeKeys []string `json:"resume_keys"`
+	Log        Log      `json:"log"`
+	// Drain is how long a leaving router goes on serving after it has left the entry
+	// answers. Default: 35s, a little more than callers keep those answers.
+	Drain Duration `json:"drain"`
+}
+
+// Host tells a router its place.
+type Host struct {
+	ID         fleet.HostID     `json:"id"`
+	DataCentre fleet.DataCentre `json:"datacentre"`
+	Region     fleet.Region     `json:"region"`
+}
+
+// Listen holds the ip:port addresses that the router serves on.
+type Listen struct {
+	Callers   string `json:"callers"`
+	Operators string `json:"operators"`
+	Peers     string `json:"peers"`
+}
+
+// Platform holds the ip:port addresses of the platform's services.
+type Platform struct {
+	// Store is the key-value service (etcd v3 JSON API).
+	Store string `json:"store"`
+	// Hosts is the host list (HTTP service discovery).
+	Hosts string `json:"hosts"`
+}
+
+// Log sets what is logged and how.
+type Log struct {
+	// Level is debug, info, warn or error. Default: info.
+	Level string `json:"level"`
+	// Format is text or json. Default: text.
+	Format string `json:"format"`
+}
+
+// Duration is a time written with its unit, such as "30s".
+type Duration time.Duration
+
+// UnmarshalText implements encoding.TextUnmarshaler.
+func (d *Duration) UnmarshalText(text []byte) error {
+	parsed, err := time.ParseDuration(string(text))
+	if err != nil {
+		return fmt.Errorf("%q is not a time with its unit, such as \"30s\"", text)
+	}
+	*d = Duration(parsed)
+	return nil
+}
+
+// Defaults and ranges.
+const (
+	DefaultDrain      = 35 * time.Second
+	MaxDrain          = time.Hour
+	MinTokenLength    = 16
+	MinResumeKeyBytes = 32
+	MaxResumeKeys     = 2
+)
+
+// Problem is one fault of a settings file.
+type Problem struct {
+	File    string
+	Line    int
+	Field   string
+	Message string
+}
+
+// String returns "file:line: field: message".
+func (p Problem) String() string {
+	return fmt.Sprintf("%s:%d: %s: %s", p.File, p.Line, p.Field, p.Message)
+}
+
+// Load reads and checks a file. It returns either usable settings or every problem found.
+func Load(path string) (Settings, []Problem, error) {
+	content, err := os.ReadFile(path)
+	if err != nil {
+		return Settings{}, nil, errors.Annotate(err, "reading the settings")
+	}
+	parsed, problems := Parse(path, content)
+	return parsed, problems, nil
+}
+
+// Parse checks the content of a settings file.
+func Parse(name string, content []byte) (Settings, []Problem) {
+	parsed := Settings{
+		Log:   Log{Level: "info", Format: "text"},
+		Drain: Duration(DefaultDrain),
+	}
+	d := decode(name, content, &parsed)
+	if d.broken {
+		return Settings{}, d.problems
+	}
+	d.check(parsed)
+	return parsed, d.problems
+}
+
+func (d *decoder) check(s Settings) {
+	d.require(s.Host.ID != "", "host.id", "is missing")
+	d.require(s.Host.DataCentre != "", "host.datacentre", "is missing")
+	d.address("listen.callers", s.Listen.Callers)
+	d.address("listen.operators", s.Listen.Operators)
+	d.address("listen.peers", s.Listen.Peers)
+	d.distinct(map[string]string{
+		"listen.callers": s.Listen.Callers, "listen.operators": s.Listen.Operators, "listen.peers": s.Listen.Peers,
+	})
+	d.address("platform.store", s.Platform.Store)
+	d.address("platform.hosts", s.Platform.Hosts)
+	d.require(len(s.OperatorToken) >= MinTokenLength, "operator_token", "needs at least %d characters", MinTokenLength)
+	d.require(len(s.ResumeKeys) >= 1 && len(s.ResumeKeys) <= MaxResumeKeys, "resume_keys", "needs 1 to %d keys", MaxResumeKeys)
+	for i, key := range s.ResumeKeys {
+		d.require(len(key) >= MinResumeKeyBytes, fmt.Sprintf("resume_keys[%d]", i), "needs at least %d characters", MinResumeKeyBytes)
+	}
+	d.oneOf("log.level", s.Log.Level, "debug", "info", "warn", "error")
+	d.oneOf("log.format", s.Log.Format, "text", "json")
+	drain := time.Duration(s.Drain)
+	d.require(drain >= 0 && drain <= MaxDrain, "drain", "must be 0s to %s", MaxDrain)
+}
+
+func (d *decoder) address(field, value string) {
+	if value == "" {
+		d.require(false, field, "is missing")
+		return
+	}
+	_, err := netip.ParseAddrPort(value)
+	d.require(err == nil, field, "%q is not ip:port", value)
+}
+
+func (d *decoder) distinct(addresses map[string]string) {
+	for field, value := range addresses {
+		for other, otherValue := range addresses {
+			if field > other && value != "" && value == otherValue {
+				d.require(false, field, "is the same address as %s", other)
+			}
+		}
+	}
+}
+
+func (d *decoder) oneOf(field, value string, allowed ...string) {
+	for _, option := range allowed {
+		if value == option {
+			return
+		}
+	}
+	d.require(false, field, "%q is not one of %v", value, allowed)
+}
--- /dev/null
+++ b/standin/engine/engine.go
@@ -0,0 +1,209 @@
+// Package engine is a small stand-in of a model engine: it streams chat completions,
+// keeps a prefix cache of limited size, and resumes and cancels streams. Its answers are
+// a function of the request, so that a caller can tell whether one is whole and its own.
+package engine
+
+import (
+	"container/list"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"agateswitch/adapter/upstreamhttp"
+	"agateswitch/port"
+	"agateswitch/sse"
+)
+
+// Options set an engine's speed and size.
+type Options struct {
+	ID string
+	// PrefillPerToken is the time of one uncached prompt token.
+	PrefillPerToken time.Duration
+	// TokenInterval is the time between generated tokens.
+	TokenInterval time.Duration
+	// CacheEntries is how many chats the prefix cache holds. Default: 256.
+	CacheEntries int
+}
+
+// Counts tells what an engine did.
+type Counts struct {
+	Requests    int64 `json:"requests"`
+	CacheHits   int64 `json:"cache_hits"`
+	CacheMisses int64 `json:"cache_misses"`
+	Cancelled   int64 `json:"cancelled"`
+	Running     int64 `json:"running"`
+}
+
+// PathCounts answers Counts.
+const PathCounts = "/standin/counts"
+
+// Engine is the stand-in. It is an http.Handler.
+type Engine struct {
+	options Options
+	mux     *http.ServeMux
+
+	mu      sync.Mutex
+	counts  Counts
+	cache   map[string]*list.Element
+	recent  *list.List
+	streams map[string]*generation
+}
+
+// New makes an engine with an empty cache.
+func New(options Options) *Engine {
+	if options.CacheEntries == 0 {
+		options.CacheEntries = 256
+	}
+	e := &Engine{
+		options: options, mux: http.NewServeMux(),
+		cache: map[string]*list.Element{}, recent: list.New(), streams: map[string]*generation{},
+	}
+	e.mux.HandleFunc("POST "+upstreamhttp.PathCompletions, e.complete)
+	e.mux.HandleFunc("GET "+upstreamhttp.PathCompletions+"/{id}", e.resume)
+	e.mux.HandleFunc("POST "+upstreamhttp.PathCompletions+"/{id}/cancel", e.cancel)
+	e.mux.HandleFunc("GET "+PathCounts, func(w http.ResponseWriter, _ *http.Request) { json.NewEncoder(w).Encode(e.Counts()) })
+	return e
+}
+
+// ServeHTTP implements http.Handler.
+func (e *Engine) ServeHTTP(w http.ResponseWriter, r *http.Request) { e.mux.ServeHTTP(w, r) }
+
+// Counts returns what the engine did since its start.
+func (e *Engine) Counts() Counts {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.counts
+}
+
+// body holds the fields of a request that the engine reads.
+type body struct {
+	Model          string `json:"model"`
+	Stream         bool   `json:"stream"`
+	MaxTokens      int    `json:"max_tokens"`
+	PromptCacheKey string `json:"prompt_cache_key"`
+	Messages       []struct {
+		Role    string `json:"role"`
+		Content string `json:"content"`
+	} `json:"messages"`
+}
+
+const defaultTokens = 16
+
+func (e *Engine) complete(w http.ResponseWriter, r *http.Request) {
+	var request body
+	if err := json.NewDecoder(r.Body).Decode(&request); err != nil || len(request.Messages) == 0 {
+		http.Error(w, `{"error":{"message":"not a chat completion"}}`, http.StatusBadRequest)
+		return
+	}
+	id := r.Header.Get(port.HeaderRequestID)
+	w.Header().Set(port.HeaderRequestID, id)
+	generated := e.start(id, request)
+	if request.Stream {
+		generated.stream(w, r, 0)
+		return
+	}
+	generated.whole(w, r)
+}
+
+func (e *Engine) start(id string, request body) *generation {
+	prompt := request.Messages[len(request.Messages)-1].Content
+	if request.MaxTokens == 0 {
+		request.MaxTokens = defaultTokens
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.counts.Requests++
+	e.counts.Running++
+	size := 0
+	for _, message := range request.Messages {
+		size += len(message.Content)
+	}
+	prefill := time.Duration(size/4) * e.options.PrefillPerToken
+	if e.touch(request.PromptCacheKey) {
+		e.counts.CacheHits++
+		prefill = 0
+	} else {
+		e.counts.CacheMisses++
+	}
+	generated := newGeneration(id, request.Model, Tokens(prompt, request.MaxTokens))
+	e.streams[id] = generated
+	go e.run(generated, prefill)
+	return generated
+}
+
+// Tokens returns the whole answer to a prompt.
+func Tokens(prompt string, count int) []string {
+	tokens := make([]string, count)
+	for i := range tokens {
+		tokens[i] = fmt.Sprintf("%s#%d ", prompt, i)
+	}
+	return tokens
+}
+
+// touch marks a chat as used and tells whether its prefix was cached.
+func (e *Engine) touch(chat string) bool {
+	if chat == "" {
+		return false
+	}
+	if element, found := e.cache[chat]; found {
+		e.recent.MoveToFront(element)
+		return true
+	}
+	e.cache[chat] = e.recent.PushFront(chat)
+	if e.recent.Len() > e.options.CacheEntries {
+		oldest := e.recent.Remove(e.recent.Back()).(string)
+		delete(e.cache, oldest)
+	}
+	return false
+}
+
+// run produces the tokens at the engine's speed.
+func (e *Engine) run(generated *generation, prefill time.Duration) {
+	time.Sleep(prefill)
+	for generated.advance() {
+		time.Sleep(e.options.TokenInterval)
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.counts.Running--
+}
+
+func (e *Engine) find(w http.ResponseWriter, r *http.Request) (*generation, bool) {
+	id := r.PathValue("id")
+	w.Header().Set(port.HeaderRequestID, id)
+	e.mu.Lock()
+	generated, found := e.streams[id]
+	e.mu.Unlock()
+	if !found {
+		http.Error(w, `{"error":{"message":"no such completion"}}`, http.StatusNotFound)
+	}
+	return generated, found
+}
+
+func (e *Engine) resume(w http.ResponseWriter, r *http.Request) {
+	after, err := strconv.Atoi(r.URL.Query().Get(upstreamhttp.ParamStartingAfter))
+	if err != nil {
+		after = 0
+	}
+	if generated, found := e.find(w, r); found {
+		generated.stream(w, r, after)
+	}
+}
+
+func (e *Engine) cancel(w http.ResponseWriter, r *http.Request) {
+	generated, found := e.find(w, r)
+	if !found {
+		return
+	}
+	if generated.stop() {
+		e.mu.Lock()
+		e.counts.Cancelled++
+		e.mu.Unlock()
+	}
+	w.WriteHeader(http.StatusNoContent)
+}
+
+var doneEvent = sse.Event{Data: []byte(sse.Done)}
--- /dev/null
+++ b/standin/engine/generation.go
@@ -0,0 +1,143 @@
+package engine
+
+import (
+	"encoding/json"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+
+	"agateswitch/sse"
+)
+
+// generation is one answer as it is produced. Several connections may read it.
+type generation struct {
+	id     string
+	model  string
+	tokens []string
+
+	mu       sync.Mutex
+	produced int
+	stopped  bool
+	changed  chan struct{}
+}
+
+func newGeneration(id, model string, tokens []string) *generation {
+	return &generation{id: id, model: model, tokens: tokens, changed: make(chan struct{})}
+}
+
+// advance produces one token. It returns false at the end or after a cancel.
+func (g *generation) advance() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.stopped || g.produced == len(g.tokens) {
+		return false
+	}
+	g.produced++
+	g.signal()
+	return true
+}
+
+func (g *generation) signal() {
+	close(g.changed)
+	g.changed = make(chan struct{})
+}
+
+// stop cancels the generation and tells whether it was running.
+func (g *generation) stop() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	running := !g.stopped && g.produced < len(g.tokens)
+	g.stopped = true
+	g.signal()
+	return running
+}
+
+// wait returns how many tokens there are, once there are more than seen.
+func (g *generation) wait(r *http.Request, seen int) (produced int, ok bool) {
+	for {
+		g.mu.Lock()
+		produced, stopped, changed := g.produced, g.stopped, g.changed
+		g.mu.Unlock()
+		if produced > seen {
+			return produced, true
+		}
+		if stopped {
+			return produced, false
+		}
+		select {
+		case <-changed:
+		case <-r.Context().Done():
+			return produced, false
+		}
+	}
+}
+
+type chunk struct {
+	ID      string   `json:"id"`
+	Object  string   `json:"object"`
+	Model   string   `json:"model"`
+	Choices []choice `json:"choices"`
+}
+
+type choice struct {
+	Index        int      `json:"index"`
+	Delta        *message `json:"delta,omitempty"`
+	Message      *message `json:"message,omitempty"`
+	FinishReason string   `json:"finish_reason,omitempty"`
+}
+
+type message struct {
+	Role    string `json:"role"`
+	Content string `json:"content"`
+}
+
+// stream sends the tokens after an event id, then the end.
+func (g *generation) stream(w http.ResponseWriter, r *http.Request, after int) {
+	w.Header().Set("Content-Type", "text/event-stream")
+	w.WriteHeader(http.StatusOK)
+	controller := http.NewResponseController(w)
+	controller.Flush()
+	sent := after
+	for sent < len(g.tokens) {
+		produced, ok := g.wait(r, sent)
+		if !ok {
+			return
+		}
+		var buffer []byte
+		for ; sent < produced; sent++ {
+			buffer = sse.Append(buffer, g.event(sent))
+		}
+		if _, err := w.Write(buffer); err != nil {
+			return
+		}
+		controller.Flush()
+	}
+	w.Write(sse.Append(nil, doneEvent))
+}
+
+func (g *generation) event(index int) sse.Event {
+	part := choice{Delta: &message{Role: "assistant", Content: g.tokens[index]}}
+	if index == len(g.tokens)-1 {
+		part.FinishReason = "stop"
+	}
+	data, _ := json.Marshal(chunk{ID: g.id, Object: "chat.completion.chunk", Model: g.model, Choices: []choice{part}})
+	return sse.Event{ID: strconv.Itoa(index + 1), Data: data}
+}
+
+// whole sends the answer in one piece.
+func (g *generation) whole(w http.ResponseWriter, r *http.Request) {
+	for seen := 0; seen < len(g.tokens); {
+		produced, ok := g.wait(r, seen)
+		if !ok {
+			return
+		}
+		seen = produced
+	}
+	w.Header().Set("Content-Type", "application/json")
+	text := message{Role: "assistant", Content: strings.Join(g.tokens, "")}
+	json.NewEncoder(w).Encode(chunk{
+		ID: g.id, Object: "chat.completion", Model: g.model,
+		Choices: []choice{{Message: &text, FinishReason: "stop"}},
+	})
+}
--- /dev/null
+++ b/standin/service/service.go
@@ -0,0 +1,72 @@
+// Package service is a small stand-in of a plain service: it answers any call, and books
+// what may not be repeated, counting how often each key ran.
+package service
+
+import (
+	"encoding/json"
+	"io"
+	"maps"
+	"net/http"
+	"sync"
+
+	"agateswitch/port"
+)
+
+// PathRuns answers how often each idempotency key ran.
+const PathRuns = "/standin/runs"
+
+// headerKey is the header of the key of a call that may not be repeated.
+const headerKey = "Idempotency-Key"
+
+// Service is the stand-in. It is an http.Handler.
+type Service struct {
+	id  string
+	mux *http.ServeMux
+
+	mu   sync.Mutex
+	runs map[string]int
+}
+
+// New makes a service that has run nothing.
+func New(id string) *Service {
+	s := &Service{id: id, mux: http.NewServeMux(), runs: map[string]int{}}
+	s.mux.HandleFunc("GET "+PathRuns, func(w http.ResponseWriter, _ *http.Request) { json.NewEncoder(w).Encode(s.Runs()) })
+	s.mux.HandleFunc("/", s.answer)
+	return s
+}
+
+// ServeHTTP implements http.Handler.
+func (s *Service) ServeHTTP(w http.ResponseWriter, r *http.Request) { s.mux.ServeHTTP(w, r) }
+
+// Runs returns how often each idempotency key ran.
+func (s *Service) Runs() map[string]int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return maps.Clone(s.runs)
+}
+
+// Answer is the body of each answer.
+type Answer struct {
+	Service string `json:"service"`
+	Method  string `json:"method"`
+	Path    string `json:"path"`
+	Body    string `json:"body"`
+	Run     int    `json:"run,omitempty"`
+}
+
+func (s *Service) answer(w http.ResponseWriter, r *http.Request) {
+	w.Header().Set(port.HeaderRequestID, r.Header.Get(port.HeaderRequestID))
+	content, err := io.ReadAll(r.Body)
+	if err != nil {
+		return
+	}
+	answer := Answer{Service: s.id, Method: r.Method, Path: r.URL.Path, Body: string(content)}
+	if key := r.Header.Get(headerKey); key != "" {
+		s.mu.Lock()
+		s.runs[key]++
+		answer.Run = s.runs[key]
+		s.mu.Unlock()
+	}
+	w.Header().Set("Content-Type", "application/json")
+	json.NewEncoder(w).Encode(answer)
+}
--- /dev/null
+++ b/standin/store/state.go
@@ -0,0 +1,167 @@
+// Package store is a small stand-in of the platform's key-value service: a subset of the
+// etcd v3 JSON API in memory, with faults that tests switch on.
+package store
+
+import (
+	"sort"
+	"sync"
+	"time"
+
+	"agateswitch/adapter/kv"
+)
+
+// state is the content of the service.
+type state struct {
+	mu       sync.Mutex
+	revision int64
+	keys     map[string]kv.KeyValue
+	// history holds every event, so that a watch can start at an old revision.
+	history []kv.Event
+	changed chan struct{}
+	leases  map[int64]*lease
+	nextID  int64
+	now     func() time.Time
+}
+
+type lease struct {
+	ttl     time.Duration
+	expires time.Time
+}
+
+func newState() *state {
+	return &state{
+		revision: 1, keys: map[string]kv.KeyValue{}, changed: make(chan struct{}),
+		leases: map[int64]*lease{}, now: time.Now,
+	}
+}
+
+func (s *state) read(request kv.RangeRequest) kv.RangeResponse {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.expire()
+	response := kv.RangeResponse{Header: kv.Header{Revision: s.revision}}
+	for key, value := range s.keys {
+		if inRange(key, request.Key, request.RangeEnd) {
+			response.KVs = append(response.KVs, value)
+		}
+	}
+	sort.Slice(response.KVs, func(i, j int) bool {
+		return string(response.KVs[i].Key) < string(response.KVs[j].Key)
+	})
+	return response
+}
+
+func inRange(key string, start, end []byte) bool {
+	if len(end) == 0 {
+		return key == string(start)
+	}
+	toTheEnd := len(end) == 1 && end[0] == 0
+	return key >= string(start) && (toTheEnd || key < string(end))
+}
+
+func (s *state) commit(request kv.TxnRequest) kv.TxnResponse {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.expire()
+	for _, compare := range request.Compare {
+		if s.keys[string(compare.Key)].ModRevision != compare.ModRevision {
+			return kv.TxnResponse{Header: kv.Header{Revision: s.revision}}
+		}
+	}
+	s.write(request.Success)
+	return kv.TxnResponse{Header: kv.Header{Revision: s.revision}, Succeeded: true}
+}
+
+// write makes all operations at one new revision.
+func (s *state) write(operations []kv.RequestOp) {
+	if len(operations) == 0 {
+		return
+	}
+	s.revision++
+	for _, operation := range operations {
+		switch {
+		case operation.RequestPut != nil:
+			put := operation.RequestPut
+			value := kv.KeyValue{Key: put.Key, Value: put.Value, ModRevision: s.revision, Lease: put.Lease}
+			s.keys[string(put.Key)] = value
+			s.history = append(s.history, kv.Event{Type: "PUT", KV: value})
+		case operation.RequestDeleteRange != nil:
+			s.remove(string(operation.RequestDeleteRange.Key))
+		}
+	}
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+func (s *state) remove(key string) {
+	if _, found := s.keys[key]; !found {
+		return
+	}
+	delete(s.keys, key)
+	gone := kv.KeyValue{Key: []byte(key), ModRevision: s.revision}
+	s.history = append(s.history, kv.Event{Type: "DELETE", KV: gone})
+}
+
+// expire removes lapsed leases with their keys.
+func (s *state) expire() {
+	now := s.now()
+	for id, known := range s.leases {
+		if now.After(known.expires) {
+			s.dropLease(id)
+		}
+	}
+}
+
+func (s *state) dropLease(id int64) {
+	delete(s.leases, id)
+	var operations []kv.RequestOp
+	for key, value := range s.keys {
+		if value.Lease == id {
+			operations = append(operations, kv.RequestOp{RequestDeleteRange: &kv.DeleteRangeRequest{Key: []byte(key)}})
+		}
+	}
+	s.write(operations)
+}
+
+func (s *state) grantLease(ttl time.Duration) int64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.nextID++
+	s.leases[s.nextID] = &lease{ttl: ttl, expires: s.now().Add(ttl)}
+	return s.nextID
+}
+
+// keepAlive returns the new time to live, zero when the lease has lapsed.
+func (s *state) keepAlive(id int64) time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.expire()
+	known, found := s.leases[id]
+	if !found {
+		return 0
+	}
+	known.expires = s.now().Add(known.ttl)
+	return known.ttl
+}
+
+func (s *state) revokeLease(id int64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if _, found := s.leases[id]; found {
+		s.dropLease(id)
+	}
+}
+
+// since returns the events in a range from a revision on, and a channel that closes at
+// the next change.
+func (s *state) since(request kv.WatchCreateRequest, position int) (events []kv.Event, next int, changed <-chan struct{}) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.expire()
+	for _, event := range s.history[position:] {
+		if event.KV.ModRevision >= request.StartRevision && inRange(string(event.KV.Key), request.Key, request.RangeEnd) {
+			events = append(events, event)
+		}
+	}
+	return events, len(s.history), s.changed
+}
