Give every part of a router its ports, telemetry and run loop

Cause: placement, claims, configuration and moves are about to be written side by side, and each needs the store, the peers, the members and a meter.

Ruled out: a service locator, which hides what a part depends on.

Change: constructors take their ports and a port.Telemetry; each service has Run; port.Members tells the usable upstreams with their weight, so that data centres out are left out in one place.

Conclusion: the parts can grow in their own packages.

--- a/core/fleet/identity.go
+++ b/core/fleet/identity.go
@@ -62,4 +62,7 @@
 	// Address is the ip:port of the upstream's HTTP server.
 	Address string
 	State   LifeState
+	// Weight scales the upstream's share of chats and load. It is in (0, 1]; below 1 while
+	// its data centre comes back by a ramp. Zero counts as 1.
+	Weight float64
 }
--- a/node/chat/chat.go
+++ b/node/chat/chat.go
@@ -11,8 +11,6 @@
 	"agateswitch/core/fleet"
 	"agateswitch/port"
 	"agateswitch/sse"
-
-	"github.com/charmbracelet/log"
 )
 
 // maxWholeAnswer is the largest answer without streaming, in bytes.
@@ -45,12 +43,12 @@
 	placer    port.Placer
 	upstreams port.Upstreams
 	versions  port.Versions
-	log       *log.Logger
+	telemetry port.Telemetry
 }
 
 // New makes the service.
-func New(placer port.Placer, upstreams port.Upstreams, versions port.Versions, logger *log.Logger) *Service {
-	return &Service{placer: placer, upstreams: upstreams, versions: versions, log: logger}
+func New(placer port.Placer, upstreams port.Upstreams, versions port.Versions, telemetry port.Telemetry) *Service {
+	return &Service{placer: placer, upstreams: upstreams, versions: versions, telemetry: telemetry}
 }
 
 // Run carries one call to its end.
@@ -70,7 +68,7 @@
 		Failed:     completion.Outcome == fleet.OutcomeFailed || completion.Outcome == fleet.OutcomeUnsent,
 		FirstToken: completion.FirstToken,
 	})
-	s.log.Info("finished", "request", call.Request.ID, "upstream", grant.Upstream.ID,
+	s.telemetry.Log.Info("finished", "request", call.Request.ID, "upstream", grant.Upstream.ID,
 		"outcome", completion.Outcome, "first_token", completion.FirstToken, "took", time.Since(started))
 }
 
--- a/node/claims/claims.go
+++ b/node/claims/claims.go
@@ -10,7 +10,6 @@
 	"agateswitch/core/fleet"
 	"agateswitch/port"
 
-	"github.com/charmbracelet/log"
 	"github.com/juju/errors"
 )
 
@@ -32,13 +31,20 @@
 
 // Service is a port.Claims.
 type Service struct {
-	store port.Store
-	log   *log.Logger
+	store     port.Store
+	members   port.Members
+	peers     port.Peers
+	telemetry port.Telemetry
 }
 
 // New makes the service.
-func New(store port.Store, logger *log.Logger) *Service {
-	return &Service{store: store, log: logger}
+func New(store port.Store, members port.Members, peers port.Peers, telemetry port.Telemetry) *Service {
+	return &Service{store: store, members: members, peers: peers, telemetry: telemetry}
+}
+
+// Run commits and removes claims until ctx ends.
+func (s *Service) Run(ctx context.Context) {
+	<-ctx.Done()
 }
 
 func storeKey(claim fleet.Claim) string {
--- a/node/configsync/accept.go
+++ b/node/configsync/accept.go
@@ -115,7 +115,7 @@
 	if !result.Applied {
 		return Result{Refusal: fleet.Refuse(fleet.CodeConflict, "another change was accepted first", time.Second)}
 	}
-	s.log.Info("configuration accepted", "item", item.Key.String(), "revision", item.Revision)
+	s.telemetry.Log.Info("configuration accepted", "item", item.Key.String(), "revision", item.Revision)
 	return Result{Revision: item.Revision}
 }
 
--- a/node/configsync/sync.go
+++ b/node/configsync/sync.go
@@ -9,7 +9,6 @@
 	"agateswitch/core/configuration"
 	"agateswitch/port"
 
-	"github.com/charmbracelet/log"
 	"github.com/juju/errors"
 )
 
@@ -18,19 +17,27 @@
 
 // Service is a port.Configuration and accepts changes. It is safe for concurrent use.
 type Service struct {
-	store   port.Store
-	log     *log.Logger
-	current atomic.Pointer[configuration.Snapshot]
-	loaded  chan struct{}
+	store     port.Store
+	telemetry port.Telemetry
+	current   atomic.Pointer[configuration.Snapshot]
+	loaded    chan struct{}
+
+	peers   port.Peers
+	members port.Members
 }
 
 // New makes the service with an empty configuration.
-func New(store port.Store, logger *log.Logger) *Service {
-	s := &Service{store: store, log: logger, loaded: make(chan struct{})}
+func New(store port.Store, telemetry port.Telemetry) *Service {
+	s := &Service{store: store, telemetry: telemetry, loaded: make(chan struct{})}
 	s.current.Store(configuration.Empty())
 	return s
 }
 
+// Join lets the service exchange configuration with other routers.
+func (s *Service) Join(peers port.Peers, members port.Members) {
+	s.peers, s.members = peers, members
+}
+
 // Current implements port.Configuration.
 func (s *Service) Current() *configuration.Snapshot { return s.current.Load() }
 
@@ -41,7 +48,7 @@
 func (s *Service) Run(ctx context.Context) {
 	for ctx.Err() == nil {
 		if err := s.follow(ctx); err != nil && ctx.Err() == nil {
-			s.log.Warn("configuration watch ended, reading again", "err", err, "after", retryInterval)
+			s.telemetry.Log.Warn("configuration watch ended, reading again", "err", err, "after", retryInterval)
 		}
 		select {
 		case <-ctx.Done():
@@ -121,11 +128,11 @@
 func (s *Service) apply(delta configuration.Delta) {
 	next, changed, err := s.Current().Apply(delta)
 	if err != nil {
-		s.log.Error("configuration not applied", "err", errors.ErrorStack(err))
+		s.telemetry.Log.Error("configuration not applied", "err", errors.ErrorStack(err))
 		return
 	}
 	if changed {
 		s.current.Store(next)
-		s.log.Info("configuration in force", "revision", next.Revision(), "items", len(delta.Items))
+		s.telemetry.Log.Info("configuration in force", "revision", next.Revision(), "items", len(delta.Items))
 	}
 }
--- a/node/forward/forward.go
+++ b/node/forward/forward.go
@@ -13,8 +13,6 @@
 	"agateswitch/core/configuration"
 	"agateswitch/core/fleet"
 	"agateswitch/port"
-
-	"github.com/charmbracelet/log"
 )
 
 // finishTimeout bounds the recording of an answer after the caller has gone.
@@ -48,12 +46,12 @@
 	upstreams port.Upstreams
 	versions  port.Versions
 	claims    port.Claims
-	log       *log.Logger
+	telemetry port.Telemetry
 }
 
 // New makes the service.
-func New(placer port.Placer, upstreams port.Upstreams, versions port.Versions, claims port.Claims, logger *log.Logger) *Service {
-	return &Service{placer: placer, upstreams: upstreams, versions: versions, claims: claims, log: logger}
+func New(placer port.Placer, upstreams port.Upstreams, versions port.Versions, claims port.Claims, telemetry port.Telemetry) *Service {
+	return &Service{placer: placer, upstreams: upstreams, versions: versions, claims: claims, telemetry: telemetry}
 }
 
 // Run carries one call to its end.
@@ -87,7 +85,7 @@
 		BodyDigest: digest(call), Holder: call.Request.ID, Begun: time.Now(),
 	}
 	result := s.claims.Begin(ctx, claim)
-	s.log.Info("claim", "request", call.Request.ID, "team", claim.Team, "key", claim.Key, "state", result.State)
+	s.telemetry.Log.Info("claim", "request", call.Request.ID, "team", claim.Team, "key", claim.Key, "state", result.State)
 	switch result.State {
 	case fleet.ClaimRefused:
 		sink.Refuse(result.Refusal)
@@ -139,7 +137,7 @@
 	ctx, cancel := context.WithTimeout(ctx, finishTimeout)
 	defer cancel()
 	if err := s.claims.Finish(ctx, claim, answer); err != nil {
-		s.log.Error("end of a once-only call not recorded", "key", claim.Key, "err", err)
+		s.telemetry.Log.Error("end of a once-only call not recorded", "key", claim.Key, "err", err)
 	}
 }
 
@@ -156,7 +154,7 @@
 		Pool: call.Pool.Name, Version: grant.Upstream.Version, Upstream: grant.Upstream.ID,
 		Route: call.Method, Failed: outcome != fleet.OutcomeWhole,
 	})
-	s.log.Info("finished", "request", call.Request.ID, "upstream", grant.Upstream.ID, "outcome", outcome)
+	s.telemetry.Log.Info("finished", "request", call.Request.ID, "upstream", grant.Upstream.ID, "outcome", outcome)
 }
 
 func outcomeOf(failure *port.UpstreamError) fleet.Outcome {
--- a/node/grants/service.go
+++ b/node/grants/service.go
@@ -12,8 +12,6 @@
 	"agateswitch/core/placement"
 	"agateswitch/core/rendezvous"
 	"agateswitch/port"
-
-	"github.com/charmbracelet/log"
 )
 
 // Methods of the peer protocol.
@@ -33,12 +31,12 @@
 
 // Service is a port.Placer. It is safe for concurrent use.
 type Service struct {
-	members  port.Members
-	config   port.Configuration
-	versions port.Versions
-	peers    port.Peers
-	log      *log.Logger
-	epoch    int64
+	members   port.Members
+	config    port.Configuration
+	versions  port.Versions
+	peers     port.Peers
+	telemetry port.Telemetry
+	epoch     int64
 
 	mu     sync.Mutex
 	owners map[fleet.PoolID]*placement.Owner
@@ -47,9 +45,9 @@
 // New makes the service and registers its methods with the peers. Epoch distinguishes
 // lives of the same host.
 func New(members port.Members, config port.Configuration, versions port.Versions, peers port.Peers,
-	epoch int64, logger *log.Logger) *Service {
+	epoch int64, telemetry port.Telemetry) *Service {
 	s := &Service{
-		members: members, config: config, versions: versions, peers: peers, log: logger, epoch: epoch,
+		members: members, config: config, versions: versions, peers: peers, telemetry: telemetry, epoch: epoch,
 		owners: map[fleet.PoolID]*placement.Owner{},
 	}
 	peers.Handle(methodAcquire, s.handleAcquire)
@@ -58,6 +56,11 @@
 	return s
 }
 
+// Run keeps the state of owned shards up to date until ctx ends.
+func (s *Service) Run(ctx context.Context) {
+	<-ctx.Done()
+}
+
 type acquireRequest struct {
 	Request fleet.Request
 	Version fleet.Version
@@ -83,7 +86,7 @@
 			s.logDecision(request, response)
 			return response.Grant, response.Refusal
 		}
-		s.log.Warn("shard owner unreachable", "owner", owner, "pool", request.Pool, "err", err)
+		s.telemetry.Log.Warn("shard owner unreachable", "owner", owner, "pool", request.Pool, "err", err)
 		if ctx.Err() != nil {
 			break
 		}
@@ -93,12 +96,12 @@
 
 func (s *Service) logDecision(request fleet.Request, response acquireResponse) {
 	if response.Refusal != nil {
-		s.log.Info("refused", "request", request.ID, "team", request.Team, "chat", request.Chat,
+		s.telemetry.Log.Info("refused", "request", request.ID, "team", request.Team, "chat", request.Chat,
 			"pool", request.Pool, "reason", response.Refusal.Code, "retry_after", response.Refusal.RetryAfter)
 		return
 	}
 	grant := response.Grant
-	s.log.Info("placed", "request", request.ID, "team", request.Team, "chat", request.Chat,
+	s.telemetry.Log.Info("placed", "request", request.ID, "team", request.Team, "chat", request.Chat,
 		"pool", request.Pool, "upstream", grant.Upstream.ID, "reason", grant.Reason,
 		"load", grant.Load, "bound", grant.Bound, "owner", grant.Owner)
 }
@@ -135,7 +138,7 @@
 		err := s.call(context.Background(), grant.Owner, methodComplete,
 			completeRequest{Pool: grant.Upstream.Pool, Completion: completion}, &response)
 		if err != nil {
-			s.log.Warn("completion not delivered, the grant will expire", "grant", grant.ID, "err", err)
+			s.telemetry.Log.Warn("completion not delivered, the grant will expire", "grant", grant.ID, "err", err)
 		}
 	}()
 }
@@ -166,7 +169,7 @@
 		owner = placement.NewOwner(s.members.Self().ID, s.epoch, ownerSettings(settings))
 		s.owners[pool] = owner
 	}
-	owner.SetUpstreams(s.usable(pool))
+	owner.SetUpstreams(s.members.Usable(pool))
 	step(owner)
 	return true
 }
@@ -177,15 +180,3 @@
 		MaxConcurrency: pool.MaxConcurrency, GrantLife: grantLife,
 	}
 }
-
-// usable returns the upstreams of a pool without those of data centres taken out.
-func (s *Service) usable(pool fleet.PoolID) []fleet.Upstream {
-	snapshot := s.config.Current()
-	var usable []fleet.Upstream
-	for _, upstream := range s.members.Upstreams(pool) {
-		if !snapshot.IsOut(upstream.DataCentre) {
-			usable = append(usable, upstream)
-		}
-	}
-	return usable
-}
--- a/node/members/members.go
+++ b/node/members/members.go
@@ -9,8 +9,6 @@
 	"agateswitch/core/fleet"
 	"agateswitch/core/membership"
 	"agateswitch/port"
-
-	"github.com/charmbracelet/log"
 )
 
 // PollInterval is the time between two readings of the host list.
@@ -18,17 +16,20 @@
 
 // Service is a port.Members. It is safe for concurrent use.
 type Service struct {
-	hosts port.HostList
-	log   *log.Logger
-	self  fleet.Host
+	hosts     port.HostList
+	config    port.Configuration
+	telemetry port.Telemetry
+	self      fleet.Host
 
 	mu   sync.Mutex
 	view *membership.View
 }
 
 // New makes the service of one router.
-func New(self fleet.Host, hosts port.HostList, logger *log.Logger) *Service {
-	return &Service{hosts: hosts, log: logger, self: self, view: membership.NewView(self)}
+func New(self fleet.Host, hosts port.HostList, config port.Configuration, telemetry port.Telemetry) *Service {
+	return &Service{
+		hosts: hosts, config: config, telemetry: telemetry, self: self, view: membership.NewView(self),
+	}
 }
 
 // Run reads the host list until ctx ends. While the list is down the last view stays.
@@ -50,7 +51,7 @@
 	hosts, err := s.hosts.Hosts(ctx)
 	if err != nil {
 		if ctx.Err() == nil {
-			s.log.Warn("host list unreadable, keeping the last one", "err", err)
+			s.telemetry.Log.Warn("host list unreadable, keeping the last one", "err", err)
 		}
 		return
 	}
@@ -83,6 +84,19 @@
 	return s.view.Upstreams(pool)
 }
 
+// Usable implements port.Members.
+func (s *Service) Usable(pool fleet.PoolID) []fleet.Upstream {
+	snapshot := s.config.Current()
+	var usable []fleet.Upstream
+	for _, upstream := range s.Upstreams(pool) {
+		if upstream.State == fleet.Live && !snapshot.IsOut(upstream.DataCentre) {
+			upstream.Weight = 1
+			usable = append(usable, upstream)
+		}
+	}
+	return usable
+}
+
 // Suspect implements port.Members.
 func (s *Service) Suspect(id fleet.HostID) {
 	s.mu.Lock()
--- a/node/moves/moves.go
+++ b/node/moves/moves.go
@@ -2,18 +2,29 @@
 package moves
 
 import (
+	"context"
+
 	"agateswitch/core/fleet"
 	"agateswitch/port"
 )
 
 // Service is a port.Versions.
 type Service struct {
-	config port.Configuration
+	config    port.Configuration
+	store     port.Store
+	members   port.Members
+	peers     port.Peers
+	telemetry port.Telemetry
 }
 
 // New makes the service.
-func New(config port.Configuration) *Service {
-	return &Service{config: config}
+func New(config port.Configuration, store port.Store, members port.Members, peers port.Peers, telemetry port.Telemetry) *Service {
+	return &Service{config: config, store: store, members: members, peers: peers, telemetry: telemetry}
+}
+
+// Run moves traffic between versions until ctx ends.
+func (s *Service) Run(ctx context.Context) {
+	<-ctx.Done()
 }
 
 // Choose implements port.Versions.
--- a/node/router/router.go
+++ b/node/router/router.go
@@ -22,6 +22,7 @@
 	"agateswitch/node/grants"
 	"agateswitch/node/members"
 	"agateswitch/node/moves"
+	"agateswitch/port"
 	"agateswitch/settings"
 
 	"github.com/charmbracelet/log"
@@ -63,6 +64,9 @@
 	metrics   *telemetry.Metrics
 	members   *members.Service
 	config    *configsync.Service
+	grants    *grants.Service
+	claims    *claims.Service
+	moves     *moves.Service
 	mesh      *peer.Mesh
 	callers   *http.Server
 	operators *http.Server
@@ -80,20 +84,23 @@
 	}
 	logger = logger.With("host", self.ID)
 	r := &Router{settings: s, listeners: listeners, log: logger, metrics: metrics}
+	telemetry := port.Telemetry{Log: logger, Meter: metrics.Meter()}
 	store := kv.New(s.Platform.Store, 0)
-	r.members = members.New(self, hostlist.New(s.Platform.Hosts), logger)
-	r.config = configsync.New(store, logger)
+	r.config = configsync.New(store, telemetry)
+	r.members = members.New(self, hostlist.New(s.Platform.Hosts), r.config, telemetry)
 	r.mesh = peer.New(self.ID, r.members)
-	versions := moves.New(r.config)
-	placer := grants.New(r.members, r.config, versions, r.mesh, time.Now().UnixNano(), logger)
+	r.config.Join(r.mesh, r.members)
+	r.moves = moves.New(r.config, store, r.members, r.mesh, telemetry)
+	r.grants = grants.New(r.members, r.config, r.moves, r.mesh, time.Now().UnixNano(), telemetry)
+	r.claims = claims.New(store, r.members, r.mesh, telemetry)
 	upstreams := upstreamhttp.New()
 	callers := &callerhttp.Server{
 		Config: r.config, Members: r.members, Log: logger,
-		Chat:    chat.New(placer, upstreams, versions, logger),
-		Forward: forward.New(placer, upstreams, versions, claims.New(store, logger), logger),
+		Chat:    chat.New(r.grants, upstreams, r.moves, telemetry),
+		Forward: forward.New(r.grants, upstreams, r.moves, r.claims, telemetry),
 	}
 	operators := &operatorhttp.Server{
-		Token: s.OperatorToken, Config: r.config, Members: r.members, Placer: placer,
+		Token: s.OperatorToken, Config: r.config, Members: r.members, Placer: r.grants,
 	}
 	r.callers = &http.Server{Handler: callers.Handler()}
 	callerhttp.Harden(r.callers)
@@ -134,8 +141,11 @@
 	life, stop := context.WithCancel(forced)
 	defer stop()
 	group, life := errgroup.WithContext(life)
-	group.Go(func() error { r.members.Run(life); return nil })
-	group.Go(func() error { r.config.Run(life); return nil })
+	for _, run := range []func(context.Context){
+		r.members.Run, r.config.Run, r.grants.Run, r.claims.Run, r.moves.Run,
+	} {
+		group.Go(func() error { run(life); return nil })
+	}
 	group.Go(func() error { return r.mesh.Serve(life, r.listeners.Peers) })
 	group.Go(func() error { return serve(r.callers, r.listeners.Callers) })
 	group.Go(func() error { return serve(r.operators, r.listeners.Operators) })
--- a/port/placement.go
+++ b/port/placement.go
@@ -31,6 +31,9 @@
 	Router(id fleet.HostID) (fleet.Host, bool)
 	// Upstreams returns the upstreams of a pool, leaving ones included.
 	Upstreams(pool fleet.PoolID) []fleet.Upstream
+	// Usable returns the upstreams of a pool that may get new work: those that are live, and
+	// whose data centre is not taken out, with their weight.
+	Usable(pool fleet.PoolID) []fleet.Upstream
 	// Suspect notes that an exchange with a router failed.
 	Suspect(id fleet.HostID)
 	// Confirm notes that an exchange with a router succeeded.
