Tell wrong words from failures, and test both command lines

Cause: a call with an unknown command or a missing flag ended with the same exit code as a failed call, since cobra checks required flags after the hook that marked a call as right. Seen failing first: TestExitCodes and TestWrongWordsExitWithUsage.

Ruled out: matching cobra's error texts, which change with its versions.

Metrics for peer bytes, the revision in force and the routers believed live.

Conclusion: exit codes are 0, 1, 2, and 3 for agatectl when a router refuses.

--- a/cmd/agatectl/main.go
+++ b/cmd/agatectl/main.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"os"
 	"os/signal"
 	"syscall"
@@ -31,6 +32,8 @@
 	server string
 	token  string
 	output string
+	// accepted is true once the call's words have been found right.
+	accepted bool
 }
 
 func (o *options) client() *operatorclient.Client {
@@ -40,22 +43,25 @@
 func main() {
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
-	os.Exit(run(ctx, os.Args[1:]))
+	os.Exit(run(ctx, os.Args[1:], os.Stdout, os.Stderr))
 }
 
 // run executes one command and returns its exit code.
-func run(ctx context.Context, args []string) int {
-	root := rootCommand()
+func run(ctx context.Context, args []string, stdout, stderr io.Writer) int {
+	o := &options{}
+	root := rootCommand(o)
 	root.SetArgs(args)
+	root.SetOut(stdout)
+	root.SetErr(stderr)
 	err := root.ExecuteContext(ctx)
 	if err == nil {
 		return 0
 	}
-	fmt.Fprintln(root.ErrOrStderr(), "agatectl:", err)
+	fmt.Fprintln(stderr, "agatectl:", err)
 	var usage usageError
 	var refused *operatorclient.FailureError
 	switch {
-	case errors.As(err, &usage):
+	case errors.As(err, &usage), !o.accepted:
 		return exitUsage
 	case errors.As(err, &refused):
 		return exitRefused
@@ -64,8 +70,7 @@
 	}
 }
 
-func rootCommand() *cobra.Command {
-	o := &options{}
+func rootCommand(o *options) *cobra.Command {
 	root := &cobra.Command{
 		Use:   "agatectl",
 		Short: "Drive a fleet of agateswitch routers",
@@ -73,16 +78,18 @@
 			"Exit codes: 0 done, 1 the call failed, 2 the call's words are wrong, 3 the router refused.",
 		SilenceUsage:  true,
 		SilenceErrors: true,
-		PersistentPreRunE: func(*cobra.Command, []string) error {
+		// It runs once arguments have been found right; cobra looks at required flags later.
+		PersistentPreRunE: func(command *cobra.Command, _ []string) error {
+			if err := command.ValidateRequiredFlags(); err != nil {
+				return usageError{err}
+			}
 			if o.output != "text" && o.output != "json" {
 				return usageError{fmt.Errorf("--output must be text or json, not %q", o.output)}
 			}
+			o.accepted = true
 			return nil
 		},
 	}
-	root.SetFlagErrorFunc(func(_ *cobra.Command, err error) error { return usageError{err} })
-	// Cobra prints to the error stream by default.
-	root.SetOut(os.Stdout)
 	flags := root.PersistentFlags()
 	flags.StringVar(&o.server, "server", envOr("AGATE_SERVER", "127.0.0.1:8081"), "operators' ip:port of any router (AGATE_SERVER)")
 	flags.StringVar(&o.token, "token", os.Getenv("AGATE_TOKEN"), "operator token (AGATE_TOKEN)")
--- /dev/null
+++ b/cmd/agatectl/main_test.go
@@ -0,0 +1,125 @@
+package main
+
+import (
+	"bytes"
+	"encoding/json"
+	"io"
+	"os"
+	"path/filepath"
+	"testing"
+
+	"agateswitch/adapter/operatorhttp"
+	"agateswitch/core/configuration"
+	"agateswitch/demo"
+	"agateswitch/examples"
+
+	"github.com/charmbracelet/log"
+	"github.com/shoenig/test/must"
+)
+
+// operator runs commands against one router of a fleet.
+type operator struct {
+	t      *testing.T
+	server string
+	token  string
+}
+
+func startFleet(t *testing.T) operator {
+	t.Helper()
+	example, err := examples.Load(examples.Hoofline)
+	must.NoError(t, err)
+	started, err := demo.Start(t.Context(), example, 2, log.New(io.Discard))
+	must.NoError(t, err)
+	t.Cleanup(started.Stop)
+	return operator{t: t, server: started.Operators[0], token: demo.OperatorToken}
+}
+
+func (o operator) call(args ...string) (code int, stdout, stderr string) {
+	o.t.Helper()
+	var out, errs bytes.Buffer
+	args = append([]string{"--server", o.server, "--token", o.token}, args...)
+	code = run(o.t.Context(), args, &out, &errs)
+	return code, out.String(), errs.String()
+}
+
+func (o operator) must(args ...string) string {
+	o.t.Helper()
+	code, stdout, stderr := o.call(args...)
+	must.Eq(o.t, 0, code, must.Sprint(args, stderr))
+	return stdout
+}
+
+func contractFile(t *testing.T, content string) string {
+	t.Helper()
+	file := filepath.Join(t.TempDir(), "contract.jsonc")
+	must.NoError(t, os.WriteFile(file, []byte(content), 0o600))
+	return file
+}
+
+const arimaYard = "../../examples/hoofline/contracts/arima-yard.jsonc"
+
+func TestContractCommands(t *testing.T) {
+	o := startFleet(t)
+	must.StrContains(t, o.must("contract", "list"), "arima-yard\trevision")
+	must.StrContains(t, o.must("contract", "validate", arimaYard), "contract/arima-yard: valid")
+
+	content, err := os.ReadFile(arimaYard)
+	must.NoError(t, err)
+	file := contractFile(t, string(bytes.Replace(content, []byte(`"requests_per_second": 40`), []byte(`"requests_per_second": 41`), 1)))
+	diff := o.must("contract", "diff", file)
+	must.StrContains(t, diff, `-   "requests_per_second": 40`)
+	must.StrContains(t, diff, `+   "requests_per_second": 41`)
+	must.StrContains(t, o.must("contract", "put", file), "contract/arima-yard accepted at revision")
+
+	var item configuration.Item
+	must.NoError(t, json.Unmarshal([]byte(o.must("contract", "get", "arima-yard", "-o", "json")), &item))
+	code, _, stderr := o.call("contract", "put", file, "--expected", "1")
+	must.Eq(t, exitRefused, code)
+	must.StrContains(t, stderr, "conflict: ")
+	must.StrContains(t, stderr, "now at revision")
+}
+
+func TestBadContractIsRefusedWithEveryProblem(t *testing.T) {
+	o := startFleet(t)
+	file := contractFile(t, `{"team": "x", "key_digests": ["zz"], "pools": ["nowhere"], "requests_per_second": -1, "priority": 12}`)
+	for _, command := range []string{"put", "validate", "diff"} {
+		code, _, stderr := o.call("contract", command, file)
+		must.Eq(t, exitRefused, code)
+		for _, field := range []string{"key_digests[0]", "pools[0]", "requests_per_second", "priority"} {
+			must.StrContains(t, stderr, field+": ")
+		}
+	}
+}
+
+func TestStatusAndExplain(t *testing.T) {
+	o := startFleet(t)
+	var status operatorhttp.Status
+	must.NoError(t, json.Unmarshal([]byte(o.must("status", "-o", "json")), &status))
+	must.Positive(t, int(status.Revision))
+	must.StrContains(t, o.must("explain", "c1", "--team", "arima-yard", "--pool", "farrier-lm"), "farrier-lm-")
+}
+
+func TestExitCodes(t *testing.T) {
+	o := startFleet(t)
+	wrongToken := operator{t: t, server: o.server, token: "wrong"}
+	noRouter := operator{t: t, server: "127.0.0.1:1", token: o.token}
+	cases := []struct {
+		operator operator
+		args     []string
+		want     int
+	}{
+		{o, []string{"status"}, 0},
+		{o, []string{"frobnicate"}, exitUsage},
+		{o, []string{"contract", "put"}, exitUsage},
+		{o, []string{"contract", "put", "no-such-file"}, exitUsage},
+		{o, []string{"status", "-o", "xml"}, exitUsage},
+		{o, []string{"explain", "c1"}, exitUsage},
+		{o, []string{"contract", "get", "nobody"}, exitRefused},
+		{wrongToken, []string{"status"}, exitRefused},
+		{noRouter, []string{"status"}, exitFailure},
+	}
+	for _, c := range cases {
+		code, _, stderr := c.operator.call(c.args...)
+		must.Eq(t, c.want, code, must.Sprint(c.args, stderr))
+	}
+}
--- a/cmd/agateswitch/demo.go
+++ b/cmd/agateswitch/demo.go
@@ -39,7 +39,7 @@
 			"code is 1 when an answer was lost, cut, crossed or run twice.",
 		Example: "  agateswitch demo --example blue-mahoe --routers 4 --run-for 20s\n  agateswitch demo --keep",
 		Args:    cobra.NoArgs,
-		RunE:    func(*cobra.Command, []string) error { return runDemo(flags) },
+		RunE:    func(command *cobra.Command, _ []string) error { return runDemo(command, flags) },
 	}
 	command.Flags().StringVar(&flags.example, "example", examples.Hoofline, "example to run: hoofline or blue-mahoe")
 	command.Flags().IntVar(&flags.routers, "routers", 3, "number of routers, 1 to 64")
@@ -64,7 +64,7 @@
 	return nil
 }
 
-func runDemo(flags demoFlags) error {
+func runDemo(command *cobra.Command, flags demoFlags) error {
 	if err := flags.check(); err != nil {
 		return err
 	}
@@ -84,11 +84,11 @@
 	}
 	defer fleet.Stop()
 	report := loadFleet(life, fleet, flags)
-	if err := writeReport(os.Stdout, report, flags.output); err != nil {
+	if err := writeReport(command.OutOrStdout(), report, flags.output); err != nil {
 		return err
 	}
 	if flags.keep && life.Err() == nil {
-		fleet.WriteHints(os.Stdout)
+		fleet.WriteHints(command.OutOrStdout())
 		<-life.Done()
 	}
 	if len(report.Faults) > 0 {
--- a/cmd/agateswitch/main.go
+++ b/cmd/agateswitch/main.go
@@ -3,6 +3,7 @@
 
 import (
 	"fmt"
+	"io"
 	"os"
 
 	"github.com/spf13/cobra"
@@ -18,21 +19,39 @@
 type usageError struct{ error }
 
 func main() {
+	os.Exit(run(os.Args[1:], os.Stdout, os.Stderr))
+}
+
+// run executes one command and returns its exit code.
+func run(args []string, stdout, stderr io.Writer) int {
+	accepted := false
 	root := &cobra.Command{
-		Use:           "agateswitch",
-		Short:         "Routes returning chats and once-only calls to model engines and plain services",
+		Use:   "agateswitch",
+		Short: "Routes returning chats and once-only calls to model engines and plain services",
+		Long: "Routes returning chats and once-only calls to model engines and plain services.\n\n" +
+			"Exit codes: 0 done, 1 failed, 2 the call's words are wrong.",
 		SilenceUsage:  true,
 		SilenceErrors: true,
+		// It runs once arguments have been found right; cobra looks at required flags later.
+		PersistentPreRunE: func(command *cobra.Command, _ []string) error {
+			if err := command.ValidateRequiredFlags(); err != nil {
+				return usageError{err}
+			}
+			accepted = true
+			return nil
+		},
 	}
-	root.SetFlagErrorFunc(func(_ *cobra.Command, err error) error { return usageError{err} })
+	root.SetArgs(args)
+	root.SetOut(stdout)
+	root.SetErr(stderr)
 	root.AddCommand(serveCommand(), checkCommand(), demoCommand(), standinCommand(), versionCommand())
 	err := root.Execute()
 	if err == nil {
-		return
+		return 0
 	}
-	fmt.Fprintln(os.Stderr, "agateswitch:", err)
-	if _, usage := err.(usageError); usage {
-		os.Exit(exitUsage)
+	fmt.Fprintln(stderr, "agateswitch:", err)
+	if _, usage := err.(usageError); usage || !accepted {
+		return exitUsage
 	}
-	os.Exit(exitFailure)
+	return exitFailure
 }
--- /dev/null
+++ b/cmd/agateswitch/main_test.go
@@ -0,0 +1,62 @@
+package main
+
+import (
+	"bytes"
+	"encoding/json"
+	"os"
+	"path/filepath"
+	"testing"
+
+	"agateswitch/demo"
+
+	"github.com/shoenig/test/must"
+)
+
+// call runs one command in the test's process.
+func call(args ...string) (code int, stdout, stderr string) {
+	var out, errs bytes.Buffer
+	code = run(args, &out, &errs)
+	return code, out.String(), errs.String()
+}
+
+func TestCheckPrintsEveryProblemAndStartsNothing(t *testing.T) {
+	file := filepath.Join(t.TempDir(), "bad.jsonc")
+	must.NoError(t, os.WriteFile(file, []byte("{\n  \"zone\": 1,\n  \"drain\": \"soon\"\n}"), 0o600))
+	for _, command := range []string{"check", "serve"} {
+		code, _, stderr := call(command, file)
+		must.Eq(t, exitFailure, code)
+		must.StrContains(t, stderr, file+":2: zone: is not a known field")
+		must.StrContains(t, stderr, file+":3: drain: \"soon\" is not a time")
+		must.StrContains(t, stderr, "host.id: is missing")
+		must.StrContains(t, stderr, "nothing started")
+	}
+}
+
+func TestCheckAcceptsTheExamples(t *testing.T) {
+	for _, name := range []string{"hoofline", "blue-mahoe"} {
+		code, stdout, stderr := call("check", filepath.Join("..", "..", "examples", name, "router.jsonc"))
+		must.Eq(t, 0, code, must.Sprint(stderr))
+		must.StrContains(t, stdout, "router.jsonc: ok")
+	}
+}
+
+func TestWrongWordsExitWithUsage(t *testing.T) {
+	cases := [][]string{
+		{"frobnicate"}, {"serve"}, {"check", "a", "b"}, {"demo", "--routers", "0"}, {"demo", "--colour"},
+		{"demo", "--example", "nobody"}, {"demo", "-o", "xml"}, {"demo", "--run-for", "0s"}, {"standin", "engine"},
+	}
+	for _, args := range cases {
+		code, _, stderr := call(args...)
+		must.Eq(t, exitUsage, code, must.Sprint(args, stderr))
+		must.StrHasPrefix(t, "agateswitch: ", stderr)
+	}
+}
+
+func TestDemoReportsWithoutFaults(t *testing.T) {
+	code, stdout, stderr := call("demo", "--run-for", "1s", "--routers", "2", "-o", "json")
+	must.Eq(t, 0, code, must.Sprint(stderr))
+	var report demo.Report
+	must.NoError(t, json.Unmarshal([]byte(stdout), &report))
+	must.SliceEmpty(t, report.Faults)
+	must.Positive(t, report.Outcomes["chat"][demo.Whole])
+}
--- a/cmd/agateswitch/serve.go
+++ b/cmd/agateswitch/serve.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"os"
 	"os/signal"
 	"syscall"
@@ -21,8 +22,8 @@
 		Short:   "Run a router until SIGTERM or Ctrl-C; a second one ends it at once",
 		Example: "  agateswitch serve examples/hoofline/router.jsonc",
 		Args:    cobra.ExactArgs(1),
-		RunE: func(_ *cobra.Command, args []string) error {
-			checked, err := loadSettings(args[0])
+		RunE: func(command *cobra.Command, args []string) error {
+			checked, err := loadSettings(command.ErrOrStderr(), args[0])
 			if err != nil {
 				return err
 			}
@@ -38,7 +39,7 @@
 		Example: "  agateswitch check examples/hoofline/router.jsonc",
 		Args:    cobra.ExactArgs(1),
 		RunE: func(command *cobra.Command, args []string) error {
-			if _, err := loadSettings(args[0]); err != nil {
+			if _, err := loadSettings(command.ErrOrStderr(), args[0]); err != nil {
 				return err
 			}
 			fmt.Fprintln(command.OutOrStdout(), args[0]+": ok")
@@ -47,13 +48,13 @@
 	}
 }
 
-func loadSettings(path string) (settings.Settings, error) {
+func loadSettings(stderr io.Writer, path string) (settings.Settings, error) {
 	checked, problems, err := settings.Load(path)
 	if err != nil {
 		return settings.Settings{}, err
 	}
 	for _, problem := range problems {
-		fmt.Fprintln(os.Stderr, problem)
+		fmt.Fprintln(stderr, problem)
 	}
 	if len(problems) > 0 {
 		return settings.Settings{}, errors.Errorf("%d problems in the settings, nothing started", len(problems))
--- /dev/null
+++ b/node/router/metrics.go
@@ -0,0 +1,38 @@
+package router
+
+import (
+	"context"
+
+	"github.com/juju/errors"
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/metric"
+)
+
+// observe makes the instruments that are read from the router's parts when asked for.
+func (r *Router) observe() error {
+	meter := r.metrics.Meter()
+	traffic, err := meter.Int64ObservableCounter("agateswitch_peer_bytes",
+		metric.WithDescription("Bytes exchanged with other routers"), metric.WithUnit("By"))
+	if err != nil {
+		return errors.Trace(err)
+	}
+	revision, err := meter.Int64ObservableGauge("agateswitch_config_revision",
+		metric.WithDescription("Revision of the configuration in force"))
+	if err != nil {
+		return errors.Trace(err)
+	}
+	routers, err := meter.Int64ObservableGauge("agateswitch_routers",
+		metric.WithDescription("Routers that this one believes to take work"))
+	if err != nil {
+		return errors.Trace(err)
+	}
+	_, err = meter.RegisterCallback(func(_ context.Context, observer metric.Observer) error {
+		sent, received := r.mesh.Traffic()
+		observer.ObserveInt64(traffic, sent, metric.WithAttributes(attribute.String("direction", "sent")))
+		observer.ObserveInt64(traffic, received, metric.WithAttributes(attribute.String("direction", "received")))
+		observer.ObserveInt64(revision, int64(r.config.Current().Revision()))
+		observer.ObserveInt64(routers, int64(len(r.members.Routers())))
+		return nil
+	}, traffic, revision, routers)
+	return errors.Trace(err)
+}
--- a/node/router/router.go
+++ b/node/router/router.go
@@ -106,7 +106,7 @@
 	callerhttp.Harden(r.callers)
 	r.operators = &http.Server{Handler: r.operatorRoutes(operators.Handler())}
 	callerhttp.Harden(r.operators)
-	return r, nil
+	return r, r.observe()
 }
 
 // operatorRoutes adds health and metrics to the operators' interface.
