Play scenarios in the demo: morning, evening, surge, data centre

Ruled out: a load program of its own; the demo has callers that check answers.

Change: scenarios of phases, each with its mix, its own tally and figures; skew is now the running requests of the busiest engine over the mean, sampled while the pool is busy.

--- a/cmd/agateswitch/demo.go
+++ b/cmd/agateswitch/demo.go
@@ -5,7 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"os"
+	"strings"
 	"time"
 
 	"agateswitch/adapter/telemetry"
@@ -21,6 +21,7 @@
 
 type demoFlags struct {
 	example  string
+	scenario string
 	routers  int
 	runFor   time.Duration
 	seed     uint64
@@ -37,11 +38,13 @@
 		Long: "Runs stand-ins of the platform and of the upstreams, and several routers on loopback\n" +
 			"addresses, sends requests of returning chats, and prints what came of them. The exit\n" +
 			"code is 1 when an answer was lost, cut, crossed or run twice.",
-		Example: "  agateswitch demo --example blue-mahoe --routers 4 --run-for 20s\n  agateswitch demo --keep",
-		Args:    cobra.NoArgs,
-		RunE:    func(command *cobra.Command, _ []string) error { return runDemo(command, flags) },
+		Example: "  agateswitch demo --example blue-mahoe --routers 4 --run-for 20s\n" +
+			"  agateswitch demo --scenario datacentre\n  agateswitch demo --keep",
+		Args: cobra.NoArgs,
+		RunE: func(command *cobra.Command, _ []string) error { return runDemo(command, flags) },
 	}
 	command.Flags().StringVar(&flags.example, "example", examples.Hoofline, "example to run: hoofline or blue-mahoe")
+	command.Flags().StringVar(&flags.scenario, "scenario", "mixed", "course of load: "+strings.Join(demo.ScenarioNames(), ", "))
 	command.Flags().IntVar(&flags.routers, "routers", 3, "number of routers, 1 to 64")
 	command.Flags().DurationVar(&flags.runFor, "run-for", 10*time.Second, "how long to send requests")
 	command.Flags().Uint64Var(&flags.seed, "seed", 1, "seed of the load")
@@ -72,7 +75,11 @@
 	if err != nil {
 		return usageError{err}
 	}
-	logger, err := telemetry.NewLogger(os.Stderr, flags.logLevel, "text")
+	scenario, err := demo.FindScenario(flags.scenario)
+	if err != nil {
+		return usageError{err}
+	}
+	logger, err := telemetry.NewLogger(command.ErrOrStderr(), flags.logLevel, "text")
 	if err != nil {
 		return usageError{err}
 	}
@@ -83,7 +90,10 @@
 		return err
 	}
 	defer fleet.Stop()
-	report := loadFleet(life, fleet, flags)
+	report, err := fleet.Run(life, scenario, flags.runFor, flags.seed, showProgress(life, command.ErrOrStderr()))
+	if err != nil {
+		return err
+	}
 	if err := writeReport(command.OutOrStdout(), report, flags.output); err != nil {
 		return err
 	}
@@ -97,26 +107,24 @@
 	return nil
 }
 
-func loadFleet(life context.Context, fleet *demo.Fleet, flags demoFlags) demo.Report {
-	load, stop := context.WithTimeout(life, flags.runFor)
-	defer stop()
-	tally := demo.NewTally()
-	started := time.Now()
-	go showProgress(load, tally, flags, started)
-	fleet.Load(load, flags.seed, tally)
-	return fleet.Report(tally, time.Since(started))
-}
-
-func showProgress(ctx context.Context, tally *demo.Tally, flags demoFlags, started time.Time) {
-	ticker := time.NewTicker(progressInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ticker.C:
-			fmt.Fprintf(os.Stderr, "%s of %s: %d requests\n", time.Since(started).Round(time.Second), flags.runFor, tally.Total())
-		case <-ctx.Done():
-			return
-		}
+// showProgress prints the phase and its number of requests now and then.
+func showProgress(life context.Context, w io.Writer) demo.Progress {
+	return func(phase string, tally *demo.Tally) {
+		fmt.Fprintln(w, "phase", phase)
+		go func() {
+			ticker := time.NewTicker(progressInterval)
+			defer ticker.Stop()
+			last := -1
+			for life.Err() == nil {
+				<-ticker.C
+				total := tally.Total()
+				if total == last {
+					return
+				}
+				last = total
+				fmt.Fprintf(w, "  %s: %d requests\n", phase, total)
+			}
+		}()
 	}
 }
 
--- a/cmd/agateswitch/main_test.go
+++ b/cmd/agateswitch/main_test.go
@@ -43,7 +43,7 @@
 func TestWrongWordsExitWithUsage(t *testing.T) {
 	cases := [][]string{
 		{"frobnicate"}, {"serve"}, {"check", "a", "b"}, {"demo", "--routers", "0"}, {"demo", "--colour"},
-		{"demo", "--example", "nobody"}, {"demo", "-o", "xml"}, {"demo", "--run-for", "0s"}, {"standin", "engine"},
+		{"demo", "--example", "nobody"}, {"demo", "--scenario", "storm"}, {"demo", "-o", "xml"}, {"demo", "--run-for", "0s"}, {"standin", "engine"},
 	}
 	for _, args := range cases {
 		code, _, stderr := call(args...)
@@ -58,5 +58,6 @@
 	var report demo.Report
 	must.NoError(t, json.Unmarshal([]byte(stdout), &report))
 	must.SliceEmpty(t, report.Faults)
-	must.Positive(t, report.Outcomes["chat"][demo.Whole])
+	must.Len(t, 1, report.Phases)
+	must.Positive(t, report.Phases[0].Outcomes[demo.KindChat][demo.Whole])
 }
--- a/demo/load.go
+++ b/demo/load.go
@@ -17,66 +17,124 @@
 
 // Shape of the load.
 const (
-	callersPerRouter = 6
-	chatsPerTeam     = 12
-	maxPromptWords   = 200
-	maxTokens        = 48
+	chatsPerTeam = 12
 	// onceEvery and readEvery tell how often a call is one of a plain service.
 	onceEvery = 12
 	readEvery = 6
-	pause     = 20 * time.Millisecond
+	// surgePause is the mean time between two calls of a surging caller.
+	surgePause = 5 * time.Millisecond
 )
 
-// Load sends mixed requests of returning chats until ctx ends, and tallies the results.
-func (f *Fleet) Load(ctx context.Context, seed uint64, tally *Tally) {
+// Kinds of calls in reports.
+const (
+	KindChat  = "chat"
+	KindSurge = "surging chat"
+	KindRead  = "read"
+	KindOnce  = "once"
+)
+
+// generator sends the calls of one caller.
+type generator struct {
+	fleet  *Fleet
+	caller caller
+	source *rand.Rand
+	mix    Mix
+	tally  *Tally
+	// surge is the team of a surging caller; empty for all others.
+	surge fleet.Team
+}
+
+// runPhase sends the calls of a phase until ctx ends, and tallies the results.
+func (f *Fleet) runPhase(ctx context.Context, phase Phase, seed uint64, tally *Tally) {
 	var callers sync.WaitGroup
-	for i := range callersPerRouter * len(f.Entries) {
-		source := rand.New(rand.NewPCG(seed, uint64(i)))
-		callers.Go(func() { f.runCaller(ctx, source, tally) })
+	start := func(index int, surge fleet.Team) {
+		g := &generator{
+			fleet: f, caller: caller{client: &http.Client{Transport: &http.Transport{}}},
+			source: rand.New(rand.NewPCG(seed, uint64(index))), mix: phase.Mix, tally: tally, surge: surge,
+		}
+		callers.Go(func() { g.run(ctx) })
+	}
+	normal := phase.Mix.Callers * len(f.Entries)
+	for i := range normal {
+		start(i, "")
+	}
+	for i := range phase.Surge * len(f.Entries) {
+		start(normal+i, f.surgingTeam())
 	}
 	callers.Wait()
 }
 
-func (f *Fleet) runCaller(ctx context.Context, source *rand.Rand, tally *Tally) {
-	c := caller{client: &http.Client{Transport: &http.Transport{}}}
-	defer c.client.CloseIdleConnections()
-	// Calls that have begun are finished after the load ends.
+func (g *generator) run(ctx context.Context) {
+	defer g.caller.client.CloseIdleConnections()
+	pause := g.mix.Pause
+	if g.surge != "" {
+		pause = surgePause
+	}
+	// Calls that have begun are finished after the phase ends.
 	calls := context.WithoutCancel(ctx)
 	for ctx.Err() == nil {
-		f.runCall(calls, c, source, tally)
+		g.call(calls)
 		select {
-		case <-time.After(time.Duration(source.Int64N(int64(2 * pause)))):
+		case <-time.After(time.Duration(g.source.Int64N(int64(2 * pause)))):
 		case <-ctx.Done():
 		}
 	}
 }
 
-func (f *Fleet) runCall(ctx context.Context, c caller, source *rand.Rand, tally *Tally) {
-	contract := f.Example.Contracts[source.IntN(len(f.Example.Contracts))]
-	address := f.Entries[source.IntN(len(f.Entries))]
+func (g *generator) call(ctx context.Context) {
+	if g.surge != "" {
+		g.chat(ctx, KindSurge, g.surge)
+		return
+	}
+	contract := g.contract()
 	switch {
-	case source.IntN(onceEvery) == 0:
-		f.runOnce(ctx, c, source, contract, tally)
-	case source.IntN(readEvery) == 0:
-		result := c.call(ctx, address, http.MethodGet, f.Example.Topology.ReadPath, "", "", contract.Team)
-		tally.Add("read", result)
+	case g.source.IntN(onceEvery) == 0:
+		g.once(ctx, contract.Team)
+	case g.source.IntN(readEvery) == 0:
+		result := g.caller.call(ctx, g.entry(), http.MethodGet, g.fleet.Example.Topology.ReadPath, "", "", contract.Team)
+		g.tally.Add(KindRead, result)
 	default:
-		chat := fmt.Sprintf("%s-chat-%d", contract.Team, source.IntN(chatsPerTeam))
-		prompt := strings.Repeat("word ", 1+source.IntN(maxPromptWords)) + fmt.Sprint(source.Uint32())
-		result := c.chat(ctx, address, contract.Team, f.enginePool(), chat, prompt, 1+source.IntN(maxTokens))
-		tally.Add("chat", result)
+		g.chat(ctx, KindChat, contract.Team)
 	}
 }
 
-// runOnce sends the same once-only call to two entry hosts at once.
-func (f *Fleet) runOnce(ctx context.Context, c caller, source *rand.Rand, contract configuration.Contract, tally *Tally) {
+// contract draws a team in proportion to its rate.
+func (g *generator) contract() configuration.Contract {
+	contracts := g.fleet.Example.Contracts
+	total := 0.0
+	for _, contract := range contracts {
+		total += contract.RequestsPerSecond
+	}
+	drawn := g.source.Float64() * total
+	for _, contract := range contracts {
+		drawn -= contract.RequestsPerSecond
+		if drawn < 0 {
+			return contract
+		}
+	}
+	return contracts[len(contracts)-1]
+}
+
+func (g *generator) entry() string {
+	return g.fleet.Entries[g.source.IntN(len(g.fleet.Entries))]
+}
+
+func (g *generator) chat(ctx context.Context, kind string, team fleet.Team) {
+	chat := fmt.Sprintf("%s-chat-%d", team, g.source.IntN(chatsPerTeam))
+	prompt := strings.Repeat("word ", 1+g.source.IntN(g.mix.PromptWords)) + fmt.Sprint(g.source.Uint32())
+	tokens := 1 + g.source.IntN(g.mix.Tokens)
+	g.tally.Add(kind, g.caller.chat(ctx, g.entry(), team, g.fleet.enginePool(), chat, prompt, tokens))
+}
+
+// once sends the same once-only call to two entry hosts at once.
+func (g *generator) once(ctx context.Context, team fleet.Team) {
 	key := uuid.Must(uuid.NewV7()).String()
-	body := fmt.Sprintf(`{"visit":%d}`, source.Uint32())
+	body := fmt.Sprintf(`{"visit":%d}`, g.source.Uint32())
 	var both sync.WaitGroup
 	for range 2 {
-		address := f.Entries[source.IntN(len(f.Entries))]
+		address := g.entry()
 		both.Go(func() {
-			tally.Add("once", c.call(ctx, address, http.MethodPost, f.Example.Topology.OncePath, body, key, contract.Team))
+			g.tally.Add(KindOnce, g.caller.call(ctx, address, http.MethodPost, g.fleet.Example.Topology.OncePath, body, key, team))
 		})
 	}
 	both.Wait()
--- a/demo/report.go
+++ b/demo/report.go
@@ -33,7 +33,8 @@
 	return &Tally{outcomes: map[string]map[Outcome]int{}, codes: map[fleet.Code]int{}, firstToken: sketch}
 }
 
-// Add counts one result of a kind of call.
+// Add counts one result of a kind of call. The first-token time counts for whole answers
+// of chats that do not surge.
 func (t *Tally) Add(kind string, result Result) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -44,7 +45,7 @@
 	if result.Code != "" {
 		t.codes[result.Code]++
 	}
-	if kind == "chat" && result.Outcome == Whole {
+	if kind == KindChat && result.Outcome == Whole {
 		t.firstToken.Add(float64(result.FirstToken) / float64(time.Millisecond))
 	}
 }
@@ -62,105 +63,102 @@
 	return total
 }
 
-// Report is what a demo run showed.
-type Report struct {
+// PhaseReport holds the figures of one phase.
+type PhaseReport struct {
+	Phase    string                     `json:"phase"`
 	Outcomes map[string]map[Outcome]int `json:"outcomes"`
 	Codes    map[fleet.Code]int         `json:"codes,omitempty"`
-	// FirstTokenP50 and FirstTokenP95 are in milliseconds.
+	// FirstTokenP50 and FirstTokenP95 are in milliseconds, for chats that do not surge.
 	FirstTokenP50 float64 `json:"first_token_p50_ms"`
 	FirstTokenP95 float64 `json:"first_token_p95_ms"`
-	// Skew is the requests of the busiest engine over the mean of all.
+	// Skew is the running requests of the busiest engine over the mean, as the mean of
+	// samples with at least two requests for each engine; 0 when there were none.
 	Skew float64 `json:"skew"`
 	// CacheReuse is the share of requests that found their chat in the engine's cache.
 	CacheReuse float64 `json:"cache_reuse"`
 	// ControlBytes is sent and received between routers, for each router a second.
 	ControlBytes float64 `json:"control_bytes_per_second"`
-	// Faults lists what must never happen.
-	Faults []string `json:"faults"`
 }
 
-// Report sums up a run that took a time.
-func (f *Fleet) Report(tally *Tally, took time.Duration) Report {
-	tally.mu.Lock()
-	defer tally.mu.Unlock()
-	report := Report{Outcomes: tally.outcomes, Codes: tally.codes, Faults: []string{}}
-	if quantiles, err := tally.firstToken.GetValuesAtQuantiles([]float64{0.5, 0.95}); err == nil {
-		report.FirstTokenP50, report.FirstTokenP95 = quantiles[0], quantiles[1]
-	}
-	report.Skew, report.CacheReuse = f.engineFigures()
-	var bytes int64
-	for _, started := range f.Routers {
-		sent, received := started.Traffic()
-		bytes += sent + received
-	}
-	report.ControlBytes = float64(bytes) / took.Seconds() / float64(len(f.Routers))
-	report.Faults = f.faults(tally)
-	return report
+// Report is what a run showed.
+type Report struct {
+	Example  string        `json:"example"`
+	Scenario string        `json:"scenario"`
+	Phases   []PhaseReport `json:"phases"`
+	// Faults lists what must never happen.
+	Faults []string `json:"faults"`
 }
 
-func (f *Fleet) engineFigures() (skew, reuse float64) {
-	var total, most, hits int64
-	for _, started := range f.Engines {
-		counts := started.Counts()
-		total += counts.Requests
-		most = max(most, counts.Requests)
-		hits += counts.CacheHits
-	}
-	if total == 0 {
-		return 0, 0
+func (t *Tally) report(phase string) PhaseReport {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	figures := PhaseReport{Phase: phase, Outcomes: t.outcomes, Codes: t.codes}
+	if quantiles, err := t.firstToken.GetValuesAtQuantiles([]float64{0.5, 0.95}); err == nil {
+		figures.FirstTokenP50, figures.FirstTokenP95 = quantiles[0], quantiles[1]
 	}
-	mean := float64(total) / float64(len(f.Engines))
-	return float64(most) / mean, float64(hits) / float64(total)
+	return figures
 }
 
-func (f *Fleet) faults(tally *Tally) []string {
-	faults := []string{}
-	for kind, outcomes := range tally.outcomes {
+func (t *Tally) faults(phase string) []string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var faults []string
+	for _, kind := range sortedKeys(t.outcomes) {
 		for _, outcome := range []Outcome{Lost, Cut, Crossed, RunTwice} {
-			if outcomes[outcome] > 0 {
-				faults = append(faults, fmt.Sprintf("%d %s answers %s", outcomes[outcome], kind, outcome))
+			if count := t.outcomes[kind][outcome]; count > 0 {
+				faults = append(faults, fmt.Sprintf("%s: %d %s answers %s", phase, count, kind, outcome))
 			}
 		}
 	}
+	return faults
+}
+
+// runFaults compares what the services ran with what may run.
+func (f *Fleet) runFaults() []string {
 	runs := map[string]int{}
 	for _, started := range f.Services {
 		for key, count := range started.Runs() {
 			runs[key] += count
 		}
 	}
-	for key, count := range runs {
-		if count > 1 {
-			faults = append(faults, fmt.Sprintf("key %s ran %d times", key, count))
+	var faults []string
+	for _, key := range sortedKeys(runs) {
+		if runs[key] > 1 {
+			faults = append(faults, fmt.Sprintf("key %s ran %d times", key, runs[key]))
 		}
 	}
-	sort.Strings(faults)
 	return faults
 }
 
 // Write prints the report as a table.
 func (r Report) Write(w io.Writer) {
 	table := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
-	fmt.Fprintln(table, "REQUESTS\tOUTCOME\tCOUNT")
-	for _, kind := range sortedKeys(r.Outcomes) {
-		for _, outcome := range sortedKeys(r.Outcomes[kind]) {
-			fmt.Fprintf(table, "%s\t%s\t%d\n", kind, outcome, r.Outcomes[kind][outcome])
-		}
-	}
-	for _, code := range sortedKeys(r.Codes) {
-		fmt.Fprintf(table, "refusals\t%s\t%d\n", code, r.Codes[code])
+	for _, phase := range r.Phases {
+		phase.write(table)
 	}
-	fmt.Fprintln(table, "\t\t")
-	fmt.Fprintf(table, "first token\tp50\t%.1f ms\n", r.FirstTokenP50)
-	fmt.Fprintf(table, "first token\tp95\t%.1f ms\n", r.FirstTokenP95)
-	fmt.Fprintf(table, "skew\tmax/mean requests\t%.2f\n", r.Skew)
-	fmt.Fprintf(table, "cache reuse\tof requests\t%.2f\n", r.CacheReuse)
-	fmt.Fprintf(table, "control traffic\ta router\t%.1f KB/s\n", r.ControlBytes/1000)
 	table.Flush()
 	for _, fault := range r.Faults {
 		fmt.Fprintln(w, "FAULT:", fault)
 	}
 }
 
+func (p PhaseReport) write(table io.Writer) {
+	fmt.Fprintf(table, "PHASE %s\tOUTCOME\tCOUNT\n", p.Phase)
+	for _, kind := range sortedKeys(p.Outcomes) {
+		for _, outcome := range sortedKeys(p.Outcomes[kind]) {
+			fmt.Fprintf(table, "%s\t%s\t%d\n", kind, outcome, p.Outcomes[kind][outcome])
+		}
+	}
+	for _, code := range sortedKeys(p.Codes) {
+		fmt.Fprintf(table, "refusals\t%s\t%d\n", code, p.Codes[code])
+	}
+	fmt.Fprintf(table, "first token\tp50\t%.1f ms\n", p.FirstTokenP50)
+	fmt.Fprintf(table, "first token\tp95\t%.1f ms\n", p.FirstTokenP95)
+	fmt.Fprintf(table, "skew\tmax/mean running\t%.2f\n", p.Skew)
+	fmt.Fprintf(table, "cache reuse\tof requests\t%.2f\n", p.CacheReuse)
+	fmt.Fprintf(table, "control traffic\ta router\t%.1f KB/s\n\t\t\n", p.ControlBytes/1000)
+}
+
 func sortedKeys[K ~string, V any](values map[K]V) []K {
 	keys := make([]K, 0, len(values))
 	for key := range values {
--- a/examples/examples.go
+++ b/examples/examples.go
@@ -35,6 +35,7 @@
 
 // Example is one user's configuration.
 type Example struct {
+	Name      string
 	Topology  Topology
 	Pools     []configuration.Pool
 	Contracts []configuration.Contract
@@ -60,7 +61,7 @@
 	if err != nil {
 		return example, err
 	}
-	example.Pools, example.Contracts = pools, contracts
+	example.Name, example.Pools, example.Contracts = name, pools, contracts
 	return example, nil
 }
 
