Decide purely how failures, streams and resume tokens are judged

Every failure without a byte sent is 'not run' and no other; checked for all faults, and the stream by rapid over any order of events.

--- /dev/null
+++ b/core/exchange/exchange_test.go
@@ -0,0 +1,113 @@
+package exchange_test
+
+import (
+	"strconv"
+	"testing"
+	"time"
+
+	"agateswitch/core/exchange"
+	"agateswitch/core/fleet"
+
+	"github.com/shoenig/test/must"
+	"pgregory.net/rapid"
+)
+
+// Whatever connections repeat, skip or break, the caller sees 1, 2, 3 and so on.
+func TestStreamDeliversEachEventOnceInOrder(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		start := rapid.Int64Range(0, 50).Draw(t, "start")
+		stream := exchange.NewStream(start)
+		next := start + 1
+		for _, number := range rapid.SliceOf(rapid.Int64Range(-2, 60)).Draw(t, "numbers") {
+			verdict := stream.Judge(strconv.FormatInt(number, 10), false)
+			want := exchange.Gap
+			switch {
+			case number < 1:
+				want = exchange.Malformed
+			case number < next:
+				want = exchange.Duplicate
+			case number == next:
+				want = exchange.Deliver
+				next++
+			}
+			must.Eq(t, want, verdict)
+			must.Eq(t, next-1, stream.Last())
+		}
+		must.Eq(t, exchange.Complete, stream.Judge("", true))
+		must.True(t, stream.IsResumable())
+	})
+}
+
+func TestStreamWithUnnumberedEventsIsNotResumable(t *testing.T) {
+	stream := exchange.NewStream(0)
+	must.Eq(t, exchange.Deliver, stream.Judge("", false))
+	must.False(t, stream.IsResumable())
+	for _, id := range []string{"01", "+1", "x", "1e3", "99999999999999999999"} {
+		must.Eq(t, exchange.Malformed, stream.Judge(id, false), must.Sprint(id))
+	}
+}
+
+// "Not run" is said only if no byte was sent; "run" only if a part of the answer came.
+func TestFailureSaysNotRunOnlyWhenNothingWasSent(t *testing.T) {
+	faults := []exchange.Fault{
+		exchange.FaultUnreachable, exchange.FaultLost, exchange.FaultSilent, exchange.FaultStalled,
+		exchange.FaultCrossed, exchange.FaultCut, exchange.FaultUnframed, exchange.FaultGap,
+		exchange.FaultMalformed, exchange.FaultTooLarge, exchange.FaultForgotten, exchange.FaultRejected,
+		exchange.FaultCancelled,
+	}
+	for _, fault := range faults {
+		unsent := exchange.Failure{Fault: fault}
+		sent := exchange.Failure{Fault: fault, Sent: true}
+		produced := exchange.Failure{Fault: fault, Sent: true, Produced: true}
+		must.Eq(t, fleet.NotRun, unsent.Ran())
+		must.Eq(t, fleet.RanUnknown, sent.Ran())
+		must.Eq(t, fleet.DidRun, produced.Ran())
+		must.Eq(t, fleet.CodeOutcomeUnknown, sent.Code())
+		must.False(t, sent.IsRetryable(false))
+		must.False(t, produced.IsRetryable(true))
+		must.False(t, unsent.IsResumable())
+	}
+}
+
+func TestProgressPassesTheSilenceLimitThenTheStallLimit(t *testing.T) {
+	now := time.Unix(0, 0)
+	progress := exchange.NewProgress(exchange.LimitsOf(2*time.Second), now)
+	for range 14 {
+		// Keep-alive comments hold off the silence limit.
+		now = now.Add(2*time.Second - 1)
+		fault, _ := progress.Judge(now)
+		must.Eq(t, exchange.Fault(""), fault)
+		progress.Bytes(now)
+	}
+	now = now.Add(time.Second)
+	progress.Bytes(now)
+	fault, next := progress.Judge(now)
+	must.Eq(t, exchange.Fault(""), fault)
+	must.Eq(t, time.Unix(30, 0), next)
+	fault, _ = progress.Judge(next)
+	must.Eq(t, exchange.FaultStalled, fault)
+	progress.Event(next)
+	fault, _ = progress.Judge(next.Add(2 * time.Second))
+	must.Eq(t, exchange.FaultSilent, fault)
+}
+
+func TestResumptionsAreBounded(t *testing.T) {
+	var unanswered exchange.Resumptions
+	var waited time.Duration
+	for {
+		pause, allowed := unanswered.Next()
+		if !allowed {
+			break
+		}
+		waited += pause
+	}
+	must.Eq(t, exchange.MaxUnanswered, unanswered.Total())
+	must.Eq(t, 3*time.Second, waited)
+	var answered exchange.Resumptions
+	for range 2 * exchange.MaxResumptions {
+		if _, allowed := answered.Next(); allowed {
+			answered.Answered()
+		}
+	}
+	must.Eq(t, exchange.MaxResumptions, answered.Total())
+}
