Read event streams by the whole standard, within bounds

Cause: a lone CR ends a line for readers (WHATWG HTML 9.2), but went through as data, so an upstream's text could add fields to a caller's event; endless id lines counted, endless comment lines between events too.

--- a/core/exchange/exchange_test.go
+++ b/core/exchange/exchange_test.go
@@ -95,7 +95,7 @@
 	var unanswered exchange.Resumptions
 	var waited time.Duration
 	for {
-		pause, allowed := unanswered.Next()
+		pause, allowed := unanswered.Next(true)
 		if !allowed {
 			break
 		}
@@ -105,9 +105,27 @@
 	must.Eq(t, 3*time.Second, waited)
 	var answered exchange.Resumptions
 	for range 2 * exchange.MaxResumptions {
-		if _, allowed := answered.Next(); allowed {
+		if _, allowed := answered.Next(true); allowed {
 			answered.Answered()
 		}
 	}
 	must.Eq(t, exchange.MaxResumptions, answered.Total())
+	var unproduced exchange.Resumptions
+	_, allowed := unproduced.Next(false)
+	must.True(t, allowed)
+	_, allowed = unproduced.Next(false)
+	must.False(t, allowed)
+}
+
+func TestRetriesAreAShareOfRequests(t *testing.T) {
+	budget := exchange.NewRetryBudget()
+	retried := 0
+	for range 1000 {
+		budget.Request()
+		if budget.Retry() {
+			retried++
+		}
+	}
+	// The first request finds the budget full and adds nothing.
+	must.Eq(t, exchange.RetryBurst+999/exchange.RequestsPerRetry, retried)
 }
--- a/core/exchange/failure.go
+++ b/core/exchange/failure.go
@@ -61,14 +61,11 @@
 }
 
 // IsResumable tells whether the same answer may be had over a new connection to the
-// same upstream.
+// same upstream, which has the request from an earlier one.
 func (f Failure) IsResumable() bool {
 	switch f.Fault {
-	case FaultLost, FaultSilent, FaultCrossed, FaultCut, FaultUnframed, FaultGap, FaultMalformed:
+	case FaultUnreachable, FaultLost, FaultSilent, FaultCrossed, FaultCut, FaultUnframed, FaultGap, FaultMalformed:
 		return f.Sent
-	case FaultUnreachable:
-		// The upstream has the request from an earlier connection.
-		return f.Produced
 	default:
 		return false
 	}
--- a/core/exchange/resumption.go
+++ b/core/exchange/resumption.go
@@ -6,6 +6,9 @@
 const (
 	// MaxUnanswered is how many resumptions in a row may go without an answer.
 	MaxUnanswered = 5
+	// MaxUnansweredUnproduced is the same while nothing of the answer has come: then
+	// another upstream is the quicker way to it.
+	MaxUnansweredUnproduced = 1
 	// MaxResumptions is how many resumptions one router makes for a stream.
 	MaxResumptions = 64
 	// firstPause is the wait before the second unanswered resumption; it doubles from there.
@@ -18,9 +21,14 @@
 	unanswered int
 }
 
-// Next allows one more resumption after a pause, or refuses it.
-func (r *Resumptions) Next() (pause time.Duration, allowed bool) {
-	if r.total == MaxResumptions || r.unanswered == MaxUnanswered {
+// Next allows one more resumption after a pause, or refuses it. produced is true when a
+// part of the answer has come.
+func (r *Resumptions) Next(produced bool) (pause time.Duration, allowed bool) {
+	limit := MaxUnanswered
+	if !produced {
+		limit = MaxUnansweredUnproduced
+	}
+	if r.total >= MaxResumptions || r.unanswered >= limit {
 		return 0, false
 	}
 	if r.unanswered > 0 {
--- a/sse/sse.go
+++ b/sse/sse.go
@@ -18,6 +18,8 @@
 // Done is the data of the event that ends a chat-completions stream.
 const Done = "[DONE]"
 
+var byteOrderMark = []byte("\xef\xbb\xbf")
+
 // Event is one server-sent event.
 type Event struct {
 	ID   string
@@ -28,22 +30,28 @@
 // IsDone tells whether the event ends a chat-completions stream.
 func (e Event) IsDone() bool { return string(e.Data) == Done }
 
-// Reader reads events from a stream.
+// Reader reads events from a stream. Lines end in LF, CRLF or CR.
 type Reader struct {
-	lines *bufio.Reader
+	buffered *bufio.Reader
+	text     []byte
+	data     []byte
+	started  bool
+	// endedInCR is true when an LF that follows belongs to the last line's end.
+	endedInCR bool
 }
 
 // NewReader makes a reader.
 func NewReader(r io.Reader) *Reader {
-	return &Reader{lines: bufio.NewReader(r)}
+	return &Reader{buffered: bufio.NewReader(r)}
 }
 
-// Next returns the next event. An event that the stream's end cuts off is dropped, and
-// io.EOF returned, as the standard says.
+// Next returns the next event, whose Data is valid until the next call. An event that
+// the stream's end cuts off is dropped, and io.EOF returned, as the standard says.
 func (r *Reader) Next() (Event, error) {
 	var event Event
 	var hasData bool
 	size := 0
+	r.data = r.data[:0]
 	for {
 		line, err := r.line()
 		if err != nil {
@@ -55,9 +63,10 @@
 		}
 		if len(line) == 0 {
 			if hasData {
+				event.Data = r.data
 				return event, nil
 			}
-			event = Event{}
+			event, size = Event{}, 0
 			continue
 		}
 		field, value, _ := bytes.Cut(line, []byte(":"))
@@ -65,38 +74,85 @@
 		switch string(field) {
 		case "data":
 			if hasData {
-				event.Data = append(event.Data, '\n')
+				r.data = append(r.data, '\n')
 			}
-			event.Data = append(event.Data, value...)
+			r.data = append(r.data, value...)
 			hasData = true
 		case "id":
-			event.ID = string(value)
+			// The standard ignores an id with a NUL.
+			if bytes.IndexByte(value, 0) < 0 {
+				event.ID = string(value)
+			}
 		case "event":
 			event.Name = string(value)
 		}
 	}
 }
 
-// line reads one line without its end.
+// line reads one line without its end. It is valid until the next call.
 func (r *Reader) line() ([]byte, error) {
-	var line []byte
+	r.text = r.text[:0]
 	for {
-		part, err := r.lines.ReadSlice('\n')
-		if len(line)+len(part) > MaxEventBytes {
+		part, err := r.peek()
+		if err != nil {
+			return nil, err
+		}
+		if r.endedInCR {
+			r.endedInCR = false
+			if part[0] == '\n' {
+				r.buffered.Discard(1)
+				continue
+			}
+		}
+		end := lineEnd(part)
+		if end < 0 {
+			end = len(part)
+		}
+		if len(r.text)+end > MaxEventBytes {
 			return nil, errors.Trace(ErrTooLarge)
 		}
-		line = append(line, part...)
-		if err == bufio.ErrBufferFull {
+		r.text = append(r.text, part[:end]...)
+		if end == len(part) {
+			r.buffered.Discard(end)
 			continue
 		}
-		if err != nil {
-			return nil, err
-		}
-		return bytes.TrimRight(line, "\r\n"), nil
+		r.endedInCR = part[end] == '\r'
+		r.buffered.Discard(end + 1)
+		return r.withoutMark(), nil
+	}
+}
+
+// peek returns what is buffered, at least one byte.
+func (r *Reader) peek() ([]byte, error) {
+	if _, err := r.buffered.Peek(1); err != nil {
+		return nil, err
+	}
+	return r.buffered.Peek(r.buffered.Buffered())
+}
+
+// lineEnd returns the index of the first LF or CR, or -1.
+func lineEnd(text []byte) int {
+	feed := bytes.IndexByte(text, '\n')
+	if feed >= 0 {
+		text = text[:feed]
+	}
+	if carriage := bytes.IndexByte(text, '\r'); carriage >= 0 {
+		return carriage
 	}
+	return feed
 }
 
-// Append adds the wire form of an event to a buffer.
+// withoutMark drops a byte order mark from the first line.
+func (r *Reader) withoutMark() []byte {
+	if r.started {
+		return r.text
+	}
+	r.started = true
+	return bytes.TrimPrefix(r.text, byteOrderMark)
+}
+
+// Append adds the wire form of an event to a buffer. A CR in the data is written as a
+// line end, since readers take it for one.
 func Append(buffer []byte, event Event) []byte {
 	if event.ID != "" {
 		buffer = append(append(append(buffer, "id: "...), event.ID...), '\n')
@@ -104,8 +160,17 @@
 	if event.Name != "" {
 		buffer = append(append(append(buffer, "event: "...), event.Name...), '\n')
 	}
-	for _, line := range bytes.Split(event.Data, []byte{'\n'}) {
-		buffer = append(append(append(buffer, "data: "...), line...), '\n')
+	rest := event.Data
+	for {
+		end := lineEnd(rest)
+		if end < 0 {
+			break
+		}
+		buffer = append(append(append(buffer, "data: "...), rest[:end]...), '\n')
+		if rest[end] == '\r' && end+1 < len(rest) && rest[end+1] == '\n' {
+			end++
+		}
+		rest = rest[end+1:]
 	}
-	return append(buffer, '\n')
+	return append(append(append(buffer, "data: "...), rest...), '\n', '\n')
 }
