Place requests by shards, bounded work, a fair queue and team budgets

Ruled out: a chat hashed to a shard and then to an upstream of the shard. The number of shards of a pool changes with its size (20 upstreams have 3 shards, 19 have 2), so the loss of one would move far more than 1/n of the chats. The home is therefore chosen over the whole pool, and the shard follows from it. Change: core/placement bounds work by the rule in its package comment, ramps cold upstreams by their own answers, lets requests wait in weighted fair order, refuses hopeless waits at once, remembers where chats ran, starts again after a freeze, and adopts announced grants. core/admission has the fair queue and the team budgets. node/grants speaks compact messages, long-polls for waiting requests, re-announces held grants, draws budgets and reads load reports, which the stand-in engine serves as ORCA JSON. Seen failing, each with its mechanism removed: bound, concurrency limit, foreign load, weight, ramp reset, latency jump, learning limit, bearing mean, freeze, adoption, wait refusal, waiter life, fair start tags, ageing, shard sizes, data-centre spread, draw limits, draw pacing, share without an owner.

--- /dev/null
+++ b/core/admission/budget_test.go
@@ -0,0 +1,155 @@
+package admission
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"agateswitch/core/fleet"
+
+	"github.com/shoenig/test/must"
+	"pgregory.net/rapid"
+)
+
+// fleetModel is one team's budget with the routers that draw from it.
+type fleetModel struct {
+	now        time.Time
+	limits     Limits
+	budget     *Budget
+	allowances []*Allowance
+	// draws counts the messages to the budget's owner, admitted the requests let in.
+	draws, admitted int
+}
+
+func newFleetModel(routers int, limits Limits) *fleetModel {
+	m := &fleetModel{now: start, limits: limits, budget: NewBudget(start, limits)}
+	for i := range routers {
+		m.allowances = append(m.allowances, NewAllowance(fleet.HostID(fmt.Sprint("router-", i)), limits))
+	}
+	return m
+}
+
+func (m *fleetModel) request(router int) Verdict {
+	allowance := m.allowances[router]
+	allowance.Arrive(m.now)
+	verdict := allowance.Admit(m.now, false)
+	if verdict.Draw {
+		m.draws++
+		allowance.Receive(m.now, m.budget.Draw(m.now, allowance.Ask()))
+		verdict = allowance.Admit(m.now, false)
+	}
+	if verdict.Admitted {
+		m.admitted++
+	}
+	return verdict
+}
+
+func (m *fleetModel) running() int {
+	sum := 0
+	for _, allowance := range m.allowances {
+		sum += allowance.running
+	}
+	return sum
+}
+
+// Fleet-wide, a team never gets more than its burst plus its rate, nor more than its
+// concurrency, however its requests spread over the routers and whoever owns the budget.
+func TestTeamStaysWithinItsContract(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		limits := Limits{
+			Rate: float64(rapid.IntRange(1, 200).Draw(t, "rate")), Burst: rapid.IntRange(1, 100).Draw(t, "burst"),
+			Concurrency: rapid.IntRange(0, 30).Draw(t, "concurrency"),
+		}
+		m := newFleetModel(rapid.IntRange(1, 12).Draw(t, "routers"), limits)
+		allowed := float64(limits.Burst)
+		t.Repeat(map[string]func(*rapid.T){
+			"surge": func(t *rapid.T) {
+				router := rapid.IntRange(0, len(m.allowances)-1).Draw(t, "router")
+				for range rapid.IntRange(1, 30).Draw(t, "requests") {
+					verdict := m.request(router)
+					if verdict.Admitted {
+						continue
+					}
+					must.Eq(t, fleet.CodeRateLimited, verdict.Refusal.Code)
+					must.Positive(t, verdict.Refusal.RetryAfter)
+				}
+			},
+			"end": func(t *rapid.T) {
+				allowance := m.allowances[rapid.IntRange(0, len(m.allowances)-1).Draw(t, "router")]
+				allowance.Leave()
+			},
+			"time": func(t *rapid.T) {
+				passed := time.Duration(rapid.IntRange(1, 900).Draw(t, "milliseconds")) * time.Millisecond
+				m.now = m.now.Add(passed)
+				allowed += limits.Rate * passed.Seconds()
+			},
+			"new owner": func(t *rapid.T) {
+				m.budget = NewBudget(m.now, limits)
+				allowed += max(1, limits.Rate*firstFill.Seconds())
+				for _, allowance := range m.allowances {
+					m.budget.Draw(m.now, allowance.Renewal())
+				}
+			},
+			"renewal": func(t *rapid.T) {
+				allowance := m.allowances[rapid.IntRange(0, len(m.allowances)-1).Draw(t, "router")]
+				m.budget.Draw(m.now, allowance.Renewal())
+			},
+			"": func(t *rapid.T) {
+				if float64(m.admitted) > allowed+1e-6 {
+					t.Fatalf("%d admitted, the contract allows %.1f", m.admitted, allowed)
+				}
+				if limits.Concurrency > 0 && m.running() > limits.Concurrency {
+					t.Fatalf("%d running, the contract allows %d", m.running(), limits.Concurrency)
+				}
+			},
+		})
+	})
+}
+
+// A team that asks within its rate is not refused, though each router sees a sliver of it.
+func TestTeamWithinItsRateIsAdmitted(t *testing.T) {
+	const routers, rate, seconds = 40, 100, 20
+	m := newFleetModel(routers, Limits{Rate: rate, Burst: 2 * rate})
+	m.now = m.now.Add(second)
+	for i := range seconds * rate * 9 / 10 {
+		m.now = m.now.Add(second * 10 / (rate * 9))
+		must.True(t, m.request((i*7)%routers).Admitted, must.Sprint("request ", i))
+	}
+}
+
+const second = time.Second
+
+// A surge does not make the routers flood the budget's owner: draws stay at about one each
+// drawSpacing plus one for each admitted request.
+func TestSurgeDrawsSparingly(t *testing.T) {
+	const routers, rate, seconds = 380, 10, 10
+	m := newFleetModel(routers, Limits{Rate: rate, Burst: rate})
+	const perSecond = 5000
+	for i := range perSecond * seconds {
+		m.now = m.now.Add(second / perSecond)
+		m.request((i * 7) % routers)
+	}
+	limit := routers + m.admitted + seconds*int(second/drawSpacing)
+	must.LessEq(t, limit, m.draws)
+	must.GreaterEq(t, rate*seconds*8/10, m.admitted)
+}
+
+// With the budget's owner unreachable, all routers together stay within the rate.
+func TestUnreachableOwnerLeavesBoundedShare(t *testing.T) {
+	const routers, rate, seconds = 10, 50, 10
+	m := newFleetModel(routers, Limits{Rate: rate, Burst: rate})
+	for range seconds * 1000 {
+		m.now = m.now.Add(time.Millisecond)
+		for _, allowance := range m.allowances {
+			verdict := allowance.Admit(m.now, false)
+			if verdict.Draw {
+				allowance.ReceiveNothing(m.now, routers)
+				verdict = allowance.Admit(m.now, false)
+			}
+			if verdict.Admitted {
+				m.admitted++
+			}
+		}
+	}
+	must.Between(t, rate*seconds*8/10, m.admitted, rate*(seconds+1))
+}
--- /dev/null
+++ b/core/placement/choose.go
@@ -0,0 +1,163 @@
+package placement
+
+import (
+	"fmt"
+	"time"
+
+	"agateswitch/core/fleet"
+	"agateswitch/core/rendezvous"
+)
+
+// candidate is an upstream that a request may run on, in the chat's order.
+type candidate struct {
+	engine *engine
+	// work is what the request costs there, without the prefix in the upstream's cache.
+	work fleet.Work
+	// warm is true when the chat last ran there.
+	warm  bool
+	score float64
+}
+
+// balance is the load of the bearing upstreams.
+type balance struct {
+	load   fleet.Work
+	weight float64
+}
+
+func (o *Owner) balance(now time.Time) balance {
+	var sum balance
+	for _, e := range o.engines {
+		if e.isBearing(now) {
+			sum.load += e.load()
+			sum.weight += e.weight
+		}
+	}
+	return sum
+}
+
+// mean is the mean load for an upstream of a weight.
+func (b balance) mean(weight float64) float64 {
+	if b.weight == 0 {
+		return 0
+	}
+	return float64(b.load) * weight / b.weight
+}
+
+// fits applies the rule of the package comment.
+func (o *Owner) fits(c candidate, sum balance) bool {
+	load := c.engine.load()
+	if load+c.work <= o.bound(c, sum) {
+		return true
+	}
+	return float64(load) <= sum.mean(c.engine.weight)
+}
+
+// bound is the most load that an upstream may have after taking the request.
+func (o *Owner) bound(c candidate, sum balance) fleet.Work {
+	sum.load += c.work
+	return fleet.Work(o.settings.BoundFactor * sum.mean(c.engine.weight))
+}
+
+// candidates returns the upstreams that the request may run on: the one where the chat last
+// ran, then the others in the chat's weighted rendezvous order. The result is valid until
+// the next call.
+func (o *Owner) candidates(request Request) []candidate {
+	list := o.scratch[:0]
+	last, remembered := o.memory.find(request.Chat)
+	for _, e := range o.engines {
+		if !request.allows(e.Upstream) {
+			continue
+		}
+		c := candidate{engine: e, work: request.Prefill + request.Decode}
+		c.score = rendezvous.MixWeighted(request.Chat, e.hash, e.weight)
+		if remembered && last.isOn(e) {
+			c.warm = true
+			c.work -= min(request.Prefill, fleet.Work(last.tokens))
+		}
+		list = insert(list, c)
+	}
+	o.scratch = list
+	return list
+}
+
+// insert keeps the list in order. Shards are small, so that insertion is fast enough.
+func insert(list []candidate, c candidate) []candidate {
+	list = append(list, c)
+	for i := len(list) - 1; i > 0 && list[i].before(list[i-1]); i-- {
+		list[i], list[i-1] = list[i-1], list[i]
+	}
+	return list
+}
+
+func (c candidate) before(other candidate) bool {
+	if c.warm != other.warm {
+		return c.warm
+	}
+	return c.score > other.score
+}
+
+// choose finds the first candidate that may take the request now.
+func (o *Owner) choose(now time.Time, request Request) (chosen candidate, sum balance, found bool) {
+	sum = o.balance(now)
+	for _, c := range o.candidates(request) {
+		if !c.engine.isFull(now) && o.fits(c, sum) {
+			return c, sum, true
+		}
+	}
+	return candidate{}, sum, false
+}
+
+// reasonOf names the rule that chose a candidate.
+func (o *Owner) reasonOf(request Request, chosen candidate) fleet.Reason {
+	if len(request.Exclude) > 0 {
+		return fleet.ReasonRetry
+	}
+	for _, e := range o.engines {
+		if request.allows(e.Upstream) && rendezvous.MixWeighted(request.Chat, e.hash, e.weight) > chosen.score {
+			if chosen.warm {
+				return fleet.ReasonDisplaced
+			}
+			return fleet.ReasonOverflow
+		}
+	}
+	return fleet.ReasonHome
+}
+
+// Explain tells where a request would run now and why, without placing it.
+func (o *Owner) Explain(now time.Time, request Request) []string {
+	sum := o.balance(now)
+	lines := []string{fmt.Sprintf("owner %s epoch %d: %d upstreams, mean load %.0f, %d waiting, expected wait of one more %s",
+		o.self, o.epoch, len(o.engines), sum.mean(1), o.queue.Len(), o.expectedWait(o.queue.Len()).Round(time.Millisecond))}
+	for rank, c := range o.candidates(request) {
+		lines = append(lines, fmt.Sprintf("%d. %s: %s", rank+1, c.engine.ID, o.verdict(now, c, sum)))
+	}
+	for _, e := range o.engines {
+		if !request.allows(e.Upstream) {
+			lines = append(lines, fmt.Sprintf("-  %s: rejected: version %q is not %q, or it failed this request",
+				e.ID, e.Version, request.Version))
+		}
+	}
+	return lines
+}
+
+// verdict explains for one candidate whether it would take the request.
+func (o *Owner) verdict(now time.Time, c candidate, sum balance) string {
+	e := c.engine
+	state := fmt.Sprintf("load %d (%d by other owners) of bound %d, running %d of %d",
+		e.load(), e.foreignWork, o.bound(c, sum), e.busy(), e.limit(now))
+	if c.warm {
+		state += ", the chat last ran here"
+	}
+	switch {
+	case e.isFull(now) && e.isLearning(now):
+		return state + ": rejected: held at its cold start until it reports its load to this owner"
+	case e.isFull(now) && e.ramp.isCold():
+		return state + ": rejected: in a cold start since " + string(e.ramp.sign)
+	case e.isFull(now):
+		return state + ": rejected: at its max_concurrency"
+	case !o.fits(c, sum):
+		return state + ": rejected: above its bound and above the mean"
+	default:
+		return state + ": fits"
+	}
+}
--- a/core/placement/owner.go
+++ b/core/placement/owner.go
@@ -1,214 +1,294 @@
-// Package placement decides on which upstream of a shard a request runs. It is pure:
-// it takes events with their time and returns decisions as values.
 package placement
 
 import (
 	"fmt"
-	"math"
 	"sort"
+	"strconv"
 	"time"
 
+	"agateswitch/core/admission"
 	"agateswitch/core/fleet"
-	"agateswitch/core/rendezvous"
 )
 
-// Settings of a shard, from its pool.
-type Settings struct {
-	// BoundFactor is the most load of an upstream as a multiple of the mean.
-	BoundFactor float64
-	// ColdConcurrency is how many requests an upstream bears in a cold start.
-	ColdConcurrency int
-	// MaxConcurrency is how many requests an upstream bears when warm.
-	MaxConcurrency int
-	// GrantLife is how long a grant counts without a release.
-	GrantLife time.Duration
-}
-
-// Decision is the owner's answer to a request.
-type Decision struct {
-	// Grant is set when Refusal is nil.
-	Grant   fleet.Grant
-	Refusal *fleet.Refusal
-	// Reason explains the decision in a few words, for the log line.
-	Reason string
-}
-
-// Owner places the requests of one shard. It is not safe for concurrent use.
+// Owner places the requests of one shard. Decisions on requests that waited are collected
+// and read with Resolved. It is not safe for concurrent use.
 type Owner struct {
-	self      fleet.HostID
-	epoch     int64
-	settings  Settings
-	upstreams map[fleet.UpstreamID]*upstream
-	grants    map[fleet.GrantID]held
-	sequence  uint64
-}
-
-type upstream struct {
-	fleet.Upstream
-	load    fleet.Work
-	running int
-	// allowed is how many requests the upstream bears now; it grows by whole answers.
-	allowed int
-}
-
-type held struct {
-	upstream fleet.UpstreamID
-	work     fleet.Work
-	expires  time.Time
+	self     fleet.HostID
+	epoch    int64
+	settings Settings
+	// engines are the upstreams that take new work, in id order.
+	engines  []*engine
+	grants   map[fleet.GrantID]held
+	tickets  map[admission.Ticket]fleet.GrantID
+	queue    *admission.FairQueue
+	waiting  map[admission.Ticket]*waiting
+	memory   *chatMemory
+	resolved []Decision
+	sequence uint64
+	// lastEvent is the time of the last event; a long gap means that the process was frozen.
+	lastEvent time.Time
+	// service and firstToken are the smoothed times of whole answers and of first tokens.
+	service    time.Duration
+	firstToken time.Duration
+	scratch    []candidate
 }
 
 // NewOwner makes the owner of a shard. Epoch distinguishes lives of the same host.
 func NewOwner(self fleet.HostID, epoch int64, settings Settings) *Owner {
 	return &Owner{
-		self:      self,
-		epoch:     epoch,
-		settings:  settings,
-		upstreams: map[fleet.UpstreamID]*upstream{},
-		grants:    map[fleet.GrantID]held{},
+		self: self, epoch: epoch, settings: settings,
+		grants:  map[fleet.GrantID]held{},
+		tickets: map[admission.Ticket]fleet.GrantID{},
+		queue:   admission.NewFairQueue(ageStep),
+		waiting: map[admission.Ticket]*waiting{},
+		memory:  newChatMemory(maxRemembered),
 	}
 }
 
-// SetUpstreams replaces the list of upstreams that take new work.
-func (o *Owner) SetUpstreams(list []fleet.Upstream) {
-	present := make(map[fleet.UpstreamID]bool, len(list))
-	for _, entry := range list {
-		present[entry.ID] = true
-		known, found := o.upstreams[entry.ID]
-		if !found {
-			known = &upstream{allowed: o.settings.ColdConcurrency}
-			o.upstreams[entry.ID] = known
-		}
-		known.Upstream = entry
+// Epoch changes when the owner has lost its state. Grants of earlier epochs are not known
+// to it until they are announced.
+func (o *Owner) Epoch() int64 { return o.epoch }
+
+// SetSettings takes changed settings of the pool.
+func (o *Owner) SetSettings(settings Settings) {
+	if settings == o.settings {
+		return
 	}
-	for id := range o.upstreams {
-		if !present[id] {
-			delete(o.upstreams, id)
-		}
+	o.settings = settings
+	for _, e := range o.engines {
+		e.ramp.cold = max(1, settings.ColdConcurrency)
+		e.ramp.limit = max(1, settings.MaxConcurrency)
+		e.ramp.allowed = min(max(e.ramp.allowed, e.ramp.cold), e.ramp.limit)
 	}
 }
 
-// Grant decides on one request.
-func (o *Owner) Grant(now time.Time, request fleet.Request, version fleet.Version) Decision {
-	o.expire(now)
-	candidates := o.candidates(request, version)
-	if len(candidates) == 0 {
-		return refuse(fleet.CodeNoUpstream, "no upstream of the pool takes new work", time.Second)
+// SetUpstreams replaces the list of the shard's upstreams that take new work.
+func (o *Owner) SetUpstreams(now time.Time, list []fleet.Upstream) {
+	known := make(map[fleet.UpstreamID]*engine, len(o.engines))
+	for _, e := range o.engines {
+		known[e.ID] = e
 	}
-	bound := o.bound(request.Work())
-	for rank, candidate := range candidates {
-		if candidate.running >= candidate.allowed {
-			continue
+	engines := make([]*engine, 0, len(list))
+	for _, entry := range list {
+		e, found := known[entry.ID]
+		if !found {
+			e = newEngine(now, entry, o.settings)
+			o.restoreGrants(e)
 		}
-		if candidate.running > 0 && candidate.load+request.Work() > bound {
-			continue
+		e.Upstream, e.weight = entry, weightOf(entry)
+		engines = append(engines, e)
+	}
+	sort.Slice(engines, func(i, j int) bool { return engines[i].ID < engines[j].ID })
+	o.engines = engines
+}
+
+// restoreGrants counts grants that outlived an upstream's absence from the list.
+func (o *Owner) restoreGrants(e *engine) {
+	for id, grant := range o.grants {
+		if grant.upstream == e.ID {
+			e.adopt(grant.work)
+			grant.adopted = true
+			o.grants[id] = grant
 		}
-		return o.grant(now, request, candidate, bound, rank)
 	}
-	return refuse(fleet.CodeOverloaded, "every upstream of the pool is at its bound", time.Second)
 }
 
-func refuse(code fleet.Code, message string, retryAfter time.Duration) Decision {
-	return Decision{Refusal: fleet.Refuse(code, message, retryAfter), Reason: message}
+func (o *Owner) engine(id fleet.UpstreamID) (*engine, bool) {
+	at := sort.Search(len(o.engines), func(i int) bool { return o.engines[i].ID >= id })
+	if at < len(o.engines) && o.engines[at].ID == id {
+		return o.engines[at], true
+	}
+	return nil, false
 }
 
-// candidates returns the usable upstreams in the chat's own order.
-func (o *Owner) candidates(request fleet.Request, version fleet.Version) []*upstream {
-	excluded := make(map[fleet.UpstreamID]bool, len(request.Exclude))
-	for _, id := range request.Exclude {
-		excluded[id] = true
+// Acquire decides on one request. A repeated question gets the same answer.
+func (o *Owner) Acquire(now time.Time, request Request) Decision {
+	o.observe(now)
+	if id, found := o.tickets[request.Ticket]; found {
+		grant := o.grants[id].grant
+		return Decision{Ticket: request.Ticket, Grant: grant, Reason: string(grant.Reason)}
+	}
+	if known, found := o.waiting[request.Ticket]; found {
+		known.asked = now
+		return Decision{Ticket: request.Ticket, Waiting: true, Reason: "waiting"}
 	}
-	var usable []*upstream
-	for _, candidate := range o.upstreams {
-		wrongVersion := version != "" && candidate.Version != version
-		if candidate.State == fleet.Live && !excluded[candidate.ID] && !wrongVersion {
-			usable = append(usable, candidate)
+	if o.queue.Len() == 0 {
+		if decision, placed := o.place(now, request); placed {
+			return decision
 		}
 	}
-	sort.Slice(usable, func(i, j int) bool {
-		left := rendezvous.Score(string(request.Chat), string(usable[i].ID))
-		right := rendezvous.Score(string(request.Chat), string(usable[j].ID))
-		return left > right
-	})
-	return usable
+	return o.enqueue(now, request)
 }
 
-// bound returns the most load that an upstream may have after taking work.
-func (o *Owner) bound(work fleet.Work) fleet.Work {
-	total := work
-	for _, candidate := range o.upstreams {
-		total += candidate.load
+// place grants the request when an upstream may take it now.
+func (o *Owner) place(now time.Time, request Request) (Decision, bool) {
+	chosen, sum, found := o.choose(now, request)
+	if !found {
+		return Decision{}, false
+	}
+	reason := o.reasonOf(request, chosen)
+	bound := o.bound(chosen, sum)
+	chosen.engine.take(chosen.work)
+	grant := fleet.Grant{
+		ID: o.nextGrant(), Owner: o.self, Upstream: chosen.engine.Upstream, Work: chosen.work,
+		Expires: now.Add(o.settings.GrantLife), Reason: reason,
+		Load: chosen.engine.load(), Bound: bound, Warm: chosen.warm,
+	}
+	o.grants[grant.ID] = held{
+		ticket: request.Ticket, upstream: grant.Upstream.ID, chat: request.Chat, work: grant.Work,
+		since: now, expires: grant.Expires, grant: grant,
 	}
-	mean := float64(total) / float64(len(o.upstreams))
-	return fleet.Work(math.Ceil(o.settings.BoundFactor * mean))
+	o.tickets[request.Ticket] = grant.ID
+	o.memory.remember(request.Chat, chosen.engine, request.Prefill+request.Decode)
+	return Decision{Ticket: request.Ticket, Grant: grant, Reason: string(reason)}, true
 }
 
-func (o *Owner) grant(now time.Time, request fleet.Request, chosen *upstream, bound fleet.Work, rank int) Decision {
+func (o *Owner) nextGrant() fleet.GrantID {
 	o.sequence++
-	id := fleet.GrantID(fmt.Sprintf("%s-%d-%d", o.self, o.epoch, o.sequence))
-	work := request.Work()
-	expires := now.Add(o.settings.GrantLife)
-	chosen.load += work
-	chosen.running++
-	o.grants[id] = held{upstream: chosen.ID, work: work, expires: expires}
-	reason := fleet.ReasonHome
-	if rank > 0 {
-		reason = fleet.ReasonOverflow
-	}
-	grant := fleet.Grant{
-		ID: id, Owner: o.self, Upstream: chosen.Upstream, Work: work, Expires: expires,
-		Reason: reason, Load: chosen.load, Bound: bound, Warm: rank == 0,
-	}
-	return Decision{Grant: grant, Reason: string(reason)}
+	buffer := make([]byte, 0, len(o.self)+24)
+	buffer = append(buffer, o.self...)
+	buffer = append(buffer, '-')
+	buffer = strconv.AppendInt(buffer, o.epoch, 36)
+	buffer = append(buffer, '-')
+	buffer = strconv.AppendUint(buffer, o.sequence, 36)
+	return fleet.GrantID(buffer)
 }
 
 // Complete ends a grant.
-func (o *Owner) Complete(completion fleet.Completion) {
+func (o *Owner) Complete(now time.Time, completion fleet.Completion) {
+	o.observe(now)
 	grant, found := o.grants[completion.Grant]
 	if !found {
 		return
 	}
 	o.drop(completion.Grant, grant)
-	known, found := o.upstreams[grant.upstream]
+	o.learn(now, grant, completion)
+	o.dispatch(now)
+}
+
+// learn takes what the end of a request tells about its upstream.
+func (o *Owner) learn(now time.Time, grant held, completion fleet.Completion) {
+	e, found := o.engine(grant.upstream)
 	if !found {
 		return
 	}
 	switch completion.Outcome {
 	case fleet.OutcomeWhole:
-		known.allowed = min(known.allowed+1, o.settings.MaxConcurrency)
-	case fleet.OutcomeFailed:
-		known.allowed = o.settings.ColdConcurrency
+		e.ramp.answered(completion.FirstToken)
+		if !grant.adopted {
+			o.service = smooth(o.service, now.Sub(grant.since))
+		}
+		o.firstToken = smooth(o.firstToken, completion.FirstToken)
+	case fleet.OutcomeFailed, fleet.OutcomeUnsent:
+		e.ramp.reset(SignFailure)
+		o.memory.forget(grant.chat)
 	}
 }
 
-func (o *Owner) expire(now time.Time) {
+func smooth(mean, sample time.Duration) time.Duration {
+	if mean == 0 {
+		return sample
+	}
+	return mean + time.Duration(smoothing*float64(sample-mean))
+}
+
+// Abandon ends whatever became of a question whose router no longer wants an answer.
+func (o *Owner) Abandon(now time.Time, ticket admission.Ticket) {
+	o.observe(now)
+	if _, found := o.waiting[ticket]; found {
+		o.leaveQueue(ticket)
+	}
+	if id, found := o.tickets[ticket]; found {
+		o.drop(id, o.grants[id])
+	}
+	o.dispatch(now)
+}
+
+// Announce takes grants that a router holds: known ones are renewed, those of earlier
+// owners are adopted.
+func (o *Owner) Announce(now time.Time, announcements []Announcement) {
+	o.observe(now)
+	for _, announced := range announcements {
+		grant, known := o.grants[announced.Grant]
+		if !known {
+			grant = held{upstream: announced.Upstream, work: announced.Work, since: now, adopted: true}
+			if e, found := o.engine(announced.Upstream); found {
+				e.adopt(announced.Work)
+			}
+		}
+		grant.expires = now.Add(o.settings.GrantLife)
+		o.grants[announced.Grant] = grant
+	}
+}
+
+// Report takes an upstream's load report. It returns the sign of a restart, or nothing.
+func (o *Owner) Report(now time.Time, id fleet.UpstreamID, report fleet.LoadReport) ColdSign {
+	o.observe(now)
+	e, found := o.engine(id)
+	if !found {
+		return ""
+	}
+	restarted := e.report(now, report)
+	o.dispatch(now)
+	if !restarted {
+		return ""
+	}
+	o.memory.forgetUpstream(e)
+	return e.ramp.sign
+}
+
+// Evicted takes an upstream's event that a chat left its cache.
+func (o *Owner) Evicted(id fleet.UpstreamID, chat uint64) {
+	e, found := o.engine(id)
+	if !found {
+		return
+	}
+	if last, remembered := o.memory.find(chat); remembered && last.isOn(e) {
+		o.memory.forget(chat)
+	}
+}
+
+// Tick passes time: grants expire, waiting requests get their turn or are refused.
+func (o *Owner) Tick(now time.Time) {
+	o.observe(now)
 	for id, grant := range o.grants {
 		if now.After(grant.expires) {
 			o.drop(id, grant)
 		}
 	}
+	for _, e := range o.engines {
+		e.age(now)
+	}
+	o.dispatch(now)
 }
 
 func (o *Owner) drop(id fleet.GrantID, grant held) {
 	delete(o.grants, id)
-	if known, found := o.upstreams[grant.upstream]; found {
-		known.load -= grant.work
-		known.running--
-	}
-}
-
-// Explain tells where a request would run now and why, without placing it.
-func (o *Owner) Explain(request fleet.Request, version fleet.Version) []string {
-	bound := o.bound(request.Work())
-	var lines []string
-	for rank, candidate := range o.candidates(request, version) {
-		verdict := "fits"
-		if candidate.running >= candidate.allowed {
-			verdict = "rejected: at its concurrency"
-		} else if candidate.running > 0 && candidate.load+request.Work() > bound {
-			verdict = "rejected: at its bound"
-		}
-		lines = append(lines, fmt.Sprintf("%d. %s load %d of bound %d, running %d of %d: %s",
-			rank+1, candidate.ID, candidate.load, bound, candidate.running, candidate.allowed, verdict))
+	if o.tickets[grant.ticket] == id {
+		delete(o.tickets, grant.ticket)
+	}
+	if e, found := o.engine(grant.upstream); found {
+		e.give(grant)
+	}
+}
+
+// observe notices that the process was frozen. What it knew is then out of date, and other
+// routers have granted meanwhile, so that it starts again like a new owner.
+func (o *Owner) observe(now time.Time) {
+	frozen := !o.lastEvent.IsZero() && now.Sub(o.lastEvent) > FreezeLimit
+	o.lastEvent = now
+	if !frozen {
+		return
+	}
+	o.epoch++
+	for ticket := range o.waiting {
+		o.leaveQueue(ticket)
+		o.resolved = append(o.resolved, Decision{Ticket: ticket, Reason: "frozen", Refusal: fleet.Refuse(
+			fleet.CodeOverloaded, "the shard's owner was suspended for longer than "+fmt.Sprint(FreezeLimit), minRetryAfter)})
+	}
+	o.grants = map[fleet.GrantID]held{}
+	o.tickets = map[admission.Ticket]fleet.GrantID{}
+	for i, e := range o.engines {
+		o.engines[i] = newEngine(now, e.Upstream, o.settings)
 	}
-	return lines
 }
--- /dev/null
+++ b/core/placement/waiting_test.go
@@ -0,0 +1,104 @@
+package placement
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"agateswitch/core/admission"
+	"agateswitch/core/fleet"
+
+	"github.com/shoenig/test/must"
+)
+
+// fullOwner has one upstream that runs all it bears, with answers that take a second.
+func fullOwner(t *testing.T) (*Owner, []fleet.Grant) {
+	o := warmOwner(1)
+	first := storm(o, start, 1, 1_000_000)
+	o.Tick(start.Add(500 * time.Millisecond))
+	complete(o, start.Add(second), first, fleet.OutcomeWhole, 100*time.Millisecond)
+	grants := storm(o, start.Add(second), testSettings().MaxConcurrency, 1)
+	must.Len(t, testSettings().MaxConcurrency, grants)
+	return o, grants
+}
+
+// A request whose expected wait passes its deadline is refused at once, not run, with a time
+// to come back that follows from the wait.
+func TestHopelessWaitIsRefusedAtOnce(t *testing.T) {
+	o, _ := fullOwner(t)
+	now := start.Add(second)
+	refused := 0
+	for i := range uint64(200) {
+		decision := o.Acquire(now, request(1000+i, 100, now.Add(second)))
+		if decision.Refusal == nil {
+			must.True(t, decision.Waiting)
+			continue
+		}
+		refused++
+		must.Eq(t, fleet.CodeOverloaded, decision.Refusal.Code)
+		must.Eq(t, fleet.NotRun, decision.Refusal.Ran)
+		must.Between(t, 500*time.Millisecond, decision.Refusal.RetryAfter, 2*second)
+	}
+	// 32 running for a second each serve 32 a second; the first token takes a tenth of it.
+	must.Between(t, 200-32, refused, 200-26)
+}
+
+// Waiting requests get their turn as others end, the highest priority first.
+func TestWaitingRequestsGetTheirTurn(t *testing.T) {
+	o, grants := fullOwner(t)
+	now := start.Add(second)
+	low, high := request(1, 100, now.Add(second)), request(2, 100, now.Add(second))
+	low.Ticket.From, high.Ticket.From = "low", "high"
+	high.Priority = 5
+	must.True(t, o.Acquire(now, low).Waiting)
+	must.True(t, o.Acquire(now, high).Waiting)
+	for i, want := range []admission.Ticket{high.Ticket, low.Ticket} {
+		complete(o, now, grants[i:i+1], fleet.OutcomeWhole, 100*time.Millisecond)
+		resolved := o.Resolved()
+		must.Len(t, 1, resolved)
+		must.Eq(t, want, resolved[0].Ticket)
+		must.Nil(t, resolved[0].Refusal)
+	}
+}
+
+// A waiting request is refused as soon as its deadline cannot be met any more, and one whose
+// router stopped asking is dropped.
+func TestWaitEnds(t *testing.T) {
+	o, _ := fullOwner(t)
+	now := start.Add(second)
+	must.True(t, o.Acquire(now, request(5001, 100, now.Add(500*time.Millisecond))).Waiting)
+	must.True(t, o.Acquire(now, request(5002, 100, now.Add(time.Hour))).Waiting)
+	o.Tick(now.Add(450 * time.Millisecond))
+	resolved := o.Resolved()
+	must.Len(t, 1, resolved)
+	must.Eq(t, 5001, resolved[0].Ticket.Nonce)
+	must.Eq(t, fleet.CodeOverloaded, resolved[0].Refusal.Code)
+	o.Tick(now.Add(WaiterLife + time.Millisecond))
+	must.Len(t, 1, o.Resolved())
+	must.Eq(t, 0, o.Stats(now).Waiting)
+}
+
+// A team that surges does not take the share of one that asks within it.
+func TestSurgingTeamLeavesOthersTheirShare(t *testing.T) {
+	o, grants := fullOwner(t)
+	now := start.Add(second)
+	for i := range uint64(20) {
+		surge := request(100+i, 100, now.Add(second))
+		surge.Team, surge.Share = "surging", 1
+		must.True(t, o.Acquire(now, surge).Waiting)
+	}
+	for i := range uint64(3) {
+		calm := request(200+i, 100, now.Add(second))
+		calm.Team, calm.Share = "calm", 1
+		must.True(t, o.Acquire(now, calm).Waiting, must.Sprint(fmt.Sprint("calm request ", i)))
+	}
+	complete(o, now, grants[:6], fleet.OutcomeWhole, 100*time.Millisecond)
+	served := map[fleet.HostID]int{}
+	for _, decision := range o.Resolved() {
+		if decision.Refusal == nil {
+			must.Less(t, 300, decision.Ticket.Nonce)
+			served[fleet.HostID(fmt.Sprint(decision.Ticket.Nonce/100))]++
+		}
+	}
+	must.Eq(t, map[fleet.HostID]int{"1": 3, "2": 3}, served)
+}
--- a/core/rendezvous/rendezvous.go
+++ b/core/rendezvous/rendezvous.go
@@ -29,12 +29,7 @@
 // Weighted returns a score whose winner is drawn in proportion to weight.
 // A weight of zero or less never wins against a positive one.
 func Weighted(key, node string, weight float64) float64 {
-	if weight <= 0 {
-		return math.Inf(-1)
-	}
-	// unit is in (0, 1): 53 bits of the score, moved off zero by half a step.
-	unit := (float64(Score(key, node)>>11) + 0.5) / (1 << 53)
-	return weight / -math.Log(unit)
+	return MixWeighted(Hash(key), Hash(node), weight)
 }
 
 // Order returns the nodes, best first, for key. It does not change nodes.
@@ -67,3 +62,18 @@
 	}
 	return best, found
 }
+
+// Hash returns the hash of a key or a node, for Mix and MixWeighted.
+func Hash(name string) uint64 {
+	return xxhash.Sum64String(name)
+}
+
+// MixWeighted is Weighted for a key and a node that are hashed already.
+func MixWeighted(keyHash, nodeHash uint64, weight float64) float64 {
+	if weight <= 0 {
+		return math.Inf(-1)
+	}
+	// unit is in (0, 1): 53 bits of the score, moved off zero by half a step.
+	unit := (float64(Mix(keyHash, nodeHash)>>11) + 0.5) / (1 << 53)
+	return weight / -math.Log(unit)
+}
--- /dev/null
+++ b/node/grants/routes.go
@@ -0,0 +1,150 @@
+package grants
+
+import (
+	"fmt"
+	"sync"
+	"time"
+
+	"agateswitch/core/configuration"
+	"agateswitch/core/fleet"
+	"agateswitch/core/placement"
+	"agateswitch/core/rendezvous"
+	"agateswitch/port"
+)
+
+// routesLife is how long a computed table is used.
+const routesLife = 250 * time.Millisecond
+
+// shardKey names one shard of one pool.
+type shardKey struct {
+	pool  fleet.PoolID
+	shard placement.ShardID
+}
+
+// poolRoutes tells how the requests of one pool are placed.
+type poolRoutes struct {
+	// listed are all upstreams, usable those that take new work.
+	listed map[fleet.UpstreamID]fleet.Upstream
+	usable []fleet.Upstream
+	shards *placement.ShardMap
+	owners []fleet.HostID
+}
+
+// routes computes who owns which shard from this router's view of the fleet. It is safe for
+// concurrent use.
+type routes struct {
+	members port.Members
+	config  port.Configuration
+
+	mu    sync.Mutex
+	made  time.Time
+	pools map[fleet.PoolID]*poolRoutes
+}
+
+// pool returns the routes of a pool, at most routesLife old.
+func (r *routes) pool(now time.Time, id fleet.PoolID) *poolRoutes {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.pools == nil || now.Sub(r.made) > routesLife {
+		r.made = now
+		r.pools = map[fleet.PoolID]*poolRoutes{}
+	}
+	known, found := r.pools[id]
+	if !found || len(known.usable) == 0 {
+		known = r.compute(id)
+		r.pools[id] = known
+	}
+	return known
+}
+
+// refresh makes the next reading see a changed view at once.
+func (r *routes) refresh() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.pools = nil
+}
+
+func (r *routes) compute(id fleet.PoolID) *poolRoutes {
+	listed := r.members.Upstreams(id)
+	p := &poolRoutes{
+		listed: make(map[fleet.UpstreamID]fleet.Upstream, len(listed)),
+		usable: r.members.Usable(id), shards: placement.NewShardMap(listed),
+	}
+	for _, upstream := range listed {
+		p.listed[upstream.ID] = upstream
+	}
+	routers := r.routerNames()
+	for shard := range p.shards.Count() {
+		owner, found := rendezvous.First(fmt.Sprintf("shard/%s/%d", id, shard), routers)
+		if !found {
+			owner = string(r.members.Self().ID)
+		}
+		p.owners = append(p.owners, fleet.HostID(owner))
+	}
+	return p
+}
+
+func (r *routes) routerNames() []string {
+	routers := r.members.Routers()
+	names := make([]string, len(routers))
+	for i, router := range routers {
+		names[i] = string(router.ID)
+	}
+	return names
+}
+
+// budgetOwner returns the router that keeps a team's budget.
+func (r *routes) budgetOwner(team fleet.Team) fleet.HostID {
+	owner, found := rendezvous.First("team/"+string(team), r.routerNames())
+	if !found {
+		return r.members.Self().ID
+	}
+	return fleet.HostID(owner)
+}
+
+// owner returns the router that grants on an upstream.
+func (p *poolRoutes) owner(upstream fleet.UpstreamID) fleet.HostID {
+	return p.owners[p.shards.Shard(upstream)]
+}
+
+// home returns the first upstream in a chat's order that the request may run on.
+func (p *poolRoutes) home(chat uint64, version fleet.Version, exclude []fleet.UpstreamID) (fleet.Upstream, bool) {
+	candidates := p.usable
+	if version != "" || len(exclude) > 0 {
+		candidates = nil
+		for _, upstream := range p.usable {
+			if isAllowed(upstream, version, exclude) {
+				candidates = append(candidates, upstream)
+			}
+		}
+	}
+	return placement.Home(chat, candidates)
+}
+
+func isAllowed(upstream fleet.Upstream, version fleet.Version, exclude []fleet.UpstreamID) bool {
+	for _, id := range exclude {
+		if id == upstream.ID {
+			return false
+		}
+	}
+	return version == "" || version == upstream.Version
+}
+
+// inShard returns the usable upstreams of a shard.
+func (p *poolRoutes) inShard(shard placement.ShardID) []fleet.Upstream {
+	var list []fleet.Upstream
+	for _, upstream := range p.usable {
+		if p.shards.Shard(upstream.ID) == shard {
+			list = append(list, upstream)
+		}
+	}
+	return list
+}
+
+func ownerSettings(pool configuration.Pool) placement.Settings {
+	return placement.Settings{
+		BoundFactor: pool.BoundFactor, ColdConcurrency: pool.ColdConcurrency,
+		MaxConcurrency: pool.MaxConcurrency, GrantLife: grantLife,
+		Reports: pool.Type == configuration.PoolEngine,
+	}
+}
--- a/node/grants/service.go
+++ b/node/grants/service.go
@@ -1,32 +1,30 @@
-// Package grants places requests: it asks the owner of a request's shard for a grant,
-// and is that owner for the shards that fall to this router.
+// Package grants places requests: it asks the owner of a request's shard for a grant, and is
+// that owner for the shards that fall to this router. The same holds for the budgets of teams.
 package grants
 
 import (
 	"context"
-	"sync"
+	"sync/atomic"
 	"time"
 
-	"agateswitch/core/configuration"
 	"agateswitch/core/fleet"
 	"agateswitch/core/placement"
-	"agateswitch/core/rendezvous"
 	"agateswitch/port"
 )
 
-// Methods of the peer protocol.
-const (
-	methodAcquire  = "grants.acquire"
-	methodComplete = "grants.complete"
-	methodExplain  = "grants.explain"
-)
-
 // Times of the grant protocol.
 const (
-	callTimeout = 500 * time.Millisecond
-	grantLife   = 5 * time.Minute
+	// longPoll is how long an owner keeps a waiting request's question before it answers that
+	// the request still waits. It is well under callTimeout, so that a silent owner is noticed.
+	longPoll    = 200 * time.Millisecond
+	callTimeout = 400 * time.Millisecond
+	// grantLife is how long a grant counts without a renewal by the router that holds it.
+	grantLife = 2 * time.Minute
+	// flushInterval is the longest time that a completion waits to be sent with others.
+	flushInterval = 200 * time.Millisecond
+	tickInterval  = 250 * time.Millisecond
 	// maxAttempts is how many owners are asked before a request is refused.
-	maxAttempts = 3
+	maxAttempts = 4
 )
 
 // Service is a port.Placer. It is safe for concurrent use.
@@ -36,147 +34,124 @@
 	versions  port.Versions
 	peers     port.Peers
 	telemetry port.Telemetry
-	epoch     int64
-
-	mu     sync.Mutex
-	owners map[fleet.PoolID]*placement.Owner
+	reports   port.EngineReports
+
+	routes  *routes
+	shards  *shards
+	held    *heldGrants
+	outbox  *outbox
+	teams   *teams
+	budgets *budgets
+	metrics *metrics
+	nonce   atomic.Uint64
 }
 
 // New makes the service and registers its methods with the peers. Epoch distinguishes
 // lives of the same host.
 func New(members port.Members, config port.Configuration, versions port.Versions, peers port.Peers,
 	epoch int64, telemetry port.Telemetry) *Service {
+	self := members.Self().ID
+	table := &routes{members: members, config: config}
 	s := &Service{
-		members: members, config: config, versions: versions, peers: peers, telemetry: telemetry, epoch: epoch,
-		owners: map[fleet.PoolID]*placement.Owner{},
+		members: members, config: config, versions: versions, peers: peers, telemetry: telemetry,
+		routes: table, shards: newShards(self, epoch, config, table),
+		held: newHeldGrants(), outbox: newOutbox(), teams: newTeams(self), budgets: newBudgets(config),
 	}
+	s.metrics = newMetrics(telemetry, s.shards)
+	// Nonces of an earlier life of the host must not be taken for repeated questions.
+	s.nonce.Store(uint64(epoch))
 	peers.Handle(methodAcquire, s.handleAcquire)
-	peers.Handle(methodComplete, s.handleComplete)
+	peers.Handle(methodEnd, s.handleEnd)
+	peers.Handle(methodAnnounce, s.handleAnnounce)
+	peers.Handle(methodBudget, s.handleBudget)
 	peers.Handle(methodExplain, s.handleExplain)
 	return s
 }
 
+// UseReports makes owners ask upstreams for their load. It is called before Run.
+func (s *Service) UseReports(reports port.EngineReports) { s.reports = reports }
+
 // Run keeps the state of owned shards up to date until ctx ends.
 func (s *Service) Run(ctx context.Context) {
-	<-ctx.Done()
-}
-
-type acquireRequest struct {
-	Request fleet.Request
-	Version fleet.Version
-}
-
-type acquireResponse struct {
-	Grant   fleet.Grant
-	Refusal *fleet.Refusal
-}
-
-type completeResponse struct{}
-
-type explainResponse struct{ Lines []string }
-
-// Acquire implements port.Placer.
-func (s *Service) Acquire(ctx context.Context, request fleet.Request) (fleet.Grant, *fleet.Refusal) {
-	version := s.versions.Choose(request.Pool, request.Chat)
-	for range maxAttempts {
-		owner := s.owner(request.Pool)
-		var response acquireResponse
-		err := s.call(ctx, owner, methodAcquire, acquireRequest{Request: request, Version: version}, &response)
-		if err == nil {
-			s.logDecision(request, response)
-			return response.Grant, response.Refusal
-		}
-		s.telemetry.Log.Warn("shard owner unreachable", "owner", owner, "pool", request.Pool, "err", err)
-		if ctx.Err() != nil {
-			break
+	tick := time.NewTicker(tickInterval)
+	defer tick.Stop()
+	flush := time.NewTicker(flushInterval)
+	defer flush.Stop()
+	poll := time.NewTicker(reportInterval)
+	defer poll.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+			now := time.Now()
+			s.shards.tick(now)
+			s.announce(ctx, now)
+			s.renewTeams(ctx, now)
+		case <-flush.C:
+			s.flush(ctx)
+		case <-poll.C:
+			s.readReports(ctx, false)
+		case <-s.shards.wake:
+			s.readReports(ctx, true)
 		}
 	}
-	return fleet.Grant{}, fleet.Refuse(fleet.CodeNoUpstream, "the shard's owner cannot be reached", time.Second)
 }
 
-func (s *Service) logDecision(request fleet.Request, response acquireResponse) {
-	if response.Refusal != nil {
-		s.telemetry.Log.Info("refused", "request", request.ID, "team", request.Team, "chat", request.Chat,
-			"pool", request.Pool, "reason", response.Refusal.Code, "retry_after", response.Refusal.RetryAfter)
-		return
-	}
-	grant := response.Grant
-	s.telemetry.Log.Info("placed", "request", request.ID, "team", request.Team, "chat", request.Chat,
-		"pool", request.Pool, "upstream", grant.Upstream.ID, "reason", grant.Reason,
-		"load", grant.Load, "bound", grant.Bound, "owner", grant.Owner)
-}
-
-func (s *Service) owner(pool fleet.PoolID) fleet.HostID {
-	routers := s.members.Routers()
-	names := make([]string, 0, len(routers))
-	for _, router := range routers {
-		names = append(names, string(router.ID))
-	}
-	first, found := rendezvous.First("shard/"+string(pool), names)
-	if !found {
-		return s.members.Self().ID
-	}
-	return fleet.HostID(first)
-}
-
-func (s *Service) call(ctx context.Context, owner fleet.HostID, method string, request, response any) error {
+// call reaches a router and keeps the view of the fleet up to date with the result.
+func (s *Service) call(ctx context.Context, to fleet.HostID, method string, request, response any) error {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	err := s.peers.Call(ctx, owner, method, request, response)
+	err := s.peers.Call(ctx, to, method, request, response)
 	if err != nil {
-		s.members.Suspect(owner)
+		if context.Cause(ctx) != context.Canceled {
+			s.members.Suspect(to)
+			s.routes.refresh()
+		}
 		return err
 	}
-	s.members.Confirm(owner)
+	s.members.Confirm(to)
 	return nil
 }
 
-// Release implements port.Placer.
-func (s *Service) Release(grant fleet.Grant, completion fleet.Completion) {
-	go func() {
-		var response completeResponse
-		err := s.call(context.Background(), grant.Owner, methodComplete,
-			completeRequest{Pool: grant.Upstream.Pool, Completion: completion}, &response)
-		if err != nil {
-			s.telemetry.Log.Warn("completion not delivered, the grant will expire", "grant", grant.ID, "err", err)
-		}
-	}()
-}
-
-type completeRequest struct {
-	Pool       fleet.PoolID
-	Completion fleet.Completion
-}
-
 // Explain implements port.Placer.
 func (s *Service) Explain(ctx context.Context, request fleet.Request) ([]string, error) {
+	now := time.Now()
 	version := s.versions.Choose(request.Pool, request.Chat)
-	var response explainResponse
-	err := s.call(ctx, s.owner(request.Pool), methodExplain, acquireRequest{Request: request, Version: version}, &response)
-	return response.Lines, err
-}
-
-// withOwner runs a step on the owner state of a pool, brought up to date first.
-func (s *Service) withOwner(pool fleet.PoolID, step func(*placement.Owner)) bool {
-	settings, found := s.config.Current().Pool(pool)
+	table := s.routes.pool(now, request.Pool)
+	chat := placement.ChatHash(request.Chat)
+	home, found := table.home(chat, version, request.Exclude)
 	if !found {
-		return false
+		return s.explainNone(table, version), nil
 	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	owner, found := s.owners[pool]
-	if !found {
-		owner = placement.NewOwner(s.members.Self().ID, s.epoch, ownerSettings(settings))
-		s.owners[pool] = owner
+	owner := table.owner(home.ID)
+	var reply explainReply
+	message := s.acquireMessage(now, request, version, home, 0)
+	if err := s.call(ctx, owner, methodExplain, message, &reply); err != nil {
+		return nil, err
 	}
-	owner.SetUpstreams(s.members.Usable(pool))
-	step(owner)
-	return true
+	return append(s.explainTeam(now, request.Team), reply.Lines...), nil
 }
 
-func ownerSettings(pool configuration.Pool) placement.Settings {
-	return placement.Settings{
-		BoundFactor: pool.BoundFactor, ColdConcurrency: pool.ColdConcurrency,
-		MaxConcurrency: pool.MaxConcurrency, GrantLife: grantLife,
+func (s *Service) explainNone(table *poolRoutes, version fleet.Version) []string {
+	lines := []string{"refused: no upstream of the pool takes new work with version \"" + string(version) + "\" (empty means any)"}
+	for _, upstream := range table.listed {
+		usable := isAllowedIn(table.usable, upstream.ID)
+		switch {
+		case !usable:
+			lines = append(lines, string(upstream.ID)+": rejected: it is leaving or its data centre is out")
+		case version != "" && upstream.Version != version:
+			lines = append(lines, string(upstream.ID)+": rejected: it runs version "+string(upstream.Version))
+		}
+	}
+	return lines
+}
+
+func isAllowedIn(usable []fleet.Upstream, id fleet.UpstreamID) bool {
+	for _, upstream := range usable {
+		if upstream.ID == id {
+			return true
+		}
 	}
+	return false
 }
--- a/node/router/router.go
+++ b/node/router/router.go
@@ -94,6 +94,7 @@
 	r.grants = grants.New(r.members, r.config, r.moves, r.mesh, time.Now().UnixNano(), telemetry)
 	r.claims = claims.New(store, r.members, r.mesh, telemetry)
 	upstreams := upstreamhttp.New()
+	r.grants.UseReports(upstreams)
 	callers := &callerhttp.Server{
 		Config: r.config, Members: r.members, Log: logger,
 		Chat:    chat.New(r.grants, upstreams, r.moves, telemetry),
--- a/standin/engine/engine.go
+++ b/standin/engine/engine.go
@@ -50,6 +50,7 @@
 	cache   map[string]*list.Element
 	recent  *list.List
 	streams map[string]*generation
+	load    load
 }
 
 // New makes an engine with an empty cache.
@@ -64,6 +65,8 @@
 	e.mux.HandleFunc("POST "+upstreamhttp.PathCompletions, e.complete)
 	e.mux.HandleFunc("GET "+upstreamhttp.PathCompletions+"/{id}", e.resume)
 	e.mux.HandleFunc("POST "+upstreamhttp.PathCompletions+"/{id}/cancel", e.cancel)
+	e.load.incarnation = newIncarnation()
+	e.mux.HandleFunc("GET "+upstreamhttp.PathLoad, e.serveLoad)
 	e.mux.HandleFunc("GET "+PathCounts, func(w http.ResponseWriter, _ *http.Request) { json.NewEncoder(w).Encode(e.Counts()) })
 	return e
 }
@@ -130,7 +133,8 @@
 	}
 	generated := newGeneration(id, request.Model, Tokens(prompt, request.MaxTokens))
 	e.streams[id] = generated
-	go e.run(generated, prefill)
+	work := e.load.begin(size, prefill > 0, request.MaxTokens)
+	go e.run(generated, prefill, work)
 	return generated
 }
 
@@ -161,7 +165,7 @@
 }
 
 // run produces the tokens at the engine's speed.
-func (e *Engine) run(generated *generation, prefill time.Duration) {
+func (e *Engine) run(generated *generation, prefill time.Duration, work int64) {
 	time.Sleep(prefill)
 	for generated.advance() {
 		time.Sleep(e.options.TokenInterval)
@@ -169,6 +173,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.counts.Running--
+	e.load.end(work)
 }
 
 func (e *Engine) find(w http.ResponseWriter, r *http.Request) (*generation, bool) {
