Count foreign load right when completions and reports cross

Cause: with two owners at once, TestTwoOwnersStayNearTheLimit saw engines run up to 16 requests that bear 8, with 6 unseen. A completion that arrives after a report, for a request that ended before it, made as much foreign load pass for own; so did a grant on its way to the engine. Ruled out: counting foreign load from the share of tokens left, which decays on the engine but not at the owner. Change: completions carry their age and correct the last report; grants younger than 50 ms may be missing in a report, and count against the engine's limit but not in the mean.

--- a/core/fleet/request.go
+++ b/core/fleet/request.go
@@ -86,4 +86,7 @@
 	FirstToken time.Duration
 	// Decoded is the number of tokens generated.
 	Decoded Work
+	// Age is how long ago the request ended. The owner needs it to compare its grants with
+	// load reports.
+	Age time.Duration
 }
--- a/core/placement/choose.go
+++ b/core/placement/choose.go
@@ -28,7 +28,7 @@
 	var sum balance
 	for _, e := range o.engines {
 		if e.isBearing(now) {
-			sum.load += e.load()
+			sum.load += e.known()
 			sum.weight += e.weight
 		}
 	}
--- a/core/placement/owner.go
+++ b/core/placement/owner.go
@@ -128,7 +128,7 @@
 	}
 	reason := o.reasonOf(request, chosen)
 	bound := o.bound(chosen, sum)
-	chosen.engine.take(chosen.work)
+	chosen.engine.take(now, chosen.work)
 	grant := fleet.Grant{
 		ID: o.nextGrant(), Owner: o.self, Upstream: chosen.engine.Upstream, Work: chosen.work,
 		Expires: now.Add(o.settings.GrantLife), Reason: reason,
@@ -162,6 +162,9 @@
 		return
 	}
 	o.drop(completion.Grant, grant)
+	if e, found := o.engine(grant.upstream); found {
+		e.correct(grant.work, now.Add(-completion.Age))
+	}
 	o.learn(now, grant, completion)
 	o.dispatch(now)
 }
--- a/core/placement/settings.go
+++ b/core/placement/settings.go
@@ -24,6 +24,8 @@
 	FreezeLimit = 2 * time.Second
 	// WaiterLife is how long a waiting request counts after its router last asked for it.
 	WaiterLife = time.Second
+	// flightTime is the longest time from a grant until its request shows in load reports.
+	flightTime = 50 * time.Millisecond
 	// reportLife is how long foreign load counts after the report that showed it.
 	reportLife = 5 * time.Second
 	// ageStep is the wait that raises a request's priority by one.
--- a/node/grants/acquire.go
+++ b/node/grants/acquire.go
@@ -88,11 +88,12 @@
 
 func (s *Service) ask(ctx context.Context, q question) (acquireReply, error) {
 	message := s.acquireMessage(time.Now(), q.request, q.version, q.home, q.nonce)
-	message.Ended = s.outbox.takeEnded(q.owner)
+	ended := s.outbox.takeEnded(q.owner)
+	message.Ended = aged(time.Now(), ended)
 	var reply acquireReply
 	err := s.call(ctx, q.owner, methodAcquire, message, &reply)
 	if err != nil {
-		s.outbox.putBack(q.owner, message.Ended)
+		s.outbox.putBack(q.owner, ended)
 	}
 	return reply, err
 }
@@ -138,7 +139,7 @@
 		return
 	}
 	s.teams.leave(held.team)
-	message := encodeEnd(completion)
+	message := encodeEnd(time.Now(), completion)
 	s.outbox.end(held.told, message)
 	if held.told != grant.Owner {
 		// Both may count the grant: the owner that gave it may be alive, and its successor adopted it.
--- /dev/null
+++ b/node/grants/fleet_test.go
@@ -0,0 +1,216 @@
+package grants
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"sync"
+	"testing"
+	"time"
+
+	"agateswitch/core/configuration"
+	"agateswitch/core/fleet"
+	"agateswitch/core/membership"
+	"agateswitch/port"
+
+	"github.com/charmbracelet/log"
+	"github.com/juju/errors"
+	"github.com/shoenig/test/must"
+	"github.com/vmihailenco/msgpack/v5"
+)
+
+// network connects the services of a test in memory, through the same encoding as the mesh.
+type network struct {
+	mu    sync.Mutex
+	nodes map[fleet.HostID]*testRouter
+	// dead routers refuse calls, silent ones never answer.
+	dead, silent map[fleet.HostID]bool
+	// cut holds pairs that cannot reach each other.
+	cut map[[2]fleet.HostID]bool
+}
+
+// testRouter is the port.Peers and port.Members of one service.
+type testRouter struct {
+	network  *network
+	self     fleet.Host
+	handlers map[string]port.PeerHandler
+	config   *configuration.Snapshot
+	service  *Service
+	view     *membership.View
+}
+
+func (r *testRouter) Handle(method string, handler port.PeerHandler) { r.handlers[method] = handler }
+
+func (r *testRouter) Call(ctx context.Context, to fleet.HostID, method string, request, response any) error {
+	r.network.mu.Lock()
+	target := r.network.nodes[to]
+	dead := r.network.dead[to] || r.network.cut[[2]fleet.HostID{r.self.ID, to}]
+	silent := r.network.silent[to] && to != r.self.ID
+	r.network.mu.Unlock()
+	if dead {
+		return port.ErrPeerUnreachable
+	}
+	if silent {
+		<-ctx.Done()
+		return ctx.Err()
+	}
+	body, err := msgpack.Marshal(request)
+	if err != nil {
+		return err
+	}
+	value, err := target.handlers[method](ctx, r.self.ID, func(into any) error { return msgpack.Unmarshal(body, into) })
+	if err != nil {
+		return err
+	}
+	if err := ctx.Err(); err != nil {
+		return err
+	}
+	answer, err := msgpack.Marshal(value)
+	if err != nil {
+		return errors.Trace(err)
+	}
+	return msgpack.Unmarshal(answer, response)
+}
+
+func (r *testRouter) Current() *configuration.Snapshot { return r.config }
+func (r *testRouter) Self() fleet.Host                 { return r.self }
+
+func (r *testRouter) locked(step func()) {
+	r.network.mu.Lock()
+	defer r.network.mu.Unlock()
+	step()
+}
+
+func (r *testRouter) Routers() (list []fleet.Host) {
+	r.locked(func() { list = r.view.Routers(time.Now()) })
+	return list
+}
+
+func (r *testRouter) Router(id fleet.HostID) (host fleet.Host, found bool) {
+	r.locked(func() { host, found = r.view.Router(id) })
+	return host, found
+}
+
+func (r *testRouter) Upstreams(pool fleet.PoolID) (list []fleet.Upstream) {
+	r.locked(func() { list = r.view.Upstreams(pool) })
+	return list
+}
+
+func (r *testRouter) Usable(pool fleet.PoolID) []fleet.Upstream { return r.Upstreams(pool) }
+func (r *testRouter) Suspect(id fleet.HostID)                   { r.locked(func() { r.view.Suspect(time.Now(), id) }) }
+func (r *testRouter) Confirm(id fleet.HostID)                   { r.locked(func() { r.view.Confirm(id) }) }
+
+func (r *testRouter) Choose(fleet.PoolID, fleet.ChatID) fleet.Version { return "" }
+func (r *testRouter) Observe(fleet.Evidence)                          {}
+
+const (
+	testPool = fleet.PoolID("farrier-lm")
+	testTeam = fleet.Team("arima-yard")
+)
+
+func testSnapshot(t *testing.T) *configuration.Snapshot {
+	t.Helper()
+	encode := func(value any) json.RawMessage {
+		body, err := json.Marshal(value)
+		must.NoError(t, err)
+		return body
+	}
+	pool := configuration.Pool{Name: testPool, Type: configuration.PoolEngine, ColdConcurrency: 2, MaxConcurrency: 8}
+	contract := configuration.Contract{Team: testTeam, Pools: []fleet.PoolID{testPool}, RequestsPerSecond: 10_000, Burst: 10_000}
+	snapshot, _, err := configuration.Empty().Apply(configuration.Delta{To: 1, Items: []configuration.Item{
+		{Key: configuration.Key{Kind: configuration.KindPool, Name: string(testPool)}, Revision: 1, Value: encode(pool)},
+		{Key: configuration.Key{Kind: configuration.KindContract, Name: string(testTeam)}, Revision: 1, Value: encode(contract)},
+	}})
+	must.NoError(t, err)
+	return snapshot
+}
+
+func testUpstreams(count int) []fleet.Upstream {
+	list := make([]fleet.Upstream, count)
+	for i := range list {
+		list[i] = fleet.Upstream{ID: fleet.UpstreamID(fmt.Sprint("engine-", i)), Pool: testPool, State: fleet.Live, Weight: 1}
+	}
+	return list
+}
+
+// engines are the true load of the engines, which they report without a lag.
+type engines struct {
+	mu      sync.Mutex
+	running map[fleet.UpstreamID]int
+	// mute engines report nothing.
+	mute bool
+}
+
+func (e *engines) Load(_ context.Context, upstream fleet.Upstream) (fleet.LoadReport, error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.mute {
+		return fleet.LoadReport{}, errors.NotSupportedf("load reports")
+	}
+	running := e.running[upstream.ID]
+	return fleet.LoadReport{Incarnation: "1", Running: running, Work: fleet.Work(running) * requestWork, Completed: 1000, CacheEntries: 9}, nil
+}
+
+func (e *engines) add(on fleet.UpstreamID, change int) int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.running[on] += change
+	return e.running[on]
+}
+
+const requestWork = 100
+
+func newNetwork(t *testing.T, routers int, upstreams []fleet.Upstream, reports port.EngineReports) *network {
+	t.Helper()
+	n := &network{
+		nodes: map[fleet.HostID]*testRouter{}, dead: map[fleet.HostID]bool{}, silent: map[fleet.HostID]bool{},
+		cut: map[[2]fleet.HostID]bool{},
+	}
+	var hosts []fleet.Host
+	for i := range routers {
+		hosts = append(hosts, fleet.Host{ID: fleet.HostID(fmt.Sprint("router-", i)), State: fleet.Live})
+	}
+	snapshot := testSnapshot(t)
+	logger := log.New(io.Discard)
+	for i, host := range hosts {
+		r := &testRouter{network: n, self: host, handlers: map[string]port.PeerHandler{}, config: snapshot, view: membership.NewView(host)}
+		r.view.SetHosts(hosts, upstreams)
+		r.service = New(r, r, r, r, int64(i+1)*1_000_000, port.Telemetry{Log: logger})
+		if reports != nil {
+			r.service.UseReports(reports)
+		}
+		n.nodes[host.ID] = r
+	}
+	return n
+}
+
+func (n *network) set(step func()) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	step()
+}
+
+// ownerOf returns the router that owns the shard of a chat, and one that does not.
+func (n *network) ownerOf(chat fleet.ChatID) (owner, other *testRouter) {
+	asker := n.nodes["router-0"]
+	q := question{request: testRequest(chat)}
+	asker.service.route(&q)
+	for id, node := range n.nodes {
+		if id == q.owner {
+			owner = node
+		} else if other == nil || id < other.self.ID {
+			other = node
+		}
+	}
+	return owner, other
+}
+
+func testRequest(chat fleet.ChatID) fleet.Request {
+	return fleet.Request{
+		ID: fleet.RequestID("request-" + chat), Team: testTeam, Pool: testPool, Chat: chat, Decode: requestWork,
+		Deadline: time.Now().Add(1300 * time.Millisecond),
+	}
+}
+
+func chatID(i int) fleet.ChatID { return fleet.ChatID(fmt.Sprint("chat-", i)) }
--- a/node/grants/outbox.go
+++ b/node/grants/outbox.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"time"
 
 	"agateswitch/core/fleet"
 )
@@ -85,7 +86,8 @@
 func (s *Service) flush(ctx context.Context) {
 	for owner, message := range s.outbox.takeAll() {
 		go func() {
-			if err := s.call(ctx, owner, methodEnd, *message, &empty{}); err == nil {
+			sent := endMessage{Ended: aged(time.Now(), message.Ended), Abandoned: message.Abandoned}
+			if err := s.call(ctx, owner, methodEnd, sent, &empty{}); err == nil {
 				return
 			}
 			if _, listed := s.members.Router(owner); !listed {
--- a/node/grants/wire.go
+++ b/node/grants/wire.go
@@ -64,6 +64,19 @@
 	// FirstToken is in milliseconds.
 	FirstToken int64 `msgpack:"f,omitempty"`
 	Decoded    int64 `msgpack:"d,omitempty"`
+	// Age is how long ago the request ended, in milliseconds.
+	Age int64 `msgpack:"a,omitempty"`
+	// ended is when the request ended by this router's clock. It is not sent.
+	ended time.Time
+}
+
+// aged returns the messages as they are sent at a time.
+func aged(now time.Time, messages []endedMessage) []endedMessage {
+	sent := append([]endedMessage(nil), messages...)
+	for i := range sent {
+		sent[i].Age = now.Sub(sent[i].ended).Milliseconds()
+	}
+	return sent
 }
 
 // endMessage carries completions and abandoned questions to an owner.
@@ -120,9 +133,9 @@
 // outcomes gives each outcome its number on the wire. Numbers are never reused.
 var outcomes = []fleet.Outcome{fleet.OutcomeWhole, fleet.OutcomeFailed, fleet.OutcomeCancelled, fleet.OutcomeUnsent}
 
-func encodeEnd(completion fleet.Completion) endedMessage {
+func encodeEnd(now time.Time, completion fleet.Completion) endedMessage {
 	message := endedMessage{
-		Grant: string(completion.Grant), FirstToken: completion.FirstToken.Milliseconds(), Decoded: int64(completion.Decoded),
+		ended: now, Grant: string(completion.Grant), FirstToken: completion.FirstToken.Milliseconds(), Decoded: int64(completion.Decoded),
 	}
 	for number, outcome := range outcomes {
 		if outcome == completion.Outcome {
@@ -135,6 +148,7 @@
 func (m endedMessage) decode() fleet.Completion {
 	completion := fleet.Completion{
 		Grant: fleet.GrantID(m.Grant), FirstToken: milliseconds(m.FirstToken), Decoded: fleet.Work(m.Decoded),
+		Age: milliseconds(max(0, m.Age)),
 		// An outcome that this version does not know teaches nothing about the upstream.
 		Outcome: fleet.OutcomeCancelled,
 	}
