--- a/adapter/callerhttp/chat.go
+++ b/adapter/callerhttp/chat.go
@@ -11,7 +11,6 @@
 	"agateswitch/core/configuration"
 	"agateswitch/core/fleet"
 	"agateswitch/node/chat"
-	"agateswitch/sse"
 )
 
 const (
@@ -55,7 +54,7 @@
 		Request: s.chatRequest(r, contract, parsed),
 		Body:    body, Stream: parsed.Stream, Silence: contract.Silence(),
 	}
-	s.Chat.Run(r.Context(), call, &chatSink{w: w, controller: http.NewResponseController(w)})
+	s.Chat.Run(r.Context(), call, s.newChatSink(w, call.Request))
 }
 
 func (s *Server) checkCompletion(contract configuration.Contract, parsed completionBody) *fleet.Refusal {
@@ -111,45 +110,3 @@
 	}
 	return body, nil
 }
-
-// chatSink writes an answer to the caller.
-type chatSink struct {
-	w          http.ResponseWriter
-	controller *http.ResponseController
-	begun      bool
-	buffer     []byte
-}
-
-// Whole implements chat.Sink.
-func (c *chatSink) Whole(status int, contentType string, body []byte) {
-	c.w.Header().Set("Content-Type", contentType)
-	c.w.WriteHeader(status)
-	c.w.Write(body)
-}
-
-// Begin implements chat.Sink.
-func (c *chatSink) Begin(fleet.Grant) {
-	c.begun = true
-	c.w.Header().Set("Content-Type", "text/event-stream")
-	c.w.Header().Set("Cache-Control", "no-store")
-	c.w.WriteHeader(http.StatusOK)
-}
-
-// Event implements chat.Sink.
-func (c *chatSink) Event(event sse.Event) error {
-	c.buffer = sse.Append(c.buffer[:0], event)
-	c.controller.SetWriteDeadline(time.Now().Add(WriteTimeout))
-	if _, err := c.w.Write(c.buffer); err != nil {
-		return err
-	}
-	return c.controller.Flush()
-}
-
-// Refuse implements chat.Sink. A stream that has begun ends in an error event.
-func (c *chatSink) Refuse(refusal *fleet.Refusal) {
-	if !c.begun {
-		WriteRefusal(c.w, refusal)
-		return
-	}
-	c.Event(sse.Event{Name: "error", Data: EncodeRefusal(refusal)})
-}
--- a/adapter/callerhttp/server.go
+++ b/adapter/callerhttp/server.go
@@ -4,8 +4,11 @@
 
 import (
 	"net/http"
+	"sync/atomic"
 	"time"
 
+	"agateswitch/core/fleet"
+	"agateswitch/core/resume"
 	"agateswitch/node/chat"
 	"agateswitch/node/forward"
 	"agateswitch/port"
@@ -27,6 +30,12 @@
 	IdleTimeout = 2 * time.Minute
 	// WriteTimeout is how long one write to a caller may take.
 	WriteTimeout = 10 * time.Second
+	// MaxServiceBodyBytes is the largest body that is streamed to a plain service.
+	MaxServiceBodyBytes = 64 << 20
+	// ServiceBodyTimeout is how long a caller may take to send such a body, and
+	// ServiceBodyIdle how long it may pause.
+	ServiceBodyTimeout = 2 * time.Minute
+	ServiceBodyIdle    = 10 * time.Second
 )
 
 // HeaderChat names the chat of a request. Without it, the body's prompt_cache_key counts.
@@ -36,13 +45,20 @@
 // (draft-ietf-httpapi-idempotency-key-header).
 const HeaderIdempotencyKey = "Idempotency-Key"
 
-// Server answers callers. All fields are needed.
+// HeaderResumeToken carries the token that gets the rest of a stream from any router.
+const HeaderResumeToken = "X-Resume-Token"
+
+// Server answers callers. All exported fields are needed.
 type Server struct {
-	Config  port.Configuration
-	Members port.Members
-	Chat    *chat.Service
-	Forward *forward.Service
-	Log     *log.Logger
+	Config     port.Configuration
+	Members    port.Members
+	Chat       *chat.Service
+	Forward    *forward.Service
+	Log        *log.Logger
+	ResumeKeys resume.Keys
+
+	leaving atomic.Bool
+	running running
 }
 
 // Handler returns the routes for callers.
@@ -50,10 +66,17 @@
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /v1/entry", s.entry)
 	mux.HandleFunc("POST /v1/chat/completions", s.completion)
+	mux.HandleFunc("GET /v1/chat/completions/{id}", s.resume)
 	mux.HandleFunc("/", s.service)
-	return withRequestID(mux)
+	return withRequestID(s.guard(mux))
 }
 
+// Leave makes every further answer ask its caller to close the connection.
+func (s *Server) Leave() { s.leaving.Store(true) }
+
+// Running returns the ids of the requests that are being answered.
+func (s *Server) Running() []fleet.RequestID { return s.running.ids() }
+
 // Harden sets the limits of a server for callers.
 func Harden(server *http.Server) {
 	server.ReadHeaderTimeout = HeaderTimeout
--- a/adapter/upstreamhttp/client.go
+++ b/adapter/upstreamhttp/client.go
@@ -9,9 +9,11 @@
 	"net/http"
 	"net/http/httptrace"
 	"net/url"
-	"sync/atomic"
+	"strings"
+	"sync"
 	"time"
 
+	"agateswitch/core/exchange"
 	"agateswitch/core/fleet"
 	"agateswitch/port"
 
@@ -33,61 +35,131 @@
 	idleConnTimeout     = 30 * time.Second
 	maxIdlePerUpstream  = 64
 	maxAnswerHeaderSize = 64 << 10
+	// distrustTime is how long an upstream's pooled connections go unused after one was
+	// silent. All that were open then have been closed by its end.
+	distrustTime = idleConnTimeout
 )
 
-// ErrCrossed means that an answer carried another request's id.
-const ErrCrossed = errors.ConstError("answer belongs to another request")
+// TCP keep-alive closes a connection whose path is gone within 8 s.
+var keepAlive = net.KeepAliveConfig{Enable: true, Idle: 5 * time.Second, Interval: time.Second, Count: 3}
 
-// Client is a port.Upstreams.
+const (
+	// ErrCrossed means that an answer carried another request's id.
+	ErrCrossed = errors.ConstError("answer belongs to another request")
+	// ErrUnframed means that an answer has neither a length nor chunks, so that its end
+	// cannot be told from a lost connection (RFC 9112, section 6.3).
+	ErrUnframed = errors.ConstError("answer has neither a length nor chunks")
+)
+
+// headerIdempotencyKey is written in lower case. The transport takes a request with the
+// usual spelling for one that it may send twice on its own.
+const (
+	headerIdempotencyKey      = "Idempotency-Key"
+	headerIdempotencyKeyLower = "idempotency-key"
+)
+
+// Client is a port.Upstreams and a port.AnswerFetcher. It is safe for concurrent use.
 type Client struct {
-	http *http.Client
+	// pooled reuses connections; fresh makes a new one for each call.
+	pooled *http.Client
+	fresh  *http.Client
+
+	mu         sync.Mutex
+	distrusted map[string]time.Time
 }
 
 // New makes a client.
 func New() *Client {
+	return &Client{pooled: newHTTP(false), fresh: newHTTP(true), distrusted: map[string]time.Time{}}
+}
+
+func newHTTP(fresh bool) *http.Client {
+	dialer := &net.Dialer{Timeout: dialTimeout, KeepAliveConfig: keepAlive}
 	transport := &http.Transport{
-		DialContext:            (&net.Dialer{Timeout: dialTimeout}).DialContext,
+		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
+			connection, err := dialer.DialContext(ctx, network, address)
+			if err != nil {
+				return nil, err
+			}
+			return &trackedConn{Conn: connection}, nil
+		},
+		DisableKeepAlives:      fresh,
 		MaxIdleConnsPerHost:    maxIdlePerUpstream,
 		IdleConnTimeout:        idleConnTimeout,
 		MaxResponseHeaderBytes: maxAnswerHeaderSize,
 		DisableCompression:     true,
 	}
-	return &Client{http: &http.Client{
+	return &http.Client{
 		Transport:     transport,
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
-	}}
+	}
+}
+
+// Close closes the idle connections.
+func (c *Client) Close() {
+	c.pooled.CloseIdleConnections()
+	c.fresh.CloseIdleConnections()
 }
 
 // Send implements port.Upstreams.
 func (c *Client) Send(ctx context.Context, call port.UpstreamCall) (port.UpstreamAnswer, *port.UpstreamError) {
 	request, err := http.NewRequest(call.Method, "http://"+call.Upstream.Address+call.Path, call.Body)
 	if err != nil {
-		return port.UpstreamAnswer{}, &port.UpstreamError{Cause: errors.Trace(err), Ran: fleet.NotRun}
+		return port.UpstreamAnswer{}, &port.UpstreamError{
+			Cause: errors.Trace(err), Ran: fleet.NotRun, Fault: exchange.FaultMalformed,
+		}
 	}
 	if call.Header != nil {
 		request.Header = call.Header.Clone()
 	}
 	request.ContentLength = call.ContentLength
-	return c.do(ctx, request, call.Request)
+	// Without GetBody the transport sends a body once at most.
+	request.GetBody = nil
+	if keys := request.Header.Values(headerIdempotencyKey); len(keys) > 0 {
+		request.Header.Del(headerIdempotencyKey)
+		request.Header[headerIdempotencyKeyLower] = keys
+	}
+	return c.do(ctx, c.clientFor(call.Upstream.Address), request, call.Request)
+}
+
+// clientFor leaves out pooled connections of an upstream of which one was silent.
+func (c *Client) clientFor(address string) *http.Client {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	until, found := c.distrusted[address]
+	if !found {
+		return c.pooled
+	}
+	if time.Now().Before(until) {
+		return c.fresh
+	}
+	delete(c.distrusted, address)
+	return c.pooled
 }
 
-// do sends a request and checks whose answer comes back.
-func (c *Client) do(ctx context.Context, request *http.Request, id fleet.RequestID) (port.UpstreamAnswer, *port.UpstreamError) {
-	// A request counts as sent from the moment a connection is there to write it to.
-	var sent atomic.Bool
-	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { sent.Store(true) }}
+func (c *Client) distrust(address string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.distrusted[address] = time.Now().Add(distrustTime)
+}
+
+// do sends a request and checks whose answer comes back, and that its end can be told.
+func (c *Client) do(ctx context.Context, client *http.Client, request *http.Request, id fleet.RequestID) (port.UpstreamAnswer, *port.UpstreamError) {
+	var flight flight
 	request.Header.Set(port.HeaderRequestID, string(id))
-	answer, err := c.http.Do(request.WithContext(httptrace.WithClientTrace(ctx, trace)))
+	answer, err := client.Do(request.WithContext(httptrace.WithClientTrace(ctx, flight.trace())))
 	if err != nil {
-		ran := fleet.NotRun
-		if sent.Load() {
-			ran = fleet.RanUnknown
-		}
-		return port.UpstreamAnswer{}, &port.UpstreamError{Cause: errors.Trace(err), Ran: ran}
+		return port.UpstreamAnswer{}, failed(ctx, &flight, err)
 	}
-	if answer.Header.Get(port.HeaderRequestID) != string(id) {
+	if err := check(answer, id); err != nil {
+		// The pool would keep the connection of an answer without a body.
+		flight.abort()
 		answer.Body.Close()
-		return port.UpstreamAnswer{}, &port.UpstreamError{Cause: errors.Trace(ErrCrossed), Ran: fleet.RanUnknown}
+		fault := exchange.FaultCrossed
+		if errors.Is(err, ErrUnframed) {
+			fault = exchange.FaultUnframed
+		}
+		return port.UpstreamAnswer{}, &port.UpstreamError{Cause: err, Ran: fleet.RanUnknown, Fault: fault}
 	}
 	return port.UpstreamAnswer{
 		Status: answer.StatusCode, Header: answer.Header, Body: answer.Body,
@@ -95,17 +167,64 @@
 	}, nil
 }
 
-// Resume implements port.Upstreams.
+func failed(ctx context.Context, flight *flight, err error) *port.UpstreamError {
+	failure := &port.UpstreamError{Cause: errors.Trace(err), Ran: fleet.NotRun, Fault: exchange.FaultLost}
+	if !flight.isConnected() {
+		failure.Fault = exchange.FaultUnreachable
+	}
+	if flight.abort() {
+		failure.Ran = fleet.RanUnknown
+	}
+	if ctx.Err() != nil {
+		failure.Fault = exchange.FaultCancelled
+	}
+	return failure
+}
+
+func check(answer *http.Response, id fleet.RequestID) error {
+	if answer.Header.Get(port.HeaderRequestID) != string(id) {
+		return errors.Trace(ErrCrossed)
+	}
+	if answer.StatusCode == http.StatusSwitchingProtocols {
+		return errors.Annotate(ErrUnframed, "the upstream switched protocols")
+	}
+	// The end of an event stream shows in its last event.
+	isStream := strings.HasPrefix(answer.Header.Get("Content-Type"), "text/event-stream")
+	isFramed := answer.ContentLength >= 0 || len(answer.TransferEncoding) > 0
+	if !isFramed && !isStream && answer.Body != http.NoBody {
+		return errors.Trace(ErrUnframed)
+	}
+	return nil
+}
+
+// Resume implements port.Upstreams. A silent connection is the usual cause of a resume,
+// so the upstream's pooled connections are left out for a while.
 func (c *Client) Resume(ctx context.Context, upstream fleet.Upstream, id fleet.RequestID, after string) (port.UpstreamAnswer, *port.UpstreamError) {
+	c.distrust(upstream.Address)
 	query := url.Values{"stream": {"true"}, ParamStartingAfter: {after}}
-	path := PathCompletions + "/" + url.PathEscape(string(id)) + "?" + query.Encode()
+	return c.read(ctx, upstream, id, "?"+query.Encode())
+}
+
+// Fetch implements port.AnswerFetcher.
+func (c *Client) Fetch(ctx context.Context, upstream fleet.Upstream, id fleet.RequestID) (port.UpstreamAnswer, *port.UpstreamError) {
+	return c.read(ctx, upstream, id, "")
+}
+
+// read gets a completion, or the rest of its stream, over a new connection.
+func (c *Client) read(ctx context.Context, upstream fleet.Upstream, id fleet.RequestID, query string) (port.UpstreamAnswer, *port.UpstreamError) {
+	path := PathCompletions + "/" + url.PathEscape(string(id)) + query
 	request, err := http.NewRequest(http.MethodGet, "http://"+upstream.Address+path, nil)
 	if err != nil {
-		return port.UpstreamAnswer{}, &port.UpstreamError{Cause: errors.Trace(err), Ran: fleet.RanUnknown}
+		return port.UpstreamAnswer{}, &port.UpstreamError{
+			Cause: errors.Trace(err), Ran: fleet.RanUnknown, Fault: exchange.FaultMalformed,
+		}
 	}
-	// A silent connection is the usual cause of a resume, so the pool's are not trusted.
-	request.Close = true
-	return c.do(ctx, request, id)
+	answer, failure := c.do(ctx, c.fresh, request, id)
+	if failure != nil {
+		// The request itself was sent earlier.
+		failure.Ran = fleet.RanUnknown
+	}
+	return answer, failure
 }
 
 // Cancel implements port.Upstreams.
@@ -115,9 +234,13 @@
 	if err != nil {
 		return errors.Trace(err)
 	}
-	answer, err := c.http.Do(request.WithContext(ctx))
+	answer, err := c.fresh.Do(request.WithContext(ctx))
 	if err != nil {
 		return errors.Annotatef(err, "cancelling on %s", upstream.ID)
 	}
-	return errors.Trace(answer.Body.Close())
+	answer.Body.Close()
+	if answer.StatusCode >= http.StatusBadRequest && answer.StatusCode != http.StatusNotFound {
+		return errors.Errorf("cancelling on %s: status %d", upstream.ID, answer.StatusCode)
+	}
+	return nil
 }
--- a/node/chat/chat.go
+++ b/node/chat/chat.go
@@ -1,21 +1,18 @@
-// Package chat carries one chat completion from a caller to an engine and its answer back.
+// Package chat carries one chat completion from a caller to an engine and its answer
+// back, whole or with a refusal that says whether it ran.
 package chat
 
 import (
-	"bytes"
 	"context"
-	"io"
-	"net/http"
+	"sync"
 	"time"
 
+	"agateswitch/core/exchange"
 	"agateswitch/core/fleet"
 	"agateswitch/port"
 	"agateswitch/sse"
 )
 
-// maxWholeAnswer is the largest answer without streaming, in bytes.
-const maxWholeAnswer = 8 << 20
-
 // completionsPath is the path of the chat-completions format.
 const completionsPath = "/v1/chat/completions"
 
@@ -25,114 +22,171 @@
 	// Body is the caller's JSON body, passed on as it is.
 	Body   []byte
 	Stream bool
-	// Silence is how long an answer may make no progress.
+	// Silence is how long a connection may bring nothing before a fresh one is tried.
 	Silence time.Duration
 }
 
 // Sink takes the answer of a call. Exactly one of Whole, Refuse and Begin is called
-// first; after Begin come Event, and Refuse if the stream cannot be completed.
+// first; after Begin come Event, and Refuse if the stream cannot be completed. A call
+// whose caller has gone away may end without any.
 type Sink interface {
 	Whole(status int, contentType string, body []byte)
 	Begin(grant fleet.Grant)
+	// Event passes an event on, whose Data is valid until Event returns.
 	Event(event sse.Event) error
 	Refuse(refusal *fleet.Refusal)
 }
 
-// Service runs chat completions.
+// Upstreams is what the service needs of engines.
+type Upstreams interface {
+	port.Upstreams
+	port.AnswerFetcher
+}
+
+// RetryBudget bounds how many requests go to a second upstream. It is safe for
+// concurrent use.
+type RetryBudget interface {
+	// Request notes a request.
+	Request()
+	// Retry takes one retry from the budget, if it has one.
+	Retry() bool
+}
+
+// Service runs chat completions. It is safe for concurrent use.
 type Service struct {
 	placer    port.Placer
-	upstreams port.Upstreams
+	upstreams Upstreams
 	versions  port.Versions
 	telemetry port.Telemetry
+	metrics   metrics
+	retries   RetryBudget
+	// cancelling counts the cancels that no caller waits for.
+	cancelling sync.WaitGroup
 }
 
 // New makes the service.
-func New(placer port.Placer, upstreams port.Upstreams, versions port.Versions, telemetry port.Telemetry) *Service {
-	return &Service{placer: placer, upstreams: upstreams, versions: versions, telemetry: telemetry}
+func New(placer port.Placer, upstreams Upstreams, versions port.Versions, telemetry port.Telemetry) *Service {
+	return &Service{
+		placer: placer, upstreams: upstreams, versions: versions, telemetry: telemetry,
+		metrics: newMetrics(telemetry.Meter), retries: NewRetryBudget(),
+	}
+}
+
+// Wait returns when no engine is being told to cancel work any more.
+func (s *Service) Wait() { s.cancelling.Wait() }
+
+// result is how an attempt on one engine ended.
+type result struct {
+	// failure is nil when the caller has the whole answer.
+	failure *exchange.Failure
+	// rejection is the engine's own error answer, kept for the case that no other engine
+	// can be asked.
+	rejection  *wholeAnswer
+	firstToken time.Duration
+	decoded    fleet.Work
+	resumed    int
 }
 
 // Run carries one call to its end.
 func (s *Service) Run(ctx context.Context, call Call, sink Sink) {
-	grant, refusal := s.placer.Acquire(ctx, call.Request)
-	if refusal != nil {
-		sink.Refuse(refusal)
-		return
+	s.retries.Request()
+	var last result
+	for attempt := 1; ; attempt++ {
+		grant, refusal := s.placer.Acquire(ctx, call.Request)
+		if refusal != nil {
+			s.refuse(last, refusal, sink)
+			return
+		}
+		last = s.attempt(ctx, call, grant, sink)
+		s.end(call, grant, last)
+		if last.failure == nil {
+			return
+		}
+		if !s.mayRetry(call, last, attempt) {
+			s.finish(call, last, sink)
+			return
+		}
+		call.Request.Exclude = append(call.Request.Exclude, grant.Upstream.ID)
 	}
-	started := time.Now()
-	completion := fleet.Completion{Grant: grant.ID, Upstream: grant.Upstream.ID}
-	completion.Outcome, completion.FirstToken, completion.Decoded = s.exchange(ctx, call, grant, sink)
-	s.placer.Release(grant, completion)
-	s.versions.Observe(fleet.Evidence{
-		Pool: call.Request.Pool, Version: grant.Upstream.Version, Upstream: grant.Upstream.ID,
-		Route:      "POST " + completionsPath,
-		Failed:     completion.Outcome == fleet.OutcomeFailed || completion.Outcome == fleet.OutcomeUnsent,
-		FirstToken: completion.FirstToken,
-	})
-	s.telemetry.Log.Info("finished", "request", call.Request.ID, "upstream", grant.Upstream.ID,
-		"outcome", completion.Outcome, "first_token", completion.FirstToken, "took", time.Since(started))
 }
 
-func (s *Service) exchange(ctx context.Context, call Call, grant fleet.Grant, sink Sink) (fleet.Outcome, time.Duration, fleet.Work) {
-	sent := time.Now()
-	answer, failure := s.upstreams.Send(ctx, port.UpstreamCall{
-		Upstream: grant.Upstream, Request: call.Request.ID, Method: http.MethodPost, Path: completionsPath,
-		Header: http.Header{"Content-Type": {"application/json"}},
-		Body:   bytes.NewReader(call.Body), ContentLength: int64(len(call.Body)),
-	})
-	if failure != nil {
-		sink.Refuse(refusalOf(failure))
-		if failure.Ran == fleet.NotRun {
-			return fleet.OutcomeUnsent, 0, 0
-		}
-		return fleet.OutcomeFailed, 0, 0
+// mayRetry decides whether another engine is asked. A chat completion changes nothing
+// outside of the engine, so it is idempotent.
+func (s *Service) mayRetry(call Call, last result, attempt int) bool {
+	if attempt == exchange.MaxAttempts || !last.failure.IsRetryable(true) {
+		return false
+	}
+	allowed := s.retries.Retry()
+	s.telemetry.Log.Info("retry", "request", call.Request.ID, "fault", last.failure.Fault,
+		"ran", last.failure.Ran(), "allowed", allowed)
+	s.metrics.retry(allowed)
+	return allowed
+}
+
+// refuse gives the caller the refusal of a placement. After an attempt that may have
+// run it does not say that the request has not run.
+func (s *Service) refuse(last result, refusal *fleet.Refusal, sink Sink) {
+	if last.rejection != nil {
+		last.rejection.write(sink)
+		return
 	}
-	defer answer.Body.Close()
-	if !call.Stream || answer.Status != http.StatusOK {
-		return relayWhole(answer, sink), time.Since(sent), 0
+	if last.failure != nil && last.failure.Ran() != fleet.NotRun {
+		unknown := *refusal
+		unknown.Ran = last.failure.Ran()
+		refusal = &unknown
 	}
-	return relayStream(answer, grant, sent, sink)
+	sink.Refuse(refusal)
 }
 
-func refusalOf(failure *port.UpstreamError) *fleet.Refusal {
-	return &fleet.Refusal{
-		Code: fleet.CodeUpstreamFailed, Message: "the engine failed the request",
-		Ran: failure.Ran, RetryAfter: time.Second,
+// finish tells the caller of a failure that nothing mends.
+func (s *Service) finish(call Call, last result, sink Sink) {
+	switch {
+	case last.failure.Fault == exchange.FaultCancelled:
+		s.telemetry.Log.Info("caller went away", "request", call.Request.ID)
+	case last.rejection != nil:
+		last.rejection.write(sink)
+	default:
+		sink.Refuse(refusalOf(*last.failure))
 	}
 }
 
-func relayWhole(answer port.UpstreamAnswer, sink Sink) fleet.Outcome {
-	body, err := io.ReadAll(io.LimitReader(answer.Body, maxWholeAnswer+1))
-	if err != nil || len(body) > maxWholeAnswer {
-		sink.Refuse(fleet.RefuseUnknown(fleet.CodeUpstreamFailed, "the engine's answer was cut short"))
-		return fleet.OutcomeFailed
+// end reports the end of an attempt to the shard's owner and to the versions' evidence.
+func (s *Service) end(call Call, grant fleet.Grant, last result) {
+	outcome := outcomeOf(last)
+	s.placer.Release(grant, fleet.Completion{
+		Grant: grant.ID, Upstream: grant.Upstream.ID, Outcome: outcome,
+		FirstToken: last.firstToken, Decoded: last.decoded,
+	})
+	if outcome != fleet.OutcomeCancelled {
+		s.versions.Observe(fleet.Evidence{
+			Pool: call.Request.Pool, Version: grant.Upstream.Version, Upstream: grant.Upstream.ID,
+			Route:      "POST " + completionsPath,
+			Failed:     outcome != fleet.OutcomeWhole,
+			FirstToken: last.firstToken,
+		})
 	}
-	sink.Whole(answer.Status, answer.Header.Get("Content-Type"), body)
-	if answer.Status >= http.StatusInternalServerError {
-		return fleet.OutcomeFailed
+	s.logEnd(call.Request.ID, grant.Upstream.ID, outcome, last)
+}
+
+func (s *Service) logEnd(id fleet.RequestID, upstream fleet.UpstreamID, outcome fleet.Outcome, last result) {
+	fault := exchange.Fault("")
+	if last.failure != nil {
+		fault = last.failure.Fault
 	}
-	return fleet.OutcomeWhole
+	s.metrics.end(outcome, fault)
+	s.telemetry.Log.Info("finished", "request", id, "upstream", upstream, "outcome", outcome,
+		"fault", fault, "first_token", last.firstToken, "decoded", last.decoded, "resumed", last.resumed)
 }
 
-func relayStream(answer port.UpstreamAnswer, grant fleet.Grant, sent time.Time, sink Sink) (fleet.Outcome, time.Duration, fleet.Work) {
-	sink.Begin(grant)
-	events := sse.NewReader(answer.Body)
-	var firstToken time.Duration
-	var decoded fleet.Work
-	for {
-		event, err := events.Next()
-		if err != nil {
-			sink.Refuse(fleet.RefuseUnknown(fleet.CodeUpstreamFailed, "the engine's stream ended without its end"))
-			return fleet.OutcomeFailed, firstToken, decoded
-		}
-		if firstToken == 0 {
-			firstToken = time.Since(sent)
-		}
-		if err := sink.Event(event); err != nil {
-			return fleet.OutcomeCancelled, firstToken, decoded
-		}
-		if event.IsDone() {
-			return fleet.OutcomeWhole, firstToken, decoded
-		}
-		decoded++
+func outcomeOf(last result) fleet.Outcome {
+	switch {
+	case last.failure == nil:
+		return fleet.OutcomeWhole
+	case last.failure.Fault == exchange.FaultCancelled:
+		return fleet.OutcomeCancelled
+	case last.failure.Ran() == fleet.NotRun:
+		return fleet.OutcomeUnsent
+	default:
+		return fleet.OutcomeFailed
 	}
 }
--- a/node/router/router.go
+++ b/node/router/router.go
@@ -15,6 +15,7 @@
 	"agateswitch/adapter/telemetry"
 	"agateswitch/adapter/upstreamhttp"
 	"agateswitch/core/fleet"
+	"agateswitch/core/resume"
 	"agateswitch/node/chat"
 	"agateswitch/node/claims"
 	"agateswitch/node/configsync"
@@ -68,6 +69,8 @@
 	claims    *claims.Service
 	moves     *moves.Service
 	mesh      *peer.Mesh
+	chat      *chat.Service
+	entry     *callerhttp.Server
 	callers   *http.Server
 	operators *http.Server
 }
@@ -94,11 +97,13 @@
 	r.grants = grants.New(r.members, r.config, r.moves, r.mesh, time.Now().UnixNano(), telemetry)
 	r.claims = claims.New(store, r.members, r.mesh, telemetry)
 	upstreams := upstreamhttp.New()
+	r.chat = chat.New(r.grants, upstreams, r.moves, telemetry)
 	callers := &callerhttp.Server{
-		Config: r.config, Members: r.members, Log: logger,
-		Chat:    chat.New(r.grants, upstreams, r.moves, telemetry),
-		Forward: forward.New(r.grants, upstreams, r.moves, r.claims, telemetry),
+		Config: r.config, Members: r.members, Log: logger, Chat: r.chat,
+		Forward:    forward.New(r.grants, upstreams, r.moves, r.claims, telemetry),
+		ResumeKeys: resume.NewKeys(s.ResumeKeys),
 	}
+	r.entry = callers
 	operators := &operatorhttp.Server{
 		Token: s.OperatorToken, Config: r.config, Members: r.members, Placer: r.grants,
 	}
@@ -172,18 +177,3 @@
 	}
 	return errors.Trace(err)
 }
-
-func (r *Router) drain(forced context.Context) {
-	r.members.Leave()
-	r.log.Info("leaving", "serving_for", time.Duration(r.settings.Drain))
-	select {
-	case <-time.After(time.Duration(r.settings.Drain)):
-	case <-forced.Done():
-		return
-	}
-	if err := r.callers.Shutdown(forced); err != nil {
-		r.log.Warn("stopped while requests were running", "err", err)
-		return
-	}
-	r.log.Info("left, nothing was running")
-}
--- a/port/upstream.go
+++ b/port/upstream.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http"
 
+	"agateswitch/core/exchange"
 	"agateswitch/core/fleet"
 )
 
@@ -37,6 +38,8 @@
 	Cause error
 	// Ran is NotRun only when no byte of the call was sent.
 	Ran fleet.Ran
+	// Fault tells in which way the call failed.
+	Fault exchange.Fault
 }
 
 // Error implements error.
@@ -54,3 +57,9 @@
 	// Cancel stops the engine's work on a request.
 	Cancel(ctx context.Context, upstream fleet.Upstream, request fleet.RequestID) error
 }
+
+// AnswerFetcher gets an engine's whole answer again.
+type AnswerFetcher interface {
+	// Fetch waits for the whole answer to an earlier call, over a new connection.
+	Fetch(ctx context.Context, upstream fleet.Upstream, request fleet.RequestID) (UpstreamAnswer, *UpstreamError)
+}
--- a/standin/engine/engine.go
+++ b/standin/engine/engine.go
@@ -50,6 +50,8 @@
 	cache   map[string]*list.Element
 	recent  *list.List
 	streams map[string]*generation
+	plans   []Plan
+	runs    map[string]int
 }
 
 // New makes an engine with an empty cache.
@@ -60,6 +62,7 @@
 	e := &Engine{
 		options: options, mux: http.NewServeMux(),
 		cache: map[string]*list.Element{}, recent: list.New(), streams: map[string]*generation{},
+		runs: map[string]int{},
 	}
 	e.mux.HandleFunc("POST "+upstreamhttp.PathCompletions, e.complete)
 	e.mux.HandleFunc("GET "+upstreamhttp.PathCompletions+"/{id}", e.resume)
@@ -100,12 +103,16 @@
 	}
 	id := r.Header.Get(port.HeaderRequestID)
 	w.Header().Set(port.HeaderRequestID, id)
+	plan := e.nextPlan()
+	if plan.isRefused(w) {
+		return
+	}
 	generated := e.start(id, request)
 	if request.Stream {
-		generated.stream(w, r, 0)
+		e.stream(w, r, generated, 0, plan)
 		return
 	}
-	generated.whole(w, r)
+	generated.whole(w, r, plan)
 }
 
 func (e *Engine) start(id string, request body) *generation {
@@ -117,6 +124,7 @@
 	defer e.mu.Unlock()
 	e.counts.Requests++
 	e.counts.Running++
+	e.runs[id]++
 	size := 0
 	for _, message := range request.Messages {
 		size += len(message.Content)
@@ -188,9 +196,26 @@
 	if err != nil {
 		after = 0
 	}
-	if generated, found := e.find(w, r); found {
-		generated.stream(w, r, after)
+	generated, found := e.find(w, r)
+	if !found {
+		return
+	}
+	plan := e.nextPlan()
+	if plan.isRefused(w) {
+		return
+	}
+	if r.URL.Query().Get("stream") == "true" {
+		e.stream(w, r, generated, after, plan)
+		return
+	}
+	generated.whole(w, r, plan)
+}
+
+func (e *Engine) stream(w http.ResponseWriter, r *http.Request, generated *generation, after int, plan Plan) {
+	if plan.Fault == FaultForget {
+		defer e.forget(generated.id)
 	}
+	generated.stream(w, r, after, plan)
 }
 
 func (e *Engine) cancel(w http.ResponseWriter, r *http.Request) {
--- a/standin/engine/generation.go
+++ b/standin/engine/generation.go
@@ -92,8 +92,8 @@
 	Content string `json:"content"`
 }
 
-// stream sends the tokens after an event id, then the end.
-func (g *generation) stream(w http.ResponseWriter, r *http.Request, after int) {
+// stream sends the tokens after an event id, then the end, with the faults of a plan.
+func (g *generation) stream(w http.ResponseWriter, r *http.Request, after int, plan Plan) {
 	w.Header().Set("Content-Type", "text/event-stream")
 	w.WriteHeader(http.StatusOK)
 	controller := http.NewResponseController(w)
@@ -104,14 +104,21 @@
 		if !ok {
 			return
 		}
+		if limit := after + plan.After; plan.stops() && produced > limit {
+			produced = limit
+		}
 		var buffer []byte
 		for ; sent < produced; sent++ {
-			buffer = sse.Append(buffer, g.event(sent))
+			buffer = plan.append(buffer, g.event(sent), sent-after)
 		}
 		if _, err := w.Write(buffer); err != nil {
 			return
 		}
 		controller.Flush()
+		if plan.stops() && sent == after+plan.After {
+			plan.stop(w, r)
+			return
+		}
 	}
 	w.Write(sse.Append(nil, doneEvent))
 }
@@ -126,7 +133,7 @@
 }
 
 // whole sends the answer in one piece.
-func (g *generation) whole(w http.ResponseWriter, r *http.Request) {
+func (g *generation) whole(w http.ResponseWriter, r *http.Request, plan Plan) {
 	for seen := 0; seen < len(g.tokens); {
 		produced, ok := g.wait(r, seen)
 		if !ok {
@@ -134,6 +141,14 @@
 		}
 		seen = produced
 	}
+	if plan.Fault == FaultCut {
+		// A length that is not reached makes the server close the connection.
+		w.Header().Set("Content-Length", "1000000")
+	}
+	if plan.Fault == FaultSilent {
+		<-r.Context().Done()
+		return
+	}
 	w.Header().Set("Content-Type", "application/json")
 	text := message{Role: "assistant", Content: strings.Join(g.tokens, "")}
 	json.NewEncoder(w).Encode(chunk{
