--- a/adapter/upstreamhttp/client.go
+++ b/adapter/upstreamhttp/client.go
@@ -68,16 +68,24 @@
 	distrusted map[string]time.Time
 }
 
-// New makes a client.
+// Dial makes a connection, as net.Dialer.DialContext does.
+type Dial func(ctx context.Context, network, address string) (net.Conn, error)
+
+// New makes a client that connects over TCP.
 func New() *Client {
-	return &Client{pooled: newHTTP(false), fresh: newHTTP(true), distrusted: map[string]time.Time{}}
+	dialer := &net.Dialer{Timeout: dialTimeout, KeepAliveConfig: keepAlive}
+	return NewOn(dialer.DialContext)
 }
 
-func newHTTP(fresh bool) *http.Client {
-	dialer := &net.Dialer{Timeout: dialTimeout, KeepAliveConfig: keepAlive}
+// NewOn makes a client that connects by dial.
+func NewOn(dial Dial) *Client {
+	return &Client{pooled: newHTTP(dial, false), fresh: newHTTP(dial, true), distrusted: map[string]time.Time{}}
+}
+
+func newHTTP(dial Dial, fresh bool) *http.Client {
 	transport := &http.Transport{
 		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
-			connection, err := dialer.DialContext(ctx, network, address)
+			connection, err := dial(ctx, network, address)
 			if err != nil {
 				return nil, err
 			}
--- a/core/exchange/progress.go
+++ b/core/exchange/progress.go
@@ -2,38 +2,51 @@
 
 import "time"
 
-// StallFactor is how many silence limits an upstream may stay without an event while
-// its connections live, before the request is given up.
-const StallFactor = 15
+// Factors of a contract's silence limit.
+const (
+	// KeepAliveFactor is how many silence limits a connection may bring keep-alive
+	// comments only, before a fresh one is tried.
+	KeepAliveFactor = 5
+	// StallFactor is how many silence limits a request may bring no event over all its
+	// connections, before it is given up.
+	StallFactor = 15
+)
 
 // Limits bound how long an exchange goes on without progress.
 type Limits struct {
 	// Silence is how long a connection may bring nothing before a fresh one is tried.
 	Silence time.Duration
+	// KeepAlive is how long a connection may bring no event, whatever else it brings,
+	// before a fresh one is tried.
+	KeepAlive time.Duration
 	// Stall is how long a request may bring no event, over all its connections.
 	Stall time.Duration
 }
 
 // LimitsOf derives the limits from a contract's silence limit.
 func LimitsOf(silence time.Duration) Limits {
-	return Limits{Silence: silence, Stall: StallFactor * silence}
+	return Limits{Silence: silence, KeepAlive: KeepAliveFactor * silence, Stall: StallFactor * silence}
 }
 
 // Progress judges an exchange by what it brings. Any byte shows that a connection is
 // alive; only an event shows that the request gets on.
 type Progress struct {
 	limits    Limits
+	connected time.Time
 	lastByte  time.Time
 	lastEvent time.Time
 }
 
-// NewProgress starts both limits at now.
+// NewProgress starts all limits at now.
 func NewProgress(limits Limits, now time.Time) *Progress {
-	return &Progress{limits: limits, lastByte: now, lastEvent: now}
+	return &Progress{limits: limits, connected: now, lastByte: now, lastEvent: now}
 }
 
-// Connected starts the silence limit of a new connection. The stall limit goes on.
-func (p *Progress) Connected(now time.Time) { p.lastByte = now }
+// Connected starts the limits of a new connection. The stall limit goes on.
+func (p *Progress) Connected(now time.Time) {
+	p.connected = now
+	p.lastByte = now
+}
 
 // Bytes notes that something came, such as a keep-alive comment.
 func (p *Progress) Bytes(now time.Time) { p.lastByte = now }
@@ -50,12 +63,23 @@
 	if !now.Before(stalls) {
 		return FaultStalled, time.Time{}
 	}
-	silent := p.lastByte.Add(p.limits.Silence)
+	silent := earlier(p.lastByte.Add(p.limits.Silence), later(p.connected, p.lastEvent).Add(p.limits.KeepAlive))
 	if !now.Before(silent) {
 		return FaultSilent, time.Time{}
 	}
-	if stalls.Before(silent) {
-		return "", stalls
+	return "", earlier(silent, stalls)
+}
+
+func earlier(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
 	}
-	return "", silent
+	return b
 }
--- a/node/chat/chat.go
+++ b/node/chat/chat.go
@@ -85,13 +85,15 @@
 	firstToken time.Duration
 	decoded    fleet.Work
 	resumed    int
+	// retryTaken is true when the attempt was given up for a retry from the budget.
+	retryTaken bool
 }
 
 // Run carries one call to its end.
 func (s *Service) Run(ctx context.Context, call Call, sink Sink) {
 	s.retries.Request()
 	var last result
-	for attempt := 1; ; attempt++ {
+	for {
 		grant, refusal := s.placer.Acquire(ctx, call.Request)
 		if refusal != nil {
 			s.refuse(last, refusal, sink)
@@ -102,7 +104,7 @@
 		if last.failure == nil {
 			return
 		}
-		if !s.mayRetry(call, last, attempt) {
+		if !s.mayRetry(call, last) {
 			s.finish(call, last, sink)
 			return
 		}
@@ -110,15 +112,22 @@
 	}
 }
 
-// mayRetry decides whether another engine is asked. A chat completion changes nothing
-// outside of the engine, so it is idempotent.
-func (s *Service) mayRetry(call Call, last result, attempt int) bool {
-	if attempt == exchange.MaxAttempts || !last.failure.IsRetryable(true) {
+// mayRetry decides whether another engine is asked.
+func (s *Service) mayRetry(call Call, last result) bool {
+	if last.retryTaken {
+		return true
+	}
+	return last.failure.IsRetryable(true) && s.takeRetry(call, last.failure.Fault)
+}
+
+// takeRetry takes a retry from the budget. A chat completion changes nothing outside of
+// the engine, so it is idempotent.
+func (s *Service) takeRetry(call Call, fault exchange.Fault) bool {
+	if len(call.Request.Exclude)+1 >= exchange.MaxAttempts {
 		return false
 	}
 	allowed := s.retries.Retry()
-	s.telemetry.Log.Info("retry", "request", call.Request.ID, "fault", last.failure.Fault,
-		"ran", last.failure.Ran(), "allowed", allowed)
+	s.telemetry.Log.Info("retry", "request", call.Request.ID, "fault", fault, "allowed", allowed)
 	s.metrics.retry(allowed)
 	return allowed
 }
--- /dev/null
+++ b/node/chat/failures_test.go
@@ -0,0 +1,210 @@
+package chat_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"agateswitch/core/exchange"
+	"agateswitch/core/fleet"
+	"agateswitch/node/chat"
+	"agateswitch/port"
+	"agateswitch/standin/engine"
+
+	"github.com/charmbracelet/log"
+	"github.com/shoenig/test/must"
+)
+
+// freshWithin is the users' goal: the first try of a fresh connection after silence.
+const freshWithin = 3 * time.Second
+
+// failureCase is a run of plans of an engine's connections, and what the caller must get.
+type failureCase struct {
+	name    string
+	stream  bool
+	plans   []engine.Plan
+	outcome string
+	// longest is the most time without progress that the caller may see.
+	longest time.Duration
+}
+
+func repeat(plan engine.Plan, times int) []engine.Plan {
+	plans := make([]engine.Plan, times)
+	for i := range plans {
+		plans[i] = plan
+	}
+	return plans
+}
+
+func failureCases() []failureCase {
+	plan := func(fault engine.Fault, after int) []engine.Plan { return []engine.Plan{{Fault: fault, After: after}} }
+	wholeTime := (tokens + 1) * interval
+	return []failureCase{
+		{"stream, no fault", true, nil, "whole", freshWithin},
+		{"stream, silent at its start", true, plan(engine.FaultSilent, 0), "whole", freshWithin},
+		{"stream, silent after 5", true, plan(engine.FaultSilent, 5), "whole", freshWithin},
+		{"stream, silent on two connections", true, repeat(engine.Plan{Fault: engine.FaultSilent, After: 5}, 2), "whole", freshWithin},
+		{"stream, cut after 5", true, plan(engine.FaultCut, 5), "whole", freshWithin},
+		{"stream, cut on every connection but the last", true, repeat(engine.Plan{Fault: engine.FaultCut, After: 1}, tokens-1), "whole", freshWithin},
+		{"stream, ended without its end", true, plan(engine.FaultEnd, 5), "whole", freshWithin},
+		{"stream, every event twice", true, plan(engine.FaultTwice, 0), "whole", freshWithin},
+		{"stream, an event missing", true, plan(engine.FaultGap, 5), "whole", freshWithin},
+		{"stream, crossed", true, plan(engine.FaultCrossed, 0), "whole", freshWithin},
+		{"stream, lost before it ran", true, plan(engine.FaultLost, 0), "whole", freshWithin},
+		{"stream, engine overloaded", true, plan(engine.FaultReject, 0), "whole", freshWithin},
+		{"stream, only pings after 5", true, plan(engine.FaultPings, 5), "whole", exchange.KeepAliveFactor*silence + time.Second},
+		{"stream, only pings for ever", true, append(plan(engine.FaultPings, 5), repeat(engine.Plan{Fault: engine.FaultPings}, 9)...), "cut, said so", 0},
+		{"stream, forgotten at its start", true, plan(engine.FaultForget, 0), "whole", freshWithin},
+		{"stream, forgotten after 5", true, plan(engine.FaultForget, 5), "cut, said so", 0},
+		{"stream, cut for ever", true, repeat(engine.Plan{Fault: engine.FaultCut, After: 0}, 200), "unknown", 0},
+		{"whole, no fault", false, nil, "whole", wholeTime + freshWithin},
+		{"whole, silent", false, plan(engine.FaultSilent, 0), "whole", wholeTime + freshWithin},
+		{"whole, cut", false, plan(engine.FaultCut, 0), "whole", 2*wholeTime + freshWithin},
+		{"whole, crossed", false, plan(engine.FaultCrossed, 0), "whole", 2*wholeTime + freshWithin},
+		{"whole, lost before it ran", false, plan(engine.FaultLost, 0), "whole", wholeTime + freshWithin},
+		{"whole, engine overloaded", false, plan(engine.FaultReject, 0), "whole", wholeTime + freshWithin},
+		{"whole, cut for ever", false, repeat(engine.Plan{Fault: engine.FaultCut}, 200), "unknown", 0},
+	}
+}
+
+// Every failure ends in the whole answer or in a true refusal, within the limits.
+func TestFailuresEndWholeOrInATrueRefusal(t *testing.T) {
+	for i, c := range failureCases() {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				b := newBench(t)
+				b.engines["e1"].Inject(c.plans...)
+				if c.outcome != "whole" {
+					b.engines["e2"].Inject(c.plans...)
+				}
+				id := fleet.RequestID(fmt.Sprintf("r%d", i))
+				got := newCaller()
+				b.service.Run(t.Context(), call(id, c.stream), got)
+				b.checkInvariants(t, id, got)
+				t.Logf("%-45s %-13s longest wait %-6s in %s", c.name, got.outcome(), got.longest, time.Since(got.started))
+				must.Eq(t, c.outcome, got.outcome())
+				must.Eq(t, 1, got.answers)
+				if c.longest > 0 {
+					must.LessEq(t, c.longest, got.longest)
+				}
+			})
+		})
+	}
+}
+
+// A connection that loses everything while new ones work costs the caller no answer:
+// in the middle of an answer, before it, and when it waited in the pool.
+func TestSilentConnectionCostsNoAnswer(t *testing.T) {
+	for _, stream := range []bool{true, false} {
+		for _, when := range []time.Duration{0, interval / 2, 7*interval + interval/2} {
+			synctest.Test(t, func(t *testing.T) {
+				b := newBench(t)
+				b.service.Run(t.Context(), call("warm", stream), newCaller())
+				must.Eq(t, 1, b.network.Dials())
+				time.AfterFunc(when, b.network.Silence)
+				synctest.Wait()
+				got := newCaller()
+				b.service.Run(t.Context(), call("r1", stream), got)
+				b.checkInvariants(t, "r1", got)
+				must.Eq(t, "whole", got.outcome())
+				must.LessEq(t, freshWithin+(tokens+1)*interval, got.longest)
+			})
+		}
+	}
+}
+
+// An engine that stops answering is given up within bounds, with a final answer at once.
+func TestUnreachableEngineInMidStreamEndsInAnError(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(t)
+		time.AfterFunc(5*interval+interval/2, func() { b.servers[0].Close() })
+		got := newCaller()
+		b.service.Run(t.Context(), call("r1", true), got)
+		b.checkInvariants(t, "r1", got)
+		must.Eq(t, "cut, said so", got.outcome())
+		must.Eq(t, fleet.CodeResumeImpossible, got.refusal.Code)
+		must.Eq(t, fleet.DidRun, got.refusal.Ran)
+		must.LessEq(t, 5*time.Second, time.Since(got.started))
+	})
+}
+
+// Any other router gives the rest of a stream, without state of the first.
+func TestAnotherRouterResumesAStream(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(t)
+		first := newCaller()
+		life, die := context.WithCancel(t.Context())
+		time.AfterFunc(6*interval+interval/2, func() {
+			b.engines["e1"].Inject(engine.Plan{Fault: engine.FaultCut, After: 3})
+			b.network.Silence()
+		})
+		done := make(chan struct{})
+		go func() { defer close(done); b.service.Run(life, call("r1", true), first) }()
+		<-time.After(7 * interval)
+		synctest.Wait()
+		other := chat.New(b.placer, b.upstreams, versions{}, port.Telemetry{Log: log.New(io.Discard)})
+		rest := newCaller()
+		rest.from = len(first.ids)
+		other.Resume(t.Context(), chat.Resumption{
+			Request: "r1", Upstream: b.placer.upstreams[0], After: int64(rest.from), Silence: silence,
+		}, rest)
+		b.checkInvariants(t, "r1", rest)
+		must.Eq(t, "whole", rest.outcome())
+		must.Eq(t, 7, rest.from)
+		die()
+		<-done
+	})
+}
+
+// Retries on other engines stay within the budget when every engine rejects.
+func TestRetriesStayWithinTheBudget(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(t)
+		const calls = 100
+		b.engines["e1"].Inject(repeat(engine.Plan{Fault: engine.FaultReject}, 2*calls)...)
+		b.engines["e2"].Inject(repeat(engine.Plan{Fault: engine.FaultReject}, 2*calls)...)
+		for i := range calls {
+			b.service.Run(t.Context(), call(fleet.RequestID(fmt.Sprint(i)), true), newCaller())
+		}
+		retries := len(b.placer.outcomes) - calls
+		must.Positive(t, retries)
+		must.LessEq(t, exchange.RetryBurst+(calls-1)/exchange.RequestsPerRetry, retries)
+	})
+}
+
+// A caller that goes away ends the engine's work.
+func TestCallerThatLeavesCancelsTheWork(t *testing.T) {
+	for _, stream := range []bool{true, false} {
+		synctest.Test(t, func(t *testing.T) {
+			b := newBench(t)
+			ctx, leave := context.WithCancel(t.Context())
+			got := newCaller()
+			got.leave, got.leaveAfter = leave, 3
+			if !stream {
+				time.AfterFunc(5*interval, leave)
+			}
+			b.service.Run(ctx, call("r1", stream), got)
+			b.service.Wait()
+			must.Eq(t, int64(1), b.engines["e1"].Counts().Cancelled)
+			must.Eq(t, []fleet.Outcome{fleet.OutcomeCancelled}, b.placer.outcomes)
+			b.checkInvariants(t, "r1", got)
+			<-time.After(2 * interval)
+			must.Zero(t, b.engines["e1"].Counts().Running)
+		})
+	}
+}
+
+// A caller that left while its call waited for a grant has nothing sent.
+func TestCallerThatLeftWhileQueuedHasNothingSent(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(t)
+		ctx, leave := context.WithCancel(t.Context())
+		leave()
+		b.service.Run(ctx, call("r1", true), newCaller())
+		must.Zero(t, b.network.Dials())
+		must.Eq(t, []fleet.Outcome{fleet.OutcomeCancelled}, b.placer.outcomes)
+	})
+}
--- a/node/chat/whole.go
+++ b/node/chat/whole.go
@@ -64,8 +64,12 @@
 	// answer has ended the wait.
 	readings    chan reading
 	resumptions exchange.Resumptions
-	open        int
-	sent        bool
+	// fetches counts the fresh connections.
+	fetches int
+	open    int
+	sent    bool
+	// retryTaken is true when the wait was given up for another engine.
+	retryTaken bool
 }
 
 func (s *Service) runWhole(ctx context.Context, call Call, grant fleet.Grant, first open, sink Sink) result {
@@ -77,7 +81,7 @@
 	ctx, stop := context.WithCancel(ctx)
 	defer stop()
 	answer, failure := w.wait(ctx, first)
-	ended := result{failure: failure, firstToken: time.Since(started), resumed: w.resumptions.Total()}
+	ended := result{failure: failure, firstToken: time.Since(started), resumed: w.fetches, retryTaken: w.retryTaken}
 	if failure != nil {
 		return ended
 	}
@@ -115,6 +119,9 @@
 			if w.open == 0 && !w.replace(ctx, *failure) {
 				return nil, w.cancelled(ctx, failure)
 			}
+			if w.open > 0 && w.isAbandoned(got.fault) {
+				return nil, failure
+			}
 		case <-silence.C:
 			w.fetch(ctx, exchange.FaultSilent)
 			interval *= 2
@@ -135,6 +142,14 @@
 	return failure
 }
 
+// isAbandoned decides, when the engine says over a working connection that it does not
+// know the request, whether the silent connection is left for another engine. The retry
+// budget bounds what this costs with engines that cannot be asked for a whole answer.
+func (w *whole) isAbandoned(fault exchange.Fault) bool {
+	w.retryTaken = fault == exchange.FaultForgotten && w.service.takeRetry(w.call, fault)
+	return w.retryTaken
+}
+
 // replace opens a new connection after the last one failed.
 func (w *whole) replace(ctx context.Context, failure exchange.Failure) bool {
 	if !failure.IsResumable() {
@@ -149,6 +164,7 @@
 }
 
 func (w *whole) fetch(ctx context.Context, fault exchange.Fault) {
+	w.fetches++
 	w.service.metrics.resumption(fault)
 	w.service.telemetry.Log.Info("waiting over a new connection", "request", w.call.Request.ID,
 		"upstream", w.grant.Upstream.ID, "fault", fault)
