--- a/adapter/upstreamhttp/load.go
+++ b/adapter/upstreamhttp/load.go
@@ -38,7 +38,7 @@
 	if err != nil {
 		return fleet.LoadReport{}, errors.Trace(err)
 	}
-	answer, err := c.http.Do(request)
+	answer, err := c.pooled.Do(request)
 	if err != nil {
 		return fleet.LoadReport{}, errors.Annotatef(err, "reading the load of %s", upstream.ID)
 	}
