--- a/adapter/kv/client.go
+++ b/adapter/kv/client.go
@@ -90,37 +90,6 @@
 	return entries, response.Header.Revision, nil
 }
 
-// Commit implements port.Store.
-func (c *Client) Commit(ctx context.Context, transaction port.Transaction) (port.CommitResult, error) {
-	var request TxnRequest
-	for _, condition := range transaction.Conditions {
-		request.Compare = append(request.Compare, Compare{
-			Result: "EQUAL", Target: "MOD", Key: []byte(condition.Key), ModRevision: condition.Revision,
-		})
-	}
-	for _, write := range transaction.Writes {
-		if len(write.Value) > port.MaxValueBytes {
-			return port.CommitResult{}, errors.Errorf("value of %q is %d bytes, more than %d",
-				write.Key, len(write.Value), port.MaxValueBytes)
-		}
-		request.Success = append(request.Success, operation(write))
-	}
-	var response TxnResponse
-	if err := c.call(ctx, PathTxn, request, &response); err != nil {
-		return port.CommitResult{}, err
-	}
-	return port.CommitResult{Applied: response.Succeeded, Revision: response.Header.Revision}, nil
-}
-
-func operation(write port.Write) RequestOp {
-	if write.Delete {
-		return RequestOp{RequestDeleteRange: &DeleteRangeRequest{Key: []byte(write.Key)}}
-	}
-	return RequestOp{RequestPut: &PutRequest{
-		Key: []byte(write.Key), Value: write.Value, Lease: int64(write.Lease),
-	}}
-}
-
 // GrantLease implements port.Store. The time is rounded up to whole seconds.
 func (c *Client) GrantLease(ctx context.Context, ttl time.Duration) (port.LeaseID, error) {
 	seconds := int64((ttl + time.Second - 1) / time.Second)
--- a/adapter/kv/wire.go
+++ b/adapter/kv/wire.go
@@ -48,11 +48,13 @@
 
 // DeleteRangeRequest is etcdserverpb.DeleteRangeRequest.
 type DeleteRangeRequest struct {
-	Key []byte `json:"key"`
+	Key      []byte `json:"key"`
+	RangeEnd []byte `json:"range_end,omitempty"`
 }
 
 // RequestOp is etcdserverpb.RequestOp; one field is set.
 type RequestOp struct {
+	RequestRange       *RangeRequest       `json:"request_range,omitempty"`
 	RequestPut         *PutRequest         `json:"request_put,omitempty"`
 	RequestDeleteRange *DeleteRangeRequest `json:"request_delete_range,omitempty"`
 }
@@ -61,12 +63,19 @@
 type TxnRequest struct {
 	Compare []Compare   `json:"compare,omitempty"`
 	Success []RequestOp `json:"success,omitempty"`
+	Failure []RequestOp `json:"failure,omitempty"`
+}
+
+// ResponseOp is etcdserverpb.ResponseOp. ResponseRange is nil for other operations.
+type ResponseOp struct {
+	ResponseRange *RangeResponse `json:"response_range,omitempty"`
 }
 
 // TxnResponse is etcdserverpb.TxnResponse.
 type TxnResponse struct {
-	Header    Header `json:"header"`
-	Succeeded bool   `json:"succeeded"`
+	Header    Header       `json:"header"`
+	Succeeded bool         `json:"succeeded"`
+	Responses []ResponseOp `json:"responses,omitempty"`
 }
 
 // WatchCreateRequest is etcdserverpb.WatchCreateRequest.
--- a/port/store.go
+++ b/port/store.go
@@ -27,11 +27,13 @@
 	Revision int64
 }
 
-// Write puts or deletes one key.
+// Write puts or deletes one key, or deletes a range of keys.
 type Write struct {
 	Key    string
 	Value  []byte
 	Delete bool
+	// DeleteTo makes Delete remove every key from Key up to, not including, DeleteTo.
+	DeleteTo string
 	// Lease ties the key's life to a lease; 0 means none.
 	Lease LeaseID
 }
@@ -40,6 +42,9 @@
 type Transaction struct {
 	Conditions []Condition
 	Writes     []Write
+	// ReadConflicts asks for the entries of all condition keys, read in the same call, when
+	// a condition does not hold.
+	ReadConflicts bool
 }
 
 // CommitResult tells what a transaction did.
@@ -48,6 +53,9 @@
 	Applied bool
 	// Revision is the store's revision after the transaction.
 	Revision int64
+	// Found holds one entry a condition, in the order of the conditions, when the
+	// transaction asked with ReadConflicts and a condition did not hold.
+	Found []Entry
 }
 
 // LeaseID names a lease of the key-value service.
--- a/standin/store/state.go
+++ b/standin/store/state.go
@@ -39,7 +39,17 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.expire()
+	return s.find(request)
+}
+
+func (s *state) find(request kv.RangeRequest) kv.RangeResponse {
 	response := kv.RangeResponse{Header: kv.Header{Revision: s.revision}}
+	if len(request.RangeEnd) == 0 {
+		if value, found := s.keys[string(request.Key)]; found {
+			response.KVs = []kv.KeyValue{value}
+		}
+		return response
+	}
 	for key, value := range s.keys {
 		if inRange(key, request.Key, request.RangeEnd) {
 			response.KVs = append(response.KVs, value)
@@ -65,13 +75,27 @@
 	s.expire()
 	for _, compare := range request.Compare {
 		if s.keys[string(compare.Key)].ModRevision != compare.ModRevision {
-			return kv.TxnResponse{Header: kv.Header{Revision: s.revision}}
+			return s.conflict(request.Failure)
 		}
 	}
 	s.write(request.Success)
 	return kv.TxnResponse{Header: kv.Header{Revision: s.revision}, Succeeded: true}
 }
 
+// conflict answers the reads of a transaction whose conditions do not hold.
+func (s *state) conflict(reads []kv.RequestOp) kv.TxnResponse {
+	response := kv.TxnResponse{Header: kv.Header{Revision: s.revision}}
+	for _, read := range reads {
+		var answer kv.ResponseOp
+		if read.RequestRange != nil {
+			found := s.find(*read.RequestRange)
+			answer.ResponseRange = &found
+		}
+		response.Responses = append(response.Responses, answer)
+	}
+	return response
+}
+
 // write makes all operations at one new revision.
 func (s *state) write(operations []kv.RequestOp) {
 	if len(operations) == 0 {
@@ -86,13 +110,25 @@
 			s.keys[string(put.Key)] = value
 			s.history = append(s.history, kv.Event{Type: "PUT", KV: value})
 		case operation.RequestDeleteRange != nil:
-			s.remove(string(operation.RequestDeleteRange.Key))
+			s.removeRange(*operation.RequestDeleteRange)
 		}
 	}
 	close(s.changed)
 	s.changed = make(chan struct{})
 }
 
+func (s *state) removeRange(request kv.DeleteRangeRequest) {
+	if len(request.RangeEnd) == 0 {
+		s.remove(string(request.Key))
+		return
+	}
+	for key := range s.keys {
+		if inRange(key, request.Key, request.RangeEnd) {
+			s.remove(key)
+		}
+	}
+}
+
 func (s *state) remove(key string) {
 	if _, found := s.keys[key]; !found {
 		return
