Settle lost answers to configuration changes and apply deltas in place

Cause: Accept committed once. A lost answer was told as a failed change although it may have taken effect; a change of another item between reading and writing was told as a conflict; two operators without an expected revision overwrote each other unseen; a lagging router validated against an old state; a wiped store took the fleet back. Each change decoded every contract again.

Ruled out: comparing only revision and value when reading back, since two operators can write the same value at the same revision (the test "the same item, and the answer is lost" fails so); each stored item carries the id of its change instead. Reading back without sending again, since a late write could still take effect afterwards; sending the same conditional transaction again fences it.

Change: settle.go sends the conditional transaction again until it is applied or refused, and judges by the item in place; what cannot be seen is told as unknown. Unrelated changes are retried, a change of the same item is told with the item found. Validation runs against the head that the change is committed on. A head below the revision in force is refused, logged and counted. Tombstones are compacted under a floor, below which only a full state is handed out. Delete checks references; once_only, digests and pools are checked for syntax and doubles. Callers of a router without a configuration are refused with "starting".

Seen failing: settle replaced by "not accepted" (TestLostAnswerIsSettled, TestUnsettledAnswerIsUnknown); change id not compared, expectation not pinned, no retry (TestRacingChanges); no catching up (TestLaggingRouterValidatesAgainstTheHead); lower head accepted (TestLowerHeadIsRefused); Apply without its checks for lower and skipped revisions, Since without the floor, no unindexing (TestReplicasNeverGoBackAndAgree).

--- a/adapter/callerhttp/request.go
+++ b/adapter/callerhttp/request.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"slices"
 	"strings"
+	"time"
 
 	"agateswitch/core/configuration"
 	"agateswitch/core/fleet"
@@ -32,6 +33,9 @@
 	return id
 }
 
+// startingRetryAfter is when callers come back to a router without a configuration.
+const startingRetryAfter = time.Second
+
 // authenticate finds the contract behind the bearer key.
 func (s *Server) authenticate(r *http.Request) (configuration.Contract, *fleet.Refusal) {
 	key, found := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
@@ -41,6 +45,9 @@
 	sum := sha256.Sum256([]byte(key))
 	digest := hex.EncodeToString(sum[:])
 	snapshot := s.Config.Current()
+	if snapshot.Revision() == 0 {
+		return configuration.Contract{}, fleet.Refuse(fleet.CodeStarting, "no configuration is in force here yet", startingRetryAfter)
+	}
 	// The table is keyed by the digest, whose prefix tells nothing about a key; the
 	// digests are then compared in constant time.
 	team, _ := snapshot.TeamByDigest(digest)
--- a/adapter/operatorhttp/api.go
+++ b/adapter/operatorhttp/api.go
@@ -31,8 +31,10 @@
 
 // Failure is the answer to a change that was not accepted.
 type Failure struct {
-	Code     fleet.Code              `json:"code"`
-	Message  string                  `json:"message"`
+	Code    fleet.Code `json:"code"`
+	Message string     `json:"message"`
+	// Unknown is true when the change may have been accepted nevertheless.
+	Unknown  bool                    `json:"unknown,omitempty"`
 	Problems []configuration.Problem `json:"problems,omitempty"`
 	// Found is the item in place of the one that the operator saw.
 	Found *configuration.Item `json:"found,omitempty"`
--- a/adapter/operatorhttp/server.go
+++ b/adapter/operatorhttp/server.go
@@ -139,30 +139,35 @@
 }
 
 func (s *Server) dryRun(w http.ResponseWriter, r *http.Request, value json.RawMessage, before *configuration.Item) {
-	if value != nil {
-		problems := configuration.ValidateItem(key(r), value, s.Config.Current())
-		if len(problems) > 0 {
-			failResult(w, configsync.Result{
-				Refusal: fleet.Refuse(fleet.CodeInvalid, "the value has problems", 0), Problems: problems,
-			})
-			return
-		}
+	var problems []configuration.Problem
+	if value == nil {
+		problems = configuration.ValidateDelete(key(r), s.Config.Current())
+	} else {
+		problems = configuration.ValidateItem(key(r), value, s.Config.Current())
+	}
+	if len(problems) > 0 {
+		failResult(w, configsync.Result{
+			Refusal: fleet.Refuse(fleet.CodeInvalid, "the change has problems", 0), Problems: problems,
+		})
+		return
 	}
 	answer(w, PutAnswer{Before: before})
 }
 
 func failResult(w http.ResponseWriter, result configsync.Result) {
 	status := map[fleet.Code]int{
-		fleet.CodeInvalid:   http.StatusUnprocessableEntity,
-		fleet.CodeConflict:  http.StatusConflict,
-		fleet.CodeStoreDown: http.StatusServiceUnavailable,
+		fleet.CodeInvalid:        http.StatusUnprocessableEntity,
+		fleet.CodeConflict:       http.StatusConflict,
+		fleet.CodeStoreDown:      http.StatusServiceUnavailable,
+		fleet.CodeOutcomeUnknown: http.StatusGatewayTimeout,
 	}[result.Refusal.Code]
 	if status == 0 {
 		status = http.StatusInternalServerError
 	}
 	fail(w, status, Failure{
 		Code: result.Refusal.Code, Message: result.Refusal.Message, Problems: result.Problems,
-		Found: result.Found, RetryAfterSeconds: result.Refusal.RetryAfter.Seconds(),
+		Unknown: result.Refusal.Ran == fleet.RanUnknown,
+		Found:   result.Found, RetryAfterSeconds: result.Refusal.RetryAfter.Seconds(),
 	})
 }
 
--- a/core/configuration/defaults.go
+++ b/core/configuration/defaults.go
@@ -12,6 +12,9 @@
 	DefaultSilenceMillis    = 2000
 	// DefaultBurstSeconds is how many seconds of a team's rate may come at once.
 	DefaultBurstSeconds = 2
+	// DefaultRampSeconds is how long a data centre takes to come back to its whole weight.
+	DefaultRampSeconds = 120
+	MaxRampSeconds     = 3600
 )
 
 // WithDefaults returns the contract with every unset option at its default.
--- a/core/configuration/item.go
+++ b/core/configuration/item.go
@@ -102,4 +102,9 @@
 	Name fleet.DataCentre `json:"name"`
 	// Out is true while the data centre is taken out.
 	Out bool `json:"out"`
+	// ChangedMillis is when Out last changed, in milliseconds of Unix time; the accepting
+	// router sets it. After a return, the weight ramps from this time on. Zero: never out.
+	ChangedMillis int64 `json:"changed_ms,omitempty"`
+	// RampSeconds is how long the return takes, in seconds. Default: 120. Range: 1 to 3600.
+	RampSeconds int `json:"ramp_seconds,omitempty"`
 }
--- a/core/configuration/snapshot.go
+++ b/core/configuration/snapshot.go
@@ -2,7 +2,7 @@
 
 import (
 	"encoding/json"
-	"fmt"
+	"maps"
 	"sort"
 
 	"agateswitch/core/fleet"
@@ -12,71 +12,42 @@
 // building: readers share it without a lock, and a change builds a new one.
 type Snapshot struct {
 	revision  Revision
+	floor     Revision
 	items     map[Key]Item
 	contracts map[fleet.Team]Contract
 	byDigest  map[string]fleet.Team
 	pools     map[fleet.PoolID]Pool
 	byPrefix  map[string]fleet.PoolID
-	out       map[fleet.DataCentre]bool
+	out       map[fleet.DataCentre]DataCentre
 	moves     map[fleet.PoolID]json.RawMessage
 }
 
-// Delta carries every item above revision From, up to To.
-type Delta struct {
-	From  Revision `json:"from"`
-	To    Revision `json:"to"`
-	Items []Item   `json:"items"`
-}
-
 // Empty returns a snapshot at revision 0 with no items.
 func Empty() *Snapshot {
-	snapshot, _ := build(0, nil)
-	return snapshot
-}
-
-// Apply returns the snapshot after the delta. A delta that leads no further than the
-// snapshot, or that starts above it, changes nothing and returns false: an applied
-// revision never goes down and never skips a change.
-func (s *Snapshot) Apply(delta Delta) (*Snapshot, bool, error) {
-	if delta.To <= s.revision || delta.From > s.revision {
-		return s, false, nil
-	}
-	items := make(map[Key]Item, len(s.items)+len(delta.Items))
-	for key, item := range s.items {
-		items[key] = item
-	}
-	for _, item := range delta.Items {
-		if item.Revision > items[item.Key].Revision {
-			items[item.Key] = item
-		}
-	}
-	next, err := build(delta.To, items)
-	if err != nil {
-		return s, false, err
-	}
-	return next, true, nil
-}
-
-func build(revision Revision, items map[Key]Item) (*Snapshot, error) {
-	s := &Snapshot{
-		revision:  revision,
-		items:     items,
+	return &Snapshot{
+		items:     map[Key]Item{},
 		contracts: map[fleet.Team]Contract{},
 		byDigest:  map[string]fleet.Team{},
 		pools:     map[fleet.PoolID]Pool{},
 		byPrefix:  map[string]fleet.PoolID{},
-		out:       map[fleet.DataCentre]bool{},
+		out:       map[fleet.DataCentre]DataCentre{},
 		moves:     map[fleet.PoolID]json.RawMessage{},
 	}
-	for _, item := range items {
-		if item.Deleted {
-			continue
-		}
-		if err := s.index(item); err != nil {
-			return nil, fmt.Errorf("item %s: %w", item.Key, err)
-		}
+}
+
+// clone copies the maps and shares their immutable values.
+func (s *Snapshot) clone() *Snapshot {
+	return &Snapshot{
+		revision:  s.revision,
+		floor:     s.floor,
+		items:     maps.Clone(s.items),
+		contracts: maps.Clone(s.contracts),
+		byDigest:  maps.Clone(s.byDigest),
+		pools:     maps.Clone(s.pools),
+		byPrefix:  maps.Clone(s.byPrefix),
+		out:       maps.Clone(s.out),
+		moves:     maps.Clone(s.moves),
 	}
-	return s, nil
 }
 
 func (s *Snapshot) index(item Item) error {
@@ -106,30 +77,36 @@
 		if err := json.Unmarshal(item.Value, &dataCentre); err != nil {
 			return err
 		}
-		s.out[dataCentre.Name] = dataCentre.Out
+		s.out[dataCentre.Name] = dataCentre
 	case KindMove:
 		s.moves[fleet.PoolID(item.Key.Name)] = item.Value
 	}
 	return nil
 }
 
-// Revision returns the revision in force.
-func (s *Snapshot) Revision() Revision { return s.revision }
-
-// Since returns the delta from a revision to the one in force, in key order.
-func (s *Snapshot) Since(from Revision) Delta {
-	delta := Delta{From: from, To: s.revision}
-	for _, item := range s.items {
-		if item.Revision > from {
-			delta.Items = append(delta.Items, item)
+// unindex removes what an item's old value added to the indexes.
+func (s *Snapshot) unindex(key Key) {
+	switch key.Kind {
+	case KindContract:
+		team := fleet.Team(key.Name)
+		for _, digest := range s.contracts[team].KeyDigests {
+			delete(s.byDigest, digest)
 		}
+		delete(s.contracts, team)
+	case KindPool:
+		pool := fleet.PoolID(key.Name)
+		delete(s.byPrefix, s.pools[pool].PathPrefix)
+		delete(s.pools, pool)
+	case KindDataCentre:
+		delete(s.out, fleet.DataCentre(key.Name))
+	case KindMove:
+		delete(s.moves, fleet.PoolID(key.Name))
 	}
-	sort.Slice(delta.Items, func(i, j int) bool {
-		return delta.Items[i].Key.String() < delta.Items[j].Key.String()
-	})
-	return delta
 }
 
+// Revision returns the revision in force.
+func (s *Snapshot) Revision() Revision { return s.revision }
+
 // Item returns one live item.
 func (s *Snapshot) Item(key Key) (Item, bool) {
 	item, found := s.items[key]
@@ -176,7 +153,10 @@
 }
 
 // IsOut tells whether a data centre is taken out.
-func (s *Snapshot) IsOut(dataCentre fleet.DataCentre) bool { return s.out[dataCentre] }
+func (s *Snapshot) IsOut(dataCentre fleet.DataCentre) bool { return s.out[dataCentre].Out }
+
+// DataCentre returns what is configured for a data centre; the zero value means that it is in.
+func (s *Snapshot) DataCentre(name fleet.DataCentre) DataCentre { return s.out[name] }
 
 // Move returns the stored state of a pool's version move.
 func (s *Snapshot) Move(pool fleet.PoolID) (json.RawMessage, bool) {
--- a/core/configuration/validate.go
+++ b/core/configuration/validate.go
@@ -4,6 +4,7 @@
 	"encoding/hex"
 	"encoding/json"
 	"fmt"
+	"slices"
 	"strings"
 )
 
@@ -85,11 +86,13 @@
 			"is not %d lower-case hex digits (SHA-256)", sha256HexLength)
 		owner, used := current.TeamByDigest(digest)
 		c.require(!used || owner == contract.Team, field, "already belongs to team %q", owner)
+		c.require(!slices.Contains(contract.KeyDigests[:i], digest), field, "is given twice")
 	}
 	c.require(len(contract.Pools) > 0, "pools", "needs at least one pool")
 	for i, pool := range contract.Pools {
 		_, found := current.Pool(pool)
 		c.require(found, fmt.Sprintf("pools[%d]", i), "pool %q does not exist", pool)
+		c.require(!slices.Contains(contract.Pools[:i], pool), fmt.Sprintf("pools[%d]", i), "pool %q is given twice", pool)
 	}
 	c.require(contract.RequestsPerSecond > 0 && contract.RequestsPerSecond <= maxRequestsPerSec,
 		"requests_per_second", "must be above 0 and at most %g", float64(maxRequestsPerSec))
@@ -127,18 +130,28 @@
 	c.require(!strings.Contains(pool.PathPrefix, "/"), "path_prefix", "is one path segment without slashes")
 	c.require(pool.PathPrefix != "v1", "path_prefix", "v1 is taken by the router itself")
 	for i, rule := range pool.OnceOnly {
+		field := fmt.Sprintf("once_only[%d]", i)
 		method, path, ok := strings.Cut(rule, " ")
-		c.require(ok && method != "" && strings.HasPrefix(path, "/"),
-			fmt.Sprintf("once_only[%d]", i), `%q is not "METHOD /path"`, rule)
+		c.require(ok && isMethod(method) && strings.HasPrefix(path, "/") && !strings.ContainsAny(path, " ?#"),
+			field, `%q is not "METHOD /path" with an upper-case method and no query`, rule)
+		c.require(!slices.Contains(pool.OnceOnly[:i], rule), field, "%q is given twice", rule)
 	}
 }
 
+// isMethod tells whether text can be a standard HTTP method, which is upper-case letters.
+func isMethod(text string) bool {
+	return text != "" && strings.Trim(text, "ABCDEFGHIJKLMNOPQRSTUVWXYZ") == ""
+}
+
 func (c *checker) dataCentre(key Key, value json.RawMessage) {
 	var dataCentre DataCentre
 	if !c.decode(value, &dataCentre) {
 		return
 	}
 	c.name("name", string(dataCentre.Name), key.Name)
+	c.require(dataCentre.ChangedMillis >= 0, "changed_ms", "may not be negative")
+	c.require(dataCentre.RampSeconds >= 0 && dataCentre.RampSeconds <= MaxRampSeconds,
+		"ramp_seconds", "must be 0 to %d seconds", MaxRampSeconds)
 }
 
 // IsOnceOnly tells whether a call of a service may not be repeated.
--- a/node/configsync/accept.go
+++ b/node/configsync/accept.go
@@ -3,26 +3,38 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"time"
 
 	"agateswitch/core/configuration"
 	"agateswitch/core/fleet"
 	"agateswitch/port"
 
+	"github.com/google/uuid"
 	"github.com/juju/errors"
 )
 
-// storeRetryAfter is what operators are told when the key-value service is down.
-const storeRetryAfter = 5 * time.Second
+const (
+	// storeRetryAfter is what operators are told when the key-value service is down.
+	storeRetryAfter = 5 * time.Second
+	// acceptTimeout bounds one acceptance, including the settling of lost answers.
+	acceptTimeout = 10 * time.Second
+	// settleInterval is the time between two attempts to settle a lost answer.
+	settleInterval = 250 * time.Millisecond
+	// maxCommitAttempts bounds how often a change is tried again after unrelated changes.
+	maxCommitAttempts = 10
+)
 
 // Change is an operator's change of one item.
 type Change struct {
 	Key configuration.Key
 	// Value is the new value; nil deletes the item.
 	Value json.RawMessage
-	// Expected is the item's revision that the operator saw; 0 means a new item, and
-	// AnyRevision skips the check.
+	// Expected is the item's revision that the operator saw; 0 means a new item.
+	// AnyRevision takes the revision that the store holds when the change comes in.
 	Expected configuration.Revision
+	// Check adds problems that depend on the configuration in force. It may be nil.
+	Check func(current *configuration.Snapshot) []configuration.Problem
 }
 
 // AnyRevision accepts a change whatever the item's revision is.
@@ -32,7 +44,8 @@
 type Result struct {
 	// Revision is the fleet's revision at which the change was accepted.
 	Revision configuration.Revision
-	// Refusal is set when the change was not accepted.
+	// Refusal is set when the change was not accepted, or when that is unknown: its Ran
+	// tells which.
 	Refusal *fleet.Refusal
 	// Problems holds the faults of a value that was not accepted.
 	Problems []configuration.Problem
@@ -40,91 +53,186 @@
 	Found *configuration.Item
 }
 
+// acceptance is one change on its way into the store.
+type acceptance struct {
+	service  *Service
+	change   Change
+	changeID string
+}
+
 // Accept validates a change and makes it durable. It is accepted exactly when the
-// transaction is confirmed; a lost answer is settled by reading back.
+// transaction is confirmed; a lost answer is settled by reading back. Unrelated changes
+// that come first are retried here; a change of the same item is the operator's to weigh.
 func (s *Service) Accept(ctx context.Context, change Change) Result {
-	if change.Value != nil {
-		problems := configuration.ValidateItem(change.Key, change.Value, s.Current())
-		if len(problems) > 0 {
-			return Result{Problems: problems, Refusal: fleet.Refuse(fleet.CodeInvalid, "the value has problems", 0)}
+	ctx, cancel := context.WithTimeout(ctx, acceptTimeout)
+	defer cancel()
+	a := &acceptance{service: s, change: change, changeID: uuid.NewString()}
+	for range maxCommitAttempts {
+		result, final := a.attempt(ctx)
+		if final {
+			s.logAcceptance(ctx, change, result)
+			return result
 		}
 	}
+	busy := fmt.Sprintf("other changes were accepted first, %d times in a row", maxCommitAttempts)
+	result := Result{Refusal: fleet.Refuse(fleet.CodeConflict, busy, time.Second)}
+	s.logAcceptance(ctx, change, result)
+	return result
+}
+
+func (s *Service) logAcceptance(ctx context.Context, change Change, result Result) {
+	if result.Refusal != nil {
+		s.metrics.refused(ctx, result.Refusal.Code)
+		s.telemetry.Log.Info("configuration change refused", "item", change.Key.String(),
+			"reason", result.Refusal.Code, "message", result.Refusal.Message, "problems", len(result.Problems))
+		return
+	}
+	s.metrics.accepted.Add(ctx, 1)
+	s.telemetry.Log.Info("configuration change accepted", "item", change.Key.String(), "revision", result.Revision)
+}
+
+// attempt returns false when an unrelated change came first.
+func (a *acceptance) attempt(ctx context.Context) (result Result, final bool) {
+	s := a.service
 	headEntry, err := s.store.Get(ctx, headKey)
 	if err != nil {
-		return storeDown(err)
+		return notAccepted(err), true
 	}
-	itemEntry, err := s.store.Get(ctx, itemKey(change.Key))
+	itemEntry, err := s.store.Get(ctx, itemKey(a.change.Key))
 	if err != nil {
-		return storeDown(err)
+		return notAccepted(err), true
 	}
-	current, err := decodeHead(headEntry.Value)
+	stored, err := decodeHead(headEntry.Value)
 	if err != nil {
-		return storeDown(err)
+		return notAccepted(err), true
 	}
-	if conflict := checkExpected(change, itemEntry); conflict != nil {
-		return *conflict
+	if refused := a.catchUp(ctx, stored); refused != nil {
+		return *refused, true
 	}
-	item := configuration.Item{
-		Key: change.Key, Revision: current.Revision + 1, Deleted: change.Value == nil, Value: change.Value,
+	found, err := decodeItem(itemEntry.Value)
+	if err != nil {
+		return notAccepted(err), true
+	}
+	if conflict := a.checkExpected(found.Item); conflict != nil {
+		return *conflict, true
+	}
+	if problems := a.problems(s.Current()); len(problems) > 0 {
+		refusal := fleet.Refuse(fleet.CodeInvalid, "the change has problems", 0)
+		return Result{Refusal: refusal, Problems: problems}, true
 	}
-	return s.commit(ctx, item, headEntry, itemEntry)
+	return a.commit(ctx, stored, headEntry, itemEntry)
 }
 
-func checkExpected(change Change, found port.Entry) *Result {
-	if change.Expected == AnyRevision {
+// catchUp brings this router to the store's head, since a change is validated against
+// what it is committed on. It refuses to go back to a head below what is in force.
+func (a *acceptance) catchUp(ctx context.Context, stored head) *Result {
+	s := a.service
+	if s.refuseLowerHead(stored) {
+		message := fmt.Sprintf("the key-value service holds configuration revision %d, but %d is in force: it was replaced or wiped; restore it first",
+			stored.Revision, s.Current().Revision())
+		return &Result{Refusal: fleet.Refuse(fleet.CodeConflict, message, 0)}
+	}
+	if stored.Revision == s.Current().Revision() {
 		return nil
 	}
-	var item configuration.Item
-	if found.Revision != 0 {
-		decoded, err := decodeItem(found.Value)
-		if err != nil {
-			result := storeDown(err)
-			return &result
-		}
-		item = decoded
+	if _, err := s.read(ctx); err != nil {
+		result := notAccepted(err)
+		return &result
+	}
+	return nil
+}
+
+func (a *acceptance) problems(current *configuration.Snapshot) []configuration.Problem {
+	var problems []configuration.Problem
+	if a.change.Value == nil {
+		problems = configuration.ValidateDelete(a.change.Key, current)
+	} else {
+		problems = configuration.ValidateItem(a.change.Key, a.change.Value, current)
+	}
+	if a.change.Check != nil {
+		problems = append(problems, a.change.Check(current)...)
 	}
-	if item.Revision == change.Expected || (item.Deleted && change.Expected == 0) {
+	return problems
+}
+
+// checkExpected compares the item in place with the one that the operator saw. Without
+// an expectation, the first item seen becomes it, so that of racing operators one wins.
+func (a *acceptance) checkExpected(found configuration.Item) *Result {
+	if a.change.Expected == AnyRevision {
+		a.change.Expected = found.Revision
+		return nil
+	}
+	if found.Revision == a.change.Expected || (found.Deleted && a.change.Expected == 0) {
 		return nil
 	}
 	refusal := fleet.Refuse(fleet.CodeConflict, "the item has changed since it was read", 0)
-	return &Result{Refusal: refusal, Found: &item}
+	return &Result{Refusal: refusal, Found: &found}
 }
 
-func (s *Service) commit(ctx context.Context, item configuration.Item, headEntry, itemEntry port.Entry) Result {
-	headValue, err := json.Marshal(head{Revision: item.Revision})
+func (a *acceptance) commit(ctx context.Context, stored head, headEntry, itemEntry port.Entry) (Result, bool) {
+	item := configuration.Item{
+		Key: a.change.Key, Revision: stored.Revision + 1, Deleted: a.change.Value == nil, Value: a.change.Value,
+	}
+	next := head{Revision: item.Revision, Floor: stored.Floor}
+	compacted := a.service.compactable(a.change.Key)
+	for _, tombstone := range compacted {
+		next.Floor = max(next.Floor, tombstone.Revision)
+	}
+	transaction, err := a.transaction(next, item, headEntry, itemEntry, compacted)
 	if err != nil {
-		return storeDown(err)
+		return notAccepted(err), true
 	}
-	itemValue, err := json.Marshal(item)
+	result, err := a.service.store.Commit(ctx, transaction)
+	switch {
+	case errors.Is(err, port.ErrUnavailable):
+		return a.settle(ctx, transaction, next, item)
+	case err != nil:
+		return notAccepted(err), true
+	case !result.Applied:
+		return Result{}, false
+	default:
+		return a.accepted(next, item), true
+	}
+}
+
+func (a *acceptance) transaction(next head, item configuration.Item, headEntry, itemEntry port.Entry,
+	compacted []configuration.Item) (port.Transaction, error) {
+	headValue, err := json.Marshal(next)
+	if err != nil {
+		return port.Transaction{}, errors.Trace(err)
+	}
+	itemValue, err := json.Marshal(storedItem{Item: item, ChangeID: a.changeID})
 	if err != nil {
-		return storeDown(err)
+		return port.Transaction{}, errors.Trace(err)
 	}
-	result, err := s.store.Commit(ctx, port.Transaction{
+	transaction := port.Transaction{
 		Conditions: []port.Condition{
 			{Key: headKey, Revision: headEntry.Revision},
 			{Key: itemKey(item.Key), Revision: itemEntry.Revision},
 		},
-		Writes: []port.Write{
-			{Key: headKey, Value: headValue},
-			{Key: itemKey(item.Key), Value: itemValue},
-		},
-	})
-	if err != nil {
-		return storeDown(err)
+		// The head comes last, so that a watcher has the item when it reads the revision.
+		Writes: []port.Write{{Key: itemKey(item.Key), Value: itemValue}},
+	}
+	for _, tombstone := range compacted {
+		transaction.Writes = append(transaction.Writes, port.Write{Key: itemKey(tombstone.Key), Delete: true})
 	}
-	if !result.Applied {
-		return Result{Refusal: fleet.Refuse(fleet.CodeConflict, "another change was accepted first", time.Second)}
+	transaction.Writes = append(transaction.Writes, port.Write{Key: headKey, Value: headValue})
+	return transaction, nil
+}
+
+// accepted puts the change in force here at once; the exchange takes it on.
+func (a *acceptance) accepted(next head, item configuration.Item) Result {
+	delta := configuration.Delta{
+		From: item.Revision - 1, To: item.Revision, Floor: next.Floor, Items: []configuration.Item{item},
 	}
-	s.telemetry.Log.Info("configuration accepted", "item", item.Key.String(), "revision", item.Revision)
+	a.service.apply(delta, "accepted here")
 	return Result{Revision: item.Revision}
 }
 
-func storeDown(err error) Result {
+// notAccepted tells of a failure before anything was written.
+func notAccepted(err error) Result {
 	if errors.Is(err, port.ErrUnavailable) {
-		return Result{Refusal: &fleet.Refusal{
-			Code: fleet.CodeStoreDown, Message: "the key-value service gave no answer",
-			Ran: fleet.RanUnknown, RetryAfter: storeRetryAfter,
-		}}
+		return Result{Refusal: fleet.Refuse(fleet.CodeStoreDown, "the key-value service gave no answer; nothing was changed", storeRetryAfter)}
 	}
-	return Result{Refusal: fleet.RefuseUnknown(fleet.CodeInternal, err.Error())}
+	return Result{Refusal: fleet.Refuse(fleet.CodeInternal, err.Error(), 0)}
 }
--- /dev/null
+++ b/node/configsync/fakes_test.go
@@ -0,0 +1,207 @@
+package configsync
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"agateswitch/core/configuration"
+	"agateswitch/core/fleet"
+	"agateswitch/port"
+
+	"github.com/charmbracelet/log"
+)
+
+// fakeStore is a port.Store in memory. Each router reaches it through a storeLink.
+type fakeStore struct {
+	port.Store
+	mu       sync.Mutex
+	revision int64
+	keys     map[string]port.Entry
+	history  []port.WatchEvent
+	changed  chan struct{}
+	down     bool
+	// lose makes so many transactions take effect without an answer, lateBy after the call.
+	lose   int
+	lateBy time.Duration
+	// before runs once ahead of the next transaction.
+	before                          func()
+	reads, writes, watches, waiting int
+}
+
+func newFakeStore() *fakeStore {
+	return &fakeStore{keys: map[string]port.Entry{}, changed: make(chan struct{})}
+}
+
+// storeLink is one router's way to the store.
+type storeLink struct {
+	*fakeStore
+	cut func() bool
+	// silent makes watches wait for ever, while calls work.
+	silent bool
+}
+
+func (l *storeLink) reach(ctx context.Context) error {
+	if !l.down && !l.cut() {
+		return nil
+	}
+	select {
+	case <-time.After(time.Second):
+	case <-ctx.Done():
+	}
+	return port.ErrUnavailable
+}
+
+func (l *storeLink) Get(ctx context.Context, key string) (port.Entry, error) {
+	if err := l.reach(ctx); err != nil {
+		return port.Entry{}, err
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.reads++
+	entry := l.keys[key]
+	entry.Key = key
+	return entry, nil
+}
+
+func (l *storeLink) List(ctx context.Context, prefix string) ([]port.Entry, int64, error) {
+	if err := l.reach(ctx); err != nil {
+		return nil, 0, err
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.reads++
+	var entries []port.Entry
+	for key, entry := range l.keys {
+		if strings.HasPrefix(key, prefix) {
+			entries = append(entries, entry)
+		}
+	}
+	return entries, l.revision, nil
+}
+
+func (l *storeLink) Commit(ctx context.Context, transaction port.Transaction) (port.CommitResult, error) {
+	if err := l.reach(ctx); err != nil {
+		return port.CommitResult{}, err
+	}
+	l.mu.Lock()
+	before := l.before
+	l.before = nil
+	l.mu.Unlock()
+	if before != nil {
+		before()
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.lose > 0 {
+		l.lose--
+		time.AfterFunc(l.lateBy, func() { l.write(transaction) })
+		return port.CommitResult{}, port.ErrUnavailable
+	}
+	return port.CommitResult{Applied: l.writeLocked(transaction), Revision: l.revision}, nil
+}
+
+func (s *fakeStore) write(transaction port.Transaction) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.writeLocked(transaction)
+}
+
+func (s *fakeStore) writeLocked(transaction port.Transaction) bool {
+	s.writes++
+	for _, condition := range transaction.Conditions {
+		if s.keys[condition.Key].Revision != condition.Revision {
+			return false
+		}
+	}
+	s.revision++
+	for _, write := range transaction.Writes {
+		entry := port.Entry{Key: write.Key, Value: write.Value, Revision: s.revision}
+		s.keys[write.Key] = entry
+		if write.Delete {
+			delete(s.keys, write.Key)
+		}
+		s.history = append(s.history, port.WatchEvent{Entry: entry, Deleted: write.Delete})
+	}
+	close(s.changed)
+	s.changed = make(chan struct{})
+	return true
+}
+
+func (l *storeLink) Watch(ctx context.Context, prefix string, after int64) <-chan port.WatchEvent {
+	events := make(chan port.WatchEvent)
+	go l.stream(ctx, events, prefix, after)
+	return events
+}
+
+func (l *storeLink) stream(ctx context.Context, events chan<- port.WatchEvent, prefix string, after int64) {
+	defer close(events)
+	l.count(1)
+	defer l.count(-1)
+	position := 0
+	for ctx.Err() == nil {
+		l.mu.Lock()
+		news, changed := l.history[position:], l.changed
+		position = len(l.history)
+		l.mu.Unlock()
+		for _, event := range news {
+			if event.Entry.Revision <= after || !strings.HasPrefix(event.Entry.Key, prefix) || l.silent {
+				continue
+			}
+			select {
+			case events <- event:
+			case <-ctx.Done():
+				return
+			}
+		}
+		select {
+		case <-changed:
+		case <-time.After(time.Second):
+			if l.down || l.cut() {
+				select {
+				case events <- port.WatchEvent{Err: port.ErrUnavailable}:
+				case <-ctx.Done():
+				}
+				return
+			}
+		case <-ctx.Done():
+		}
+	}
+}
+
+func (s *fakeStore) count(waiting int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.waiting += waiting
+	s.watches += max(waiting, 0)
+}
+
+func (s *fakeStore) setDown(down bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.down = down
+}
+
+func dataCentreChange(name string, out bool) Change {
+	value, err := json.Marshal(configuration.DataCentre{Name: fleet.DataCentre(name), Out: out})
+	if err != nil {
+		panic(err)
+	}
+	return Change{Key: configuration.Key{Kind: configuration.KindDataCentre, Name: name}, Value: value, Expected: AnyRevision}
+}
+
+// soloNode makes a service that reads a store by itself.
+func soloNode(store *fakeStore) *Service {
+	link := &storeLink{fakeStore: store, cut: func() bool { return false }}
+	return New(link, port.Telemetry{Log: log.New(io.Discard)})
+}
+
+// sleep lets virtual time pass in a synctest bubble.
+func sleep(t *testing.T, duration time.Duration) {
+	t.Helper()
+	<-time.After(duration)
+}
--- a/node/configsync/store.go
+++ b/node/configsync/store.go
@@ -3,13 +3,15 @@
 //
 // The service holds one head key with the fleet's revision, and one key an item. A
 // change writes both in one transaction that is conditional on the head, so that
-// changes have one order, whichever router accepts them.
+// changes have one order, whichever router accepts them. A few routers watch the
+// service; all others hear of changes from their peers.
 package configsync
 
 import (
 	"encoding/json"
 
 	"agateswitch/core/configuration"
+	"agateswitch/port"
 
 	"github.com/juju/errors"
 )
@@ -24,6 +26,15 @@
 // head is the value of headKey.
 type head struct {
 	Revision configuration.Revision `json:"revision"`
+	Floor    configuration.Revision `json:"floor,omitempty"`
+}
+
+// storedItem is the value of an item's key.
+type storedItem struct {
+	configuration.Item
+	// ChangeID names the change that wrote the item, so that a router whose answer was lost
+	// recognises its own write.
+	ChangeID string `json:"change_id,omitempty"`
 }
 
 func itemKey(key configuration.Key) string {
@@ -38,8 +49,32 @@
 	return h, errors.Annotate(json.Unmarshal(value, &h), "decoding the configuration head")
 }
 
-func decodeItem(value []byte) (configuration.Item, error) {
-	var item configuration.Item
-	err := json.Unmarshal(value, &item)
-	return item, errors.Annotate(err, "decoding a configuration item")
+// decodeItem decodes an item's value. An absent item has revision 0.
+func decodeItem(value []byte) (storedItem, error) {
+	var item storedItem
+	if len(value) == 0 {
+		return item, nil
+	}
+	return item, errors.Annotate(json.Unmarshal(value, &item), "decoding a configuration item")
+}
+
+// decodeAll turns a listing into the whole state.
+func decodeAll(entries []port.Entry) (configuration.Delta, error) {
+	state := configuration.Delta{Full: true}
+	for _, entry := range entries {
+		if entry.Key == headKey {
+			h, err := decodeHead(entry.Value)
+			if err != nil {
+				return state, err
+			}
+			state.To, state.Floor = h.Revision, h.Floor
+			continue
+		}
+		item, err := decodeItem(entry.Value)
+		if err != nil {
+			return state, err
+		}
+		state.Items = append(state.Items, item.Item)
+	}
+	return state, nil
 }
--- a/node/configsync/sync.go
+++ b/node/configsync/sync.go
@@ -2,137 +2,194 @@
 
 import (
 	"context"
-	"strings"
+	"sync"
 	"sync/atomic"
 	"time"
 
 	"agateswitch/core/configuration"
+	"agateswitch/core/fleet"
 	"agateswitch/port"
 
 	"github.com/juju/errors"
 )
 
-// retryInterval is the time between attempts to reach the key-value service.
-const retryInterval = time.Second
+// Tombstones are removed for good once there are more than maxTombstones, compactionBatch
+// at a time.
+const (
+	maxTombstones   = 200
+	compactionBatch = 50
+)
 
 // Service is a port.Configuration and accepts changes. It is safe for concurrent use.
 type Service struct {
 	store     port.Store
 	telemetry port.Telemetry
+	metrics   instruments
 	current   atomic.Pointer[configuration.Snapshot]
-	loaded    chan struct{}
+
+	loaded     chan struct{}
+	loadedOnce sync.Once
 
 	peers   port.Peers
 	members port.Members
+	running func() map[fleet.DataCentre]int
+
+	// applying serialises changes of current; readers of current need no lock.
+	applying sync.Mutex
+	// fetching keeps this router from fetching the same state from several peers at once.
+	fetching sync.Mutex
+	// pushes holds a token when neighbours are to be told of a new revision.
+	pushes chan struct{}
+	// pushed is the revision that neighbours were last told of. Only the push loop uses it.
+	pushed configuration.Revision
+
+	mu          sync.Mutex
+	confirmedAt time.Time
+	storeBehind bool
+	watching    bool
 }
 
 // New makes the service with an empty configuration.
 func New(store port.Store, telemetry port.Telemetry) *Service {
-	s := &Service{store: store, telemetry: telemetry, loaded: make(chan struct{})}
+	s := &Service{
+		store: store, telemetry: telemetry, metrics: newInstruments(telemetry.Meter),
+		loaded: make(chan struct{}), pushes: make(chan struct{}, 1),
+		running: func() map[fleet.DataCentre]int { return nil },
+	}
 	s.current.Store(configuration.Empty())
 	return s
 }
 
-// Join lets the service exchange configuration with other routers.
+// Join lets the service exchange configuration with other routers. It is called before Run.
 func (s *Service) Join(peers port.Peers, members port.Members) {
 	s.peers, s.members = peers, members
+	peers.Handle(methodExchange, s.handleExchange)
+	peers.Handle(methodFetch, s.handleFetch)
+	peers.Handle(methodReport, s.handleReport)
+}
+
+// CountRunning sets where the numbers of running requests a data centre come from. It is
+// called before Run.
+func (s *Service) CountRunning(running func() map[fleet.DataCentre]int) {
+	s.running = running
 }
 
 // Current implements port.Configuration.
 func (s *Service) Current() *configuration.Snapshot { return s.current.Load() }
 
-// Loaded is closed once a configuration has been read.
+// Loaded is closed once a configuration has been read from the key-value service or from
+// a peer.
 func (s *Service) Loaded() <-chan struct{} { return s.loaded }
 
-// Run follows the key-value service until ctx ends.
+func (s *Service) isLoaded() bool {
+	select {
+	case <-s.loaded:
+		return true
+	default:
+		return false
+	}
+}
+
+func (s *Service) markLoaded() {
+	s.loadedOnce.Do(func() { close(s.loaded) })
+}
+
+// Run keeps the configuration up to date until ctx ends.
 func (s *Service) Run(ctx context.Context) {
-	for ctx.Err() == nil {
-		if err := s.follow(ctx); err != nil && ctx.Err() == nil {
-			s.telemetry.Log.Warn("configuration watch ended, reading again", "err", err, "after", retryInterval)
-		}
-		select {
-		case <-ctx.Done():
-		case <-time.After(retryInterval):
-		}
+	if s.members == nil {
+		s.runWatch(ctx)
+		return
 	}
+	s.awaitMembers(ctx)
+	s.askAtStart(ctx)
+	var running sync.WaitGroup
+	running.Go(func() { s.runWatch(ctx) })
+	running.Go(func() { s.runExchange(ctx) })
+	running.Go(func() { s.runPush(ctx) })
+	running.Wait()
 }
 
-func (s *Service) follow(ctx context.Context) error {
-	revision, err := s.read(ctx)
+// awaitMembers waits for the first reading of the host list, so that a router that starts
+// asks its peers before it trusts the key-value service alone.
+func (s *Service) awaitMembers(ctx context.Context) {
+	members, ok := s.members.(interface{ Refreshed() <-chan struct{} })
+	if !ok {
+		return
+	}
+	select {
+	case <-members.Refreshed():
+	case <-ctx.Done():
+	}
+}
+
+// apply puts a delta in force. It never goes back: Apply refuses lower revisions.
+func (s *Service) apply(delta configuration.Delta, source string) {
+	s.applying.Lock()
+	defer s.applying.Unlock()
+	next, changed, err := s.Current().Apply(delta)
 	if err != nil {
-		return err
+		s.telemetry.Log.Error("configuration not applied", "err", errors.ErrorStack(err))
+		return
 	}
+	if !changed {
+		return
+	}
+	previous := s.Current()
+	s.current.Store(next)
+	s.metrics.revision.Record(context.Background(), int64(next.Revision()))
+	s.telemetry.Log.Info("configuration in force", "revision", next.Revision(), "before", previous.Revision(),
+		"items", len(delta.Items), "source", source)
+	s.logDataCentres(delta.Items)
 	select {
-	case <-s.loaded:
+	case s.pushes <- struct{}{}:
 	default:
-		close(s.loaded)
-	}
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	var pending []configuration.Item
-	for event := range s.store.Watch(ctx, prefix, revision) {
-		if event.Err != nil {
-			return event.Err
-		}
-		pending, err = s.take(pending, event)
-		if err != nil {
-			return err
-		}
 	}
-	return nil
 }
 
-// take collects the items of one transaction; the head, whose key sorts first but whose
-// event may come in any order, applies what has been collected.
-func (s *Service) take(pending []configuration.Item, event port.WatchEvent) ([]configuration.Item, error) {
-	if strings.HasPrefix(event.Entry.Key, itemPrefix) {
-		item, err := decodeItem(event.Entry.Value)
-		if err != nil {
-			return pending, err
-		}
-		pending = append(pending, item)
-		if item.Revision > s.Current().Revision() {
-			s.apply(configuration.Delta{From: s.Current().Revision(), To: item.Revision, Items: pending})
-			pending = nil
+func (s *Service) logDataCentres(items []configuration.Item) {
+	for _, item := range items {
+		if item.Key.Kind == configuration.KindDataCentre {
+			name := fleet.DataCentre(item.Key.Name)
+			s.telemetry.Log.Info("data centre changed", "datacentre", name, "out", s.Current().IsOut(name), "revision", item.Revision)
+			s.metrics.dataCentreChanges.Add(context.Background(), 1)
 		}
 	}
-	return pending, nil
 }
 
-// read applies the whole configuration and returns the store's revision.
-func (s *Service) read(ctx context.Context) (int64, error) {
-	entries, revision, err := s.store.List(ctx, prefix)
-	if err != nil {
-		return 0, err
+// compactable returns the tombstones to remove for good with the next change.
+func (s *Service) compactable(except configuration.Key) []configuration.Item {
+	tombstones := s.Current().Tombstones()
+	if len(tombstones) <= maxTombstones {
+		return nil
 	}
-	delta := configuration.Delta{}
-	for _, entry := range entries {
-		if entry.Key == headKey {
-			h, err := decodeHead(entry.Value)
-			if err != nil {
-				return 0, err
-			}
-			delta.To = h.Revision
-			continue
-		}
-		item, err := decodeItem(entry.Value)
-		if err != nil {
-			return 0, err
+	var chosen []configuration.Item
+	for _, tombstone := range tombstones[:compactionBatch] {
+		if tombstone.Key != except {
+			chosen = append(chosen, tombstone)
 		}
-		delta.Items = append(delta.Items, item)
 	}
-	s.apply(delta)
-	return revision, nil
+	return chosen
 }
 
-func (s *Service) apply(delta configuration.Delta) {
-	next, changed, err := s.Current().Apply(delta)
-	if err != nil {
-		s.telemetry.Log.Error("configuration not applied", "err", errors.ErrorStack(err))
-		return
+// confirm notes that the key-value service confirmed the head at a time.
+func (s *Service) confirm(at time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if at.After(s.confirmedAt) {
+		s.confirmedAt = at
 	}
-	if changed {
-		s.current.Store(next)
-		s.telemetry.Log.Info("configuration in force", "revision", next.Revision(), "items", len(delta.Items))
+}
+
+// staleness returns how long ago the key-value service last confirmed the head to any
+// router that this one heard of.
+func (s *Service) staleness() time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.confirmedAt.IsZero() {
+		return neverConfirmed
 	}
+	return time.Since(s.confirmedAt)
 }
+
+// neverConfirmed is the staleness of a router that has heard nothing yet.
+const neverConfirmed = time.Hour
--- a/node/members/members.go
+++ b/node/members/members.go
@@ -21,6 +21,9 @@
 	telemetry port.Telemetry
 	self      fleet.Host
 
+	refreshed     chan struct{}
+	refreshedOnce sync.Once
+
 	mu   sync.Mutex
 	view *membership.View
 }
@@ -29,6 +32,7 @@
 func New(self fleet.Host, hosts port.HostList, config port.Configuration, telemetry port.Telemetry) *Service {
 	return &Service{
 		hosts: hosts, config: config, telemetry: telemetry, self: self, view: membership.NewView(self),
+		refreshed: make(chan struct{}),
 	}
 }
 
@@ -46,8 +50,12 @@
 	}
 }
 
+// Refreshed is closed after the first attempt to read the host list.
+func (s *Service) Refreshed() <-chan struct{} { return s.refreshed }
+
 // Refresh reads the host list once.
 func (s *Service) Refresh(ctx context.Context) {
+	defer s.refreshedOnce.Do(func() { close(s.refreshed) })
 	hosts, err := s.hosts.Hosts(ctx)
 	if err != nil {
 		if ctx.Err() == nil {
