Fit a decision into the control traffic of the target

Cause: nothing measured the bytes of a decision, and plain rendezvous gives some router three of 75 shards about every third fleet of 380. Ruled out: batching acquires, of which one router sends one owner one in 11 s at the target; longer delays of completions, which age the owner's view. Change: an owner has at most 1.25 times the mean of shards, rounded up; grant ids travel without the owner's name, the home and the usual reason not at all.

--- a/node/grants/acquire.go
+++ b/node/grants/acquire.go
@@ -65,6 +65,9 @@
 		// The owner's list of upstreams is ahead of this router's.
 		failures++
 		s.outbox.abandon(q.owner, q.nonce)
+		if reply.Upstream == "" {
+			reply.Upstream = string(q.home.ID)
+		}
 		q.request.Exclude = append(q.request.Exclude[:len(q.request.Exclude):len(q.request.Exclude)], fleet.UpstreamID(reply.Upstream))
 		q.nonce = s.nonce.Add(1)
 	}
@@ -118,17 +121,20 @@
 // hold notes a grant as held by this router. It returns false when the upstream is not on
 // this router's list.
 func (s *Service) hold(q question, reply acquireReply) (fleet.Grant, bool) {
+	if reply.Upstream == "" {
+		reply.Upstream = string(q.home.ID)
+	}
 	upstream, found := q.table.listed[fleet.UpstreamID(reply.Upstream)]
 	if !found {
 		return fleet.Grant{}, false
 	}
 	now := time.Now()
 	grant := fleet.Grant{
-		ID: fleet.GrantID(reply.Grant), Owner: q.owner, Upstream: upstream, Work: fleet.Work(reply.Work),
-		Expires: now.Add(grantLife), Reason: fleet.Reason(reply.Reason), Load: fleet.Work(reply.Load),
+		ID: fullGrant(reply.Grant, q.owner), Owner: q.owner, Upstream: upstream, Work: fleet.Work(reply.Work),
+		Expires: now.Add(grantLife), Reason: decodeReason(reply.Reason), Load: fleet.Work(reply.Load),
 		Bound: fleet.Work(reply.Bound), Warm: reply.Warm,
 	}
-	s.held.add(now, grant, q.request.Team, shardKey{pool: upstream.Pool, shard: q.table.shards.Shard(upstream.ID)}, reply.Epoch)
+	s.held.add(now, grant, q.request.Team, shardKey{pool: upstream.Pool, shard: q.table.shards.Shard(upstream.ID)}, epochOf(reply.Grant))
 	return grant, true
 }
 
@@ -139,11 +145,11 @@
 		return
 	}
 	s.teams.leave(held.team)
-	message := encodeEnd(time.Now(), completion)
-	s.outbox.end(held.told, message)
+	now := time.Now()
+	s.outbox.end(held.told, encodeEnd(now, held.told, completion))
 	if held.told != grant.Owner {
 		// Both may count the grant: the owner that gave it may be alive, and its successor adopted it.
-		s.outbox.end(grant.Owner, message)
+		s.outbox.end(grant.Owner, encodeEnd(now, grant.Owner, completion))
 	}
 	if completion.Outcome == fleet.OutcomeFailed || completion.Outcome == fleet.OutcomeUnsent {
 		// A failure is a sign of a restart, which the owner must hear at once.
--- a/node/grants/handlers.go
+++ b/node/grants/handlers.go
@@ -19,11 +19,9 @@
 	s.end(now, endMessage{Ended: message.Ended}, from)
 	request := s.placementRequest(now, from, message)
 	var decision placement.Decision
-	var epoch int64
 	resolved := make(chan placement.Decision, 1)
 	known := s.shards.step(now, fleet.PoolID(message.Pool), fleet.UpstreamID(message.Home), func(shard *ownedShard) {
 		decision = shard.owner.Acquire(now, request)
-		epoch = shard.owner.Epoch()
 		if decision.Waiting {
 			shard.waiter[request.Ticket] = resolved
 		}
@@ -34,7 +32,7 @@
 	if decision.Waiting {
 		decision = s.awaitTurn(ctx, message, request, resolved)
 	}
-	return encodeDecision(decision, epoch), nil
+	return encodeDecision(decision, message.Home), nil
 }
 
 // awaitTurn waits for a decision, but no longer than a caller waits for an answer.
@@ -98,7 +96,7 @@
 	}
 	s.shards.each(func(shard *ownedShard) {
 		for _, ended := range message.Ended {
-			shard.owner.Complete(now, ended.decode())
+			shard.owner.Complete(now, ended.decode(s.members.Self().ID))
 		}
 		for _, nonce := range message.Abandoned {
 			shard.owner.Abandon(now, admission.Ticket{From: from, Nonce: nonce})
--- a/node/grants/held.go
+++ b/node/grants/held.go
@@ -29,16 +29,16 @@
 type heldGrants struct {
 	mu     sync.Mutex
 	grants map[fleet.GrantID]*heldGrant
-	epochs map[epochKey]int64
+	epochs map[epochKey]string
 }
 
 func newHeldGrants() *heldGrants {
-	return &heldGrants{grants: map[fleet.GrantID]*heldGrant{}, epochs: map[epochKey]int64{}}
+	return &heldGrants{grants: map[fleet.GrantID]*heldGrant{}, epochs: map[epochKey]string{}}
 }
 
 // add notes a grant. A changed epoch means that the owner has lost its state, so that it has
 // to hear again of every grant that this router holds in the shard.
-func (h *heldGrants) add(now time.Time, grant fleet.Grant, team fleet.Team, key shardKey, epoch int64) {
+func (h *heldGrants) add(now time.Time, grant fleet.Grant, team fleet.Team, key shardKey, epoch string) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	at := epochKey{owner: grant.Owner, key: key}
--- a/node/grants/routes.go
+++ b/node/grants/routes.go
@@ -1,7 +1,7 @@
 package grants
 
 import (
-	"fmt"
+	"strconv"
 	"sync"
 	"time"
 
@@ -45,14 +45,13 @@
 func (r *routes) pool(now time.Time, id fleet.PoolID) *poolRoutes {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.pools == nil || now.Sub(r.made) > routesLife {
-		r.made = now
-		r.pools = map[fleet.PoolID]*poolRoutes{}
-	}
 	known, found := r.pools[id]
-	if !found || len(known.usable) == 0 {
-		known = r.compute(id)
-		r.pools[id] = known
+	if now.Sub(r.made) > routesLife || !found || len(known.usable) == 0 {
+		r.compute(now)
+		known, found = r.pools[id]
+	}
+	if !found {
+		return &poolRoutes{shards: placement.NewShardMap(nil), owners: []fleet.HostID{r.members.Self().ID}}
 	}
 	return known
 }
@@ -64,7 +63,36 @@
 	r.pools = nil
 }
 
-func (r *routes) compute(id fleet.PoolID) *poolRoutes {
+// compute makes the table of all pools: shards of all pools share the limit of shards that
+// one router owns.
+func (r *routes) compute(now time.Time) {
+	r.made = now
+	r.pools = map[fleet.PoolID]*poolRoutes{}
+	var names []string
+	for _, pool := range r.config.Current().Pools() {
+		routes := r.list(pool.Name)
+		r.pools[pool.Name] = routes
+		for shard := range routes.shards.Count() {
+			names = append(names, shardName(pool.Name, shard))
+		}
+	}
+	owners := placement.Owners(names, r.routerNames())
+	for id, routes := range r.pools {
+		for shard := range routes.shards.Count() {
+			owner, found := owners[shardName(id, shard)]
+			if !found {
+				owner = string(r.members.Self().ID)
+			}
+			routes.owners = append(routes.owners, fleet.HostID(owner))
+		}
+	}
+}
+
+func shardName(pool fleet.PoolID, shard int) string {
+	return string(pool) + "/" + strconv.Itoa(shard)
+}
+
+func (r *routes) list(id fleet.PoolID) *poolRoutes {
 	listed := r.members.Upstreams(id)
 	p := &poolRoutes{
 		listed: make(map[fleet.UpstreamID]fleet.Upstream, len(listed)),
@@ -73,14 +101,6 @@
 	for _, upstream := range listed {
 		p.listed[upstream.ID] = upstream
 	}
-	routers := r.routerNames()
-	for shard := range p.shards.Count() {
-		owner, found := rendezvous.First(fmt.Sprintf("shard/%s/%d", id, shard), routers)
-		if !found {
-			owner = string(r.members.Self().ID)
-		}
-		p.owners = append(p.owners, fleet.HostID(owner))
-	}
 	return p
 }
 
--- a/node/grants/service.go
+++ b/node/grants/service.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"math"
 	"sync/atomic"
 	"time"
 
@@ -59,7 +60,8 @@
 	}
 	s.metrics = newMetrics(telemetry, s.shards)
 	// Nonces of an earlier life of the host must not be taken for repeated questions.
-	s.nonce.Store(uint64(epoch))
+	// Milliseconds of 32 bits keep them short, and count slower than lives of a host follow.
+	s.nonce.Store(uint64(epoch/int64(time.Millisecond)) & math.MaxUint32)
 	peers.Handle(methodAcquire, s.handleAcquire)
 	peers.Handle(methodEnd, s.handleEnd)
 	peers.Handle(methodAnnounce, s.handleAnnounce)
--- a/node/grants/wire.go
+++ b/node/grants/wire.go
@@ -1,6 +1,7 @@
 package grants
 
 import (
+	"strings"
 	"time"
 
 	"agateswitch/core/admission"
@@ -37,16 +38,17 @@
 
 // acquireReply grants, refuses, or says that the request waits.
 type acquireReply struct {
-	Waiting  bool   `msgpack:"w,omitempty"`
-	Grant    string `msgpack:"g,omitempty"`
+	Waiting bool `msgpack:"w,omitempty"`
+	// Grant is the grant's id without the owner's name.
+	Grant string `msgpack:"g,omitempty"`
+	// Upstream is empty for the home that the question named.
 	Upstream string `msgpack:"u,omitempty"`
 	Work     int64  `msgpack:"k,omitempty"`
-	Reason   string `msgpack:"r,omitempty"`
-	Load     int64  `msgpack:"l,omitempty"`
-	Bound    int64  `msgpack:"b,omitempty"`
-	Warm     bool   `msgpack:"m,omitempty"`
-	// Epoch changes when the owner has lost its state.
-	Epoch   int64           `msgpack:"e,omitempty"`
+	// Reason is an index of reasons.
+	Reason  uint8           `msgpack:"r,omitempty"`
+	Load    int64           `msgpack:"l,omitempty"`
+	Bound   int64           `msgpack:"b,omitempty"`
+	Warm    bool            `msgpack:"m,omitempty"`
 	Refusal *refusalMessage `msgpack:"x,omitempty"`
 }
 
@@ -59,6 +61,7 @@
 
 // endedMessage is the end of one grant.
 type endedMessage struct {
+	// Grant is the grant's id, without the owner's name where the receiver is the owner.
 	Grant   string `msgpack:"g"`
 	Outcome uint8  `msgpack:"o"`
 	// FirstToken is in milliseconds.
@@ -133,9 +136,9 @@
 // outcomes gives each outcome its number on the wire. Numbers are never reused.
 var outcomes = []fleet.Outcome{fleet.OutcomeWhole, fleet.OutcomeFailed, fleet.OutcomeCancelled, fleet.OutcomeUnsent}
 
-func encodeEnd(now time.Time, completion fleet.Completion) endedMessage {
+func encodeEnd(now time.Time, owner fleet.HostID, completion fleet.Completion) endedMessage {
 	message := endedMessage{
-		ended: now, Grant: string(completion.Grant), FirstToken: completion.FirstToken.Milliseconds(), Decoded: int64(completion.Decoded),
+		ended: now, Grant: shortGrant(completion.Grant, owner), FirstToken: completion.FirstToken.Milliseconds(), Decoded: int64(completion.Decoded),
 	}
 	for number, outcome := range outcomes {
 		if outcome == completion.Outcome {
@@ -145,9 +148,9 @@
 	return message
 }
 
-func (m endedMessage) decode() fleet.Completion {
+func (m endedMessage) decode(owner fleet.HostID) fleet.Completion {
 	completion := fleet.Completion{
-		Grant: fleet.GrantID(m.Grant), FirstToken: milliseconds(m.FirstToken), Decoded: fleet.Work(m.Decoded),
+		Grant: fullGrant(m.Grant, owner), FirstToken: milliseconds(m.FirstToken), Decoded: fleet.Work(m.Decoded),
 		Age: milliseconds(max(0, m.Age)),
 		// An outcome that this version does not know teaches nothing about the upstream.
 		Outcome: fleet.OutcomeCancelled,
@@ -160,7 +163,49 @@
 
 func milliseconds(count int64) time.Duration { return time.Duration(count) * time.Millisecond }
 
-func encodeDecision(decision placement.Decision, epoch int64) acquireReply {
+// reasons gives each reason its number on the wire. Numbers are never reused.
+var reasons = []fleet.Reason{fleet.ReasonHome, fleet.ReasonDisplaced, fleet.ReasonOverflow, fleet.ReasonRetry}
+
+func encodeReason(reason fleet.Reason) uint8 {
+	for number, known := range reasons {
+		if known == reason {
+			return uint8(number)
+		}
+	}
+	return 0
+}
+
+func decodeReason(number uint8) fleet.Reason {
+	if int(number) < len(reasons) {
+		return reasons[number]
+	}
+	return fleet.ReasonHome
+}
+
+// shortGrant leaves the owner's name out of an id. An id of another owner stays as it is.
+func shortGrant(id fleet.GrantID, owner fleet.HostID) string {
+	text := string(id)
+	if strings.HasPrefix(text, string(owner)+"-") {
+		return text[len(owner):]
+	}
+	return text
+}
+
+// fullGrant is the reverse of shortGrant. Names of hosts do not start with a hyphen.
+func fullGrant(text string, owner fleet.HostID) fleet.GrantID {
+	if strings.HasPrefix(text, "-") {
+		return fleet.GrantID(string(owner) + text)
+	}
+	return fleet.GrantID(text)
+}
+
+// epochOf returns the epoch in a short grant. It changes when the owner has lost its state.
+func epochOf(short string) string {
+	epoch, _, _ := strings.Cut(strings.TrimPrefix(short, "-"), "-")
+	return epoch
+}
+
+func encodeDecision(decision placement.Decision, home string) acquireReply {
 	if decision.Waiting {
 		return acquireReply{Waiting: true}
 	}
@@ -168,10 +213,14 @@
 		return refuseReply(decision.Refusal)
 	}
 	grant := decision.Grant
-	return acquireReply{
-		Grant: string(grant.ID), Upstream: string(grant.Upstream.ID), Work: int64(grant.Work), Reason: string(grant.Reason),
-		Load: int64(grant.Load), Bound: int64(grant.Bound), Warm: grant.Warm, Epoch: epoch,
+	reply := acquireReply{
+		Grant: shortGrant(grant.ID, grant.Owner), Work: int64(grant.Work), Reason: encodeReason(grant.Reason),
+		Load: int64(grant.Load), Bound: int64(grant.Bound), Warm: grant.Warm,
+	}
+	if string(grant.Upstream.ID) != home {
+		reply.Upstream = string(grant.Upstream.ID)
 	}
+	return reply
 }
 
 func refuseReply(refusal *fleet.Refusal) acquireReply {
