--- a/adapter/upstreamhttp/client.go
+++ b/adapter/upstreamhttp/client.go
@@ -160,9 +160,11 @@
 		return port.UpstreamAnswer{}, failed(ctx, &flight, err)
 	}
 	if err := check(answer, id); err != nil {
-		// The pool would keep the connection of an answer without a body.
+		// The true answer may follow on the connection. The pool has it already if the
+		// answer has no body, and gives it up only with all others.
 		flight.abort()
 		answer.Body.Close()
+		client.CloseIdleConnections()
 		fault := exchange.FaultCrossed
 		if errors.Is(err, ErrUnframed) {
 			fault = exchange.FaultUnframed
--- a/node/chat/caller_test.go
+++ b/node/chat/caller_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -76,7 +77,9 @@
 // placer grants the first upstream that is not excluded.
 type placer struct {
 	upstreams []fleet.Upstream
-	outcomes  []fleet.Outcome
+
+	mu       sync.Mutex
+	outcomes []fleet.Outcome
 }
 
 func (p *placer) Acquire(_ context.Context, request fleet.Request) (fleet.Grant, *fleet.Refusal) {
@@ -93,6 +96,8 @@
 }
 
 func (p *placer) Release(_ fleet.Grant, completion fleet.Completion) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
 	p.outcomes = append(p.outcomes, completion.Outcome)
 }
 
--- a/node/chat/failures_test.go
+++ b/node/chat/failures_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -102,8 +103,14 @@
 		for _, when := range []time.Duration{0, interval / 2, 7*interval + interval/2} {
 			synctest.Test(t, func(t *testing.T) {
 				b := newBench(t)
-				b.service.Run(t.Context(), call("warm", stream), newCaller())
-				must.Eq(t, 1, b.network.Dials())
+				var warming sync.WaitGroup
+				for i := range 2 {
+					warming.Go(func() {
+						b.service.Run(t.Context(), call(fleet.RequestID(fmt.Sprint("warm", i)), stream), newCaller())
+					})
+				}
+				warming.Wait()
+				must.Eq(t, 2, b.network.Dials(), must.Sprint("the pool holds two connections"))
 				time.AfterFunc(when, b.network.Silence)
 				synctest.Wait()
 				got := newCaller()
--- a/standin/engine/engine.go
+++ b/standin/engine/engine.go
@@ -108,6 +108,9 @@
 		return
 	}
 	generated := e.start(id, request)
+	if plan.Fault == FaultCrossed {
+		generated = crossed(generated)
+	}
 	if request.Stream {
 		e.stream(w, r, generated, 0, plan)
 		return
@@ -204,6 +207,9 @@
 	if plan.isRefused(w) {
 		return
 	}
+	if plan.Fault == FaultCrossed {
+		generated = crossed(generated)
+	}
 	if r.URL.Query().Get("stream") == "true" {
 		e.stream(w, r, generated, after, plan)
 		return
--- a/standin/engine/fault.go
+++ b/standin/engine/fault.go
@@ -89,6 +89,13 @@
 	return false
 }
 
+// crossed returns another request's answer of the same length, which is there at once.
+func crossed(own *generation) *generation {
+	other := newGeneration("another-request", own.model, Tokens("another prompt", len(own.tokens)))
+	other.produced = len(other.tokens)
+	return other
+}
+
 // forget drops a completion, as a restart of the engine does.
 func (e *Engine) forget(id string) {
 	e.mu.Lock()
