--- a/node/chat/chat.go
+++ b/node/chat/chat.go
@@ -7,8 +7,10 @@
 	"sync"
 	"time"
 
+	"agateswitch/core/admission"
 	"agateswitch/core/exchange"
 	"agateswitch/core/fleet"
+	"agateswitch/node/retry"
 	"agateswitch/port"
 	"agateswitch/sse"
 )
@@ -43,15 +45,6 @@
 	port.AnswerFetcher
 }
 
-// RetryBudget bounds how many requests go to a second upstream. It is safe for
-// concurrent use.
-type RetryBudget interface {
-	// Request notes a request.
-	Request()
-	// Retry takes one retry from the budget, if it has one.
-	Retry() bool
-}
-
 // Service runs chat completions. It is safe for concurrent use.
 type Service struct {
 	placer    port.Placer
@@ -59,7 +52,7 @@
 	versions  port.Versions
 	telemetry port.Telemetry
 	metrics   metrics
-	retries   RetryBudget
+	retries   *retry.Budgets
 	// cancelling counts the cancels that no caller waits for.
 	cancelling sync.WaitGroup
 }
@@ -68,7 +61,7 @@
 func New(placer port.Placer, upstreams Upstreams, versions port.Versions, telemetry port.Telemetry) *Service {
 	return &Service{
 		placer: placer, upstreams: upstreams, versions: versions, telemetry: telemetry,
-		metrics: newMetrics(telemetry.Meter), retries: NewRetryBudget(),
+		metrics: newMetrics(telemetry.Meter), retries: retry.New(),
 	}
 }
 
@@ -85,13 +78,12 @@
 	firstToken time.Duration
 	decoded    fleet.Work
 	resumed    int
-	// retryTaken is true when the attempt was given up for a retry from the budget.
-	retryTaken bool
+	// retry is allowed when the attempt was given up for another engine.
+	retry admission.RetryDecision
 }
 
 // Run carries one call to its end.
 func (s *Service) Run(ctx context.Context, call Call, sink Sink) {
-	s.retries.Request()
 	var last result
 	for {
 		grant, refusal := s.placer.Acquire(ctx, call.Request)
@@ -102,9 +94,10 @@
 		last = s.attempt(ctx, call, grant, sink)
 		s.end(call, grant, last)
 		if last.failure == nil {
+			s.retries.Succeed(call.Request.Pool)
 			return
 		}
-		if !s.mayRetry(call, last) {
+		if !s.mayRetry(ctx, call, last) {
 			s.finish(call, last, sink)
 			return
 		}
@@ -112,24 +105,26 @@
 	}
 }
 
-// mayRetry decides whether another engine is asked.
-func (s *Service) mayRetry(call Call, last result) bool {
-	if last.retryTaken {
-		return true
+// mayRetry waits until another engine may be asked, and tells whether it may.
+func (s *Service) mayRetry(ctx context.Context, call Call, last result) bool {
+	if last.retry.Allowed {
+		return sleep(ctx, last.retry.Wait)
 	}
-	return last.failure.IsRetryable(true) && s.takeRetry(call, last.failure.Fault)
-}
-
-// takeRetry takes a retry from the budget. A chat completion changes nothing outside of
-// the engine, so it is idempotent.
-func (s *Service) takeRetry(call Call, fault exchange.Fault) bool {
-	if len(call.Request.Exclude)+1 >= exchange.MaxAttempts {
+	if !last.failure.IsRetryable(true) {
 		return false
 	}
-	allowed := s.retries.Retry()
-	s.telemetry.Log.Info("retry", "request", call.Request.ID, "fault", fault, "allowed", allowed)
-	s.metrics.retry(allowed)
-	return allowed
+	retry := s.decideRetry(call, *last.failure)
+	return retry.Allowed && sleep(ctx, retry.Wait)
+}
+
+// decideRetry takes a retry from the pool's budget, if it may. A chat completion changes
+// nothing outside of the engine, so it may be repeated.
+func (s *Service) decideRetry(call Call, failure exchange.Failure) admission.RetryDecision {
+	decision := s.retries.Decide(call.Request.Pool, len(call.Request.Exclude)+1, failure.Ran(), true)
+	s.telemetry.Log.Info("retry", "request", call.Request.ID, "fault", failure.Fault, "ran", failure.Ran(),
+		"allowed", decision.Allowed, "reason", decision.Reason, "wait", decision.Wait)
+	s.metrics.retry(decision.Allowed)
+	return decision
 }
 
 // refuse gives the caller the refusal of a placement. After an attempt that may have
--- a/node/chat/whole.go
+++ b/node/chat/whole.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"time"
 
+	"agateswitch/core/admission"
 	"agateswitch/core/exchange"
 	"agateswitch/core/fleet"
 	"agateswitch/port"
@@ -68,8 +69,8 @@
 	fetches int
 	open    int
 	sent    bool
-	// retryTaken is true when the wait was given up for another engine.
-	retryTaken bool
+	// retry is allowed when the wait was given up for another engine.
+	retry admission.RetryDecision
 }
 
 func (s *Service) runWhole(ctx context.Context, call Call, grant fleet.Grant, first open, sink Sink) result {
@@ -81,7 +82,7 @@
 	ctx, stop := context.WithCancel(ctx)
 	defer stop()
 	answer, failure := w.wait(ctx, first)
-	ended := result{failure: failure, firstToken: time.Since(started), resumed: w.fetches, retryTaken: w.retryTaken}
+	ended := result{failure: failure, firstToken: time.Since(started), resumed: w.fetches, retry: w.retry}
 	if failure != nil {
 		return ended
 	}
@@ -119,7 +120,7 @@
 			if w.open == 0 && !w.replace(ctx, *failure) {
 				return nil, w.cancelled(ctx, failure)
 			}
-			if w.open > 0 && w.isAbandoned(got.fault) {
+			if w.open > 0 && w.isAbandoned(*failure) {
 				return nil, failure
 			}
 		case <-silence.C:
@@ -145,9 +146,11 @@
 // isAbandoned decides, when the engine says over a working connection that it does not
 // know the request, whether the silent connection is left for another engine. The retry
 // budget bounds what this costs with engines that cannot be asked for a whole answer.
-func (w *whole) isAbandoned(fault exchange.Fault) bool {
-	w.retryTaken = fault == exchange.FaultForgotten && w.service.takeRetry(w.call, fault)
-	return w.retryTaken
+func (w *whole) isAbandoned(failure exchange.Failure) bool {
+	if failure.Fault == exchange.FaultForgotten {
+		w.retry = w.service.decideRetry(w.call, failure)
+	}
+	return w.retry.Allowed
 }
 
 // replace opens a new connection after the last one failed.
--- /dev/null
+++ b/node/retry/budgets.go
@@ -0,0 +1,51 @@
+// Package retry keeps a router's retry budgets, one for each pool.
+package retry
+
+import (
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"agateswitch/core/admission"
+	"agateswitch/core/fleet"
+)
+
+// Budgets are the retry budgets of all pools. They are safe for concurrent use.
+type Budgets struct {
+	settings admission.RetrySettings
+
+	// mu guards pools and the budgets in it, which requests of a pool share.
+	mu    sync.Mutex
+	pools map[fleet.PoolID]*admission.RetryBudget
+}
+
+// New makes budgets that hold their reserve.
+func New() *Budgets {
+	return &Budgets{settings: admission.DefaultRetrySettings(), pools: map[fleet.PoolID]*admission.RetryBudget{}}
+}
+
+// Succeed notes a successful request of a pool.
+func (b *Budgets) Succeed(pool fleet.PoolID) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.budget(pool).Succeed()
+}
+
+// Decide tells whether a failed request goes to another upstream, and takes an allowed
+// retry from the pool's budget. attempts counts those made so far.
+func (b *Budgets) Decide(pool fleet.PoolID, attempts int, ran fleet.Ran, repeatable bool) admission.RetryDecision {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.budget(pool).Decide(time.Now(), admission.RetryQuestion{
+		Attempt: attempts, Ran: ran, Repeatable: repeatable, Random: rand.Float64(),
+	})
+}
+
+func (b *Budgets) budget(pool fleet.PoolID) *admission.RetryBudget {
+	budget, found := b.pools[pool]
+	if !found {
+		budget = admission.NewRetryBudget(b.settings)
+		b.pools[pool] = budget
+	}
+	return budget
+}
