Carry plain calls through silence, cuts and lost connections

Cause: a plain call was tried once on one upstream and waited for ever; a body cut after its header ended the handler by a panic that kept the grant. Change: a call that changes nothing is asked over a fresh connection after the silence limit and on another upstream within the retry budget; any call that reached no upstream goes to another; answers up to 64 KiB are read whole before the caller gets a byte; a larger one that is cut or stalls ends the caller's connection, after its grant is released. Bodies of callers are bounded in size, pause and time.

--- a/adapter/callerhttp/service.go
+++ b/adapter/callerhttp/service.go
@@ -17,6 +17,8 @@
 var hopByHop = []string{
 	"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization", "Proxy-Connection",
 	"Te", "Trailer", "Transfer-Encoding", "Upgrade",
+	// The router has met the expectation of a caller that waits to send its body.
+	"Expect",
 }
 
 func (s *Server) service(w http.ResponseWriter, r *http.Request) {
@@ -40,7 +42,12 @@
 		WriteRefusal(w, refusal)
 		return
 	}
-	s.Forward.Run(r.Context(), call, &serviceSink{w: w})
+	sink := &serviceSink{w: w}
+	s.Forward.Run(r.Context(), call, sink)
+	if sink.cut {
+		// Closing the connection is the only way to tell that the body was cut.
+		panic(http.ErrAbortHandler)
+	}
 }
 
 func (s *Server) serviceCall(w http.ResponseWriter, r *http.Request, contract configuration.Contract,
@@ -52,7 +59,7 @@
 			Priority: contract.Priority, Deadline: time.Now().Add(contract.FirstToken()),
 		},
 		Pool: pool, Method: r.Method, Path: path, Header: forwardHeader(r.Header),
-		Body: r.Body, ContentLength: r.ContentLength,
+		Body: newServiceBody(w, r), ContentLength: r.ContentLength, Silence: contract.Silence(),
 	}
 	if r.URL.RawQuery != "" {
 		call.Path += "?" + r.URL.RawQuery
@@ -88,6 +95,10 @@
 	dropHopByHop(header)
 	// The caller's key is between the caller and the router.
 	header.Del("Authorization")
+	if header.Get("User-Agent") == "" {
+		// Without this the client library names itself as the caller.
+		header.Set("User-Agent", "")
+	}
 	return header
 }
 
@@ -105,6 +116,8 @@
 // serviceSink writes an answer to the caller.
 type serviceSink struct {
 	w http.ResponseWriter
+	// cut is true when the answer has begun and cannot be completed.
+	cut bool
 }
 
 // Answer implements forward.Sink.
@@ -122,6 +135,7 @@
 		controller.SetWriteDeadline(time.Now().Add(WriteTimeout))
 		if n > 0 {
 			if _, err := s.w.Write(buffer[:n]); err != nil {
+				s.cut = true
 				return err
 			}
 			controller.Flush()
@@ -130,8 +144,8 @@
 			return nil
 		}
 		if err != nil {
-			// Closing the connection is the only way to tell that the body was cut.
-			panic(http.ErrAbortHandler)
+			s.cut = true
+			return err
 		}
 	}
 }
--- a/adapter/upstreamhttp/client.go
+++ b/adapter/upstreamhttp/client.go
@@ -127,7 +127,11 @@
 		request.Header.Del(headerIdempotencyKey)
 		request.Header[headerIdempotencyKeyLower] = keys
 	}
-	return c.do(ctx, c.clientFor(call.Upstream.Address), request, call.Request)
+	client := c.clientFor(call.Upstream.Address)
+	if call.Fresh {
+		client = c.fresh
+	}
+	return c.do(ctx, client, request, call.Request)
 }
 
 // clientFor leaves out pooled connections of an upstream of which one was silent.
@@ -173,6 +177,7 @@
 	}
 	return port.UpstreamAnswer{
 		Status: answer.StatusCode, Header: answer.Header, Body: answer.Body,
+		Length:  answer.ContentLength,
 		Trailer: func() http.Header { return answer.Trailer },
 	}, nil
 }
--- a/node/forward/forward.go
+++ b/node/forward/forward.go
@@ -9,6 +9,7 @@
 
 	"agateswitch/core/configuration"
 	"agateswitch/core/fleet"
+	"agateswitch/node/retry"
 	"agateswitch/port"
 )
 
@@ -26,9 +27,13 @@
 	// IdempotencyKey is set for once-only calls, whose Body is read whole into OnceBody.
 	IdempotencyKey string
 	OnceBody       []byte
+	// Silence is how long a connection may bring nothing before a fresh one is tried.
+	// Default: 2 s.
+	Silence time.Duration
 }
 
-// Sink takes the answer of a call: Refuse, or Answer.
+// Sink takes the answer of a call: Refuse, or Answer. An error that reading the body
+// gives means that the answer is cut; Answer shows this to the caller.
 type Sink interface {
 	Answer(status int, header http.Header, body io.Reader) error
 	Refuse(refusal *fleet.Refusal)
@@ -41,11 +46,12 @@
 	versions  port.Versions
 	claims    port.Claims
 	telemetry port.Telemetry
+	retries   *retry.Budgets
 }
 
 // New makes the service.
 func New(placer port.Placer, upstreams port.Upstreams, versions port.Versions, claims port.Claims, telemetry port.Telemetry) *Service {
-	return &Service{placer: placer, upstreams: upstreams, versions: versions, claims: claims, telemetry: telemetry}
+	return &Service{placer: placer, upstreams: upstreams, versions: versions, claims: claims, telemetry: telemetry, retries: retry.New()}
 }
 
 // Run carries one call to its end.
@@ -54,23 +60,7 @@
 		s.runOnce(ctx, call, sink)
 		return
 	}
-	grant, refusal := s.placer.Acquire(ctx, call.Request)
-	if refusal != nil {
-		sink.Refuse(refusal)
-		return
-	}
-	answer, failure := s.send(ctx, call, grant, call.Body)
-	if failure != nil {
-		s.end(call, grant, outcomeOf(failure))
-		sink.Refuse(refusalOf(failure))
-		return
-	}
-	defer answer.Body.Close()
-	outcome := fleet.OutcomeWhole
-	if err := sink.Answer(answer.Status, answer.Header, answer.Body); err != nil {
-		outcome = fleet.OutcomeFailed
-	}
-	s.end(call, grant, outcome)
+	s.runPlain(ctx, call, sink)
 }
 
 func (s *Service) send(ctx context.Context, call Call, grant fleet.Grant, body io.Reader) (port.UpstreamAnswer, *port.UpstreamError) {
--- /dev/null
+++ b/node/forward/plain.go
@@ -0,0 +1,171 @@
+package forward
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"time"
+
+	"agateswitch/core/exchange"
+	"agateswitch/core/fleet"
+	"agateswitch/port"
+)
+
+const (
+	// defaultSilence is the silence limit of calls without one.
+	defaultSilence = 2 * time.Second
+	// maxBuffered is the largest answer that is read whole before it is passed on.
+	maxBuffered = 64 << 10
+)
+
+// plainRun is one call that is not once-only.
+type plainRun struct {
+	service *Service
+	call    Call
+	sink    Sink
+	body    *callerBody
+	// sent is true once an upstream can have the call.
+	sent bool
+}
+
+// runPlain carries a call that is not once-only to its end.
+func (s *Service) runPlain(ctx context.Context, call Call, sink Sink) {
+	r := &plainRun{service: s, call: call, sink: sink, body: newCallerBody(call)}
+	if err := r.body.prepare(); err != nil {
+		sink.Refuse(fleet.Refuse(fleet.CodeBadRequest, "the body could not be read", 0))
+		return
+	}
+	for {
+		grant, refusal := s.placer.Acquire(ctx, r.call.Request)
+		if refusal != nil {
+			r.refuse(refusal)
+			return
+		}
+		failure := r.attempt(ctx, grant)
+		if failure == nil {
+			s.retries.Succeed(call.Request.Pool)
+			return
+		}
+		if !r.mayRetry(ctx, *failure) {
+			r.finish(ctx, *failure)
+			return
+		}
+		r.call.Request.Exclude = append(r.call.Request.Exclude, grant.Upstream.ID)
+	}
+}
+
+// attempt runs the call on one upstream. It returns nil when the caller was answered, or
+// when the answer was cut after its start and the sink has been told.
+func (r *plainRun) attempt(ctx context.Context, grant fleet.Grant) *exchange.Failure {
+	ctx, stop := context.WithCancel(ctx)
+	defer stop()
+	answer, failure := r.open(ctx, grant)
+	if failure != nil {
+		r.sent = r.sent || failure.Ran != fleet.NotRun
+		r.service.end(r.call, grant, r.outcome(ctx, failure))
+		return &exchange.Failure{Fault: failure.Fault, Sent: r.sent}
+	}
+	defer answer.Body.Close()
+	r.sent = true
+	body := newAnswerBody(answer.Body, exchange.KeepAliveFactor*r.call.silence(), stop)
+	defer body.stop()
+	content, err := readBuffered(answer, body)
+	if err != nil {
+		r.service.end(r.call, grant, r.outcome(ctx, nil))
+		return &exchange.Failure{Fault: exchange.FaultCut, Sent: true}
+	}
+	err = r.sink.Answer(answer.Status, answer.Header, content)
+	switch {
+	case body.failed:
+		r.service.end(r.call, grant, fleet.OutcomeFailed)
+	case err != nil:
+		r.service.end(r.call, grant, fleet.OutcomeCancelled)
+	default:
+		r.service.end(r.call, grant, fleet.OutcomeWhole)
+	}
+	return nil
+}
+
+func (r *plainRun) outcome(ctx context.Context, failure *port.UpstreamError) fleet.Outcome {
+	if ctx.Err() != nil || r.body.failure() != nil {
+		return fleet.OutcomeCancelled
+	}
+	if failure == nil {
+		return fleet.OutcomeFailed
+	}
+	return outcomeOf(failure)
+}
+
+// readBuffered reads a small answer whole, so that a cut one never reaches the caller.
+func readBuffered(answer port.UpstreamAnswer, body *answerBody) (io.Reader, error) {
+	if answer.Length < 0 || answer.Length > maxBuffered {
+		return body, nil
+	}
+	return body.readWhole()
+}
+
+func (r *plainRun) mayRetry(ctx context.Context, failure exchange.Failure) bool {
+	if ctx.Err() != nil || r.body.failure() != nil || !r.body.isRepeatable() {
+		return false
+	}
+	pool := r.call.Request.Pool
+	decision := r.service.retries.Decide(pool, len(r.call.Request.Exclude)+1, failure.Ran(), isSafe(r.call.Method))
+	r.service.telemetry.Log.Info("retry", "request", r.call.Request.ID, "fault", failure.Fault,
+		"ran", failure.Ran(), "allowed", decision.Allowed, "reason", decision.Reason, "wait", decision.Wait)
+	return decision.Allowed && sleep(ctx, decision.Wait)
+}
+
+// isSafe tells whether a call changes nothing, so that it may be made again (RFC 9110,
+// section 9.2.1).
+func isSafe(method string) bool {
+	switch method {
+	case http.MethodGet, http.MethodHead, http.MethodOptions:
+		return true
+	default:
+		return false
+	}
+}
+
+// refuse passes a refusal of a placement on. It does not say "not run" after an attempt
+// that may have run.
+func (r *plainRun) refuse(refusal *fleet.Refusal) {
+	if r.sent {
+		unknown := *refusal
+		unknown.Ran = fleet.RanUnknown
+		refusal = &unknown
+	}
+	r.sink.Refuse(refusal)
+}
+
+func (r *plainRun) finish(ctx context.Context, failure exchange.Failure) {
+	if ctx.Err() != nil {
+		r.service.telemetry.Log.Info("caller went away", "request", r.call.Request.ID)
+		return
+	}
+	if r.body.failure() != nil {
+		r.refuse(fleet.Refuse(fleet.CodeBadRequest, "the body could not be read to its end", 0))
+		return
+	}
+	r.sink.Refuse(&fleet.Refusal{
+		Code: failure.Code(), Message: "the service failed the call: " + string(failure.Fault),
+		Ran: failure.Ran(), RetryAfter: time.Second,
+	})
+}
+
+func (c Call) silence() time.Duration {
+	if c.Silence == 0 {
+		return defaultSilence
+	}
+	return c.Silence
+}
+
+func sleep(ctx context.Context, pause time.Duration) bool {
+	timer := time.NewTimer(pause)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return ctx.Err() == nil
+	case <-ctx.Done():
+		return false
+	}
+}
--- a/port/upstream.go
+++ b/port/upstream.go
@@ -23,13 +23,17 @@
 	Body   io.Reader
 	// ContentLength is the length of Body; -1 means unknown.
 	ContentLength int64
+	// Fresh asks for a new connection.
+	Fresh bool
 }
 
 // UpstreamAnswer is the start of an upstream's answer. The caller closes Body.
 type UpstreamAnswer struct {
-	Status  int
-	Header  http.Header
-	Body    io.ReadCloser
+	Status int
+	Header http.Header
+	Body   io.ReadCloser
+	// Length is the length of Body; -1 means unknown.
+	Length  int64
 	Trailer func() http.Header
 }
 
--- a/standin/service/service.go
+++ b/standin/service/service.go
@@ -25,11 +25,14 @@
 
 	mu   sync.Mutex
 	runs map[string]int
+	// calls counts the runs of each request.
+	calls  map[string]int
+	faults []Fault
 }
 
 // New makes a service that has run nothing.
 func New(id string) *Service {
-	s := &Service{id: id, mux: http.NewServeMux(), runs: map[string]int{}}
+	s := &Service{id: id, mux: http.NewServeMux(), runs: map[string]int{}, calls: map[string]int{}}
 	s.mux.HandleFunc("GET "+PathRuns, func(w http.ResponseWriter, _ *http.Request) { json.NewEncoder(w).Encode(s.Runs()) })
 	s.mux.HandleFunc("/", s.answer)
 	return s
@@ -60,6 +63,11 @@
 	if err != nil {
 		return
 	}
+	fault := s.nextFault()
+	if fault == FaultLost {
+		panic(http.ErrAbortHandler)
+	}
+	s.count(r.Header.Get(port.HeaderRequestID))
 	answer := Answer{Service: s.id, Method: r.Method, Path: r.URL.Path, Body: string(content)}
 	if key := r.Header.Get(headerKey); key != "" {
 		s.mu.Lock()
@@ -67,6 +75,15 @@
 		answer.Run = s.runs[key]
 		s.mu.Unlock()
 	}
+	if fault.fail(w, r) {
+		return
+	}
 	w.Header().Set("Content-Type", "application/json")
 	json.NewEncoder(w).Encode(answer)
 }
+
+func (s *Service) count(id string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.calls[id]++
+}
