End the demo's progress lines with their phase

Cause: the goroutine that prints progress outlived the demo and wrote to its stream. Seen by the race detector in TestDemoReportsWithoutFaults.

Ruled out: a lock around the writer, which leaves the goroutine behind.

Change: progress runs beside each phase with a context, and the run waits for it.

Conclusion: no goroutine of the demo is left after it.

--- a/cmd/agateswitch/demo.go
+++ b/cmd/agateswitch/demo.go
@@ -90,7 +90,7 @@
 		return err
 	}
 	defer fleet.Stop()
-	report, err := fleet.Run(life, scenario, flags.runFor, flags.seed, showProgress(life, command.ErrOrStderr()))
+	report, err := fleet.Run(life, scenario, flags.runFor, flags.seed, showProgress(command.ErrOrStderr()))
 	if err != nil {
 		return err
 	}
@@ -108,23 +108,19 @@
 }
 
 // showProgress prints the phase and its number of requests now and then.
-func showProgress(life context.Context, w io.Writer) demo.Progress {
-	return func(phase string, tally *demo.Tally) {
+func showProgress(w io.Writer) demo.Progress {
+	return func(ctx context.Context, phase string, tally *demo.Tally) {
 		fmt.Fprintln(w, "phase", phase)
-		go func() {
-			ticker := time.NewTicker(progressInterval)
-			defer ticker.Stop()
-			last := -1
-			for life.Err() == nil {
-				<-ticker.C
-				total := tally.Total()
-				if total == last {
-					return
-				}
-				last = total
-				fmt.Fprintf(w, "  %s: %d requests\n", phase, total)
+		ticker := time.NewTicker(progressInterval)
+		defer ticker.Stop()
+		for {
+			select {
+			case <-ctx.Done():
+				return
+			case <-ticker.C:
+				fmt.Fprintf(w, "  %s: %d requests\n", phase, tally.Total())
 			}
-		}()
+		}
 	}
 }
 
--- a/demo/run.go
+++ b/demo/run.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"agateswitch/core/fleet"
@@ -11,8 +12,8 @@
 // sampleInterval is the time between two samples of the engines' load.
 const sampleInterval = 50 * time.Millisecond
 
-// Progress is told at the start of each phase.
-type Progress func(phase string, tally *Tally)
+// Progress tells of a phase until ctx ends, which is with the phase.
+type Progress func(ctx context.Context, phase string, tally *Tally)
 
 // Run plays a scenario over a time and reports on it. It ends early when ctx does.
 func (f *Fleet) Run(ctx context.Context, scenario Scenario, runFor time.Duration, seed uint64, progress Progress) (Report, error) {
@@ -27,9 +28,10 @@
 			}
 		}
 		tally := NewTally()
-		progress(phase.Name, tally)
 		length := time.Duration(float64(runFor) * phase.Share)
+		stopProgress := startProgress(ctx, progress, phase.Name, tally)
 		figures := f.measure(ctx, phase, length, seed+uint64(index)<<32, tally)
+		stopProgress()
 		report.Phases = append(report.Phases, figures)
 		report.Faults = append(report.Faults, tally.faults(phase.Name)...)
 	}
@@ -37,6 +39,17 @@
 	return report, nil
 }
 
+// startProgress runs progress beside a phase. The returned function ends it and waits.
+func startProgress(ctx context.Context, progress Progress, phase string, tally *Tally) func() {
+	ctx, cancel := context.WithCancel(ctx)
+	var running sync.WaitGroup
+	running.Go(func() { progress(ctx, phase, tally) })
+	return func() {
+		cancel()
+		running.Wait()
+	}
+}
+
 // measure runs one phase and takes the figures of its time alone.
 func (f *Fleet) measure(ctx context.Context, phase Phase, length time.Duration, seed uint64, tally *Tally) PhaseReport {
 	before, bytesBefore := f.engineCounts(), f.peerBytes()
