Judge links between routers by what they bring, and admit only routers

Cause: a call on a connection that had gone silent waited for its own timeout and the next one used the same connection; a write that hung held the link's lock, and with it every answer; anyone could call any method; a frame could nest without bound (decoders recurse) and start handlers without bound.

Writes end after 500 ms and those behind them can give up.

A call may reach its handler twice, as port.ErrPeerUnreachable already allowed.

--- a/adapter/peer/frame.go
+++ b/adapter/peer/frame.go
@@ -1,5 +1,6 @@
-// Package peer carries calls between routers: one TCP connection in each direction a
-// pair, frames of a 4-byte big-endian length and a msgpack envelope.
+// Package peer carries calls between routers over TCP. A router connects to each router
+// that it calls; both prove that they know the fleet's key, and then send frames of a
+// 4-byte big-endian length and a msgpack envelope.
 package peer
 
 import (
@@ -10,10 +11,13 @@
 	"github.com/vmihailenco/msgpack/v5"
 )
 
-// MaxFrameBytes is the largest frame that is read or written.
-const MaxFrameBytes = 8 << 20
-
-const lengthBytes = 4
+const (
+	// MaxFrameBytes is the largest frame that is read or written.
+	MaxFrameBytes = 8 << 20
+	// maxHandshakeFrame is the largest frame from a peer that has not proved itself.
+	maxHandshakeFrame = 1 << 10
+	lengthBytes       = 4
+)
 
 type frameKind uint8
 
@@ -26,47 +30,63 @@
 
 // envelope is the content of a frame.
 type envelope struct {
-	Kind   frameKind          `msgpack:"k"`
-	ID     uint64             `msgpack:"i"`
-	From   string             `msgpack:"f,omitempty"`
-	Method string             `msgpack:"m,omitempty"`
-	Error  string             `msgpack:"e,omitempty"`
-	Body   msgpack.RawMessage `msgpack:"b,omitempty"`
+	Kind   frameKind `msgpack:"k"`
+	ID     uint64    `msgpack:"i"`
+	Method string    `msgpack:"m,omitempty"`
+	Error  string    `msgpack:"e,omitempty"`
+	// Body holds the msgpack form of a request or of an answer.
+	Body []byte `msgpack:"b,omitempty"`
 }
 
-func writeFrame(w io.Writer, message envelope) error {
+// encodeFrame returns the wire form of a message.
+func encodeFrame(message any) ([]byte, error) {
 	body, err := msgpack.Marshal(message)
 	if err != nil {
-		return errors.Trace(err)
+		return nil, errors.Trace(err)
 	}
 	if len(body) > MaxFrameBytes {
-		return errors.Errorf("frame of %d bytes is larger than %d", len(body), MaxFrameBytes)
+		return nil, errors.Errorf("frame of %d bytes is larger than %d", len(body), MaxFrameBytes)
 	}
 	frame := make([]byte, lengthBytes, lengthBytes+len(body))
 	binary.BigEndian.PutUint32(frame, uint32(len(body)))
-	_, err = w.Write(append(frame, body...))
+	return append(frame, body...), nil
+}
+
+func writeFrame(w io.Writer, message any) error {
+	frame, err := encodeFrame(message)
+	if err != nil {
+		return err
+	}
+	_, err = w.Write(frame)
 	return errors.Trace(err)
 }
 
-func readFrame(r io.Reader) (envelope, error) {
+// readFrame reads one message of at most limit bytes. It returns io.EOF when the
+// connection ends between frames.
+func readFrame(r io.Reader, limit int, into any) error {
 	var header [lengthBytes]byte
 	if _, err := io.ReadFull(r, header[:]); err != nil {
-		return envelope{}, err
+		return err
 	}
-	length := binary.BigEndian.Uint32(header[:])
-	if length > MaxFrameBytes {
-		return envelope{}, errors.Errorf("frame of %d bytes is larger than %d", length, MaxFrameBytes)
+	length := int(binary.BigEndian.Uint32(header[:]))
+	if length > limit {
+		return errors.Errorf("frame of %d bytes is larger than %d", length, limit)
 	}
+	// The buffer grows with what comes, not with what the length claims.
 	body, err := io.ReadAll(io.LimitReader(r, int64(length)))
 	if err != nil {
-		return envelope{}, errors.Trace(err)
+		return errors.Trace(err)
 	}
-	if len(body) < int(length) {
-		return envelope{}, io.ErrUnexpectedEOF
+	if len(body) < length {
+		return io.ErrUnexpectedEOF
 	}
-	var message envelope
-	if err := msgpack.Unmarshal(body, &message); err != nil {
-		return envelope{}, errors.Annotate(err, "decoding a frame")
+	return errors.Annotate(decode(body, into), "decoding a frame")
+}
+
+// decode reads a msgpack value that a peer sent.
+func decode(body []byte, into any) error {
+	if err := checkShape(body); err != nil {
+		return err
 	}
-	return message, nil
+	return errors.Trace(msgpack.Unmarshal(body, into))
 }
--- a/adapter/peer/link.go
+++ b/adapter/peer/link.go
@@ -2,133 +2,98 @@
 
 import (
 	"context"
-	"net"
 	"sync"
-	"time"
+
+	"agateswitch/core/fleet"
 
 	"github.com/juju/errors"
 )
 
-// link is the outgoing connection to one router. Calls share it; each waits for its id.
+// A call is tried over maxConnections connections; each later one may stay silent for
+// patienceFactor times as long.
+const (
+	maxConnections = 2
+	patienceFactor = 4
+)
+
+// link is the way to one router. Calls share its connection, and move to a fresh one
+// when it is lost or silent.
 type link struct {
 	mesh    *Mesh
+	to      fleet.HostID
 	address string
 
-	mu         sync.Mutex
-	connection net.Conn
-	nextID     uint64
-	waiting    map[uint64]chan envelope
+	// mu guards current. It is not held while connecting, so that calls can give up.
+	mu      sync.Mutex
+	current *connection
+	// connecting has room for one: whoever fills it connects, all others wait for that.
+	connecting chan struct{}
 }
 
-var errLinkLost = errors.New("connection lost before the answer")
+func newLink(mesh *Mesh, to fleet.HostID, address string) *link {
+	return &link{mesh: mesh, to: to, address: address, connecting: make(chan struct{}, 1)}
+}
 
 func (l *link) call(ctx context.Context, message envelope) (envelope, error) {
-	answer := make(chan envelope, 1)
-	id, err := l.send(ctx, message, answer)
-	if err != nil {
-		return envelope{}, err
-	}
-	select {
-	case response, ok := <-answer:
-		if !ok {
-			return envelope{}, errLinkLost
+	var err error
+	patience := silentAfter
+	for range maxConnections {
+		var connection *connection
+		connection, err = l.connection(ctx)
+		if err != nil {
+			return envelope{}, err
 		}
-		return response, nil
-	case <-ctx.Done():
-		l.abandon(id)
-		return envelope{}, ctx.Err()
+		var answer envelope
+		answer, err = connection.call(ctx, message, patience)
+		if err == nil || !errors.Is(err, errLinkLost) {
+			return answer, err
+		}
+		l.mesh.log.Info("peer connection lost, trying a fresh one", "peer", l.to, "method", message.Method, "err", err)
+		// If the fresh connection is slow as well, the peer or this host is busy.
+		patience *= patienceFactor
 	}
+	return envelope{}, err
 }
 
-func (l *link) send(ctx context.Context, message envelope, answer chan envelope) (uint64, error) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if l.connection == nil {
-		if err := l.dial(ctx); err != nil {
-			return 0, err
-		}
+// connection returns the current connection, or makes one.
+func (l *link) connection(ctx context.Context) (*connection, error) {
+	if open := l.open(); open != nil {
+		return open, nil
 	}
-	l.nextID++
-	message.ID = l.nextID
-	l.waiting[message.ID] = answer
-	connection := l.connection
-	connection.SetWriteDeadline(time.Now().Add(writeTimeout))
-	if err := writeFrame(countedConn{Conn: connection, mesh: l.mesh}, message); err != nil {
-		delete(l.waiting, message.ID)
-		connection.Close()
-		return 0, err
+	select {
+	case l.connecting <- struct{}{}:
+	case <-ctx.Done():
+		return nil, ctx.Err()
 	}
-	return message.ID, nil
-}
-
-func (l *link) dial(ctx context.Context) error {
-	dialer := net.Dialer{Timeout: dialTimeout}
-	connection, err := dialer.DialContext(ctx, "tcp", l.address)
-	if err != nil {
-		return errors.Trace(err)
+	defer func() { <-l.connecting }()
+	if open := l.open(); open != nil {
+		return open, nil
 	}
-	l.connection = connection
-	go l.read(connection)
-	return nil
-}
-
-func (l *link) read(connection net.Conn) {
-	counted := countedConn{Conn: connection, mesh: l.mesh}
-	for {
-		message, err := readFrame(counted)
-		if err != nil {
-			l.lost(connection)
-			return
-		}
-		l.deliver(message)
+	made, err := connect(ctx, l)
+	if err != nil {
+		return nil, err
 	}
-}
-
-func (l *link) deliver(message envelope) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	answer, found := l.waiting[message.ID]
-	if found {
-		delete(l.waiting, message.ID)
-		answer <- message
-	}
+	l.current = made
+	return made, nil
 }
 
-// lost ends every call that waits on a connection.
-func (l *link) lost(connection net.Conn) {
-	connection.Close()
+// open returns the current connection if it is still up.
+func (l *link) open() *connection {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.connection != connection {
-		return
-	}
-	l.connection = nil
-	for id, answer := range l.waiting {
-		delete(l.waiting, id)
-		close(answer)
+	if l.current == nil || l.current.isLost() {
+		return nil
 	}
+	return l.current
 }
 
-func (l *link) abandon(id uint64) {
+// close ends the current connection.
+func (l *link) close() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	delete(l.waiting, id)
-}
-
-// countedConn adds the bytes of a connection to the mesh's counters.
-type countedConn struct {
-	net.Conn
-	mesh *Mesh
-}
-
-func (c countedConn) Read(buffer []byte) (int, error) {
-	n, err := c.Conn.Read(buffer)
-	c.mesh.receivedBytes.Add(int64(n))
-	return n, err
-}
-
-func (c countedConn) Write(buffer []byte) (int, error) {
-	n, err := c.Conn.Write(buffer)
-	c.mesh.sentBytes.Add(int64(n))
-	return n, err
+	if l.current != nil {
+		l.current.lose(errors.New("link closed"))
+	}
 }
--- a/adapter/peer/mesh.go
+++ b/adapter/peer/mesh.go
@@ -10,6 +10,7 @@
 	"agateswitch/core/fleet"
 	"agateswitch/port"
 
+	"github.com/charmbracelet/log"
 	"github.com/juju/errors"
 	"github.com/vmihailenco/msgpack/v5"
 )
@@ -17,7 +18,7 @@
 // Limits of connections between routers.
 const (
 	dialTimeout  = time.Second
-	writeTimeout = 2 * time.Second
+	writeTimeout = 500 * time.Millisecond
 )
 
 // Directory finds the address of a router.
@@ -25,12 +26,20 @@
 	Router(id fleet.HostID) (fleet.Host, bool)
 }
 
-// Mesh is a port.Peers over TCP. It is safe for concurrent use.
+// Dial makes a connection, as net.Dialer.DialContext does.
+type Dial func(ctx context.Context, network, address string) (net.Conn, error)
+
+// Mesh is a port.Peers over TCP. It is safe for concurrent use. A call whose connection
+// is lost or silent is sent once more over a fresh one, so that a handler may see it twice.
 type Mesh struct {
 	self      fleet.HostID
 	directory Directory
+	key       []byte
+	log       *log.Logger
+	dial      Dial
 	handlers  map[string]port.PeerHandler
 
+	// mu guards links, which calls of all parts of the router use.
 	mu    sync.Mutex
 	links map[fleet.HostID]*link
 
@@ -38,13 +47,16 @@
 	receivedBytes atomic.Int64
 }
 
-// New makes the mesh of a router.
-func New(self fleet.HostID, directory Directory) *Mesh {
+// New makes the mesh of a router. The key is the same on every router of the fleet.
+func New(self fleet.HostID, directory Directory, key string, logger *log.Logger) *Mesh {
+	return NewOn((&net.Dialer{}).DialContext, self, directory, key, logger)
+}
+
+// NewOn makes a mesh that connects by dial.
+func NewOn(dial Dial, self fleet.HostID, directory Directory, key string, logger *log.Logger) *Mesh {
 	return &Mesh{
-		self:      self,
-		directory: directory,
-		handlers:  map[string]port.PeerHandler{},
-		links:     map[fleet.HostID]*link{},
+		self: self, directory: directory, key: []byte(key), log: logger, dial: dial,
+		handlers: map[string]port.PeerHandler{}, links: map[fleet.HostID]*link{},
 	}
 }
 
@@ -64,103 +76,60 @@
 	if err != nil {
 		return errors.Annotatef(err, "encoding %s", method)
 	}
-	if to == m.self {
-		return m.callSelf(ctx, method, body, response)
-	}
-	host, found := m.directory.Router(to)
-	if !found {
-		return errors.WithType(errors.Errorf("router %q is not known", to), port.ErrPeerUnreachable)
-	}
-	answer, err := m.link(host).call(ctx, envelope{Kind: kindRequest, From: string(m.self), Method: method, Body: body})
+	message := envelope{Kind: kindRequest, Method: method, Body: body}
+	answer, err := m.send(ctx, to, message)
 	if err != nil {
 		return errors.WithType(errors.Annotatef(err, "calling %s on %s", method, to), port.ErrPeerUnreachable)
 	}
 	if answer.Error != "" {
 		return errors.Errorf("%s on %s: %s", method, to, answer.Error)
 	}
-	return errors.Annotatef(msgpack.Unmarshal(answer.Body, response), "decoding %s", method)
+	return errors.Annotatef(decode(answer.Body, response), "decoding %s", method)
 }
 
-func (m *Mesh) callSelf(ctx context.Context, method string, body []byte, response any) error {
-	answer := m.handle(ctx, envelope{From: string(m.self), Method: method, Body: body})
-	if answer.Error != "" {
-		return errors.New(answer.Error)
+func (m *Mesh) send(ctx context.Context, to fleet.HostID, message envelope) (envelope, error) {
+	if to == m.self {
+		return m.handle(ctx, m.self, message), nil
+	}
+	host, found := m.directory.Router(to)
+	if !found {
+		return envelope{}, errors.Errorf("router %q is not known", to)
 	}
-	return errors.Trace(msgpack.Unmarshal(answer.Body, response))
+	return m.link(host).call(ctx, message)
 }
 
 func (m *Mesh) link(host fleet.Host) *link {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	known, found := m.links[host.ID]
-	if !found || known.address != host.PeerAddress {
-		known = &link{mesh: m, address: host.PeerAddress, waiting: map[uint64]chan envelope{}}
-		m.links[host.ID] = known
+	if found && known.address == host.PeerAddress {
+		return known
 	}
-	return known
-}
-
-// Serve answers peers on the listener until ctx ends.
-func (m *Mesh) Serve(ctx context.Context, listener net.Listener) error {
-	stop := context.AfterFunc(ctx, func() { listener.Close() })
-	defer stop()
-	for {
-		connection, err := listener.Accept()
-		if ctx.Err() != nil {
-			return nil
-		}
-		if err != nil {
-			return errors.Annotate(err, "accepting a peer")
-		}
-		go m.serveConnection(ctx, connection)
+	if found {
+		known.close()
+	} else {
+		m.dropLost()
 	}
+	made := newLink(m, host.ID, host.PeerAddress)
+	m.links[host.ID] = made
+	return made
 }
 
-func (m *Mesh) serveConnection(ctx context.Context, connection net.Conn) {
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	context.AfterFunc(ctx, func() { connection.Close() })
-	counted := countedConn{Conn: connection, mesh: m}
-	var writing sync.Mutex
-	for {
-		message, err := readFrame(counted)
-		if err != nil {
-			return
+// dropLost forgets the links of routers that are no more known. Hosts are replaced, and
+// their ids do not return.
+func (m *Mesh) dropLost() {
+	for id, known := range m.links {
+		if _, found := m.directory.Router(id); !found {
+			known.close()
+			delete(m.links, id)
 		}
-		go func() {
-			answer := m.handle(ctx, message)
-			writing.Lock()
-			defer writing.Unlock()
-			connection.SetWriteDeadline(time.Now().Add(writeTimeout))
-			if writeFrame(counted, answer) != nil {
-				cancel()
-			}
-		}()
 	}
 }
 
-func (m *Mesh) handle(ctx context.Context, message envelope) envelope {
-	answer := envelope{Kind: kindResponse, ID: message.ID}
-	if message.Kind == kindPing {
-		answer.Kind = kindPong
-		return answer
-	}
-	handler, found := m.handlers[message.Method]
-	if !found {
-		answer.Error = "unknown method " + message.Method
-		return answer
-	}
-	decode := func(into any) error { return msgpack.Unmarshal(message.Body, into) }
-	value, err := handler(ctx, fleet.HostID(message.From), decode)
-	if err != nil {
-		answer.Error = err.Error()
-		return answer
-	}
-	body, err := msgpack.Marshal(value)
-	if err != nil {
-		answer.Error = err.Error()
-		return answer
+func (m *Mesh) closeLinks() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, known := range m.links {
+		known.close()
 	}
-	answer.Body = body
-	return answer
 }
--- a/cmd/agateswitch/process_test.go
+++ b/cmd/agateswitch/process_test.go
@@ -92,6 +92,7 @@
 		"platform": {"store": %q, "hosts": %q},
 		"operator_token": "process-test-token",
 		"resume_keys": ["process-test-resume-key-of-32-characters"],
+		"peer_key": "process-test-peer-key-of-32-characters",
 		"log": {"format": "json"}, "drain": "0s"
 	}`, id, dataCentre, store, hostList)
 	must.NoError(t, os.WriteFile(file, []byte(content), 0o600))
--- a/demo/fleet.go
+++ b/demo/fleet.go
@@ -30,6 +30,8 @@
 // OperatorToken is the operators' token of demo fleets.
 const OperatorToken = "demo-operator-token"
 
+const peerKey = "demo-peer-key-of-at-least-32-characters"
+
 const resumeKey = "demo-resume-key-of-at-least-32-characters"
 
 // Speeds of the stand-in engines.
@@ -151,6 +153,7 @@
 		},
 		Listen:   settings.Listen{Callers: anyPort, Operators: anyPort, Peers: anyPort},
 		Platform: platform, OperatorToken: OperatorToken, ResumeKeys: []string{resumeKey},
+		PeerKey: peerKey,
 	}
 	listeners, err := router.Listen(configured.Listen)
 	if err != nil {
--- a/node/router/router.go
+++ b/node/router/router.go
@@ -91,7 +91,7 @@
 	store := kv.New(s.Platform.Store, 0)
 	r.config = configsync.New(store, telemetry)
 	r.members = members.New(self, hostlist.New(s.Platform.Hosts), r.config, telemetry)
-	r.mesh = peer.New(self.ID, r.members)
+	r.mesh = peer.New(self.ID, r.members, s.PeerKey, logger)
 	r.config.Join(r.mesh, r.members)
 	r.moves = moves.New(r.config, store, r.members, r.mesh, telemetry)
 	r.grants = grants.New(r.members, r.config, r.moves, r.mesh, time.Now().UnixNano(), telemetry)
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -23,7 +23,10 @@
 	// ResumeKeys sign resume tokens; the first signs, all verify. At least 32 characters
 	// each, one or two of them. The same on every router.
 	ResumeKeys []string `json:"resume_keys"`
-	Log        Log      `json:"log"`
+	// PeerKey proves that a process is a router of the fleet. At least 32 characters, the
+	// same on every router.
+	PeerKey string `json:"peer_key"`
+	Log     Log    `json:"log"`
 	// Drain is how long a leaving router goes on serving after it has left the entry
 	// answers. Default: 35s, a little more than callers keep those answers.
 	Drain Duration `json:"drain"`
@@ -78,6 +81,7 @@
 	MaxDrain          = time.Hour
 	MinTokenLength    = 16
 	MinResumeKeyBytes = 32
+	MinPeerKeyBytes   = 32
 	MaxResumeKeys     = 2
 )
 
@@ -134,6 +138,7 @@
 	for i, key := range s.ResumeKeys {
 		d.require(len(key) >= MinResumeKeyBytes, fmt.Sprintf("resume_keys[%d]", i), "needs at least %d characters", MinResumeKeyBytes)
 	}
+	d.require(len(s.PeerKey) >= MinPeerKeyBytes, "peer_key", "needs at least %d characters", MinPeerKeyBytes)
 	d.oneOf("log.level", s.Log.Level, "debug", "info", "warn", "error")
 	d.oneOf("log.format", s.Log.Format, "text", "json")
 	drain := time.Duration(s.Drain)
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -39,6 +39,7 @@
 		{"out of range", `"35s"`, `"48h"`, `f:22: drain: must be 0s to 1h0m0s`},
 		{"not an option", `"info"`, `"loud"`, `f:21: log.level: "loud" is not one of [debug info warn error]`},
 		{"short secret", `change-me-operator-token`, `short`, `f:18: operator_token: needs at least 16 characters`},
+		{"short peer key", `change-me-peer-key-of-32-characters`, `short`, `f:24: peer_key: needs at least 32 characters`},
 		{"object expected", `{"level": "info", "format": "text"}`, `"text"`, `f:21: log: must be an object`},
 		{"syntax", `"region": "tt-north"`, `"region" "tt-north"`, `f:6: syntax: `},
 	}
