Decide about once-only calls in a pure core that groups claims

Cause: one store transaction a claim and one an answer do not fit several hundred writes a second. Ruled out: one value a shard, rewritten with each group (rewrites the shard's claims at each commit and has to be loaded by each new owner); owners that hold a lease (once-only work would stop for the lease's time whenever an owner dies). Taken: one store key a claim, and one transaction for the claims and answers of many calls. The condition on each key's revision is the fence, so that owners need no state to be safe. Change: core/claim. A shard groups up to 100 operations, writes at its part of the fleet-wide rate, reads back after a lost answer, and reads first what looks like a resend. A released claim stays as a record, so that a late write of the same holder fails. In an outage of the store a refusal says not run only if every claim of keys as young came to this router while it ranked first, and no other request with the key may have sent. Found by the state machine: an entry that asks a second owner after a pause got a new send limit and sent after a resend had been told that the claim was lost; the limit now counts from before the first owner was asked.

--- a/adapter/callerhttp/errors.go
+++ b/adapter/callerhttp/errors.go
@@ -52,6 +52,7 @@
 	fleet.CodeKeyReused:        http.StatusUnprocessableEntity,
 	fleet.CodeKeyMissing:       http.StatusBadRequest,
 	fleet.CodeStoreDown:        http.StatusServiceUnavailable,
+	fleet.CodeAnswerOmitted:    http.StatusGone,
 	fleet.CodeConflict:         http.StatusConflict,
 	fleet.CodeInvalid:          http.StatusUnprocessableEntity,
 	fleet.CodeStarting:         http.StatusServiceUnavailable,
--- /dev/null
+++ b/core/claim/key_test.go
@@ -0,0 +1,57 @@
+package claim
+
+import (
+	"testing"
+	"time"
+
+	"agateswitch/core/fleet"
+
+	"github.com/shoenig/test/must"
+)
+
+func TestCheckKey(t *testing.T) {
+	now := start
+	cases := map[string]bool{
+		keyAt(now, 1):                                    true,
+		keyAt(now.Add(-Window), 1):                       true,
+		keyAt(now.Add(-Window-time.Millisecond), 1):      false,
+		keyAt(now.Add(MaxClockSkew), 1):                  true,
+		keyAt(now.Add(MaxClockSkew+time.Millisecond), 1): false,
+		"01a23aea-dc00-4000-8000-000000000000":           false,
+		"not a key":                                      false,
+	}
+	for key, accepted := range cases {
+		refusal := CheckKey(now, key)
+		must.Eq(t, accepted, refusal == nil, must.Sprint(key))
+		if refusal != nil {
+			must.Eq(t, fleet.RanUnknown, refusal.Ran)
+		}
+	}
+}
+
+// A claim is out of the removal range for as long as its key is accepted.
+func TestRemovalKeepsTheWindow(t *testing.T) {
+	for _, age := range []time.Duration{-MaxClockSkew, 0, Window, Window + removalMargin/2} {
+		claim := fleet.Claim{Team: "t", Key: keyAt(start.Add(-age), 1)}
+		_, to := RemovalRange(start, ShardOf(claim.Team, claim.Key))
+		must.GreaterEq(t, to, storeKey(claim), must.Sprint(age))
+	}
+	claim := fleet.Claim{Team: "t", Key: keyAt(start.Add(-Window-2*removalMargin), 1)}
+	from, to := RemovalRange(start, ShardOf(claim.Team, claim.Key))
+	must.Between(t, from, storeKey(claim), to)
+}
+
+func FuzzDecodeRecord(f *testing.F) {
+	f.Add(record{Phase: phaseOpen, Holder: "r", Begun: start}.encode())
+	f.Add(record{Phase: phaseEnded, Answer: &fleet.ClaimAnswer{Status: 200, Body: []byte("x")}}.encode())
+	f.Add([]byte(`{"phase":"ended"}`))
+	f.Fuzz(func(t *testing.T, value []byte) {
+		r, err := decodeRecord(value)
+		if err != nil {
+			return
+		}
+		again, err := decodeRecord(r.encode())
+		must.NoError(t, err)
+		must.Eq(t, r.Phase, again.Phase)
+	})
+}
--- a/core/fleet/claim.go
+++ b/core/fleet/claim.go
@@ -12,8 +12,12 @@
 	BodyDigest string
 	// Holder is the request that holds the claim.
 	Holder RequestID
+	// Host is the entry host of the request.
+	Host HostID
 	// Begun is when the request reached the router.
 	Begun time.Time
+	// Revision is the store's revision of a granted claim; 0 while it is not granted.
+	Revision int64
 }
 
 // ClaimState tells what the caller of a claim may do.
@@ -34,6 +38,10 @@
 	State   ClaimState
 	Answer  ClaimAnswer
 	Refusal *Refusal
+	// Revision is the store's revision of a granted claim.
+	Revision int64
+	// SendBy is when the permission to send a granted claim's call ends.
+	SendBy Deadline
 }
 
 // ClaimAnswer is the recorded end of a call.
@@ -46,7 +54,29 @@
 	// ContentType of Body. Body is at most MaxRecordedBody bytes.
 	ContentType string
 	Body        []byte
+	// BodyOmitted is true when the body was larger and only the status is recorded.
+	BodyOmitted bool
 }
 
 // MaxRecordedBody is the largest answer that is recorded for resends, in bytes.
 const MaxRecordedBody = 16 << 10
+
+// Deadline is a moment on two clocks. The monotonic clock is right when the wall clock is
+// set; the wall clock is right when the machine was suspended, which stops the other.
+type Deadline struct {
+	monotonic time.Time
+	wall      time.Time
+}
+
+// DeadlineAt makes the deadline of a moment that was derived from time.Now().
+func DeadlineAt(moment time.Time) Deadline {
+	return Deadline{monotonic: moment, wall: moment.Round(0)}
+}
+
+// HasPassed tells whether either clock has reached the deadline at now, which is time.Now().
+func (d Deadline) HasPassed(now time.Time) bool {
+	return !now.Before(d.monotonic) || !now.Round(0).Before(d.wall)
+}
+
+// Until returns the time that is left on the monotonic clock.
+func (d Deadline) Until(now time.Time) time.Duration { return d.monotonic.Sub(now) }
--- a/core/fleet/refusal.go
+++ b/core/fleet/refusal.go
@@ -35,6 +35,7 @@
 	CodeKeyReused        Code = "idempotency_key_reused"
 	CodeKeyMissing       Code = "idempotency_key_missing"
 	CodeStoreDown        Code = "store_down"
+	CodeAnswerOmitted    Code = "answer_not_recorded"
 	CodeConflict         Code = "conflict"
 	CodeInvalid          Code = "invalid"
 	CodeStarting         Code = "starting"
--- a/node/lease/lease.go
+++ b/node/lease/lease.go
@@ -44,25 +44,10 @@
 	cancel context.CancelFunc
 
 	mu     sync.Mutex
-	until  deadline
+	until  fleet.Deadline
 	closed bool
 }
 
-// deadline is a moment on two clocks. The monotonic clock is right when the wall clock
-// is set; the wall clock is right when the machine was suspended, which stops the other.
-type deadline struct {
-	monotonic time.Time
-	wall      time.Time
-}
-
-func deadlineAt(moment time.Time) deadline {
-	return deadline{monotonic: moment, wall: moment.Round(0)}
-}
-
-func (d deadline) isBefore(now time.Time) bool {
-	return !now.Before(d.monotonic) || !now.Round(0).Before(d.wall)
-}
-
 // holder is the value of a lease's key.
 type holder struct {
 	Host  fleet.HostID `json:"host"`
@@ -91,7 +76,7 @@
 	life, cancel := context.WithCancel(ctx)
 	held := &Lease{
 		Fence: fence, store: store, id: id, done: make(chan struct{}), cancel: cancel,
-		until: deadlineAt(asked.Add(usable(ttl))),
+		until: fleet.DeadlineAt(asked.Add(usable(ttl))),
 	}
 	go held.keep(life, ttl)
 	return held, nil
@@ -136,7 +121,7 @@
 func (l *Lease) Valid(now time.Time) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return !l.closed && !l.until.isBefore(now)
+	return !l.closed && !l.until.HasPassed(now)
 }
 
 // Done is closed when the holder must have stopped: before the lease can have lapsed.
@@ -185,7 +170,7 @@
 func (l *Lease) expired() <-chan time.Time {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return time.After(time.Until(l.until.monotonic))
+	return time.After(l.until.Until(time.Now()))
 }
 
 // renew extends the lease. It returns false when the lease has lapsed.
@@ -203,11 +188,11 @@
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.until.isBefore(time.Now()) {
+	if l.until.HasPassed(time.Now()) {
 		// The holder was told to stop; it does not start again under the same number.
 		return false
 	}
-	l.until = deadlineAt(asked.Add(usable(ttl)))
+	l.until = fleet.DeadlineAt(asked.Add(usable(ttl)))
 	return true
 }
 
--- a/node/lease/lease_test.go
+++ b/node/lease/lease_test.go
@@ -115,7 +115,7 @@
 		service := store.NewDirect()
 		id, err := service.GrantLease(t.Context(), ttl)
 		must.NoError(t, err)
-		held := &Lease{store: service, id: id, until: deadlineAt(time.Now().Add(ttl / 4))}
+		held := &Lease{store: service, id: id, until: fleet.DeadlineAt(time.Now().Add(ttl / 4))}
 		service.SetKeepAliveDelay(ttl / 2)
 		must.False(t, held.renew(t.Context(), ttl))
 		must.False(t, held.Valid(time.Now()))
