Commit once-only claims in groups by owners of claim shards

Cause: each once-only call cost two store transactions of its own; a holder could send after any pause; a lost connection could run a call twice. Found: http.Transport repeats a call with an Idempotency-Key header when a kept connection fails and the body can be rewound. TestConnectionLostAfterSendingIsNotRepeated saw two runs with a bytes.Reader as body. The body of a once-only call is now a type that cannot be rewound, and refuses to be read after the send limit. Go sends the headers of such a call before its body, so a refusal at that point counts as unknown, not as not run. Change: node/claims asks up to three owners in rendezvous order; an owner groups, commits, reads back, and refuses by its memory in an outage. A refused claim that may become durable is released in the background, so that the refusal goes out at once. A router that takes claims below its rank tells those above it until they have heard. Old claims are deleted by range, one write a shard and ten minutes. An answer waits up to 2 s for its record; of one above 16 KB the status is recorded. A planned stop waits for records that are being made. The digest of a call now names its pool: two pools could have shared a key and a path. Seen failing (trials with the mechanism removed): no notice (TestOwnerHearsOfForeignClaims); one owner only (TestSilentOwnerIsReplaced); transactions without conditions (TestSameKeyAtTwoEntriesAtOnce and others); no release (TestOutageOfTheStore: a second first call in an outage was unknown); a lost commit taken as done (TestOutageOfTheStore); body that can be rewound; no check before sending; no check at the first read.

--- a/node/claims/claims.go
+++ b/node/claims/claims.go
@@ -1,123 +1,187 @@
-// Package claims makes calls that may not be repeated run at most once: a claim is made
-// durable in the platform's key-value service before the call is sent.
+// Package claims makes calls that may not be repeated run at most once. An entry router
+// asks the owner of the key's claim shard, which commits the claims and answers of many
+// calls together in the platform's key-value service.
 package claims
 
 import (
 	"context"
-	"encoding/json"
+	"sync"
 	"time"
 
+	coreclaim "agateswitch/core/claim"
 	"agateswitch/core/fleet"
+	"agateswitch/core/rendezvous"
 	"agateswitch/port"
 
 	"github.com/juju/errors"
 )
 
-const keyPrefix = "agateswitch/claim/"
-
-// Times that refused callers are told.
+// Limits of an entry router.
 const (
-	inProgressRetryAfter = 2 * time.Second
-	storeDownRetryAfter  = 5 * time.Second
+	// maxOwners is how many routers are asked for one claim, in the shard's order.
+	maxOwners = 3
+	// askTimeout bounds one call of an owner; it is above the owner's own limit.
+	askTimeout = beginLimit + 500*time.Millisecond
+	// finishTimeout bounds the recording of an end, with all its retries.
+	finishTimeout = 30 * time.Second
+	// finishRetry is the pause between two tries to record an end.
+	finishRetry = 500 * time.Millisecond
 )
 
-// record is the durable state of a claim.
-type record struct {
-	BodyDigest string             `json:"body_digest"`
-	Holder     fleet.RequestID    `json:"holder"`
-	Begun      time.Time          `json:"begun"`
-	Answer     *fleet.ClaimAnswer `json:"answer,omitempty"`
-}
+// noOwnerRetryAfter is when a caller is told to come back while no owner answers.
+const noOwnerRetryAfter = 2 * time.Second
 
-// Service is a port.Claims.
+// Service is a port.Claims, and the owner of claim shards. It is safe for concurrent use.
 type Service struct {
 	store     port.Store
 	members   port.Members
 	peers     port.Peers
 	telemetry port.Telemetry
+	metrics   metrics
+	workers   [coreclaim.Shards]*worker
+	// finishing counts the ends that are being recorded.
+	finishing sync.WaitGroup
 }
 
 // New makes the service.
 func New(store port.Store, members port.Members, peers port.Peers, telemetry port.Telemetry) *Service {
-	return &Service{store: store, members: members, peers: peers, telemetry: telemetry}
+	s := &Service{store: store, members: members, peers: peers, telemetry: telemetry, metrics: newMetrics(telemetry.Meter)}
+	now := time.Now()
+	for i := range s.workers {
+		s.workers[i] = newWorker(s, i, now)
+	}
+	peers.Handle(methodBegin, s.handleBegin)
+	peers.Handle(methodFinish, s.handleFinish)
+	peers.Handle(methodForeign, s.handleForeign)
+	return s
 }
 
-// Run commits and removes claims until ctx ends.
-func (s *Service) Run(ctx context.Context) {
-	<-ctx.Done()
+// routerIDs returns the routers that take work.
+func (s *Service) routerIDs() []string {
+	var ids []string
+	for _, host := range s.members.Routers() {
+		ids = append(ids, string(host.ID))
+	}
+	return ids
 }
 
-func storeKey(claim fleet.Claim) string {
-	return keyPrefix + string(claim.Team) + "/" + claim.Key
+// owners returns the routers to ask about a shard, best first.
+func (s *Service) owners(shard int) []fleet.HostID {
+	ranked := rendezvous.Order(coreclaim.ShardName(shard), s.routerIDs())
+	var owners []fleet.HostID
+	for _, id := range ranked[:min(maxOwners, len(ranked))] {
+		owners = append(owners, fleet.HostID(id))
+	}
+	return owners
 }
 
 // Begin implements port.Claims.
 func (s *Service) Begin(ctx context.Context, claim fleet.Claim) fleet.ClaimResult {
-	value, err := json.Marshal(record{BodyDigest: claim.BodyDigest, Holder: claim.Holder, Begun: claim.Begun})
-	if err != nil {
-		return refused(fleet.Refuse(fleet.CodeInternal, err.Error(), 0))
+	// The limit for sending counts from before the first owner is asked.
+	asked := time.Now()
+	claim.Host = s.members.Self().ID
+	result, owner := s.begin(ctx, claim)
+	result.SendBy = fleet.DeadlineAt(asked.Add(coreclaim.SendLimit))
+	if mayBeDurable(result) {
+		s.releaseLater(claim)
 	}
-	result, err := s.store.Commit(ctx, port.Transaction{
-		Conditions: []port.Condition{{Key: storeKey(claim)}},
-		Writes:     []port.Write{{Key: storeKey(claim), Value: value}},
-	})
-	if err == nil && result.Applied {
-		return fleet.ClaimResult{State: fleet.ClaimGranted}
-	}
-	// The key was taken, or the answer was lost: reading back tells whose claim it is.
-	found, err := s.read(ctx, claim)
-	if err != nil || found == nil {
-		return refused(fleet.Refuse(fleet.CodeStoreDown, "the claim could not be made durable", storeDownRetryAfter))
-	}
-	return judge(claim, *found)
+	s.explain(claim, result, owner, time.Since(asked))
+	return result
 }
 
-func (s *Service) read(ctx context.Context, claim fleet.Claim) (*record, error) {
-	entry, err := s.store.Get(ctx, storeKey(claim))
-	if err != nil || entry.Revision == 0 {
-		return nil, err
+func (s *Service) begin(ctx context.Context, claim fleet.Claim) (fleet.ClaimResult, fleet.HostID) {
+	if refusal := coreclaim.CheckKey(time.Now(), claim.Key); refusal != nil {
+		return fleet.ClaimResult{State: fleet.ClaimRefused, Refusal: refusal}, ""
 	}
-	var found record
-	if err := json.Unmarshal(entry.Value, &found); err != nil {
-		return nil, errors.Annotate(err, "decoding a claim")
+	ctx, cancel := context.WithTimeout(ctx, coreclaim.SendLimit)
+	defer cancel()
+	for _, owner := range s.owners(coreclaim.ShardOf(claim.Team, claim.Key)) {
+		var result fleet.ClaimResult
+		if s.call(ctx, owner, methodBegin, claim, &result) == nil && result.State != "" {
+			return result, owner
+		}
 	}
-	return &found, nil
+	refusal := fleet.RefuseUnknown(fleet.CodeStoreDown,
+		"no owner of the claim answered; this call was not sent, an earlier one with its key may have run")
+	refusal.RetryAfter = noOwnerRetryAfter
+	return fleet.ClaimResult{State: fleet.ClaimRefused, Refusal: refusal}, ""
 }
 
-func judge(claim fleet.Claim, found record) fleet.ClaimResult {
+// call asks one owner and notes whether it can be reached.
+func (s *Service) call(ctx context.Context, owner fleet.HostID, method string, request, response any) error {
+	limited, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	err := s.peers.Call(limited, owner, method, request, response)
 	switch {
-	case found.BodyDigest != claim.BodyDigest:
-		return refused(fleet.Refuse(fleet.CodeKeyReused, "the idempotency key was used with another request", 0))
-	case found.Answer != nil && found.Answer.Unknown:
-		return refused(fleet.RefuseUnknown(fleet.CodeOutcomeUnknown, "the call may have run and its answer is lost"))
-	case found.Answer != nil:
-		return fleet.ClaimResult{State: fleet.ClaimRecorded, Answer: *found.Answer}
-	case found.Holder == claim.Holder:
-		return fleet.ClaimResult{State: fleet.ClaimGranted}
-	default:
-		return refused(&fleet.Refusal{
-			Code: fleet.CodeInProgress, Message: "the same call is in progress",
-			Ran: fleet.RanUnknown, RetryAfter: inProgressRetryAfter,
-		})
+	case err == nil:
+		s.members.Confirm(owner)
+	case errors.Is(err, port.ErrPeerUnreachable) && ctx.Err() == nil:
+		s.members.Suspect(owner)
+		s.telemetry.Log.Warn("claim owner unreachable", "owner", owner, "method", method, "err", err)
 	}
+	return err
 }
 
-func refused(refusal *fleet.Refusal) fleet.ClaimResult {
-	return fleet.ClaimResult{State: fleet.ClaimRefused, Refusal: refusal}
+// mayBeDurable tells whether a refused claim may be in the store, or get there late.
+func mayBeDurable(result fleet.ClaimResult) bool {
+	if result.State != fleet.ClaimRefused {
+		return false
+	}
+	code := result.Refusal.Code
+	return code == fleet.CodeStoreDown || code == fleet.CodeOverloaded
 }
 
-// Finish implements port.Claims.
+// releaseLater lets resends take over a claim that is never sent, without holding up the
+// refusal.
+func (s *Service) releaseLater(claim fleet.Claim) {
+	s.finishing.Go(func() {
+		if err := s.Finish(context.Background(), claim, fleet.ClaimAnswer{Unsent: true}); err != nil {
+			s.telemetry.Log.Warn("claim not released, resends will be told that its outcome is unknown",
+				"request", claim.Holder, "err", err)
+		}
+	})
+}
+
+// Finish implements port.Claims. It tries until the end is durable, ctx ends, or 30 s.
 func (s *Service) Finish(ctx context.Context, claim fleet.Claim, answer fleet.ClaimAnswer) error {
-	write := port.Write{Key: storeKey(claim), Delete: answer.Unsent}
-	if !answer.Unsent {
-		value, err := json.Marshal(record{
-			BodyDigest: claim.BodyDigest, Holder: claim.Holder, Begun: claim.Begun, Answer: &answer,
-		})
-		if err != nil {
-			return errors.Trace(err)
+	s.finishing.Add(1)
+	defer s.finishing.Done()
+	ctx, cancel := context.WithTimeout(ctx, finishTimeout)
+	defer cancel()
+	message := finishRequest{Claim: claim, Answer: answer}
+	for {
+		for _, owner := range s.owners(coreclaim.ShardOf(claim.Team, claim.Key)) {
+			var response finishResponse
+			if s.call(ctx, owner, methodFinish, message, &response) == nil && response.Recorded {
+				return nil
+			}
 		}
-		write.Value = value
+		select {
+		case <-time.After(finishRetry):
+		case <-ctx.Done():
+			return errors.Annotate(ctx.Err(), "recording the end of a claim")
+		}
+	}
+}
+
+// Wait blocks until no end is being recorded, or ctx ends. A router that stops waits, so
+// that no call of its own ends as unknown.
+func (s *Service) Wait(ctx context.Context) {
+	done := make(chan struct{})
+	go func() { s.finishing.Wait(); close(done) }()
+	select {
+	case <-done:
+	case <-ctx.Done():
+	}
+}
+
+// explain logs and counts the decision about a claim.
+func (s *Service) explain(claim fleet.Claim, result fleet.ClaimResult, owner fleet.HostID, took time.Duration) {
+	name, reason := string(result.State), ""
+	if result.Refusal != nil {
+		name, reason = string(result.Refusal.Code), result.Refusal.Message
 	}
-	_, err := s.store.Commit(ctx, port.Transaction{Writes: []port.Write{write}})
-	return errors.Annotate(err, "recording the end of a claim")
+	s.metrics.decided(name, took)
+	s.telemetry.Log.Info("claim decided", "request", claim.Holder, "team", claim.Team, "pool", claim.Pool,
+		"key", claim.Key, "result", name, "reason", reason, "owner", owner, "took", took)
 }
--- /dev/null
+++ b/node/claims/claims_test.go
@@ -0,0 +1,337 @@
+package claims
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	coreclaim "agateswitch/core/claim"
+	"agateswitch/core/fleet"
+	"agateswitch/port"
+	"agateswitch/standin/store"
+
+	"github.com/charmbracelet/log"
+	"github.com/google/uuid"
+	"github.com/juju/errors"
+	"github.com/shoenig/test/must"
+	"github.com/vmihailenco/msgpack/v5"
+)
+
+// network joins the routers of a test. Calls of a silent router wait for their end.
+type network struct {
+	mu       sync.Mutex
+	handlers map[fleet.HostID]map[string]port.PeerHandler
+	silent   map[fleet.HostID]bool
+}
+
+type peers struct {
+	network *network
+	self    fleet.HostID
+}
+
+func (p peers) Handle(method string, handler port.PeerHandler) {
+	p.network.handlers[p.self][method] = handler
+}
+
+func (p peers) Call(ctx context.Context, to fleet.HostID, method string, request, response any) error {
+	p.network.mu.Lock()
+	silent := p.network.silent[to] || p.network.silent[p.self]
+	handler := p.network.handlers[to][method]
+	p.network.mu.Unlock()
+	if silent {
+		<-ctx.Done()
+		return errors.WithType(ctx.Err(), port.ErrPeerUnreachable)
+	}
+	body, err := msgpack.Marshal(request)
+	if err != nil {
+		return err
+	}
+	answer, err := handler(ctx, p.self, func(into any) error { return msgpack.Unmarshal(body, into) })
+	if err != nil {
+		return err
+	}
+	if body, err = msgpack.Marshal(answer); err != nil {
+		return err
+	}
+	return msgpack.Unmarshal(body, response)
+}
+
+// members is a view without lag or suspicion.
+type members struct {
+	port.Members
+	self    fleet.HostID
+	routers []fleet.Host
+}
+
+func (m members) Self() fleet.Host      { return fleet.Host{ID: m.self, State: fleet.Live} }
+func (m members) Routers() []fleet.Host { return m.routers }
+func (m members) Suspect(fleet.HostID)  {}
+func (m members) Confirm(fleet.HostID)  {}
+func (m members) Router(id fleet.HostID) (fleet.Host, bool) {
+	return fleet.Host{ID: id, State: fleet.Live}, true
+}
+
+type testFleet struct {
+	network *network
+	store   *store.Direct
+	routers []*Service
+}
+
+// newFleet starts routers that have ranked for long enough to vouch for young keys.
+func newFleet(ctx context.Context, size int) *testFleet {
+	f := &testFleet{store: store.NewDirect(), network: &network{
+		handlers: map[fleet.HostID]map[string]port.PeerHandler{}, silent: map[fleet.HostID]bool{},
+	}}
+	var hosts []fleet.Host
+	for i := range size {
+		hosts = append(hosts, fleet.Host{ID: fleet.HostID(fmt.Sprint("router-", i)), State: fleet.Live})
+	}
+	for _, host := range hosts {
+		f.network.handlers[host.ID] = map[string]port.PeerHandler{}
+		telemetry := port.Telemetry{Log: log.New(io.Discard)}
+		s := New(f.store, members{self: host.ID, routers: hosts}, peers{network: f.network, self: host.ID}, telemetry)
+		f.routers = append(f.routers, s)
+		go s.Run(ctx)
+	}
+	time.Sleep(coreclaim.MaxClockSkew + 2*tickInterval)
+	return f
+}
+
+// inBubble runs a test with a fleet in virtual time.
+func inBubble(t *testing.T, size int, test func(t *testing.T, f *testFleet)) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		f := newFleet(ctx, size)
+		test(t, f)
+		for _, s := range f.routers {
+			s.Wait(t.Context())
+		}
+		cancel()
+		// Notices and commits that still run end within their limits.
+		time.Sleep(askTimeout)
+	})
+}
+
+func newClaim(key string) fleet.Claim {
+	return fleet.Claim{
+		Team: "arima-yard", Key: key, BodyDigest: "body", Begun: time.Now(), Holder: fleet.RequestID(uuid.NewString()),
+	}
+}
+
+// newKey makes a UUIDv7 in the bubble's time.
+func newKey() string {
+	millis := fmt.Sprintf("%012x", time.Now().UnixMilli())
+	return millis[:8] + "-" + millis[8:] + "-7" + uuid.NewString()[15:]
+}
+
+// ownerOf returns the index of the first owner of a key's shard.
+func (f *testFleet) ownerOf(key string) int {
+	owner := f.routers[0].owners(coreclaim.ShardOf("arima-yard", key))[0]
+	for i, s := range f.routers {
+		if s.members.Self().ID == owner {
+			return i
+		}
+	}
+	panic("no owner")
+}
+
+func codeOf(result fleet.ClaimResult) fleet.Code {
+	if result.Refusal == nil {
+		return ""
+	}
+	return result.Refusal.Code
+}
+
+func TestSameKeyAtTwoEntriesAtOnce(t *testing.T) {
+	inBubble(t, 3, func(t *testing.T, f *testFleet) {
+		key := newKey()
+		results := make(chan fleet.ClaimResult, 3)
+		wanted := newClaim(key)
+		for i, entry := range f.routers {
+			claim := newClaim(key)
+			if i == 0 {
+				claim = wanted
+			}
+			go func() { results <- entry.Begin(t.Context(), claim) }()
+		}
+		granted := 0
+		for range 3 {
+			result := <-results
+			if result.State == fleet.ClaimGranted {
+				granted++
+				continue
+			}
+			must.Eq(t, fleet.CodeInProgress, codeOf(result))
+		}
+		must.Eq(t, 1, granted)
+	})
+}
+
+func TestResendGetsTheRecordedAnswer(t *testing.T) {
+	inBubble(t, 3, func(t *testing.T, f *testFleet) {
+		claim := newClaim(newKey())
+		result := f.routers[0].Begin(t.Context(), claim)
+		must.Eq(t, fleet.ClaimGranted, result.State)
+		claim.Revision = result.Revision
+		answer := fleet.ClaimAnswer{Status: 201, ContentType: "text/plain", Body: []byte("booked")}
+		must.NoError(t, f.routers[1].Finish(t.Context(), claim, answer))
+		for _, entry := range f.routers {
+			must.Eq(t, answer, entry.Begin(t.Context(), newClaim(claim.Key)).Answer)
+		}
+		other := newClaim(claim.Key)
+		other.BodyDigest = "another body"
+		must.Eq(t, fleet.CodeKeyReused, codeOf(f.routers[2].Begin(t.Context(), other)))
+	})
+}
+
+// A silent owner costs one limit; the next router takes over, and the grant stands.
+func TestSilentOwnerIsReplaced(t *testing.T) {
+	inBubble(t, 4, func(t *testing.T, f *testFleet) {
+		claim := newClaim(newKey())
+		owner := f.ownerOf(claim.Key)
+		f.network.mu.Lock()
+		f.network.silent[f.routers[owner].members.Self().ID] = true
+		f.network.mu.Unlock()
+		entry := f.routers[(owner+1)%4]
+		asked := time.Now()
+		result := entry.Begin(t.Context(), claim)
+		must.Eq(t, fleet.ClaimGranted, result.State)
+		must.Less(t, coreclaim.SendLimit, time.Since(asked))
+		must.False(t, result.SendBy.HasPassed(time.Now()))
+		must.Eq(t, fleet.CodeInProgress, codeOf(f.routers[(owner+2)%4].Begin(t.Context(), newClaim(claim.Key))))
+	})
+}
+
+func TestOutageOfTheStore(t *testing.T) {
+	inBubble(t, 3, func(t *testing.T, f *testFleet) {
+		ran := newClaim(newKey())
+		must.Eq(t, fleet.ClaimGranted, f.routers[0].Begin(t.Context(), ran).State)
+		f.store.SetDown(true)
+		fresh := newKey()
+		for _, entry := range f.routers {
+			// The first router's release has to reach the owner before the next call.
+			synctest.Wait()
+			result := entry.Begin(t.Context(), newClaim(fresh))
+			must.Eq(t, fleet.CodeStoreDown, codeOf(result))
+			must.Eq(t, fleet.NotRun, result.Refusal.Ran, must.Sprint(result.Refusal.Message))
+			must.Positive(t, result.Refusal.RetryAfter)
+		}
+		resend := f.routers[1].Begin(t.Context(), newClaim(ran.Key))
+		must.Eq(t, fleet.RanUnknown, resend.Refusal.Ran)
+		f.store.SetDown(false)
+		time.Sleep(2 * time.Second)
+		must.Eq(t, fleet.ClaimGranted, f.routers[2].Begin(t.Context(), newClaim(fresh)).State)
+	})
+}
+
+// A lower router that takes a claim because the owner is cut off tells the owner as soon
+// as it can: the owner then does not vouch for keys that it did not see.
+func TestOwnerHearsOfForeignClaims(t *testing.T) {
+	inBubble(t, 3, func(t *testing.T, f *testFleet) {
+		claim := newClaim(newKey())
+		owner := f.ownerOf(claim.Key)
+		setSilent := func(silent bool) {
+			f.network.mu.Lock()
+			defer f.network.mu.Unlock()
+			f.network.silent[f.routers[owner].members.Self().ID] = silent
+		}
+		setSilent(true)
+		must.Eq(t, fleet.ClaimGranted, f.routers[(owner+1)%3].Begin(t.Context(), claim).State)
+		setSilent(false)
+		time.Sleep(3 * tickInterval)
+		f.store.SetDown(true)
+		resend := f.routers[(owner+2)%3].Begin(t.Context(), newClaim(claim.Key))
+		must.Eq(t, fleet.RanUnknown, resend.Refusal.Ran, must.Sprint("a call that was granted elsewhere was said not to have run"))
+		f.store.SetDown(false)
+	})
+}
+
+func TestOldClaimsAreRemoved(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		f := newFleet(ctx, 1)
+		claim := newClaim(newKey())
+		must.Eq(t, fleet.ClaimGranted, f.routers[0].Begin(t.Context(), claim).State)
+		held := func() int {
+			entries, _, err := f.store.List(t.Context(), "agateswitch/claim/")
+			must.NoError(t, err)
+			return len(entries)
+		}
+		shard := coreclaim.ShardOf(claim.Team, claim.Key)
+		cancel()
+		time.Sleep(coreclaim.Window)
+		f.routers[0].remove(t.Context(), shard)
+		must.Eq(t, 1, held())
+		time.Sleep(2 * time.Hour)
+		f.routers[0].remove(t.Context(), shard)
+		must.Zero(t, held())
+		late := f.routers[0].Begin(t.Context(), newClaim(claim.Key))
+		must.Eq(t, fleet.RanUnknown, late.Refusal.Ran)
+	})
+}
+
+// Many callers with few keys at all entries, over a store that loses, delays and doubles
+// commits, while holders pause, die and owners fall silent: one send a key.
+func TestRandomFaultsSendOnce(t *testing.T) {
+	for seed := range uint64(20) {
+		inBubble(t, 4, func(t *testing.T, f *testFleet) { randomFaults(t, f, rand.New(rand.NewPCG(seed, 1))) })
+	}
+}
+
+func randomFaults(t *testing.T, f *testFleet, random *rand.Rand) {
+	var mu sync.Mutex
+	sends := map[string]int{}
+	draw := func(n int) int {
+		mu.Lock()
+		defer mu.Unlock()
+		return random.IntN(n)
+	}
+	fates := []store.Fate{store.Answered, store.Answered, store.LostBefore, store.LostAfter, store.Late, store.Doubled}
+	f.store.SetFate(func(port.Transaction) store.Fate { return fates[draw(len(fates))] })
+	keys := []string{newKey(), newKey(), newKey(), newKey()}
+	var callers sync.WaitGroup
+	for range 40 {
+		time.Sleep(time.Duration(draw(1500)) * time.Millisecond)
+		if draw(8) == 0 {
+			f.network.mu.Lock()
+			f.network.silent = map[fleet.HostID]bool{f.routers[draw(4)].members.Self().ID: draw(2) == 0}
+			f.network.mu.Unlock()
+		}
+		entry, claim := f.routers[draw(4)], newClaim(keys[draw(len(keys))])
+		callers.Go(func() {
+			result := entry.Begin(t.Context(), claim)
+			if result.State == fleet.ClaimRefused && result.Refusal.Ran == fleet.NotRun {
+				mu.Lock()
+				defer mu.Unlock()
+				if sends[claim.Key] != 0 {
+					t.Errorf("not run was said of a call that ran: %s", result.Refusal.Message)
+				}
+			}
+			if result.State != fleet.ClaimGranted {
+				return
+			}
+			claim.Revision = result.Revision
+			time.Sleep(time.Duration(draw(6000)) * time.Millisecond)
+			if result.SendBy.HasPassed(time.Now()) {
+				entry.Finish(t.Context(), claim, fleet.ClaimAnswer{Unsent: true})
+				return
+			}
+			mu.Lock()
+			sends[claim.Key]++
+			mu.Unlock()
+			if draw(2) == 0 {
+				entry.Finish(t.Context(), claim, fleet.ClaimAnswer{Status: 200})
+			}
+		})
+	}
+	callers.Wait()
+	for key, count := range sends {
+		must.Eq(t, 1, count, must.Sprint(key, " was sent more than once"))
+	}
+}
--- a/node/forward/once.go
+++ b/node/forward/once.go
@@ -9,77 +9,130 @@
 	"net/http"
 	"time"
 
+	"agateswitch/core/claim"
 	"agateswitch/core/fleet"
+	"agateswitch/port"
+
+	"github.com/juju/errors"
+)
+
+const (
+	// recordWait is how long an answer is held back until its record is durable. The
+	// recording goes on afterwards.
+	recordWait = 2 * time.Second
+	// lateRetryAfter is when the caller of a call that was not sent in time may come back.
+	lateRetryAfter = time.Second
 )
 
-// finishTimeout bounds the recording of an answer after the caller has gone.
-const finishTimeout = 10 * time.Second
+// errTooLate means that the permission to send a claimed call has ended.
+var errTooLate = errors.New("the permission to send has ended")
 
 func (s *Service) runOnce(ctx context.Context, call Call, sink Sink) {
-	claim := fleet.Claim{
+	wanted := fleet.Claim{
 		Team: call.Request.Team, Pool: call.Pool.Name, Key: call.IdempotencyKey,
 		BodyDigest: digest(call), Holder: call.Request.ID, Begun: time.Now(),
 	}
-	result := s.claims.Begin(ctx, claim)
-	s.telemetry.Log.Info("claim", "request", call.Request.ID, "team", claim.Team, "key", claim.Key, "state", result.State)
+	result := s.claims.Begin(ctx, wanted)
 	switch result.State {
-	case fleet.ClaimRefused:
-		sink.Refuse(result.Refusal)
 	case fleet.ClaimRecorded:
 		s.replay(result.Answer, sink)
 	case fleet.ClaimGranted:
-		s.execute(ctx, call, claim, sink)
+		wanted.Revision = result.Revision
+		s.execute(ctx, call, wanted, result.SendBy, sink)
+	default:
+		sink.Refuse(result.Refusal)
 	}
 }
 
 func (s *Service) replay(answer fleet.ClaimAnswer, sink Sink) {
-	header := http.Header{"Content-Type": {answer.ContentType}, "Idempotency-Replayed": {"true"}}
+	header := http.Header{"Idempotency-Replayed": {"true"}}
+	if answer.ContentType != "" {
+		header.Set("Content-Type", answer.ContentType)
+	}
 	sink.Answer(answer.Status, header, bytes.NewReader(answer.Body))
 }
 
 // execute sends a claimed call once. Its end is recorded before the caller hears of it.
-func (s *Service) execute(ctx context.Context, call Call, claim fleet.Claim, sink Sink) {
+func (s *Service) execute(ctx context.Context, call Call, held fleet.Claim, sendBy fleet.Deadline, sink Sink) {
 	// The call goes on when the caller goes away: its answer is kept for the resend.
-	ctx = context.WithoutCancel(ctx)
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), claim.CallLimit)
+	defer cancel()
 	grant, refusal := s.placer.Acquire(ctx, call.Request)
 	if refusal != nil {
-		s.finish(ctx, claim, fleet.ClaimAnswer{Unsent: true})
+		s.record(held, fleet.ClaimAnswer{Unsent: true})
 		sink.Refuse(refusal)
 		return
 	}
-	answer, failure := s.send(ctx, call, grant, bytes.NewReader(call.OnceBody))
+	body := &gatedBody{content: bytes.NewReader(call.OnceBody), sendBy: sendBy}
+	if sendBy.HasPassed(time.Now()) {
+		s.refuseLate(call, held, grant, sink)
+		return
+	}
+	answer, failure := s.send(ctx, call, grant, body)
 	if failure != nil {
 		s.end(call, grant, outcomeOf(failure))
-		s.finish(ctx, claim, fleet.ClaimAnswer{Unsent: failure.Ran == fleet.NotRun, Unknown: failure.Ran != fleet.NotRun})
+		s.record(held, fleet.ClaimAnswer{Unsent: failure.Ran == fleet.NotRun, Unknown: failure.Ran != fleet.NotRun})
 		sink.Refuse(refusalOf(failure))
 		return
 	}
 	defer answer.Body.Close()
-	body, err := io.ReadAll(io.LimitReader(answer.Body, fleet.MaxRecordedBody+1))
-	if err != nil || len(body) > fleet.MaxRecordedBody {
+	s.deliver(call, held, grant, answer, sink)
+}
+
+// refuseLate ends a call whose router was paused between the claim and the send.
+func (s *Service) refuseLate(call Call, held fleet.Claim, grant fleet.Grant, sink Sink) {
+	s.end(call, grant, fleet.OutcomeUnsent)
+	s.telemetry.Log.Warn("once-only call not sent, the permission to send had ended", "request", call.Request.ID)
+	s.record(held, fleet.ClaimAnswer{Unsent: true})
+	sink.Refuse(fleet.Refuse(fleet.CodeDeadline, "the call was not sent in time", lateRetryAfter))
+}
+
+// deliver records an answer and hands it on. Of a large one only the status is recorded.
+func (s *Service) deliver(call Call, held fleet.Claim, grant fleet.Grant, answer port.UpstreamAnswer, sink Sink) {
+	start, err := io.ReadAll(io.LimitReader(answer.Body, fleet.MaxRecordedBody+1))
+	if err != nil {
 		s.end(call, grant, fleet.OutcomeFailed)
-		s.finish(ctx, claim, fleet.ClaimAnswer{Unknown: true})
+		s.record(held, fleet.ClaimAnswer{Unknown: true})
 		sink.Refuse(fleet.RefuseUnknown(fleet.CodeOutcomeUnknown, "the service's answer was cut short"))
 		return
 	}
-	s.end(call, grant, fleet.OutcomeWhole)
-	s.finish(ctx, claim, fleet.ClaimAnswer{
-		Status: answer.Status, ContentType: answer.Header.Get("Content-Type"), Body: body,
-	})
-	sink.Answer(answer.Status, answer.Header, bytes.NewReader(body))
+	recorded := fleet.ClaimAnswer{Status: answer.Status, ContentType: answer.Header.Get("Content-Type"), Body: start}
+	var rest io.Reader = bytes.NewReader(start)
+	if len(start) > fleet.MaxRecordedBody {
+		recorded.Body, recorded.BodyOmitted = nil, true
+		rest = io.MultiReader(rest, answer.Body)
+	}
+	select {
+	case <-s.record(held, recorded):
+	case <-time.After(recordWait):
+		s.telemetry.Log.Warn("answer handed on before its record was durable", "request", call.Request.ID)
+	}
+	// The sink panics when the rest of a large answer is cut: the grant ends all the same.
+	outcome := fleet.OutcomeFailed
+	defer func() { s.end(call, grant, outcome) }()
+	if err := sink.Answer(answer.Status, answer.Header, rest); err != nil {
+		outcome = fleet.OutcomeCancelled
+		return
+	}
+	outcome = fleet.OutcomeWhole
 }
 
-func (s *Service) finish(ctx context.Context, claim fleet.Claim, answer fleet.ClaimAnswer) {
-	ctx, cancel := context.WithTimeout(ctx, finishTimeout)
-	defer cancel()
-	if err := s.claims.Finish(ctx, claim, answer); err != nil {
-		s.telemetry.Log.Error("end of a once-only call not recorded", "key", claim.Key, "err", err)
-	}
+// record makes the end of a call durable. The channel is closed when that is done or
+// given up; the claim's resends are then told that its outcome is unknown.
+func (s *Service) record(held fleet.Claim, answer fleet.ClaimAnswer) <-chan struct{} {
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		if err := s.claims.Finish(context.Background(), held, answer); err != nil {
+			s.telemetry.Log.Error("end of a once-only call not recorded", "request", held.Holder, "key", held.Key, "err", err)
+		}
+	}()
+	return done
 }
 
 func digest(call Call) string {
 	hash := sha256.New()
-	io.WriteString(hash, call.Method+" "+call.Path+"\n")
+	io.WriteString(hash, string(call.Pool.Name)+"\n"+call.Method+" "+call.Path+"\n")
 	hash.Write(call.OnceBody)
 	return hex.EncodeToString(hash.Sum(nil))
 }
--- /dev/null
+++ b/node/forward/once_test.go
@@ -0,0 +1,127 @@
+package forward
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"agateswitch/adapter/upstreamhttp"
+	"agateswitch/core/configuration"
+	"agateswitch/core/fleet"
+	"agateswitch/port"
+
+	"github.com/charmbracelet/log"
+	"github.com/shoenig/test/must"
+)
+
+// parts are fakes of the service's ports, for one call.
+type parts struct {
+	port.Placer
+	port.Versions
+	upstream fleet.Upstream
+	sendBy   fleet.Deadline
+
+	finished chan fleet.ClaimAnswer
+	status   int
+	body     string
+	refusal  *fleet.Refusal
+}
+
+func (p *parts) Acquire(context.Context, fleet.Request) (fleet.Grant, *fleet.Refusal) {
+	return fleet.Grant{Upstream: p.upstream}, nil
+}
+func (p *parts) Release(fleet.Grant, fleet.Completion) {}
+func (p *parts) Observe(fleet.Evidence)                {}
+
+func (p *parts) Begin(context.Context, fleet.Claim) fleet.ClaimResult {
+	return fleet.ClaimResult{State: fleet.ClaimGranted, SendBy: p.sendBy, Revision: 7}
+}
+
+func (p *parts) Finish(_ context.Context, _ fleet.Claim, answer fleet.ClaimAnswer) error {
+	p.finished <- answer
+	return nil
+}
+
+func (p *parts) Answer(status int, _ http.Header, body io.Reader) error {
+	content, err := io.ReadAll(body)
+	p.status, p.body = status, string(content)
+	return err
+}
+func (p *parts) Refuse(refusal *fleet.Refusal) { p.refusal = refusal }
+
+// runOnceOnly makes one once-only call and returns what the caller and the record got.
+func runOnceOnly(t *testing.T, handler http.HandlerFunc, sendWithin time.Duration) (*parts, fleet.ClaimAnswer) {
+	t.Helper()
+	server := httptest.NewServer(handler)
+	defer server.Close()
+	p := &parts{
+		upstream: fleet.Upstream{ID: "s1", Address: strings.TrimPrefix(server.URL, "http://")},
+		sendBy:   fleet.DeadlineAt(time.Now().Add(sendWithin)), finished: make(chan fleet.ClaimAnswer, 1),
+	}
+	s := New(p, upstreamhttp.New(), p, p, port.Telemetry{Log: log.New(io.Discard)})
+	// An earlier call leaves a connection that the next one takes.
+	s.Run(t.Context(), Call{Method: http.MethodGet, Path: "/warm", Request: fleet.Request{ID: "r0"}}, p)
+	s.Run(t.Context(), Call{
+		Method: http.MethodPost, Path: "/bookings", Request: fleet.Request{ID: "r1"},
+		Pool: configuration.Pool{Name: "rounds-app"}, IdempotencyKey: "key", OnceBody: []byte("visit"), ContentLength: 5,
+		Header: http.Header{"Idempotency-Key": {"key"}},
+	}, p)
+	return p, <-p.finished
+}
+
+func echoID(w http.ResponseWriter, r *http.Request) {
+	w.Header().Set(port.HeaderRequestID, r.Header.Get(port.HeaderRequestID))
+}
+
+// http.Transport sends a call with an Idempotency-Key again when its connection fails.
+func TestConnectionLostAfterSendingIsNotRepeated(t *testing.T) {
+	var runs atomic.Int32
+	p, recorded := runOnceOnly(t, func(w http.ResponseWriter, r *http.Request) {
+		echoID(w, r)
+		if r.Method == http.MethodPost {
+			io.Copy(io.Discard, r.Body)
+			runs.Add(1)
+			panic(http.ErrAbortHandler)
+		}
+	}, time.Minute)
+	must.Eq(t, 1, runs.Load())
+	must.True(t, recorded.Unknown)
+	must.Eq(t, fleet.RanUnknown, p.refusal.Ran)
+}
+
+// A holder that was paused past its limit does not send, whether the pause came before
+// the connection was there or after.
+func TestLateHolderDoesNotSend(t *testing.T) {
+	var runs atomic.Int32
+	count := func(w http.ResponseWriter, r *http.Request) {
+		echoID(w, r)
+		if r.Method == http.MethodPost {
+			runs.Add(1)
+		}
+	}
+	p, recorded := runOnceOnly(t, count, -time.Millisecond)
+	must.Zero(t, runs.Load())
+	must.True(t, recorded.Unsent)
+	must.Eq(t, fleet.NotRun, p.refusal.Ran)
+
+	body := &gatedBody{content: nil, sendBy: fleet.DeadlineAt(time.Now().Add(-time.Millisecond))}
+	_, err := body.Read(make([]byte, 1))
+	must.ErrorIs(t, err, errTooLate)
+}
+
+// Of an answer above the limit the caller gets all and the record its status.
+func TestLargeAnswerIsRecordedByStatus(t *testing.T) {
+	large := strings.Repeat("x", 3*fleet.MaxRecordedBody)
+	p, recorded := runOnceOnly(t, func(w http.ResponseWriter, r *http.Request) {
+		echoID(w, r)
+		w.WriteHeader(http.StatusCreated)
+		io.WriteString(w, large)
+	}, time.Minute)
+	must.Eq(t, large, p.body)
+	must.Eq(t, fleet.ClaimAnswer{Status: http.StatusCreated, ContentType: "text/plain; charset=utf-8", BodyOmitted: true}, recorded)
+}
--- a/node/router/router.go
+++ b/node/router/router.go
@@ -185,5 +185,6 @@
 		r.log.Warn("stopped while requests were running", "err", err)
 		return
 	}
+	r.claims.Wait(forced)
 	r.log.Info("left, nothing was running")
 }
