--- a/adapter/peer/serve.go
+++ b/adapter/peer/serve.go
@@ -70,11 +70,12 @@
 		return
 	}
 	s := &serving{Conn: counted, mesh: m, from: from, handlers: make(chan struct{}, maxHandlers), writing: make(chan struct{}, 1)}
-	if err := s.run(ctx, cancel); err != nil && err != io.EOF && ctx.Err() == nil {
+	if err := s.run(ctx, cancel); err != io.EOF && ctx.Err() == nil {
 		m.log.Warn("peer connection closed", "peer", from, "address", accepted.RemoteAddr(), "err", err)
 	}
 }
 
+// run answers frames until the connection ends, and returns why; io.EOF is a proper end.
 func (s *serving) run(ctx context.Context, cancel func()) error {
 	buffered := bufio.NewReader(s)
 	for {
--- a/node/router/drain.go
+++ b/node/router/drain.go
@@ -19,14 +19,15 @@
 	}
 }
 
-// finish takes no new connection, and waits for the running requests and for the
-// cancels that their callers' leaving has set off.
+// finish takes no new connection, and waits for the running requests, for the cancels
+// that their callers' leaving has set off, and for answers that are still being recorded.
 func (r *Router) finish(forced context.Context) {
 	if err := r.callers.Shutdown(forced); err != nil {
 		r.logForced()
 		return
 	}
 	r.chat.Wait()
+	r.claims.Wait(forced)
 	r.log.Info("left, nothing was running")
 }
 
