--- a/node/grants/traffic_test.go
+++ b/node/grants/traffic_test.go
@@ -70,7 +70,7 @@
 		base.self = host
 		base.view.SetSelfState(fleet.Leaving)
 		base.view.SetHosts(hosts, upstreams)
-		mesh := peer.New(host.ID, base)
+		mesh := peer.New(host.ID, base, testPeerKey, log.New(io.Discard))
 		base.service = New(base, base, base, mesh, time.Now().UnixNano(), port.Telemetry{Log: log.New(io.Discard)})
 		group.Go(func() error { return mesh.Serve(ctx, listeners[i]) })
 		made = append(made, meshRouter{testRouter: base, mesh: mesh})
@@ -83,6 +83,9 @@
 	return made[1], made[0]
 }
 
+// testPeerKey is the key that the routers of a test share.
+const testPeerKey = "a-peer-key-for-tests-of-32-characters"
+
 // countedListener counts the bytes of its connections in both directions.
 type countedListener struct {
 	net.Listener
