--- a/node/grants/fleet_test.go
+++ b/node/grants/fleet_test.go
@@ -107,6 +107,11 @@
 const (
 	testPool = fleet.PoolID("farrier-lm")
 	testTeam = fleet.Team("arima-yard")
+	// surgingTeam has a small rate, narrowTeam a small concurrency.
+	surgingTeam = fleet.Team("apprentices")
+	surgeRate   = 20
+	narrowTeam  = fleet.Team("accounts")
+	narrowLimit = 5
 )
 
 func testSnapshot(t *testing.T) *configuration.Snapshot {
@@ -117,10 +122,13 @@
 		return body
 	}
 	pool := configuration.Pool{Name: testPool, Type: configuration.PoolEngine, ColdConcurrency: 2, MaxConcurrency: 8}
-	contract := configuration.Contract{Team: testTeam, Pools: []fleet.PoolID{testPool}, RequestsPerSecond: 10_000, Burst: 10_000}
+	contract := func(team fleet.Team, rate float64, concurrency int) configuration.Item {
+		value := configuration.Contract{Team: team, Pools: []fleet.PoolID{testPool}, RequestsPerSecond: rate, Burst: int(rate), Concurrency: concurrency}
+		return configuration.Item{Key: configuration.Key{Kind: configuration.KindContract, Name: string(team)}, Revision: 1, Value: encode(value)}
+	}
 	snapshot, _, err := configuration.Empty().Apply(configuration.Delta{To: 1, Items: []configuration.Item{
 		{Key: configuration.Key{Kind: configuration.KindPool, Name: string(testPool)}, Revision: 1, Value: encode(pool)},
-		{Key: configuration.Key{Kind: configuration.KindContract, Name: string(testTeam)}, Revision: 1, Value: encode(contract)},
+		contract(testTeam, 10_000, 0), contract(surgingTeam, surgeRate, 0), contract(narrowTeam, 10_000, narrowLimit),
 	}})
 	must.NoError(t, err)
 	return snapshot
--- a/node/grants/teams.go
+++ b/node/grants/teams.go
@@ -17,8 +17,9 @@
 
 // team is what this router may admit of one team.
 type team struct {
-	// drawing is held while a draw is under way, so that a team has one at a time.
-	drawing sync.Mutex
+	// drawing has room for the one draw that may be under way. A channel lets a caller that
+	// goes away stop waiting for it.
+	drawing chan struct{}
 
 	// mu guards the fields below. It is never held during a call.
 	mu        sync.Mutex
@@ -43,7 +44,7 @@
 	defer t.mu.Unlock()
 	known, found := t.all[name]
 	if !found {
-		known = &team{allowance: admission.NewAllowance(t.self, limits)}
+		known = &team{drawing: make(chan struct{}, 1), allowance: admission.NewAllowance(t.self, limits)}
 		t.all[name] = known
 	}
 	return known
@@ -76,8 +77,12 @@
 	if verdict.Admitted || !verdict.Draw {
 		return verdict.Refusal
 	}
-	known.drawing.Lock()
-	defer known.drawing.Unlock()
+	select {
+	case known.drawing <- struct{}{}:
+		defer func() { <-known.drawing }()
+	case <-ctx.Done():
+		return fleet.Refuse(fleet.CodeDeadline, "the caller went away or its time ran out", 0)
+	}
 	// A draw that was under way may have brought what is missing.
 	verdict = known.admit(time.Now(), limitsOf(contract), retry, false)
 	if verdict.Admitted || !verdict.Draw {
