Compute the table of an empty pool at most each 20 ms

Cause: a pool without usable upstreams was computed again for each request. Change: emptyRoutesLife. Measured: go test -race ./node/grants passes.

--- a/node/grants/routes.go
+++ b/node/grants/routes.go
@@ -15,6 +15,10 @@
 // routesLife is how long a computed table is used.
 const routesLife = 250 * time.Millisecond
 
+// emptyRoutesLife is how long a pool without upstreams is taken for empty. It is short, as
+// upstreams appear while a fleet starts.
+const emptyRoutesLife = 20 * time.Millisecond
+
 // shardKey names one shard of one pool.
 type shardKey struct {
 	pool  fleet.PoolID
@@ -46,7 +50,8 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	known, found := r.pools[id]
-	if now.Sub(r.made) > routesLife || !found || len(known.usable) == 0 {
+	isEmpty := !found || len(known.usable) == 0
+	if r.pools == nil || now.Sub(r.made) > routesLife || (isEmpty && now.Sub(r.made) > emptyRoutesLife) {
 		r.compute(now)
 		known, found = r.pools[id]
 	}
