Lose the store, an engine and a router in the demo, with careful callers

Cause: nothing showed the whole system under loss, and the demo's callers gave up at the first connection error, which callers with several entry addresses do not.

Ruled out: a harness of its own beside the demo; its callers already check that each answer is whole and their own.

Change: the scenario "failures"; callers go on to another entry host, resume cut streams with their token, and judge what they have of a refused stream too.

--- a/demo/caller.go
+++ b/demo/caller.go
@@ -8,8 +8,10 @@
 	"time"
 
 	"agateswitch/adapter/callerhttp"
+	"agateswitch/adapter/upstreamhttp"
 	"agateswitch/core/fleet"
 	"agateswitch/examples"
+	"agateswitch/port"
 	"agateswitch/sse"
 	"agateswitch/standin/engine"
 	"agateswitch/standin/service"
@@ -38,39 +40,76 @@
 	FirstToken time.Duration
 }
 
+// maxTries is how many entry hosts a caller tries for one call.
+const maxTries = 5
+
+// caller sends calls as a careful client does: it goes on to another entry host when one
+// cannot be reached, resumes cut streams, and resends once-only calls with their key.
 type caller struct {
 	client *http.Client
+	team   fleet.Team
+	// entry returns the next entry host to use.
+	entry func() string
 }
 
-func (c caller) request(ctx context.Context, method, address, path, body string, team fleet.Team) (*http.Request, error) {
-	request, err := http.NewRequestWithContext(ctx, method, "http://"+address+path, strings.NewReader(body))
-	if err != nil {
-		return nil, errors.Trace(err)
+// do sends a request to entry hosts until one answers.
+func (c caller) do(ctx context.Context, method, path, body string, header http.Header) (*http.Response, error) {
+	var failure error
+	for range maxTries {
+		request, err := http.NewRequestWithContext(ctx, method, "http://"+c.entry()+path, strings.NewReader(body))
+		if err != nil {
+			return nil, errors.Trace(err)
+		}
+		request.Header = header.Clone()
+		request.Header.Set("Authorization", "Bearer "+examples.Key(c.team))
+		answer, err := c.client.Do(request)
+		if err == nil {
+			return answer, nil
+		}
+		failure = err
 	}
-	request.Header.Set("Authorization", "Bearer "+examples.Key(team))
-	return request, nil
+	return nil, errors.Trace(failure)
 }
 
 // chat streams one completion and checks that the answer is whole and its own.
-func (c caller) chat(ctx context.Context, address string, team fleet.Team, pool fleet.PoolID, chat, prompt string, tokens int) Result {
+func (c caller) chat(ctx context.Context, pool fleet.PoolID, chat, prompt string, tokens int) Result {
 	body := string(mustJSON(map[string]any{
 		"model": pool, "stream": true, "max_tokens": tokens, "prompt_cache_key": chat,
 		"messages": []map[string]string{{"role": "user", "content": prompt}},
 	}))
-	request, err := c.request(ctx, http.MethodPost, address, "/v1/chat/completions", body, team)
-	if err != nil {
-		return Result{Outcome: Lost}
-	}
 	started := time.Now()
-	answer, err := c.client.Do(request)
+	answer, err := c.do(ctx, http.MethodPost, upstreamhttp.PathCompletions, body, http.Header{})
 	if err != nil {
 		return Result{Outcome: Lost}
 	}
-	defer answer.Body.Close()
 	if answer.StatusCode != http.StatusOK {
+		defer answer.Body.Close()
 		return refusal(json.NewDecoder(answer.Body))
 	}
-	return readStream(sse.NewReader(answer.Body), started, strings.Join(engine.Tokens(prompt, tokens), ""))
+	received := &stream{started: started}
+	received.read(answer)
+	for tries := 1; received.cut && tries < maxTries; tries++ {
+		c.resume(ctx, received, answer.Header)
+	}
+	return received.result(strings.Join(engine.Tokens(prompt, tokens), ""))
+}
+
+// resume reads the rest of a cut stream from any entry host.
+func (c caller) resume(ctx context.Context, received *stream, first http.Header) {
+	header := http.Header{
+		callerhttp.HeaderResumeToken: {first.Get(callerhttp.HeaderResumeToken)}, "Last-Event-Id": {received.lastID},
+	}
+	path := upstreamhttp.PathCompletions + "/" + first.Get(port.HeaderRequestID)
+	answer, err := c.do(ctx, http.MethodGet, path, "", header)
+	if err != nil {
+		return
+	}
+	if answer.StatusCode != http.StatusOK {
+		defer answer.Body.Close()
+		received.ended(refusal(json.NewDecoder(answer.Body)))
+		return
+	}
+	received.read(answer)
 }
 
 func refusal(decoder *json.Decoder) Result {
@@ -92,47 +131,82 @@
 	} `json:"choices"`
 }
 
-func readStream(events *sse.Reader, started time.Time, want string) Result {
-	var result Result
-	var text strings.Builder
+// stream is an answer as far as it has been received.
+type stream struct {
+	started    time.Time
+	firstToken time.Duration
+	text       strings.Builder
+	lastID     string
+	// cut is true when the stream ended without its end.
+	cut bool
+	// refused is set when the stream ended in an error event.
+	refused *Result
+}
+
+// read takes the events of one connection.
+func (s *stream) read(answer *http.Response) {
+	defer answer.Body.Close()
+	s.cut = false
+	events := sse.NewReader(answer.Body)
 	for {
 		event, err := events.Next()
 		if err != nil {
-			result.Outcome = Cut
-			return result
+			s.cut = true
+			return
 		}
 		if event.Name == "error" {
-			return refusal(json.NewDecoder(strings.NewReader(string(event.Data))))
-		}
-		if result.FirstToken == 0 {
-			result.FirstToken = time.Since(started)
+			s.ended(refusal(json.NewDecoder(strings.NewReader(string(event.Data)))))
+			return
 		}
 		if event.IsDone() {
-			break
-		}
-		var chunk streamChunk
-		if err := json.Unmarshal(event.Data, &chunk); err == nil && len(chunk.Choices) > 0 {
-			text.WriteString(chunk.Choices[0].Delta.Content)
+			return
 		}
+		s.take(event)
 	}
-	result.Outcome = Whole
-	if text.String() != want {
-		result.Outcome = Crossed
+}
+
+func (s *stream) take(event sse.Event) {
+	if s.firstToken == 0 {
+		s.firstToken = time.Since(s.started)
+	}
+	if event.ID != "" {
+		s.lastID = event.ID
+	}
+	var chunk streamChunk
+	if err := json.Unmarshal(event.Data, &chunk); err == nil && len(chunk.Choices) > 0 {
+		s.text.WriteString(chunk.Choices[0].Delta.Content)
 	}
-	return result
 }
 
-// call makes one call of a plain service and checks that the answer is its own.
-func (c caller) call(ctx context.Context, address, method, path, body, key string, team fleet.Team) Result {
-	request, err := c.request(ctx, method, address, path, body, team)
-	if err != nil {
-		return Result{Outcome: Lost}
+// ended notes that the stream ended in a refusal.
+func (s *stream) ended(result Result) {
+	s.cut = false
+	s.refused = &result
+}
+
+// result judges the stream against the text that belongs to the request.
+func (s *stream) result(want string) Result {
+	switch {
+	case s.cut:
+		return Result{Outcome: Cut}
+	case s.refused != nil && !strings.HasPrefix(want, s.text.String()):
+		return Result{Outcome: Crossed}
+	case s.refused != nil:
+		return *s.refused
+	case s.text.String() != want:
+		return Result{Outcome: Crossed}
 	}
+	return Result{Outcome: Whole, FirstToken: s.firstToken}
+}
+
+// call makes one call of a plain service and checks that the answer is its own.
+func (c caller) call(ctx context.Context, method, path, body, key string) Result {
+	header := http.Header{}
 	if key != "" {
-		request.Header.Set(callerhttp.HeaderIdempotencyKey, key)
+		header.Set(callerhttp.HeaderIdempotencyKey, key)
 	}
 	started := time.Now()
-	answer, err := c.client.Do(request)
+	answer, err := c.do(ctx, method, path, body, header)
 	if err != nil {
 		return Result{Outcome: Lost}
 	}
--- a/demo/fleet.go
+++ b/demo/fleet.go
@@ -52,10 +52,13 @@
 	Engines   map[fleet.UpstreamID]*engine.Engine
 	Services  map[fleet.UpstreamID]*service.Service
 
-	log     *log.Logger
-	servers []*http.Server
-	running sync.WaitGroup
-	stop    context.CancelFunc
+	log *log.Logger
+	// servers holds the stand-ins' servers by name, an upstream's by its id.
+	servers map[string]*http.Server
+	// endRouter ends the router of an index at once.
+	endRouter []context.CancelFunc
+	running   sync.WaitGroup
+	stop      context.CancelFunc
 }
 
 // Start brings up a fleet and its configuration. Stop ends it.
@@ -63,6 +66,7 @@
 	life, stop := context.WithCancel(context.WithoutCancel(ctx))
 	f := &Fleet{
 		Example: example, Store: store.New(), Hosts: hosts.New(), log: logger, stop: stop,
+		servers: map[string]*http.Server{},
 		Engines: map[fleet.UpstreamID]*engine.Engine{}, Services: map[fleet.UpstreamID]*service.Service{},
 	}
 	if err := f.start(ctx, life, routers); err != nil {
@@ -73,11 +77,11 @@
 }
 
 func (f *Fleet) start(ctx, life context.Context, routers int) error {
-	storeAddress, err := f.serve(f.Store)
+	storeAddress, err := f.serve("store", f.Store)
 	if err != nil {
 		return err
 	}
-	hostsAddress, err := f.serve(f.Hosts)
+	hostsAddress, err := f.serve("hosts", f.Hosts)
 	if err != nil {
 		return err
 	}
@@ -102,13 +106,13 @@
 }
 
 // serve starts an HTTP server on a free loopback address.
-func (f *Fleet) serve(handler http.Handler) (string, error) {
+func (f *Fleet) serve(name string, handler http.Handler) (string, error) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return "", errors.Trace(err)
 	}
 	server := &http.Server{Handler: handler, ReadHeaderTimeout: time.Second}
-	f.servers = append(f.servers, server)
+	f.servers[name] = server
 	f.running.Go(func() { server.Serve(listener) })
 	return listener.Addr().String(), nil
 }
@@ -117,7 +121,7 @@
 	dataCentres := f.Example.Topology.DataCentres
 	for i := range f.Example.Topology.Upstreams[pool.Name] {
 		id := fleet.UpstreamID(fmt.Sprintf("%s-%d", pool.Name, i+1))
-		address, err := f.serve(f.newUpstream(id, pool))
+		address, err := f.serve(string(id), f.newUpstream(id, pool))
 		if err != nil {
 			return err
 		}
@@ -171,8 +175,10 @@
 		hostlist.LabelDataCentre: string(dataCentre), hostlist.LabelRegion: string(topology.Region),
 		hostlist.LabelPeer: listeners.Peers.Addr().String(),
 	}})
+	alive, end := context.WithCancel(life)
+	f.endRouter = append(f.endRouter, end)
 	f.running.Go(func() {
-		if err := started.Run(life, life); err != nil {
+		if err := started.Run(alive, alive); err != nil {
 			f.log.Error("router ended", "err", err)
 		}
 	})
--- a/demo/fleet_test.go
+++ b/demo/fleet_test.go
@@ -45,9 +45,9 @@
 func TestLogsExplainPlacementAndKeepSecrets(t *testing.T) {
 	logs := &syncBuffer{}
 	f := startFleet(t, logs)
-	c := caller{client: &http.Client{}}
 	team := f.Example.Contracts[0].Team
-	result := c.chat(t.Context(), f.Entries[1], team, f.enginePool(), "c1", "a private question", 4)
+	c := caller{client: &http.Client{}, team: team, entry: func() string { return f.Entries[1] }}
+	result := c.chat(t.Context(), f.enginePool(), "c1", "a private question", 4)
 	must.Eq(t, Whole, result.Outcome)
 	text := logs.String()
 	for _, want := range []string{"placed", "team=" + string(team), "reason=", "upstream=assistant-pool-", "load=", "bound="} {
--- a/demo/load.go
+++ b/demo/load.go
@@ -36,7 +36,7 @@
 // generator sends the calls of one caller.
 type generator struct {
 	fleet  *Fleet
-	caller caller
+	client *http.Client
 	source *rand.Rand
 	mix    Mix
 	tally  *Tally
@@ -49,7 +49,7 @@
 	var callers sync.WaitGroup
 	start := func(index int, surge fleet.Team) {
 		g := &generator{
-			fleet: f, caller: caller{client: &http.Client{Transport: &http.Transport{}}},
+			fleet: f, client: &http.Client{Transport: &http.Transport{}},
 			source: rand.New(rand.NewPCG(seed, uint64(index))), mix: phase.Mix, tally: tally, surge: surge,
 		}
 		callers.Go(func() { g.run(ctx) })
@@ -65,7 +65,7 @@
 }
 
 func (g *generator) run(ctx context.Context) {
-	defer g.caller.client.CloseIdleConnections()
+	defer g.client.CloseIdleConnections()
 	pause := g.mix.Pause
 	if g.surge != "" {
 		pause = surgePause
@@ -91,8 +91,7 @@
 	case g.source.IntN(onceEvery) == 0:
 		g.once(ctx, contract.Team)
 	case g.source.IntN(readEvery) == 0:
-		result := g.caller.call(ctx, g.entry(), http.MethodGet, g.fleet.Example.Topology.ReadPath, "", "", contract.Team)
-		g.tally.Add(KindRead, result)
+		g.tally.Add(KindRead, g.as(contract.Team).call(ctx, http.MethodGet, g.fleet.Example.Topology.ReadPath, "", ""))
 	default:
 		g.chat(ctx, KindChat, contract.Team)
 	}
@@ -115,15 +114,20 @@
 	return contracts[len(contracts)-1]
 }
 
-func (g *generator) entry() string {
-	return g.fleet.Entries[g.source.IntN(len(g.fleet.Entries))]
+// as returns a caller of a team that goes from one entry host to the next.
+func (g *generator) as(team fleet.Team) caller {
+	next := g.source.IntN(len(g.fleet.Entries))
+	return caller{client: g.client, team: team, entry: func() string {
+		next++
+		return g.fleet.Entries[next%len(g.fleet.Entries)]
+	}}
 }
 
 func (g *generator) chat(ctx context.Context, kind string, team fleet.Team) {
 	chat := fmt.Sprintf("%s-chat-%d", team, g.source.IntN(chatsPerTeam))
 	prompt := strings.Repeat("word ", 1+g.source.IntN(g.mix.PromptWords)) + fmt.Sprint(g.source.Uint32())
 	tokens := 1 + g.source.IntN(g.mix.Tokens)
-	g.tally.Add(kind, g.caller.chat(ctx, g.entry(), team, g.fleet.enginePool(), chat, prompt, tokens))
+	g.tally.Add(kind, g.as(team).chat(ctx, g.fleet.enginePool(), chat, prompt, tokens))
 }
 
 // once sends the same once-only call to two entry hosts at once.
@@ -132,9 +136,9 @@
 	body := fmt.Sprintf(`{"visit":%d}`, g.source.Uint32())
 	var both sync.WaitGroup
 	for range 2 {
-		address := g.entry()
+		sender := g.as(team)
 		both.Go(func() {
-			g.tally.Add(KindOnce, g.caller.call(ctx, address, http.MethodPost, g.fleet.Example.Topology.OncePath, body, key, team))
+			g.tally.Add(KindOnce, sender.call(ctx, http.MethodPost, g.fleet.Example.Topology.OncePath, body, key))
 		})
 	}
 	both.Wait()
--- a/demo/scenario.go
+++ b/demo/scenario.go
@@ -66,6 +66,7 @@
 		{Name: "surge", Share: 0.5, Mix: mixed, Surge: 24},
 		{Name: "after", Share: 0.25, Mix: mixed},
 	}},
+	"failures": failures,
 	"datacentre": {Title: "a data centre is taken out and comes back", Phases: []Phase{
 		{Name: "before", Share: 0.25, Mix: mixed},
 		{Name: "out", Share: 0.4, Mix: mixed, Begin: setLastDataCentre(true)},
