--- /dev/null
+++ b/node/router/drain_test.go
@@ -0,0 +1,105 @@
+package router_test
+
+import (
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"agateswitch/core/resume"
+	"agateswitch/sse"
+	"agateswitch/standin/engine"
+
+	"github.com/shoenig/test/must"
+)
+
+const streamTokens = 200
+
+func wait(t *testing.T, what string, event <-chan struct{}) {
+	t.Helper()
+	select {
+	case <-event:
+	case <-time.After(eventLimit):
+		t.Fatalf("%s did not happen", what)
+	}
+}
+
+// A leaving router is left out of entry answers, serves for as long as callers may keep
+// those, and asks every caller to close its connection.
+func TestLeavingRouterServesWhileEntryAnswersAreKept(t *testing.T) {
+	f := startFleet(t, time.Hour, time.Millisecond)
+	first := f.routers[0]
+	kept := f.request(t, http.MethodGet, first.callers, "/v1/entry", "", nil)
+	must.False(t, kept.Close)
+	first.leave()
+	entry := kept
+	for !entry.Close {
+		entry = f.request(t, http.MethodGet, first.callers, "/v1/entry", "", nil)
+	}
+	body, err := io.ReadAll(entry.Body)
+	must.NoError(t, err)
+	must.StrNotContains(t, string(body), first.callers)
+	during := f.stream(t, first.callers, streamTokens)
+	must.True(t, during.Close)
+	text, _, done := readEvents(t, sse.NewReader(during.Body), streamTokens+1)
+	must.True(t, done)
+	must.Eq(t, strings.Join(engine.Tokens("hello", streamTokens), ""), text)
+}
+
+// A planned stop lets running streams end.
+func TestPlannedStopCutsNoRequest(t *testing.T) {
+	f := startFleet(t, 0, 5*time.Millisecond)
+	first := f.routers[0]
+	answer := f.stream(t, first.callers, streamTokens)
+	events := sse.NewReader(answer.Body)
+	text, _, _ := readEvents(t, events, 3)
+	first.leave()
+	rest, _, done := readEvents(t, events, streamTokens+1)
+	must.True(t, done)
+	must.Eq(t, strings.Join(engine.Tokens("hello", streamTokens), ""), text+rest)
+	wait(t, "the end of the router", first.ended)
+	must.StrContains(t, first.log.String(), "left, nothing was running")
+}
+
+// A second signal ends the router at once, and the log says what was still running.
+func TestForcedStopNamesWhatWasRunning(t *testing.T) {
+	f := startFleet(t, time.Hour, 50*time.Millisecond)
+	first := f.routers[0]
+	answer := f.stream(t, first.callers, 1<<20)
+	readEvents(t, sse.NewReader(answer.Body), 2)
+	first.leave()
+	first.force()
+	wait(t, "the end of the router", first.ended)
+	must.StrContains(t, first.log.String(), "stopped at once while requests were running")
+	must.StrContains(t, first.log.String(), "count=1")
+	must.StrContains(t, first.log.String(), answer.Header.Get("X-Request-Id"))
+}
+
+// The caller of a router that is gone gets the rest of its stream from another.
+func TestAnotherRouterServesTheRestByItsToken(t *testing.T) {
+	f := startFleet(t, 0, 5*time.Millisecond)
+	answer := f.stream(t, f.routers[0].callers, streamTokens)
+	token, id := answer.Header.Get("X-Resume-Token"), answer.Header.Get("X-Request-Id")
+	must.LessEq(t, resume.MaxTokenBytes, len(token))
+	text, last, _ := readEvents(t, sse.NewReader(answer.Body), 7)
+	path := "/v1/chat/completions/" + id
+
+	refused := f.request(t, http.MethodGet, f.routers[1].callers, path, "", nil)
+	must.Eq(t, http.StatusBadRequest, refused.StatusCode)
+	refused = f.request(t, http.MethodGet, f.routers[1].callers, "/v1/chat/completions/other", "", http.Header{"X-Resume-Token": {token}})
+	must.Eq(t, http.StatusForbidden, refused.StatusCode)
+	refused = f.request(t, http.MethodGet, f.routers[1].callers, path, "", http.Header{"X-Resume-Token": {token}, "Last-Event-Id": {"x"}})
+	must.Eq(t, http.StatusBadRequest, refused.StatusCode)
+
+	for _, rest := range []*http.Response{
+		f.request(t, http.MethodGet, f.routers[1].callers, path, "", http.Header{"X-Resume-Token": {token}, "Last-Event-Id": {last}}),
+		f.request(t, http.MethodGet, f.routers[1].callers, path+"?starting_after="+last, "", http.Header{"X-Resume-Token": {token}}),
+	} {
+		must.Eq(t, http.StatusOK, rest.StatusCode)
+		restText, _, done := readEvents(t, sse.NewReader(rest.Body), streamTokens+1)
+		must.True(t, done)
+		must.Eq(t, strings.Join(engine.Tokens("hello", streamTokens), ""), text+restText)
+	}
+	must.Eq(t, 1, f.engine.Runs()[id])
+}
--- /dev/null
+++ b/node/router/fleet_test.go
@@ -0,0 +1,222 @@
+package router_test
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"agateswitch/adapter/hostlist"
+	"agateswitch/adapter/operatorclient"
+	"agateswitch/core/configuration"
+	"agateswitch/core/fleet"
+	"agateswitch/examples"
+	"agateswitch/node/router"
+	"agateswitch/settings"
+	"agateswitch/sse"
+	"agateswitch/standin/engine"
+	"agateswitch/standin/hosts"
+	"agateswitch/standin/service"
+	"agateswitch/standin/store"
+
+	"github.com/charmbracelet/log"
+	"github.com/shoenig/test/must"
+)
+
+const (
+	operatorToken = "router-test-operator-token"
+	// eventLimit bounds waits for events over real sockets; it is wide, and no result.
+	eventLimit = time.Minute
+	model      = "farrier-lm"
+)
+
+// lines is the log of a router.
+type lines struct {
+	mu   sync.Mutex
+	text bytes.Buffer
+}
+
+func (l *lines) Write(text []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.text.Write(text)
+}
+
+func (l *lines) String() string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.text.String()
+}
+
+// running is one router of a test.
+type running struct {
+	callers string
+	log     *lines
+	// leave begins a planned stop, force ends it at once, and ended is closed at its end.
+	leave, force func()
+	ended        chan struct{}
+}
+
+// testFleet is two routers before an engine and a plain service, on loopback.
+type testFleet struct {
+	routers []*running
+	engine  *engine.Engine
+	service *service.Service
+	team    fleet.Team
+	pool    configuration.Pool
+	members []string
+}
+
+func startFleet(t *testing.T, drain time.Duration, tokenInterval time.Duration) *testFleet {
+	t.Helper()
+	example, err := examples.Load(examples.Hoofline)
+	must.NoError(t, err)
+	f := &testFleet{
+		engine:  engine.New(engine.Options{ID: "e1", TokenInterval: tokenInterval}),
+		service: service.New("s1"), team: example.Contracts[0].Team,
+	}
+	list := hosts.New()
+	storeAddress, hostsAddress := serve(t, store.New()), serve(t, list)
+	for id, upstream := range map[string]http.Handler{"e1": f.engine, "s1": f.service} {
+		pool := example.Pools[0].Name
+		if (id == "s1") == (example.Pools[0].Type == configuration.PoolEngine) {
+			pool = example.Pools[1].Name
+		}
+		list.Put(hostlist.TargetGroup{Targets: []string{serve(t, upstream)}, Labels: map[string]string{
+			hostlist.LabelRole: hostlist.RoleUpstream, hostlist.LabelID: id, hostlist.LabelPool: string(pool),
+			hostlist.LabelDataCentre: "arima", hostlist.LabelVersion: "1",
+		}})
+	}
+	operators := make([]string, 0, 2)
+	for _, id := range []string{"arima-1", "arima-2"} {
+		listeners, err := router.Listen(settings.Listen{Callers: "127.0.0.1:0", Operators: "127.0.0.1:0", Peers: "127.0.0.1:0"})
+		must.NoError(t, err)
+		operators = append(operators, listeners.Operators.Addr().String())
+		list.Put(hostlist.TargetGroup{Targets: []string{listeners.Callers.Addr().String()}, Labels: map[string]string{
+			hostlist.LabelRole: hostlist.RoleRouter, hostlist.LabelID: id, hostlist.LabelDataCentre: "arima",
+			hostlist.LabelPeer: listeners.Peers.Addr().String(),
+		}})
+		f.routers = append(f.routers, startRouter(t, listeners, settings.Settings{
+			Host:     settings.Host{ID: fleet.HostID(id), DataCentre: "arima", Region: "tt-north"},
+			Platform: settings.Platform{Store: storeAddress, Hosts: hostsAddress}, OperatorToken: operatorToken,
+			ResumeKeys: []string{"router-test-resume-key-of-32-characters"},
+			PeerKey:    "router-test-peer-key-of-32-characters", Drain: settings.Duration(drain),
+		}))
+	}
+	f.configure(t, operators, example)
+	return f
+}
+
+func serve(t *testing.T, handler http.Handler) string {
+	t.Helper()
+	server := httptest.NewServer(handler)
+	t.Cleanup(func() { server.CloseClientConnections(); server.Close() })
+	return server.Listener.Addr().String()
+}
+
+func startRouter(t *testing.T, listeners router.Listeners, configured settings.Settings) *running {
+	t.Helper()
+	r := &running{callers: listeners.Callers.Addr().String(), log: &lines{}, ended: make(chan struct{})}
+	made, err := router.New(configured, listeners, log.New(r.log))
+	must.NoError(t, err)
+	life, leave := context.WithCancel(context.Background())
+	forced, force := context.WithCancel(context.Background())
+	r.leave, r.force = leave, force
+	go func() {
+		defer close(r.ended)
+		made.Run(life, forced)
+	}()
+	t.Cleanup(func() { leave(); force(); <-r.ended })
+	return r
+}
+
+func (f *testFleet) configure(t *testing.T, operators []string, example examples.Example) {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(t.Context(), eventLimit)
+	defer cancel()
+	client := operatorclient.New(operators[0], operatorToken)
+	var last configuration.Revision
+	put := func(kind configuration.Kind, name string, value any) {
+		encoded, err := json.Marshal(value)
+		must.NoError(t, err)
+		accepted, err := client.Put(ctx, configuration.Key{Kind: kind, Name: name}, encoded, operatorclient.ChangeOptions{})
+		must.NoError(t, err)
+		last = accepted.Revision
+		must.NoError(t, client.WaitFor(ctx, last))
+	}
+	for _, pool := range example.Pools {
+		put(configuration.KindPool, string(pool.Name), pool)
+		if pool.Type == configuration.PoolService {
+			f.pool = pool
+		}
+	}
+	contract := example.Contracts[0]
+	contract.RequestsPerSecond, contract.Burst, contract.Concurrency = 1e6, 1e6, 0
+	put(configuration.KindContract, string(f.team), contract)
+	must.NoError(t, operatorclient.New(operators[1], operatorToken).WaitFor(ctx, last))
+}
+
+// request asks a router as the test's team.
+func (f *testFleet) request(t *testing.T, method, address, path, body string, header http.Header) *http.Response {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), eventLimit)
+	t.Cleanup(cancel)
+	request, err := http.NewRequestWithContext(ctx, method, "http://"+address+path, strings.NewReader(body))
+	must.NoError(t, err)
+	if header != nil {
+		request.Header = header
+	}
+	request.Header.Set("Authorization", "Bearer demo-"+string(f.team))
+	answer, err := http.DefaultTransport.RoundTrip(request)
+	must.NoError(t, err)
+	t.Cleanup(func() { answer.Body.Close() })
+	return answer
+}
+
+func completionBody(tokens int) string {
+	body, _ := json.Marshal(map[string]any{
+		"model": model, "stream": true, "max_tokens": tokens,
+		"messages": []map[string]string{{"role": "user", "content": "hello"}},
+	})
+	return string(body)
+}
+
+// stream begins a completion, once the router has seen the engine on the host list.
+func (f *testFleet) stream(t *testing.T, address string, tokens int) *http.Response {
+	t.Helper()
+	for {
+		answer := f.request(t, http.MethodPost, address, "/v1/chat/completions", completionBody(tokens), nil)
+		if answer.StatusCode == http.StatusOK {
+			return answer
+		}
+		must.Eq(t, http.StatusServiceUnavailable, answer.StatusCode)
+		io.Copy(io.Discard, answer.Body)
+		answer.Body.Close()
+	}
+}
+
+// readEvents reads up to a number of events; fewer when the stream's end comes.
+func readEvents(t *testing.T, events *sse.Reader, count int) (text string, last string, done bool) {
+	t.Helper()
+	for range count {
+		event, err := events.Next()
+		must.NoError(t, err)
+		must.NotEq(t, "error", event.Name, must.Sprint(string(event.Data)))
+		if event.IsDone() {
+			return text, last, true
+		}
+		var chunk struct {
+			Choices []struct{ Delta struct{ Content string } }
+		}
+		must.NoError(t, json.Unmarshal(event.Data, &chunk))
+		text += chunk.Choices[0].Delta.Content
+		last = event.ID
+	}
+	return text, last, false
+}
--- a/standin/service/service.go
+++ b/standin/service/service.go
@@ -28,6 +28,8 @@
 	// calls counts the runs of each request.
 	calls  map[string]int
 	faults []Fault
+	// observe sees each call, if it is set.
+	observe func(*http.Request)
 }
 
 // New makes a service that has run nothing.
@@ -67,7 +69,7 @@
 	if fault == FaultLost {
 		panic(http.ErrAbortHandler)
 	}
-	s.count(r.Header.Get(port.HeaderRequestID))
+	s.count(r)
 	answer := Answer{Service: s.id, Method: r.Method, Path: r.URL.Path, Body: string(content)}
 	if key := r.Header.Get(headerKey); key != "" {
 		s.mu.Lock()
@@ -82,8 +84,19 @@
 	json.NewEncoder(w).Encode(answer)
 }
 
-func (s *Service) count(id string) {
+// count notes the run of a call.
+func (s *Service) count(r *http.Request) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.calls[id]++
+	s.calls[r.Header.Get(port.HeaderRequestID)]++
+	if s.observe != nil {
+		s.observe(r)
+	}
+}
+
+// Observe makes the service show each call that it runs.
+func (s *Service) Observe(observe func(*http.Request)) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.observe = observe
 }
