--- a/node/router/router.go
+++ b/node/router/router.go
@@ -15,6 +15,7 @@
 	"agateswitch/adapter/telemetry"
 	"agateswitch/adapter/upstreamhttp"
 	"agateswitch/core/fleet"
+	"agateswitch/core/resume"
 	"agateswitch/node/chat"
 	"agateswitch/node/claims"
 	"agateswitch/node/configsync"
@@ -68,6 +69,8 @@
 	claims    *claims.Service
 	moves     *moves.Service
 	mesh      *peer.Mesh
+	chat      *chat.Service
+	entry     *callerhttp.Server
 	callers   *http.Server
 	operators *http.Server
 }
@@ -88,17 +91,20 @@
 	store := kv.New(s.Platform.Store, 0)
 	r.config = configsync.New(store, telemetry)
 	r.members = members.New(self, hostlist.New(s.Platform.Hosts), r.config, telemetry)
-	r.mesh = peer.New(self.ID, r.members)
+	r.mesh = peer.New(self.ID, r.members, s.PeerKey, logger)
 	r.config.Join(r.mesh, r.members)
 	r.moves = moves.New(r.config, store, r.members, r.mesh, telemetry)
 	r.grants = grants.New(r.members, r.config, r.moves, r.mesh, time.Now().UnixNano(), telemetry)
 	r.claims = claims.New(store, r.members, r.mesh, telemetry)
 	upstreams := upstreamhttp.New()
+	r.grants.UseReports(upstreams)
+	r.chat = chat.New(r.grants, upstreams, r.moves, telemetry)
 	callers := &callerhttp.Server{
-		Config: r.config, Members: r.members, Log: logger,
-		Chat:    chat.New(r.grants, upstreams, r.moves, telemetry),
-		Forward: forward.New(r.grants, upstreams, r.moves, r.claims, telemetry),
+		Config: r.config, Members: r.members, Log: logger, Chat: r.chat,
+		Forward:    forward.New(r.grants, upstreams, r.moves, r.claims, telemetry),
+		ResumeKeys: resume.NewKeys(s.ResumeKeys),
 	}
+	r.entry = callers
 	operators := &operatorhttp.Server{
 		Token: s.OperatorToken, Config: r.config, Members: r.members, Placer: r.grants,
 	}
@@ -106,7 +112,7 @@
 	callerhttp.Harden(r.callers)
 	r.operators = &http.Server{Handler: r.operatorRoutes(operators.Handler())}
 	callerhttp.Harden(r.operators)
-	return r, nil
+	return r, r.observe()
 }
 
 // operatorRoutes adds health and metrics to the operators' interface.
@@ -172,18 +178,3 @@
 	}
 	return errors.Trace(err)
 }
-
-func (r *Router) drain(forced context.Context) {
-	r.members.Leave()
-	r.log.Info("leaving", "serving_for", time.Duration(r.settings.Drain))
-	select {
-	case <-time.After(time.Duration(r.settings.Drain)):
-	case <-forced.Done():
-		return
-	}
-	if err := r.callers.Shutdown(forced); err != nil {
-		r.log.Warn("stopped while requests were running", "err", err)
-		return
-	}
-	r.log.Info("left, nothing was running")
-}
--- a/port/upstream.go
+++ b/port/upstream.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http"
 
+	"agateswitch/core/exchange"
 	"agateswitch/core/fleet"
 )
 
@@ -22,13 +23,17 @@
 	Body   io.Reader
 	// ContentLength is the length of Body; -1 means unknown.
 	ContentLength int64
+	// Fresh asks for a new connection.
+	Fresh bool
 }
 
 // UpstreamAnswer is the start of an upstream's answer. The caller closes Body.
 type UpstreamAnswer struct {
-	Status  int
-	Header  http.Header
-	Body    io.ReadCloser
+	Status int
+	Header http.Header
+	Body   io.ReadCloser
+	// Length is the length of Body; -1 means unknown.
+	Length  int64
 	Trailer func() http.Header
 }
 
@@ -37,6 +42,8 @@
 	Cause error
 	// Ran is NotRun only when no byte of the call was sent.
 	Ran fleet.Ran
+	// Fault tells in which way the call failed.
+	Fault exchange.Fault
 }
 
 // Error implements error.
@@ -54,3 +61,9 @@
 	// Cancel stops the engine's work on a request.
 	Cancel(ctx context.Context, upstream fleet.Upstream, request fleet.RequestID) error
 }
+
+// AnswerFetcher gets an engine's whole answer again.
+type AnswerFetcher interface {
+	// Fetch waits for the whole answer to an earlier call, over a new connection.
+	Fetch(ctx context.Context, upstream fleet.Upstream, request fleet.RequestID) (UpstreamAnswer, *UpstreamError)
+}
