--- a/node/router/fleet_test.go
+++ b/node/router/fleet_test.go
@@ -70,7 +70,6 @@
 	service *service.Service
 	team    fleet.Team
 	pool    configuration.Pool
-	members []string
 }
 
 func startFleet(t *testing.T, drain time.Duration, tokenInterval time.Duration) *testFleet {
