Bound slow and endless callers, and what is left of their bodies

Cause: a body that came too slowly was refused, and then read on by the server without a limit (16 min for 1,000 bytes at one a second, virtual time), also for requests without a key; the transport to an upstream could still read a caller's body after its call had ended and move the connection's deadline; max_tokens was added to an engine's load unbounded. Change: what a handler leaves of a body is read for one more second; a body is closed for the transport when its call ends; a request counts for at most 2^20 tokens.

--- a/adapter/callerhttp/chat.go
+++ b/adapter/callerhttp/chat.go
@@ -18,6 +18,8 @@
 	bytesPerToken = 4
 	// defaultDecode is the expected number of generated tokens without a limit in the request.
 	defaultDecode = 256
+	// maxDecode bounds what a request can add to an upstream's load by its limit.
+	maxDecode = 1 << 20
 )
 
 // completionBody holds the fields of a chat completion that the router reads.
@@ -41,9 +43,9 @@
 		WriteRefusal(w, refusal)
 		return
 	}
-	var parsed completionBody
-	if err := json.Unmarshal(body, &parsed); err != nil {
-		WriteRefusal(w, fleet.Refuse(fleet.CodeBadRequest, "the body is not a chat completion: "+err.Error(), 0))
+	parsed, refusal := parseCompletion(body)
+	if refusal != nil {
+		WriteRefusal(w, refusal)
 		return
 	}
 	if refusal := s.checkCompletion(contract, parsed); refusal != nil {
@@ -65,13 +67,31 @@
 	if refusal := authorize(contract, pool.Name); refusal != nil {
 		return refusal
 	}
+	return nil
+}
+
+// parseCompletion reads the fields of a body that the router needs, and checks them.
+func parseCompletion(body []byte) (completionBody, *fleet.Refusal) {
+	var parsed completionBody
+	if err := json.Unmarshal(body, &parsed); err != nil {
+		return parsed, fleet.Refuse(fleet.CodeBadRequest, "the body is not a chat completion: "+err.Error(), 0)
+	}
 	if len(parsed.Messages) == 0 {
-		return fleet.Refuse(fleet.CodeBadRequest, "messages is missing", 0)
+		return parsed, fleet.Refuse(fleet.CodeBadRequest, "messages is missing", 0)
 	}
 	if parsed.MaxTokens < 0 || parsed.MaxCompletionTokens < 0 {
-		return fleet.Refuse(fleet.CodeBadRequest, "max_tokens may not be negative", 0)
+		return parsed, fleet.Refuse(fleet.CodeBadRequest, "max_tokens may not be negative", 0)
 	}
-	return nil
+	return parsed, nil
+}
+
+// expectedDecode returns the number of generated tokens to expect.
+func (c completionBody) expectedDecode() fleet.Work {
+	decode := max(c.MaxTokens, c.MaxCompletionTokens)
+	if decode == 0 {
+		decode = defaultDecode
+	}
+	return fleet.Work(min(decode, maxDecode))
 }
 
 func (s *Server) chatRequest(r *http.Request, contract configuration.Contract, parsed completionBody) fleet.Request {
@@ -82,15 +102,11 @@
 	if chatID == "" {
 		chatID = string(requestID(r))
 	}
-	decode := max(parsed.MaxTokens, parsed.MaxCompletionTokens)
-	if decode == 0 {
-		decode = defaultDecode
-	}
 	return fleet.Request{
 		ID: requestID(r), Team: contract.Team, Pool: fleet.PoolID(parsed.Model),
 		// Chats of different teams never share an identity.
 		Chat:    fleet.ChatID(string(contract.Team) + "/" + chatID),
-		Prefill: fleet.Work(len(parsed.Messages)/bytesPerToken + 1), Decode: fleet.Work(decode),
+		Prefill: fleet.Work(len(parsed.Messages)/bytesPerToken + 1), Decode: parsed.expectedDecode(),
 		Priority: contract.Priority, Deadline: time.Now().Add(contract.FirstToken()),
 	}
 }
@@ -99,7 +115,6 @@
 func readBody(w http.ResponseWriter, r *http.Request) ([]byte, *fleet.Refusal) {
 	controller := http.NewResponseController(w)
 	controller.SetReadDeadline(time.Now().Add(BodyTimeout))
-	defer controller.SetReadDeadline(time.Time{})
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, MaxBodyBytes))
 	var tooLarge *http.MaxBytesError
 	if errors.As(err, &tooLarge) {
@@ -108,5 +123,6 @@
 	if err != nil {
 		return nil, fleet.Refuse(fleet.CodeBadRequest, "the body could not be read", 0)
 	}
+	controller.SetReadDeadline(time.Time{})
 	return body, nil
 }
--- a/adapter/callerhttp/guard.go
+++ b/adapter/callerhttp/guard.go
@@ -5,10 +5,14 @@
 	"net/http"
 	"slices"
 	"sync"
+	"time"
 
 	"agateswitch/core/fleet"
 )
 
+// restTimeout is how long a caller may take to send the rest of a body that nobody reads.
+const restTimeout = time.Second
+
 // guard refuses what is not served on any path, and notes what is running.
 func (s *Server) guard(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
@@ -25,10 +29,19 @@
 		id := requestID(r)
 		s.running.add(id)
 		defer s.running.remove(id)
+		if r.Body != http.NoBody {
+			defer limitRest(w)
+		}
 		next.ServeHTTP(w, r)
 	})
 }
 
+// limitRest bounds the time that the server spends on reading what a handler has left of
+// a body, before it uses the connection again or closes it.
+func limitRest(w http.ResponseWriter) {
+	http.NewResponseController(w).SetReadDeadline(time.Now().Add(restTimeout))
+}
+
 // running is the set of requests that are being answered. Its zero value is empty.
 type running struct {
 	// mu guards requests, which every request's goroutine changes.
--- a/adapter/callerhttp/service.go
+++ b/adapter/callerhttp/service.go
@@ -44,6 +44,9 @@
 	}
 	sink := &serviceSink{w: w}
 	s.Forward.Run(r.Context(), call, sink)
+	if body, isStreamed := call.Body.(*serviceBody); isStreamed {
+		body.close()
+	}
 	if sink.cut {
 		// Closing the connection is the only way to tell that the body was cut.
 		panic(http.ErrAbortHandler)
@@ -59,12 +62,15 @@
 			Priority: contract.Priority, Deadline: time.Now().Add(contract.FirstToken()),
 		},
 		Pool: pool, Method: r.Method, Path: path, Header: forwardHeader(r.Header),
-		Body: newServiceBody(w, r), ContentLength: r.ContentLength, Silence: contract.Silence(),
+		ContentLength: r.ContentLength, Silence: contract.Silence(),
 	}
 	if r.URL.RawQuery != "" {
 		call.Path += "?" + r.URL.RawQuery
 	}
 	if !pool.IsOnceOnly(r.Method, path) {
+		if body := newServiceBody(w, r); body != nil {
+			call.Body = body
+		}
 		return call, nil
 	}
 	key, refusal := onceKey(r)
--- a/standin/service/fault.go
+++ b/standin/service/fault.go
@@ -72,7 +72,9 @@
 		f.part(w, 1, 2)
 		panic(http.ErrAbortHandler)
 	case FaultCutLarge:
-		f.part(w, largeBytes, 2*largeBytes)
+		// Chunks end where the connection does.
+		w.Write(make([]byte, largeBytes))
+		http.NewResponseController(w).Flush()
 		panic(http.ErrAbortHandler)
 	case FaultStall:
 		f.part(w, largeBytes, 2*largeBytes)
