Bound every call of the key-value service and notice silent watches

Cause: a connection that something between the ends had lost track of cost each call its whole time, one after the other, and an idle watch on it was never noticed; an empty or headless answer read as an absent key or a lapsed lease; the size of answers had no limit. Ruled out: etcd's manual progress request, which needs a request body that stays open beside the answer, over HTTP/1.1; progress notifications alone, which come every ten minutes by default. Change: a read is tried again over a fresh connection after half of its time, and a call without an answer drops the kept connections. An idle watch is compared with a keys-only read every 5 s, again after 1 s, and ended when it lacks a change; it does not see deletions. Messages above 8 MB, responses without a revision, empty ones and watches that the service ended are errors. TCP keep-alive finds dead connections after about 11 s. The stand-in silences single connections, lapses leases, loses transactions before their effect and doubles them. Not tried: the size limit removed.

--- a/adapter/kv/txn.go
+++ b/adapter/kv/txn.go
@@ -15,7 +15,7 @@
 		return port.CommitResult{}, err
 	}
 	var response TxnResponse
-	if err := c.call(ctx, PathTxn, request, &response); err != nil {
+	if err := c.write(ctx, PathTxn, request, &response); err != nil {
 		return port.CommitResult{}, err
 	}
 	result, err := TransactionResult(transaction, response)
@@ -62,6 +62,9 @@
 // TransactionResult reads the response to a transaction. A response that does not fit the
 // transaction is an error.
 func TransactionResult(transaction port.Transaction, response TxnResponse) (port.CommitResult, error) {
+	if err := response.Header.validate(); err != nil {
+		return port.CommitResult{}, err
+	}
 	result := port.CommitResult{Applied: response.Succeeded, Revision: response.Header.Revision}
 	if response.Succeeded || !transaction.ReadConflicts {
 		return result, nil
--- a/adapter/kv/wire.go
+++ b/adapter/kv/wire.go
@@ -3,6 +3,8 @@
 // base64, 64-bit numbers are decimal strings.
 package kv
 
+import "github.com/juju/errors"
+
 // The messages below are the subset of the etcd v3 API that this project uses. They are
 // exported for the stand-in, which serves the same subset.
 
@@ -19,10 +21,21 @@
 	Revision int64 `json:"revision,string"`
 }
 
+// validate refuses the header of a response that is none of the service's: its revision
+// starts at 1, and an absent key must not be read out of an empty message.
+func (h Header) validate() error {
+	if h.Revision <= 0 {
+		return errors.New("response without a revision")
+	}
+	return nil
+}
+
 // RangeRequest is etcdserverpb.RangeRequest.
 type RangeRequest struct {
-	Key      []byte `json:"key"`
-	RangeEnd []byte `json:"range_end,omitempty"`
+	Key            []byte `json:"key"`
+	RangeEnd       []byte `json:"range_end,omitempty"`
+	KeysOnly       bool   `json:"keys_only,omitempty"`
+	MinModRevision int64  `json:"min_mod_revision,string,omitempty"`
 }
 
 // RangeResponse is etcdserverpb.RangeResponse.
@@ -83,6 +96,8 @@
 	Key           []byte `json:"key"`
 	RangeEnd      []byte `json:"range_end,omitempty"`
 	StartRevision int64  `json:"start_revision,string,omitempty"`
+	// ProgressNotify asks for empty messages while nothing changes.
+	ProgressNotify bool `json:"progress_notify,omitempty"`
 }
 
 // WatchRequest is etcdserverpb.WatchRequest.
@@ -98,14 +113,24 @@
 
 // WatchResponse is etcdserverpb.WatchResponse.
 type WatchResponse struct {
-	Header  Header  `json:"header"`
-	Created bool    `json:"created,omitempty"`
-	Events  []Event `json:"events,omitempty"`
+	Header  Header `json:"header"`
+	Created bool   `json:"created,omitempty"`
+	// Canceled ends the watch, for instance because its revision was compacted.
+	Canceled        bool    `json:"canceled,omitempty"`
+	CompactRevision int64   `json:"compact_revision,string,omitempty"`
+	CancelReason    string  `json:"cancel_reason,omitempty"`
+	Events          []Event `json:"events,omitempty"`
 }
 
 // WatchEnvelope is one line of the gateway's watch stream.
 type WatchEnvelope struct {
 	Result WatchResponse `json:"result"`
+	Error  *StreamError  `json:"error,omitempty"`
+}
+
+// StreamError is the gateway's end of a stream by an error.
+type StreamError struct {
+	Message string `json:"message"`
 }
 
 // LeaseGrantRequest is etcdserverpb.LeaseGrantRequest. TTL is in seconds.
--- a/standin/store/server.go
+++ b/standin/store/server.go
@@ -13,18 +13,6 @@
 // leaseCheckInterval is how often lapsed leases are looked for while nobody calls.
 const leaseCheckInterval = 100 * time.Millisecond
 
-// Faults are switched on by tests. The zero value is a healthy service.
-type Faults struct {
-	// Down refuses every call and ends watches.
-	Down bool `json:"down"`
-	// Silent accepts calls and never answers.
-	Silent bool `json:"silent"`
-	// Delay is added to each call, in milliseconds.
-	DelayMillis int `json:"delay_ms"`
-	// LoseAnswers makes this many transactions take effect without an answer.
-	LoseAnswers int `json:"lose_answers"`
-}
-
 // Calls counts what the service was asked.
 type Calls struct {
 	Reads   int64 `json:"reads"`
@@ -42,19 +30,26 @@
 	mu     sync.Mutex
 	faults Faults
 	broken chan struct{}
+	// known holds the addresses of all connections; silent those that were made silent.
+	known, silent map[string]bool
+	silenced      chan struct{}
 
 	reads, writes, watches, waiting atomic.Int64
 }
 
-// PathFaults takes a Faults value by PUT; PathCalls answers Calls by GET.
+// PathFaults takes a Faults value by PUT, PathCalls answers Calls by GET. PUT of
+// PathSilence silences the connections that are open now, of PathLapse lapses all leases.
 const (
-	PathFaults = "/standin/faults"
-	PathCalls  = "/standin/calls"
+	PathFaults  = "/standin/faults"
+	PathCalls   = "/standin/calls"
+	PathSilence = "/standin/silence"
+	PathLapse   = "/standin/lapse"
 )
 
 // New makes an empty service.
 func New() *Server {
-	s := &Server{state: newState(), mux: http.NewServeMux(), broken: make(chan struct{})}
+	s := &Server{state: newState(), mux: http.NewServeMux(), broken: make(chan struct{}),
+		known: map[string]bool{}, silent: map[string]bool{}, silenced: make(chan struct{})}
 	s.mux.HandleFunc("POST "+kv.PathRange, handler(s, &s.reads, s.state.read))
 	s.mux.HandleFunc("POST "+kv.PathTxn, s.commit)
 	s.mux.HandleFunc("POST "+kv.PathWatch, s.watch)
@@ -62,6 +57,8 @@
 	s.mux.HandleFunc("POST "+kv.PathLeaseKeepAlive, handler(s, &s.writes, s.keepAlive))
 	s.mux.HandleFunc("POST "+kv.PathLeaseRevoke, handler(s, &s.writes, s.revokeLease))
 	s.mux.HandleFunc("PUT "+PathFaults, s.putFaults)
+	s.mux.HandleFunc("PUT "+PathSilence, func(http.ResponseWriter, *http.Request) { s.SilenceConnections() })
+	s.mux.HandleFunc("PUT "+PathLapse, func(http.ResponseWriter, *http.Request) { s.LapseLeases() })
 	s.mux.HandleFunc("GET "+PathCalls, func(w http.ResponseWriter, _ *http.Request) { respond(w, s.Calls()) })
 	return s
 }
@@ -69,37 +66,19 @@
 // ServeHTTP implements http.Handler.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) { s.mux.ServeHTTP(w, r) }
 
-// SetFaults switches faults. Waiting watches end when the service goes down.
-func (s *Server) SetFaults(faults Faults) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.faults = faults
-	close(s.broken)
-	s.broken = make(chan struct{})
-}
-
 // Calls returns the counts since the start.
 func (s *Server) Calls() Calls {
 	return Calls{Reads: s.reads.Load(), Writes: s.writes.Load(), Watches: s.watches.Load(), Waiting: s.waiting.Load()}
 }
 
-func (s *Server) putFaults(w http.ResponseWriter, r *http.Request) {
-	var faults Faults
-	if err := json.NewDecoder(r.Body).Decode(&faults); err != nil {
-		http.Error(w, err.Error(), http.StatusBadRequest)
-		return
-	}
-	s.SetFaults(faults)
-	w.WriteHeader(http.StatusNoContent)
-}
-
 // admit applies the faults that come before a call. It returns false when the call is
 // to end without taking effect.
 func (s *Server) admit(w http.ResponseWriter, r *http.Request) bool {
 	s.mu.Lock()
-	faults := s.faults
+	faults, silent := s.faults, s.silent[r.RemoteAddr]
+	s.known[r.RemoteAddr] = true
 	s.mu.Unlock()
-	if faults.Silent {
+	if faults.Silent || silent {
 		<-r.Context().Done()
 		return false
 	}
@@ -111,16 +90,6 @@
 	return true
 }
 
-func (s *Server) loseAnswer() bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.faults.LoseAnswers == 0 {
-		return false
-	}
-	s.faults.LoseAnswers--
-	return true
-}
-
 // handler decodes a request, runs a step, and encodes its response.
 func handler[Request, Response any](s *Server, count *atomic.Int64, step func(Request) Response) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
@@ -137,14 +106,17 @@
 }
 
 func (s *Server) commit(w http.ResponseWriter, r *http.Request) {
-	lost := false
 	step := func(request kv.TxnRequest) kv.TxnResponse {
-		response := s.state.commit(request)
-		lost = s.loseAnswer()
-		if lost {
+		switch s.nextFate() {
+		case LostBefore:
 			panic(http.ErrAbortHandler)
+		case LostAfter:
+			s.state.commit(request)
+			panic(http.ErrAbortHandler)
+		case Doubled:
+			defer s.state.commit(request)
 		}
-		return response
+		return s.state.commit(request)
 	}
 	handler(s, &s.writes, step)(w, r)
 }
@@ -182,15 +154,15 @@
 	s.waiting.Add(1)
 	defer s.waiting.Add(-1)
 	s.mu.Lock()
-	broken := s.broken
+	broken, silenced := s.broken, s.silenced
 	s.mu.Unlock()
 	respond(w, kv.WatchEnvelope{Result: kv.WatchResponse{Created: true}})
 	controller := http.NewResponseController(w)
 	controller.Flush()
-	s.stream(w, r, *request.CreateRequest, broken)
+	s.stream(w, r, *request.CreateRequest, broken, silenced)
 }
 
-func (s *Server) stream(w http.ResponseWriter, r *http.Request, request kv.WatchCreateRequest, broken <-chan struct{}) {
+func (s *Server) stream(w http.ResponseWriter, r *http.Request, request kv.WatchCreateRequest, broken, silenced <-chan struct{}) {
 	encoder := json.NewEncoder(w)
 	controller := http.NewResponseController(w)
 	position := 0
@@ -208,6 +180,9 @@
 		case <-time.After(leaseCheckInterval):
 		case <-broken:
 			return
+		case <-silenced:
+			<-r.Context().Done()
+			return
 		case <-r.Context().Done():
 			return
 		}
--- a/standin/store/state.go
+++ b/standin/store/state.go
@@ -51,7 +51,10 @@
 		return response
 	}
 	for key, value := range s.keys {
-		if inRange(key, request.Key, request.RangeEnd) {
+		if inRange(key, request.Key, request.RangeEnd) && value.ModRevision >= request.MinModRevision {
+			if request.KeysOnly {
+				value.Value = nil
+			}
 			response.KVs = append(response.KVs, value)
 		}
 	}
@@ -159,6 +162,15 @@
 	s.write(operations)
 }
 
+// lapse ends all leases.
+func (s *state) lapse() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for id := range s.leases {
+		s.dropLease(id)
+	}
+}
+
 func (s *state) grantLease(ttl time.Duration) int64 {
 	s.mu.Lock()
 	defer s.mu.Unlock()
