--- a/standin/service/service.go
+++ b/standin/service/service.go
@@ -12,8 +12,12 @@
 	"agateswitch/port"
 )
 
-// PathRuns answers how often each idempotency key ran.
-const PathRuns = "/standin/runs"
+// PathRuns answers how often each idempotency key ran. PUT of PathHold makes calls wait
+// for their answers after they ran, until DELETE of it.
+const (
+	PathRuns = "/standin/runs"
+	PathHold = "/standin/hold"
+)
 
 // headerKey is the header of the key of a call that may not be repeated.
 const headerKey = "Idempotency-Key"
@@ -25,12 +29,16 @@
 
 	mu   sync.Mutex
 	runs map[string]int
+	// held is closed when answers are no longer held back; nil while none are.
+	held chan struct{}
 }
 
 // New makes a service that has run nothing.
 func New(id string) *Service {
 	s := &Service{id: id, mux: http.NewServeMux(), runs: map[string]int{}}
 	s.mux.HandleFunc("GET "+PathRuns, func(w http.ResponseWriter, _ *http.Request) { json.NewEncoder(w).Encode(s.Runs()) })
+	s.mux.HandleFunc("PUT "+PathHold, func(http.ResponseWriter, *http.Request) { s.Hold() })
+	s.mux.HandleFunc("DELETE "+PathHold, func(http.ResponseWriter, *http.Request) { s.LetGo() })
 	s.mux.HandleFunc("/", s.answer)
 	return s
 }
@@ -45,6 +53,33 @@
 	return maps.Clone(s.runs)
 }
 
+// Hold keeps back the answers of calls that run from now on.
+func (s *Service) Hold() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.held == nil {
+		s.held = make(chan struct{})
+	}
+}
+
+// LetGo sends the answers that were kept back.
+func (s *Service) LetGo() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.held != nil {
+		close(s.held)
+		s.held = nil
+	}
+}
+
+// run counts one run of a key. The channel is closed when its answer may go.
+func (s *Service) run(key string) (number int, held chan struct{}) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.runs[key]++
+	return s.runs[key], s.held
+}
+
 // Answer is the body of each answer.
 type Answer struct {
 	Service string `json:"service"`
@@ -62,10 +97,11 @@
 	}
 	answer := Answer{Service: s.id, Method: r.Method, Path: r.URL.Path, Body: string(content)}
 	if key := r.Header.Get(headerKey); key != "" {
-		s.mu.Lock()
-		s.runs[key]++
-		answer.Run = s.runs[key]
-		s.mu.Unlock()
+		number, held := s.run(key)
+		answer.Run = number
+		if held != nil {
+			<-held
+		}
 	}
 	w.Header().Set("Content-Type", "application/json")
 	json.NewEncoder(w).Encode(answer)
