--- a/node/forward/forward.go
+++ b/node/forward/forward.go
@@ -63,13 +63,6 @@
 	s.runPlain(ctx, call, sink)
 }
 
-func (s *Service) send(ctx context.Context, call Call, grant fleet.Grant, body io.Reader) (port.UpstreamAnswer, *port.UpstreamError) {
-	return s.upstreams.Send(ctx, port.UpstreamCall{
-		Upstream: grant.Upstream, Request: call.Request.ID, Method: call.Method, Path: call.Path,
-		Header: call.Header, Body: body, ContentLength: call.ContentLength,
-	})
-}
-
 func (s *Service) end(call Call, grant fleet.Grant, outcome fleet.Outcome) {
 	s.placer.Release(grant, fleet.Completion{Grant: grant.ID, Upstream: grant.Upstream.ID, Outcome: outcome})
 	s.versions.Observe(fleet.Evidence{
--- a/node/forward/once.go
+++ b/node/forward/once.go
@@ -68,7 +68,12 @@
 		s.refuseLate(call, held, grant, sink)
 		return
 	}
-	answer, failure := s.send(ctx, call, grant, body)
+	answer, failure := s.upstreams.Send(ctx, port.UpstreamCall{
+		Upstream: grant.Upstream, Request: call.Request.ID, Method: call.Method, Path: call.Path,
+		Header: call.Header, Body: body, ContentLength: call.ContentLength,
+		// A kept connection may have gone silent, and this call cannot be tried again.
+		Fresh: true,
+	})
 	if failure != nil {
 		s.end(call, grant, outcomeOf(failure))
 		s.record(held, fleet.ClaimAnswer{Unsent: failure.Ran == fleet.NotRun, Unknown: failure.Ran != fleet.NotRun})
