Spread configuration over peers, so that three routers watch the store

Cause: every router read and watched the key-value service, so its load grew with the fleet, and a host that started while it was down had no configuration.

Ruled out: exchange with random peers over the whole fleet (each router would end up with a connection to every other); the whole state with each change.

Change: core/dissemination ranks routers by rendezvous, spread over the data centres; the first three watch, and read the head every 2 s, which finds out a silent watch. All routers exchange digests with one of six neighbours each second and push deltas of a change to four. The next in the ranking ask the watchers themselves and take over when they are suspect, or when the service's last confirmation is older than 5 s, up to nine. A starting router asks three peers before it reads the service. States over 1 MiB go in pages that are applied together. Waiting for a running fetch ends with its context (a mutex there stopped virtual time and held handlers for as long as the fetch).

Seen failing: no head reading (TestSilentWatchIsFoundOut), no asking at start (TestWipedStoreDoesNotTakeTheFleetBack), no exchange (TestInForceAlthoughWatchersDie, TestCutOffRouters), a single fixed watcher (both), all routers watching (TestControlTrafficDoesNotGrowWithTheFleet), larger deltas (TestOneChangeCostsADelta). Not seen failing: suspicion alone or staleness alone removed; each covers for the other.

--- a/core/dissemination/roles.go
+++ b/core/dissemination/roles.go
@@ -4,11 +4,14 @@
 package dissemination
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
 	"agateswitch/core/fleet"
 	"agateswitch/core/rendezvous"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 // Numbers of routers.
@@ -72,16 +75,24 @@
 	return chosen[:min(count, len(chosen))]
 }
 
+// ranked returns the routers in rendezvous order, without changing the argument.
 func ranked(key string, routers []fleet.Host) []fleet.Host {
-	byName := make(map[string]fleet.Host, len(routers))
-	names := make([]string, 0, len(routers))
-	for _, host := range routers {
-		byName[string(host.ID)] = host
-		names = append(names, string(host.ID))
+	type scored struct {
+		score uint64
+		host  *fleet.Host
+	}
+	scores := make([]scored, len(routers))
+	keyHash := xxhash.Sum64String(key)
+	for i := range routers {
+		nodeHash := xxhash.Sum64String(string(routers[i].ID))
+		scores[i] = scored{score: rendezvous.Mix(keyHash, nodeHash), host: &routers[i]}
 	}
-	ordered := make([]fleet.Host, 0, len(routers))
-	for _, name := range rendezvous.Order(key, names) {
-		ordered = append(ordered, byName[name])
+	slices.SortFunc(scores, func(a, b scored) int {
+		return cmp.Or(cmp.Compare(b.score, a.score), cmp.Compare(a.host.ID, b.host.ID))
+	})
+	ordered := make([]fleet.Host, len(routers))
+	for i, scored := range scores {
+		ordered[i] = *scored.host
 	}
 	return ordered
 }
--- /dev/null
+++ b/node/configsync/distribution_test.go
@@ -0,0 +1,258 @@
+package configsync
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"agateswitch/core/configuration"
+	"agateswitch/core/dissemination"
+	"agateswitch/core/fleet"
+
+	"github.com/shoenig/test/must"
+)
+
+// inForceLimit is the target's time to in force everywhere.
+const inForceLimit = 14 * time.Second
+
+// startFleet starts routers spread over four data centres and waits until all are loaded.
+func startFleet(ctx context.Context, t *testing.T, count int) (*fakeFleet, []*fakeNode) {
+	t.Helper()
+	f := newFakeFleet()
+	var nodes []*fakeNode
+	for i := range count {
+		nodes = append(nodes, f.add(ctx, fleet.HostID(fmt.Sprintf("r%03d", i)), fleet.DataCentre(fmt.Sprintf("dc%d", i%4))))
+	}
+	for _, node := range nodes {
+		<-node.Loaded()
+	}
+	sleep(t, 5*time.Second)
+	return f, nodes
+}
+
+// inFleet runs a test in virtual time with a started fleet, and ends the fleet.
+func inFleet(t *testing.T, count int, run func(t *testing.T, f *fakeFleet, nodes []*fakeNode)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer func() {
+			cancel()
+			// Calls that outlive their router end within their own limits.
+			sleep(t, time.Minute)
+		}()
+		f, nodes := startFleet(ctx, t, count)
+		run(t, f, nodes)
+	})
+}
+
+// timeToInForce returns how long it takes until every node has a revision in force.
+func timeToInForce(t *testing.T, nodes []*fakeNode, revision configuration.Revision) time.Duration {
+	t.Helper()
+	start := time.Now()
+	for _, node := range nodes {
+		for node.Current().Revision() < revision {
+			if time.Since(start) > inForceLimit {
+				t.Fatalf("%s has revision %d, not %d, after %s", node.host.ID, node.Current().Revision(), revision, inForceLimit)
+			}
+			sleep(t, time.Millisecond)
+		}
+	}
+	return time.Since(start)
+}
+
+func accept(t *testing.T, node *fakeNode, name string, out bool) configuration.Revision {
+	t.Helper()
+	result := node.Accept(t.Context(), dataCentreChange(name, out))
+	must.Nil(t, result.Refusal)
+	return result.Revision
+}
+
+// Watches and reads on the store, and each router's traffic, do not grow with the fleet.
+func TestControlTrafficDoesNotGrowWithTheFleet(t *testing.T) {
+	const (
+		window = 60 * time.Second
+		// maxBytesPerSecond is a tenth of the target's 28 KB a second for control.
+		maxBytesPerSecond = 2800
+	)
+	for _, count := range []int{3, 8, 64} {
+		inFleet(t, count, func(t *testing.T, f *fakeFleet, nodes []*fakeNode) {
+			f.mu.Lock()
+			for _, node := range nodes {
+				node.bytes, node.calls = 0, 0
+			}
+			f.mu.Unlock()
+			reads, _ := f.store.load()
+			sleep(t, window)
+			f.mu.Lock()
+			defer f.mu.Unlock()
+			worst, total := 0, 0
+			for _, node := range nodes {
+				worst, total = max(worst, node.bytes), total+node.bytes
+			}
+			perSecond := float64(worst) / window.Seconds()
+			after, waiting := f.store.load()
+			readsPerSecond := float64(after-reads) / window.Seconds()
+			t.Logf("%d routers: %d watches waiting, %.2f reads/s, bytes/s a router: mean %.0f, most %.0f",
+				count, waiting, readsPerSecond, float64(total)/float64(count)/window.Seconds(), perSecond)
+			must.Eq(t, dissemination.Watchers, waiting)
+			must.LessEq(t, dissemination.Watchers/dissemination.HeadInterval.Seconds(), readsPerSecond)
+			must.LessEq(t, maxBytesPerSecond, perSecond)
+		})
+	}
+}
+
+// One change is in force everywhere within the limit, whatever the fleet's size.
+func TestChangeIsInForceEverywhere(t *testing.T) {
+	for _, count := range []int{3, 8, 64} {
+		inFleet(t, count, func(t *testing.T, _ *fakeFleet, nodes []*fakeNode) {
+			took := timeToInForce(t, nodes, accept(t, nodes[1], "arima", true))
+			t.Logf("%d routers: in force everywhere after %s", count, took)
+		})
+	}
+}
+
+// The accepting router dies with the commit, and so do all watchers.
+func TestInForceAlthoughWatchersDie(t *testing.T) {
+	inFleet(t, 16, func(t *testing.T, f *fakeFleet, nodes []*fakeNode) {
+		revision := soloNode(f.store).Accept(t.Context(), dataCentreChange("arima", true)).Revision
+		var left []*fakeNode
+		for _, node := range nodes {
+			if node.State().Watching {
+				node.set(&node.cutFromPeers, true)
+				node.set(&node.cutFromStore, true)
+				continue
+			}
+			left = append(left, node)
+		}
+		must.SliceLen(t, len(nodes)-dissemination.Watchers, left)
+		timeToInForce(t, left, revision)
+	})
+}
+
+// A watch's connection goes silent while new calls work.
+func TestSilentWatchIsFoundOut(t *testing.T) {
+	inFleet(t, 4, func(t *testing.T, f *fakeFleet, nodes []*fakeNode) {
+		for _, node := range nodes {
+			f.store.mu.Lock()
+			node.link.silent = true
+			f.store.mu.Unlock()
+		}
+		revision := soloNode(f.store).Accept(t.Context(), dataCentreChange("arima", true)).Revision
+		timeToInForce(t, nodes, revision)
+	})
+}
+
+// Routers cut off from the store hear of changes from peers; routers cut off from their
+// peers read the store; routers cut off from both catch up after the cut.
+func TestCutOffRouters(t *testing.T) {
+	inFleet(t, 8, func(t *testing.T, _ *fakeFleet, nodes []*fakeNode) {
+		nodes[5].set(&nodes[5].cutFromStore, true)
+		nodes[6].set(&nodes[6].cutFromPeers, true)
+		nodes[7].set(&nodes[7].cutFromPeers, true)
+		nodes[7].set(&nodes[7].cutFromStore, true)
+		sleep(t, 5*time.Second)
+		revision := accept(t, nodes[0], "arima", true)
+		timeToInForce(t, nodes[:7], revision)
+		must.Less(t, revision, nodes[7].Current().Revision())
+		nodes[7].set(&nodes[7].cutFromPeers, false)
+		timeToInForce(t, nodes[7:], revision)
+	})
+}
+
+// A host that starts while the store is down takes the revision of its peers. Without a
+// peer it stays not ready.
+func TestStartWhileTheStoreIsDown(t *testing.T) {
+	inFleet(t, 4, func(t *testing.T, f *fakeFleet, nodes []*fakeNode) {
+		revision := accept(t, nodes[0], "arima", true)
+		timeToInForce(t, nodes, revision)
+		f.store.setDown(true)
+		started := f.add(t.Context(), "late", "dc0")
+		defer started.stop()
+		<-started.Loaded()
+		must.Eq(t, revision, started.Current().Revision())
+
+		alone := newFakeFleet()
+		alone.store.setDown(true)
+		lonely := alone.add(t.Context(), "lonely", "dc0")
+		defer lonely.stop()
+		sleep(t, time.Minute)
+		must.False(t, lonely.isLoaded())
+		alone.store.setDown(false)
+		<-lonely.Loaded()
+	})
+}
+
+// A store that was wiped does not take the fleet back, also not a router that starts then.
+func TestWipedStoreDoesNotTakeTheFleetBack(t *testing.T) {
+	inFleet(t, 4, func(t *testing.T, f *fakeFleet, nodes []*fakeNode) {
+		revision := accept(t, nodes[0], "arima", true)
+		timeToInForce(t, nodes, revision)
+		f.store.mu.Lock()
+		clear(f.store.keys)
+		f.store.mu.Unlock()
+		started := f.add(t.Context(), "late", "dc0")
+		defer started.stop()
+		<-started.Loaded()
+		must.Eq(t, revision, started.Current().Revision())
+		sleep(t, 10*time.Second)
+		behind := 0
+		for _, node := range append(nodes, started) {
+			must.True(t, node.Current().IsOut("arima"))
+			if node.State().StoreBehind {
+				behind++
+			}
+		}
+		must.Positive(t, behind)
+	})
+}
+
+// With 1,100 contracts, one change costs each router a few deltas, never the whole; a
+// router that starts gets the whole in pages.
+func TestOneChangeCostsADelta(t *testing.T) {
+	const (
+		contracts = 1100
+		// maxBytesPerChange is the target's 28 KB/s of one second: 1,700 changes a day are one in 51 s.
+		maxBytesPerChange = 28_000
+	)
+	inFleet(t, 8, func(t *testing.T, f *fakeFleet, nodes []*fakeNode) {
+		pool := Change{Key: configuration.Key{Kind: configuration.KindPool, Name: "farrier-lm"}, Value: []byte(`{"name":"farrier-lm","type":"engine"}`)}
+		must.Nil(t, nodes[0].Accept(t.Context(), pool).Refusal)
+		var last configuration.Revision
+		for i := range contracts {
+			team := fmt.Sprintf("team-%04d", i)
+			key := configuration.Key{Kind: configuration.KindContract, Name: team}
+			result := nodes[0].Accept(t.Context(), Change{Key: key, Value: contractValue(team)})
+			must.Nil(t, result.Refusal)
+			last = result.Revision
+		}
+		timeToInForce(t, nodes, last)
+		sleep(t, 5*time.Second)
+		before := f.bytesOf(nodes)
+		key := configuration.Key{Kind: configuration.KindContract, Name: "team-0007"}
+		result := nodes[0].Accept(t.Context(), Change{Key: key, Value: contractValue("team-0007"), Expected: AnyRevision})
+		synctest.Wait()
+		timeToInForce(t, nodes, result.Revision)
+		// Pushes that come second count as well.
+		sleep(t, 100*time.Millisecond)
+		perRouter := (f.bytesOf(nodes) - before) / len(nodes)
+		f.store.setDown(true)
+		started := f.add(t.Context(), "late", "dc0")
+		defer started.stop()
+		<-started.Loaded()
+		must.Eq(t, result.Revision, started.Current().Revision())
+		t.Logf("one change with %d contracts: %d bytes a router; a start: %d bytes", contracts, perRouter, started.bytes)
+		must.LessEq(t, maxBytesPerChange, perRouter)
+	})
+}
+
+func (f *fakeFleet) bytesOf(nodes []*fakeNode) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	total := 0
+	for _, node := range nodes {
+		total += node.bytes
+	}
+	return total
+}
--- a/node/configsync/exchange.go
+++ b/node/configsync/exchange.go
@@ -152,8 +152,12 @@
 // fetch takes the state above the own revision from a peer, page by page, unless another
 // fetch has reached the revision meanwhile.
 func (s *Service) fetch(ctx context.Context, peer fleet.HostID, revision configuration.Revision) {
-	s.fetching.Lock()
-	defer s.fetching.Unlock()
+	select {
+	case s.fetching <- struct{}{}:
+	case <-ctx.Done():
+		return
+	}
+	defer func() { <-s.fetching }()
 	if s.Current().Revision() >= revision {
 		return
 	}
--- a/node/configsync/fakes_test.go
+++ b/node/configsync/fakes_test.go
@@ -46,7 +46,7 @@
 }
 
 func (l *storeLink) reach(ctx context.Context) error {
-	if !l.down && !l.cut() {
+	if !l.isDown() && !l.cut() {
 		return nil
 	}
 	select {
@@ -145,11 +145,11 @@
 	position := 0
 	for ctx.Err() == nil {
 		l.mu.Lock()
-		news, changed := l.history[position:], l.changed
+		news, changed, silent := l.history[position:], l.changed, l.silent
 		position = len(l.history)
 		l.mu.Unlock()
 		for _, event := range news {
-			if event.Entry.Revision <= after || !strings.HasPrefix(event.Entry.Key, prefix) || l.silent {
+			if event.Entry.Revision <= after || !strings.HasPrefix(event.Entry.Key, prefix) || silent {
 				continue
 			}
 			select {
@@ -161,7 +161,7 @@
 		select {
 		case <-changed:
 		case <-time.After(time.Second):
-			if l.down || l.cut() {
+			if l.isDown() || l.cut() {
 				select {
 				case events <- port.WatchEvent{Err: port.ErrUnavailable}:
 				case <-ctx.Done():
@@ -180,6 +180,19 @@
 	s.watches += max(waiting, 0)
 }
 
+// load returns the reads so far and the watches waiting now.
+func (s *fakeStore) load() (reads, waiting int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.reads, s.waiting
+}
+
+func (s *fakeStore) isDown() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.down
+}
+
 func (s *fakeStore) setDown(down bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/node/configsync/sync.go
+++ b/node/configsync/sync.go
@@ -36,8 +36,9 @@
 
 	// applying serialises changes of current; readers of current need no lock.
 	applying sync.Mutex
-	// fetching keeps this router from fetching the same state from several peers at once.
-	fetching sync.Mutex
+	// fetching holds a token while this router fetches, so that it does not fetch the same
+	// state from several peers at once. Waiting for it ends with the waiter's context.
+	fetching chan struct{}
 	// pushes holds a token when neighbours are to be told of a new revision.
 	pushes chan struct{}
 	// pushed is the revision that neighbours were last told of. Only the push loop uses it.
@@ -54,7 +55,8 @@
 	s := &Service{
 		store: store, telemetry: telemetry, metrics: newInstruments(telemetry.Meter),
 		loaded: make(chan struct{}), pushes: make(chan struct{}, 1),
-		running: func() map[fleet.DataCentre]int { return nil },
+		fetching: make(chan struct{}, 1),
+		running:  func() map[fleet.DataCentre]int { return nil },
 	}
 	s.current.Store(configuration.Empty())
 	return s
