--- a/standin/engine/engine.go
+++ b/standin/engine/engine.go
@@ -50,6 +50,9 @@
 	cache   map[string]*list.Element
 	recent  *list.List
 	streams map[string]*generation
+	load    load
+	plans   []Plan
+	runs    map[string]int
 }
 
 // New makes an engine with an empty cache.
@@ -60,10 +63,13 @@
 	e := &Engine{
 		options: options, mux: http.NewServeMux(),
 		cache: map[string]*list.Element{}, recent: list.New(), streams: map[string]*generation{},
+		runs: map[string]int{},
 	}
 	e.mux.HandleFunc("POST "+upstreamhttp.PathCompletions, e.complete)
 	e.mux.HandleFunc("GET "+upstreamhttp.PathCompletions+"/{id}", e.resume)
 	e.mux.HandleFunc("POST "+upstreamhttp.PathCompletions+"/{id}/cancel", e.cancel)
+	e.load.incarnation = newIncarnation()
+	e.mux.HandleFunc("GET "+upstreamhttp.PathLoad, e.serveLoad)
 	e.mux.HandleFunc("GET "+PathCounts, func(w http.ResponseWriter, _ *http.Request) { json.NewEncoder(w).Encode(e.Counts()) })
 	return e
 }
@@ -100,12 +106,19 @@
 	}
 	id := r.Header.Get(port.HeaderRequestID)
 	w.Header().Set(port.HeaderRequestID, id)
+	plan := e.nextPlan()
+	if plan.isRefused(w) {
+		return
+	}
 	generated := e.start(id, request)
+	if plan.Fault == FaultCrossed {
+		generated = crossed(generated)
+	}
 	if request.Stream {
-		generated.stream(w, r, 0)
+		e.stream(w, r, generated, 0, plan)
 		return
 	}
-	generated.whole(w, r)
+	generated.whole(w, r, plan)
 }
 
 func (e *Engine) start(id string, request body) *generation {
@@ -117,6 +130,7 @@
 	defer e.mu.Unlock()
 	e.counts.Requests++
 	e.counts.Running++
+	e.runs[id]++
 	size := 0
 	for _, message := range request.Messages {
 		size += len(message.Content)
@@ -130,7 +144,8 @@
 	}
 	generated := newGeneration(id, request.Model, Tokens(prompt, request.MaxTokens))
 	e.streams[id] = generated
-	go e.run(generated, prefill)
+	work := e.load.begin(size, prefill > 0, request.MaxTokens)
+	go e.run(generated, prefill, work)
 	return generated
 }
 
@@ -161,7 +176,7 @@
 }
 
 // run produces the tokens at the engine's speed.
-func (e *Engine) run(generated *generation, prefill time.Duration) {
+func (e *Engine) run(generated *generation, prefill time.Duration, work int64) {
 	time.Sleep(prefill)
 	for generated.advance() {
 		time.Sleep(e.options.TokenInterval)
@@ -169,6 +184,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.counts.Running--
+	e.load.end(work)
 }
 
 func (e *Engine) find(w http.ResponseWriter, r *http.Request) (*generation, bool) {
@@ -188,9 +204,29 @@
 	if err != nil {
 		after = 0
 	}
-	if generated, found := e.find(w, r); found {
-		generated.stream(w, r, after)
+	generated, found := e.find(w, r)
+	if !found {
+		return
+	}
+	plan := e.nextPlan()
+	if plan.isRefused(w) {
+		return
+	}
+	if plan.Fault == FaultCrossed {
+		generated = crossed(generated)
+	}
+	if r.URL.Query().Get("stream") == "true" {
+		e.stream(w, r, generated, after, plan)
+		return
+	}
+	generated.whole(w, r, plan)
+}
+
+func (e *Engine) stream(w http.ResponseWriter, r *http.Request, generated *generation, after int, plan Plan) {
+	if plan.Fault == FaultForget {
+		defer e.forget(generated.id)
 	}
+	generated.stream(w, r, after, plan)
 }
 
 func (e *Engine) cancel(w http.ResponseWriter, r *http.Request) {
--- a/standin/service/service.go
+++ b/standin/service/service.go
@@ -25,11 +25,16 @@
 
 	mu   sync.Mutex
 	runs map[string]int
+	// calls counts the runs of each request.
+	calls  map[string]int
+	faults []Fault
+	// observe sees each call, if it is set.
+	observe func(*http.Request)
 }
 
 // New makes a service that has run nothing.
 func New(id string) *Service {
-	s := &Service{id: id, mux: http.NewServeMux(), runs: map[string]int{}}
+	s := &Service{id: id, mux: http.NewServeMux(), runs: map[string]int{}, calls: map[string]int{}}
 	s.mux.HandleFunc("GET "+PathRuns, func(w http.ResponseWriter, _ *http.Request) { json.NewEncoder(w).Encode(s.Runs()) })
 	s.mux.HandleFunc("/", s.answer)
 	return s
@@ -60,6 +65,11 @@
 	if err != nil {
 		return
 	}
+	fault := s.nextFault()
+	if fault == FaultLost {
+		panic(http.ErrAbortHandler)
+	}
+	s.count(r)
 	answer := Answer{Service: s.id, Method: r.Method, Path: r.URL.Path, Body: string(content)}
 	if key := r.Header.Get(headerKey); key != "" {
 		s.mu.Lock()
@@ -67,6 +77,26 @@
 		answer.Run = s.runs[key]
 		s.mu.Unlock()
 	}
+	if fault.fail(w, r) {
+		return
+	}
 	w.Header().Set("Content-Type", "application/json")
 	json.NewEncoder(w).Encode(answer)
 }
+
+// count notes the run of a call.
+func (s *Service) count(r *http.Request) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.calls[r.Header.Get(port.HeaderRequestID)]++
+	if s.observe != nil {
+		s.observe(r)
+	}
+}
+
+// Observe makes the service show each call that it runs.
+func (s *Service) Observe(observe func(*http.Request)) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.observe = observe
+}
