Move traffic between versions: evidence up a tree, brakes to all routers

Cause: core/rollout decided, but no router passed evidence on, led a move or told others of a brake.

Change: node/moves folds evidence and passes it up a tree of eight, at most every 200 ms a router; the root of the move's rendezvous order decides and makes steps durable by compare-and-swap (port.ConfigurationWriter). Evidence has the time between tokens and whether the prefix was cold.

Ruled out: reports straight to the leader (at the target 380 routers would send it more than its 28 KB a second); a wait for all routers' answers at a start (three are asked at a time, so that a fleet that starts at once never began: found by the tests, mended).

Before: nothing.

--- a/core/rollout/spread.go
+++ b/core/rollout/spread.go
@@ -67,3 +67,9 @@
 	}
 	return all
 }
+
+// Leader returns the router that decides about a move.
+func Leader(id MoveID, routers []fleet.Host) fleet.HostID {
+	first, _ := rendezvous.First("move/"+string(id), names(routers))
+	return fleet.HostID(first)
+}
--- a/node/chat/chat.go
+++ b/node/chat/chat.go
@@ -76,12 +76,22 @@
 	// can be asked.
 	rejection  *wholeAnswer
 	firstToken time.Duration
-	decoded    fleet.Work
-	resumed    int
+	// lastToken is the time from sending to the latest event of a stream.
+	lastToken time.Duration
+	decoded   fleet.Work
+	resumed   int
 	// retry is allowed when the attempt was given up for another engine.
 	retry admission.RetryDecision
 }
 
+// tokenInterval returns the mean time between the events of a stream.
+func (r result) tokenInterval() time.Duration {
+	if r.decoded < 2 || r.lastToken <= r.firstToken {
+		return 0
+	}
+	return (r.lastToken - r.firstToken) / time.Duration(r.decoded-1)
+}
+
 // Run carries one call to its end.
 func (s *Service) Run(ctx context.Context, call Call, sink Sink) {
 	var last result
@@ -166,7 +176,8 @@
 			Pool: call.Request.Pool, Version: grant.Upstream.Version, Upstream: grant.Upstream.ID,
 			Route:      "POST " + completionsPath,
 			Failed:     outcome != fleet.OutcomeWhole,
-			FirstToken: last.firstToken,
+			FirstToken: last.firstToken, TokenInterval: last.tokenInterval(),
+			Cold: !grant.Warm,
 		})
 	}
 	s.logEnd(call.Request.ID, grant.Upstream.ID, outcome, last)
--- a/node/chat/stream.go
+++ b/node/chat/stream.go
@@ -167,6 +167,7 @@
 		r.result.firstToken = time.Since(r.started)
 		r.sink.Begin(r.grant)
 	}
+	r.result.lastToken = time.Since(r.started)
 	return r.watch.deliver(func() error { return r.sink.Event(event) })
 }
 
--- a/node/router/router.go
+++ b/node/router/router.go
@@ -94,6 +94,7 @@
 	r.mesh = peer.New(self.ID, r.members, s.PeerKey, logger)
 	r.config.Join(r.mesh, r.members)
 	r.moves = moves.New(r.config, store, r.members, r.mesh, telemetry)
+	r.moves.UseWriter(r.config)
 	r.grants = grants.New(r.members, r.config, r.moves, r.mesh, time.Now().UnixNano(), telemetry)
 	r.claims = claims.New(store, r.members, r.mesh, telemetry)
 	upstreams := upstreamhttp.New()
