--- a/demo/version_test.go
+++ b/demo/version_test.go
@@ -63,14 +63,15 @@
 
 // chats sends requests of many chats until ctx ends.
 func chats(ctx context.Context, f *Fleet, running *sync.WaitGroup) {
-	client := caller{client: &http.Client{}}
+	client := &http.Client{}
 	var sequence atomic.Int64
 	for range 8 {
 		running.Go(func() {
 			for ctx.Err() == nil {
 				n := int(sequence.Add(1))
 				team := f.Example.Contracts[n%len(f.Example.Contracts)].Team
-				client.chat(ctx, f.Entries[n%len(f.Entries)], team, versionPool, fmt.Sprint("v", n), "hello", 2)
+				c := caller{client: client, team: team, entry: func() string { return f.Entries[n%len(f.Entries)] }}
+				c.chat(ctx, versionPool, fmt.Sprint("v", n), "hello", 2)
 			}
 		})
 	}
