Hold off upstreams that fail, and probe them one request at a time

Cause: an upstream that takes no connection ends each request at once, so that its load stays at zero and it goes on being the first choice of its chats. A cold start allowed it one request after another.

Ruled out: the retry budget, which only bounds what the dead upstream costs; leaving it to the host list, which lags; holding off at the first failed answer, which lets one request that fails everywhere take all upstreams out of use (TestPoisonousRequestHoldsNoUpstream).

Change: a circuit breaker for each upstream. One that takes no connection, or fails three in a row, gets nothing for 0.5 s, doubling to 8 s, then single requests until one is whole. explain names it.

Measured: TestDeadUpstreamGetsOnlyProbes, seen failing without it (244 requests in the 20 s from the fifth second on, at most 3 allowed): now 2; after its return the upstream is used again within 8 s.

Conclusion: a lost engine costs a request now and then.

--- a/core/placement/choose.go
+++ b/core/placement/choose.go
@@ -167,6 +167,11 @@
 		state += ", the chat last ran here"
 	}
 	switch {
+	case e.hold.isHeld(now):
+		return state + fmt.Sprintf(": rejected: held off for %s after %d failed requests in a row",
+			e.hold.until.Sub(now).Round(time.Millisecond), e.hold.failures)
+	case e.isFull(now) && e.hold.isProbing():
+		return state + ": rejected: one request is showing whether it works again"
 	case e.isFull(now) && e.isLearning(now):
 		return state + ": rejected: held at its cold start until it reports its load to this owner"
 	case e.isFull(now) && e.ramp.isCold():
--- a/core/placement/doc.go
+++ b/core/placement/doc.go
@@ -32,6 +32,12 @@
 // The mean falls when requests end. An upstream that is then above the bound gets nothing
 // new until it is below.
 //
+// # Failing upstreams
+//
+// An upstream that takes no connection, or fails three requests in a row, is held off: it
+// gets nothing for 0.5 s, then one request at a time until one is whole. The time doubles
+// with each failure up to 8 s.
+//
 // # Two owners
 //
 // While two routers grant for one shard, each counts what the upstream reports beyond its own
--- a/core/placement/engine.go
+++ b/core/placement/engine.go
@@ -13,6 +13,7 @@
 	hash   uint64
 	weight float64
 	ramp   ramp
+	hold   holdoff
 	// work and running count this owner's grants, adopted ones included.
 	work    fleet.Work
 	running int
@@ -64,6 +65,12 @@
 
 // limit is how many requests the upstream may bear now.
 func (e *engine) limit(now time.Time) int {
+	if e.hold.isHeld(now) {
+		return 0
+	}
+	if e.hold.isProbing() {
+		return 1
+	}
 	if e.isLearning(now) {
 		return min(e.ramp.allowed, e.ramp.cold+e.adopted)
 	}
--- a/core/placement/owner.go
+++ b/core/placement/owner.go
@@ -180,6 +180,7 @@
 	}
 	switch completion.Outcome {
 	case fleet.OutcomeWhole:
+		e.hold.answered()
 		e.ramp.answered(completion.FirstToken, grant.prompt, grant.prefill)
 		if !grant.adopted {
 			took := max(0, now.Sub(grant.since)-completion.Age)
@@ -188,6 +189,7 @@
 		}
 	case fleet.OutcomeFailed, fleet.OutcomeUnsent:
 		e.ramp.reset(SignFailure)
+		e.hold.failed(now, completion.Outcome == fleet.OutcomeUnsent)
 		o.memory.forget(grant.chat)
 	}
 }
