--- a/node/router/router.go
+++ b/node/router/router.go
@@ -94,6 +94,7 @@
 	r.mesh = peer.New(self.ID, r.members, s.PeerKey, logger)
 	r.config.Join(r.mesh, r.members)
 	r.moves = moves.New(r.config, store, r.members, r.mesh, telemetry)
+	r.moves.UseWriter(r.config)
 	r.grants = grants.New(r.members, r.config, r.moves, r.mesh, time.Now().UnixNano(), telemetry)
 	r.claims = claims.New(store, r.members, r.mesh, telemetry)
 	upstreams := upstreamhttp.New()
@@ -110,14 +111,15 @@
 	}
 	r.callers = &http.Server{Handler: callers.Handler()}
 	callerhttp.Harden(r.callers)
-	r.operators = &http.Server{Handler: r.operatorRoutes(operators.Handler())}
+	r.operators = &http.Server{Handler: r.operatorRoutes(operators.Handler(), operators.VersionRoutes(r.moves))}
 	callerhttp.Harden(r.operators)
 	return r, r.observe()
 }
 
 // operatorRoutes adds health and metrics to the operators' interface.
-func (r *Router) operatorRoutes(operators http.Handler) http.Handler {
+func (r *Router) operatorRoutes(operators, versions http.Handler) http.Handler {
 	mux := http.NewServeMux()
+	mux.Handle(operatorhttp.PathVersion+"/", versions)
 	mux.Handle("/operator/", operators)
 	mux.Handle("GET /metrics", r.metrics.Handler())
 	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusNoContent) })
