Take data centres out and back by a ramp, and wait until a change is in force

Cause: a data centre came back at once with its whole weight; nobody could see whether a change was in force everywhere, or what still ran where; the last data centre could be taken out by mistake, and entry answers went on naming its routers.

Ruled out: a table of all routers' revisions in each exchange (grows with the fleet); asking all routers from one (380 calls). A check for the last data centre before the acceptance (two operators could pass it together): it runs against the configuration that the change is committed on.

Change: core/drain computes the weight from the change's own time, 5% to 1 over 120 s by default; a repeated "in" does not start the ramp again.

Conclusion: "all live routers" are those on the asked router's view of the lagging host list; a router that joins later reads the configuration before it is ready.

--- a/adapter/callerhttp/entry.go
+++ b/adapter/callerhttp/entry.go
@@ -38,7 +38,8 @@
 		near = s.Members.Self().DataCentre
 	}
 	answer := EntryAnswer{KeepSeconds: int(EntryKeep.Seconds()), Addresses: []EntryAddress{}}
-	for _, host := range membership.EntryOrder(r.URL.Query().Get("chat"), near, s.Members.Routers()) {
+	routers := membership.WithoutOut(s.Members.Routers(), s.Config.Current().IsOut)
+	for _, host := range membership.EntryOrder(r.URL.Query().Get("chat"), near, routers) {
 		answer.Addresses = append(answer.Addresses, EntryAddress{Address: host.HTTPAddress, DataCentre: host.DataCentre})
 	}
 	w.Header().Set("Content-Type", "application/json")
--- /dev/null
+++ b/adapter/operatorhttp/datacentre.go
@@ -0,0 +1,149 @@
+package operatorhttp
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"slices"
+	"strconv"
+	"time"
+
+	"agateswitch/core/configuration"
+	"agateswitch/core/drain"
+	"agateswitch/core/fleet"
+	"agateswitch/node/configsync"
+)
+
+// PathDataCentre is under what a data centre is taken out and brought back.
+const PathDataCentre = "/operator/v1/datacentre"
+
+// Query parameters of a change of a data centre, beside ParamDryRun.
+const (
+	// ParamOut is true to take the data centre out, false to bring it back.
+	ParamOut = "out"
+	// ParamRamp is how long the return takes, in seconds.
+	ParamRamp = "ramp_seconds"
+	// ParamForce accepts a data centre that the host list does not know, or the last one.
+	ParamForce = "force"
+)
+
+// DataCentreAnswer is the answer to a change of a data centre.
+type DataCentreAnswer struct {
+	// Revision at which the change was accepted; 0 for a dry run.
+	Revision configuration.Revision `json:"revision"`
+	// Before and After are the configuration of the data centre.
+	Before configuration.DataCentre `json:"before"`
+	After  configuration.DataCentre `json:"after"`
+	// Effects tells what taking it out does to each pool that it serves.
+	Effects []drain.Effect `json:"effects,omitempty"`
+}
+
+func (s *Server) setDataCentre(w http.ResponseWriter, r *http.Request) {
+	name := fleet.DataCentre(r.PathValue("name"))
+	query := r.URL.Query()
+	out, err := strconv.ParseBool(query.Get(ParamOut))
+	if err != nil {
+		fail(w, http.StatusBadRequest, Failure{Code: fleet.CodeBadRequest, Message: ParamOut + " must be true or false"})
+		return
+	}
+	ramp, err := strconv.Atoi(query.Get(ParamRamp))
+	if err != nil && query.Get(ParamRamp) != "" {
+		fail(w, http.StatusBadRequest, Failure{Code: fleet.CodeBadRequest, Message: ParamRamp + " is not a number"})
+		return
+	}
+	current := s.Config.Current()
+	key := configuration.Key{Kind: configuration.KindDataCentre, Name: string(name)}
+	item, _ := current.Item(key)
+	planned := DataCentreAnswer{Before: current.DataCentre(name), Effects: s.effects(name, out)}
+	planned.Before.Name = name
+	planned.After = drain.Change(planned.Before, out, ramp, time.Now())
+	// Marshalling a plain struct cannot fail.
+	value, _ := json.Marshal(planned.After)
+	change := configsync.Change{Key: key, Value: value, Expected: item.Revision}
+	if query.Get(ParamForce) != "true" {
+		change.Check = s.checkDataCentre(name, out)
+	}
+	if query.Get(ParamDryRun) == "true" {
+		s.planDataCentre(w, change, planned)
+		return
+	}
+	result := s.Config.Accept(r.Context(), change)
+	if result.Refusal != nil {
+		failResult(w, result)
+		return
+	}
+	planned.Revision = result.Revision
+	answer(w, planned)
+}
+
+func (s *Server) planDataCentre(w http.ResponseWriter, change configsync.Change, planned DataCentreAnswer) {
+	problems := configuration.ValidateItem(change.Key, change.Value, s.Config.Current())
+	if change.Check != nil {
+		problems = append(problems, change.Check(s.Config.Current())...)
+	}
+	if len(problems) > 0 {
+		refusal := fleet.Refuse(fleet.CodeInvalid, "the change has problems", 0)
+		failResult(w, configsync.Result{Refusal: refusal, Problems: problems})
+		return
+	}
+	answer(w, planned)
+}
+
+// checkDataCentre returns the check that runs against the configuration that the change
+// is committed on, so that two operators cannot together take out the last ones.
+func (s *Server) checkDataCentre(name fleet.DataCentre, out bool) func(*configuration.Snapshot) []configuration.Problem {
+	known := s.dataCentres()
+	return func(current *configuration.Snapshot) []configuration.Problem {
+		var problems []configuration.Problem
+		if !slices.Contains(known, name) {
+			message := fmt.Sprintf("the host list does not know %q; it knows %v. Force it if the list lags", name, known)
+			problems = append(problems, configuration.Problem{Field: "name", Message: message})
+		}
+		if out && drain.IsLastIn(name, known, current) {
+			problems = append(problems, configuration.Problem{
+				Field: "out", Message: "no other data centre is in: callers would be refused. Force it if that is meant",
+			})
+		}
+		return problems
+	}
+}
+
+// dataCentres returns the data centres that the host list shows, in name order.
+func (s *Server) dataCentres() []fleet.DataCentre {
+	var known []fleet.DataCentre
+	for _, router := range s.Members.Routers() {
+		known = append(known, router.DataCentre)
+	}
+	for _, pool := range s.pools() {
+		for _, upstream := range s.Members.Upstreams(pool.Name) {
+			known = append(known, upstream.DataCentre)
+		}
+	}
+	slices.Sort(known)
+	return slices.Compact(known)
+}
+
+func (s *Server) pools() []configuration.Pool {
+	current := s.Config.Current()
+	var pools []configuration.Pool
+	for _, item := range current.Items(configuration.KindPool) {
+		if pool, found := current.Pool(fleet.PoolID(item.Key.Name)); found {
+			pools = append(pools, pool)
+		}
+	}
+	return pools
+}
+
+func (s *Server) effects(name fleet.DataCentre, out bool) []drain.Effect {
+	if !out {
+		return nil
+	}
+	var effects []drain.Effect
+	for _, pool := range s.pools() {
+		effect := drain.EffectOn(pool, s.Members.Usable(pool.Name), name)
+		if effect.Leaving > 0 {
+			effects = append(effects, effect)
+		}
+	}
+	return effects
+}
--- a/cmd/agatectl/datacentre.go
+++ b/cmd/agatectl/datacentre.go
@@ -1,10 +1,10 @@
 package main
 
 import (
-	"encoding/json"
+	"context"
 
 	"agateswitch/adapter/operatorclient"
-	"agateswitch/core/configuration"
+	"agateswitch/adapter/operatorhttp"
 	"agateswitch/core/fleet"
 
 	"github.com/spf13/cobra"
@@ -14,30 +14,74 @@
 	command := &cobra.Command{Use: "datacentre", Short: "Take a data centre out or bring it back"}
 	command.AddCommand(
 		dataCentreSet(o, "out", "Give a data centre no new work", true),
-		dataCentreSet(o, "in", "Give a data centre work again", false),
+		dataCentreSet(o, "in", "Give a data centre work again, by a ramp", false),
 	)
 	return command
 }
 
 func dataCentreSet(o *options, use, short string, out bool) *cobra.Command {
-	return &cobra.Command{
+	set := operatorclient.DataCentreOptions{Out: out}
+	wait := &waitOptions{}
+	command := &cobra.Command{
 		Use:     use + " NAME",
 		Short:   short,
-		Example: "  agatectl datacentre " + use + " arima",
+		Example: "  agatectl datacentre " + use + " arima --wait",
 		Args:    cobra.ExactArgs(1),
 		RunE: func(command *cobra.Command, args []string) error {
-			value, err := json.Marshal(configuration.DataCentre{Name: fleet.DataCentre(args[0]), Out: out})
+			client := o.client()
+			accepted, err := client.SetDataCentre(command.Context(), args[0], set)
 			if err != nil {
 				return err
 			}
-			key := configuration.Key{Kind: configuration.KindDataCentre, Name: args[0]}
-			accepted, err := o.client().Put(command.Context(), key, value, operatorclient.ChangeOptions{})
-			if err != nil {
+			err = show(command, o, accepted, func() { printDataCentre(command, args[0], use, accepted) })
+			if err != nil || set.DryRun {
+				return err
+			}
+			if err := wait.inForce(command, client, accepted.Revision); err != nil {
 				return err
 			}
-			return show(command, o, accepted, func() {
-				command.Printf("data centre %s %s, accepted at revision %d\n", args[0], use, accepted.Revision)
-			})
+			if !out || !wait.wait {
+				return nil
+			}
+			return waitDrained(command, client, wait, args[0])
 		},
 	}
+	wait.addFlags(command)
+	command.Flags().BoolVar(&set.DryRun, "plan", false, "show what would change, and change nothing")
+	command.Flags().BoolVar(&set.Force, "force", false, "also for a data centre that the host list does not know, or the last one that is in")
+	if !out {
+		command.Flags().IntVar(&set.RampSeconds, "ramp", 0, "seconds until it has its whole weight; 0 keeps what is configured (default 120)")
+	}
+	return command
+}
+
+func printDataCentre(command *cobra.Command, name, use string, accepted operatorhttp.DataCentreAnswer) {
+	for _, effect := range accepted.Effects {
+		command.Printf("pool %s: takes out %d of %d upstreams", effect.Pool, effect.Leaving, effect.Total)
+		if effect.BoundPercent == 0 {
+			command.Printf("; nothing is left\n")
+			continue
+		}
+		command.Printf("; the rest would carry %.0f%% of the bound\n", effect.BoundPercent)
+	}
+	if accepted.Revision == 0 {
+		command.Printf("data centre %s %s: planned, nothing changed\n", name, use)
+		return
+	}
+	command.Printf("data centre %s %s, accepted at revision %d\n", name, use, accepted.Revision)
+}
+
+// waitDrained reports done, or what was still running when the time was over.
+func waitDrained(command *cobra.Command, client *operatorclient.Client, wait *waitOptions, name string) error {
+	ctx, cancel := context.WithTimeout(command.Context(), wait.timeout)
+	defer cancel()
+	running, err := client.WaitDrained(ctx, fleet.DataCentre(name))
+	if err != nil {
+		return err
+	}
+	if running > 0 {
+		return stillRunningError{name: name, running: running, after: wait.timeout}
+	}
+	command.PrintErrf("data centre %s is out, nothing runs there\n", name)
+	return nil
 }
--- a/cmd/agatectl/item.go
+++ b/cmd/agatectl/item.go
@@ -2,12 +2,15 @@
 
 import (
 	"bytes"
+	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"os"
 
 	"agateswitch/adapter/operatorclient"
 	"agateswitch/core/configuration"
+	"agateswitch/core/fleet"
 
 	"github.com/spf13/cobra"
 	"github.com/tailscale/hujson"
@@ -62,6 +65,8 @@
 
 func itemPut(o *options, kind itemKind) *cobra.Command {
 	var expected int64
+	var force bool
+	wait := &waitOptions{}
 	command := &cobra.Command{
 		Use:     "put FILE",
 		Short:   "Accept the value in a file, after showing what changes",
@@ -77,20 +82,55 @@
 				revision := configuration.Revision(expected)
 				changes.Expected = &revision
 			}
-			accepted, err := o.client().Put(command.Context(), key, value, changes)
+			client := o.client()
+			seen, err := seenItem(command.Context(), client, key)
 			if err != nil {
 				return err
 			}
-			return show(command, o, accepted, func() {
+			if changes.Expected == nil && !force {
+				changes.Expected = &seen.Revision
+			}
+			accepted, err := client.Put(command.Context(), key, value, changes)
+			if err != nil {
+				printConflict(command, seen, err)
+				return err
+			}
+			err = show(command, o, accepted, func() {
 				printDiff(command.OutOrStdout(), accepted.Before, value)
 				command.Printf("%s accepted at revision %d\n", key, accepted.Revision)
 			})
+			if err != nil {
+				return err
+			}
+			return wait.inForce(command, client, accepted.Revision)
 		},
 	}
 	command.Flags().Int64Var(&expected, "expected", 0, "refuse unless the item is at this revision; 0 means that it is new")
+	command.Flags().BoolVar(&force, "force", false, "accept whatever revision the item has")
+	wait.addFlags(command)
 	return command
 }
 
+// seenItem reads the item in force; one that does not exist has revision 0.
+func seenItem(ctx context.Context, client *operatorclient.Client, key configuration.Key) (configuration.Item, error) {
+	item, err := client.Get(ctx, key)
+	var refused *operatorclient.FailureError
+	if errors.As(err, &refused) && refused.Code == fleet.CodeNotFound {
+		return configuration.Item{}, nil
+	}
+	return item, err
+}
+
+// printConflict shows what another operator changed since the item was read.
+func printConflict(command *cobra.Command, seen configuration.Item, err error) {
+	var refused *operatorclient.FailureError
+	if !errors.As(err, &refused) || refused.Found == nil {
+		return
+	}
+	command.PrintErrln("changed meanwhile by another operator:")
+	printDiff(command.ErrOrStderr(), &seen, refused.Found.Value)
+}
+
 func itemValidate(o *options, kind itemKind) *cobra.Command {
 	return &cobra.Command{
 		Use:     "validate FILE",
@@ -171,20 +211,28 @@
 }
 
 func itemDelete(o *options, kind itemKind) *cobra.Command {
-	return &cobra.Command{
+	wait := &waitOptions{}
+	command := &cobra.Command{
 		Use:     "delete NAME",
 		Short:   "Remove the value in force",
 		Example: fmt.Sprintf("  agatectl %s delete NAME", kind.kind),
 		Args:    cobra.ExactArgs(1),
 		RunE: func(command *cobra.Command, args []string) error {
 			key := configuration.Key{Kind: kind.kind, Name: args[0]}
-			accepted, err := o.client().Delete(command.Context(), key, operatorclient.ChangeOptions{})
+			client := o.client()
+			accepted, err := client.Delete(command.Context(), key, operatorclient.ChangeOptions{})
 			if err != nil {
 				return err
 			}
-			return show(command, o, accepted, func() {
+			err = show(command, o, accepted, func() {
 				command.Printf("%s deleted at revision %d\n", key, accepted.Revision)
 			})
+			if err != nil {
+				return err
+			}
+			return wait.inForce(command, client, accepted.Revision)
 		},
 	}
+	wait.addFlags(command)
+	return command
 }
--- a/cmd/agatectl/main.go
+++ b/cmd/agatectl/main.go
@@ -22,6 +22,8 @@
 	exitUsage = 2
 	// exitRefused means that the router refused the call.
 	exitRefused = 3
+	// exitNotDone means that the change is accepted, but the wait for its end was too short.
+	exitNotDone = 4
 )
 
 // usageError marks errors in the call itself.
@@ -60,11 +62,15 @@
 	fmt.Fprintln(stderr, "agatectl:", err)
 	var usage usageError
 	var refused *operatorclient.FailureError
+	var lacking *operatorclient.LackingError
+	var running stillRunningError
 	switch {
 	case errors.As(err, &usage), !o.accepted:
 		return exitUsage
 	case errors.As(err, &refused):
 		return exitRefused
+	case errors.As(err, &lacking), errors.As(err, &running):
+		return exitNotDone
 	default:
 		return exitFailure
 	}
@@ -75,7 +81,7 @@
 		Use:   "agatectl",
 		Short: "Drive a fleet of agateswitch routers",
 		Long: "Drive a fleet of agateswitch routers, through any one of them.\n\n" +
-			"Exit codes: 0 done, 1 the call failed, 2 the call's words are wrong, 3 the router refused.",
+			"Exit codes: 0 done, 1 the call failed, 2 the call's words are wrong, 3 the router refused,\n4 accepted, but not in force everywhere or not drained within --timeout.",
 		SilenceUsage:  true,
 		SilenceErrors: true,
 		// It runs once arguments have been found right; cobra looks at required flags later.
--- a/cmd/agatectl/status.go
+++ b/cmd/agatectl/status.go
@@ -1,30 +1,60 @@
 package main
 
 import (
+	"fmt"
+
+	"agateswitch/adapter/operatorhttp"
+	"agateswitch/core/configuration"
+	"agateswitch/node/configsync"
+
 	"github.com/spf13/cobra"
 )
 
 func statusCommand(o *options) *cobra.Command {
 	return &cobra.Command{
 		Use:     "status",
-		Short:   "Show what a router knows of the fleet",
+		Short:   "Show which revision each router has in force, and how the data centres stand",
 		Example: "  agatectl status -o json",
 		Args:    cobra.NoArgs,
 		RunE: func(command *cobra.Command, _ []string) error {
-			status, err := o.client().Status(command.Context())
+			status, err := o.client().Fleet(command.Context())
 			if err != nil {
 				return err
 			}
-			return show(command, o, status, func() {
-				command.Printf("host %s in %s, revision %d in force\n", status.Host.ID, status.Host.DataCentre, status.Revision)
-				for _, router := range status.Routers {
-					command.Printf("router %s\t%s\t%s\t%s\n", router.ID, router.DataCentre, router.State, router.HTTPAddress)
-				}
-			})
+			return show(command, o, status, func() { printFleet(command, status) })
 		},
 	}
 }
 
+func printFleet(command *cobra.Command, status operatorhttp.FleetAnswer) {
+	command.Printf("revision %d in force here, confirmed by the key-value service %.0f s ago\n", status.Revision, status.ConfirmedSeconds)
+	if status.StoreBehind {
+		command.Println("the key-value service holds a lower revision: it was replaced or wiped, and changes are refused")
+	}
+	for _, dataCentre := range status.DataCentres {
+		command.Printf("data centre %s\t%s\tweight %.2f\trunning %d\n", dataCentre.Name, dataCentre.State, dataCentre.Weight, dataCentre.Running)
+	}
+	for _, report := range status.Routers {
+		command.Printf("router %s\t%s\n", report.Host, describe(report, status.Revision))
+	}
+}
+
+// describe tells how a router stands against a revision.
+func describe(report configsync.HostReport, revision configuration.Revision) string {
+	switch {
+	case report.Unreachable:
+		return "does not answer"
+	case !report.Loaded:
+		return "starting, without a configuration"
+	case report.Revision < revision:
+		return fmt.Sprintf("revision %d, lacks %d", report.Revision, revision)
+	case report.Watching:
+		return fmt.Sprintf("revision %d, watches the key-value service", report.Revision)
+	default:
+		return fmt.Sprintf("revision %d", report.Revision)
+	}
+}
+
 func explainCommand(o *options) *cobra.Command {
 	var team, pool string
 	command := &cobra.Command{
--- a/core/membership/entry.go
+++ b/core/membership/entry.go
@@ -24,3 +24,18 @@
 	})
 	return ordered
 }
+
+// WithoutOut leaves out the routers of data centres that are taken out. When that would
+// leave nobody, it keeps all: a caller without any address could not even be refused.
+func WithoutOut(routers []fleet.Host, isOut func(fleet.DataCentre) bool) []fleet.Host {
+	var left []fleet.Host
+	for _, host := range routers {
+		if !isOut(host.DataCentre) {
+			left = append(left, host)
+		}
+	}
+	if len(left) == 0 {
+		return routers
+	}
+	return left
+}
--- a/node/members/members.go
+++ b/node/members/members.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"agateswitch/core/drain"
 	"agateswitch/core/fleet"
 	"agateswitch/core/membership"
 	"agateswitch/port"
@@ -94,11 +95,11 @@
 
 // Usable implements port.Members.
 func (s *Service) Usable(pool fleet.PoolID) []fleet.Upstream {
-	snapshot := s.config.Current()
+	snapshot, now := s.config.Current(), time.Now()
 	var usable []fleet.Upstream
 	for _, upstream := range s.Upstreams(pool) {
-		if upstream.State == fleet.Live && !snapshot.IsOut(upstream.DataCentre) {
-			upstream.Weight = 1
+		upstream.Weight = drain.Weight(snapshot.DataCentre(upstream.DataCentre), now)
+		if upstream.State == fleet.Live && upstream.Weight > 0 {
 			usable = append(usable, upstream)
 		}
 	}
--- a/node/router/router.go
+++ b/node/router/router.go
@@ -23,6 +23,7 @@
 	"agateswitch/node/grants"
 	"agateswitch/node/members"
 	"agateswitch/node/moves"
+	"agateswitch/node/running"
 	"agateswitch/port"
 	"agateswitch/settings"
 
@@ -96,9 +97,11 @@
 	r.moves = moves.New(r.config, store, r.members, r.mesh, telemetry)
 	r.grants = grants.New(r.members, r.config, r.moves, r.mesh, time.Now().UnixNano(), telemetry)
 	r.claims = claims.New(store, r.members, r.mesh, telemetry)
-	upstreams := upstreamhttp.New()
-	r.grants.UseReports(upstreams)
-	r.chat = chat.New(r.grants, upstreams, r.moves, telemetry)
+	client := upstreamhttp.New()
+	r.grants.UseReports(client)
+	upstreams := running.Count(client)
+	r.config.CountRunning(upstreams.Counts)
+	r.chat = chat.New(r.grants, countedChat{Upstreams: upstreams, AnswerFetcher: client}, r.moves, telemetry)
 	callers := &callerhttp.Server{
 		Config: r.config, Members: r.members, Log: logger, Chat: r.chat,
 		Forward:    forward.New(r.grants, upstreams, r.moves, r.claims, telemetry),
@@ -115,6 +118,13 @@
 	return r, r.observe()
 }
 
+// countedChat is the chat's way to upstreams: calls are counted, fetches of whole answers
+// are short and are not.
+type countedChat struct {
+	*running.Upstreams
+	port.AnswerFetcher
+}
+
 // operatorRoutes adds health and metrics to the operators' interface.
 func (r *Router) operatorRoutes(operators http.Handler) http.Handler {
 	mux := http.NewServeMux()
