Hold off flapping upstreams and doubt a host list that lost its content

Cause: an upstream that came and went each few seconds got new work at each return; an empty or shrunken host list emptied the view at once; each reading took the whole list.

Ruled out: holding off at the first return (the mutant fails TestOnlyFlappingUpstreamsAreHeldOff: a single restart would cost an upstream its work); keeping all missing members for a while (a leaving upstream has 5 s).

Change: core/membership follows returns; the third within a minute holds an upstream off for 5 s, doubling to 60 s. A list without more than half of at least four members is believed after 10 s, an empty one after 60 s; members shown as leaving are believed at once. The host list's client sends If-None-Match, and the stand-in gives entity tags.

Seen failing: limit of one return, no hold, hold without its maximum (the two tests of flapping), no guard (TestShrunkenListIsNotBelievedAtOnce), no If-None-Match (TestUnchangedListIsNotSentAgain).

Conclusion: every router still polls the list each second; against a host list without entity tags that is the whole list a second and too much at the target size.

--- a/adapter/hostlist/client.go
+++ b/adapter/hostlist/client.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"net/http"
+	"sync"
 	"time"
 
 	"agateswitch/core/fleet"
@@ -43,9 +44,15 @@
 	Labels  map[string]string `json:"labels"`
 }
 
-// Client is a port.HostList over HTTP.
+// Client is a port.HostList over HTTP. It is safe for concurrent use. A list that has not
+// changed is not sent again, when the server gives entity tags (RFC 9110, section 8.8.3):
+// at the target size a list has about a thousand entries.
 type Client struct {
 	base *sling.Sling
+
+	mu   sync.Mutex
+	tag  string
+	last port.HostSnapshot
 }
 
 // New makes a client of the list at address (ip:port).
@@ -64,15 +71,28 @@
 	if err != nil {
 		return port.HostSnapshot{}, errors.Trace(err)
 	}
+	c.mu.Lock()
+	tag, last := c.tag, c.last
+	c.mu.Unlock()
+	if tag != "" {
+		request.Header.Set("If-None-Match", tag)
+	}
 	var groups []TargetGroup
 	answer, err := c.base.Do(request.WithContext(ctx), &groups, nil)
 	if err != nil {
 		return port.HostSnapshot{}, errors.Annotate(err, "reading the host list")
 	}
+	if answer.StatusCode == http.StatusNotModified && tag != "" {
+		return last, nil
+	}
 	if answer.StatusCode != http.StatusOK {
 		return port.HostSnapshot{}, errors.Errorf("reading the host list: status %d", answer.StatusCode)
 	}
-	return snapshot(groups), nil
+	hosts := snapshot(groups)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.tag, c.last = answer.Header.Get("ETag"), hosts
+	return hosts, nil
 }
 
 func snapshot(groups []TargetGroup) port.HostSnapshot {
--- a/core/membership/view.go
+++ b/core/membership/view.go
@@ -3,6 +3,7 @@
 package membership
 
 import (
+	"slices"
 	"sort"
 	"time"
 
@@ -22,6 +23,9 @@
 	routers   map[fleet.HostID]fleet.Host
 	upstreams map[fleet.PoolID][]fleet.Upstream
 	suspects  map[fleet.HostID]suspicion
+	presences *Presences
+
+	routersGuard, upstreamsGuard ShrinkGuard
 }
 
 type suspicion struct {
@@ -36,6 +40,7 @@
 		routers:   map[fleet.HostID]fleet.Host{self.ID: self},
 		upstreams: map[fleet.PoolID][]fleet.Upstream{},
 		suspects:  map[fleet.HostID]suspicion{},
+		presences: NewPresences(),
 	}
 }
 
@@ -53,6 +58,77 @@
 	}
 }
 
+// Update is what a new host list changed.
+type Update struct {
+	// Kept counts members that the list lacks and that are kept, because it lacks too many.
+	Kept int
+	// HeldOff lists upstreams that flap and get no new work for a while.
+	HeldOff []fleet.UpstreamID
+}
+
+// TakeList takes a new host list, after protection against a list that lost its content
+// and against upstreams that flap.
+func (v *View) TakeList(now time.Time, routers []fleet.Host, upstreams []fleet.Upstream) Update {
+	missingRouters := v.missingRouters(routers)
+	missingUpstreams := v.missingUpstreams(upstreams)
+	var update Update
+	// The router itself is in the view whatever the list says.
+	if !v.routersGuard.Believe(now, len(v.routers)-1, len(missingRouters), len(routers)) {
+		routers = append(slices.Clone(routers), missingRouters...)
+		update.Kept += len(missingRouters)
+	}
+	if !v.upstreamsGuard.Believe(now, v.upstreamCount(), len(missingUpstreams), len(upstreams)) {
+		upstreams = append(slices.Clone(upstreams), missingUpstreams...)
+		update.Kept += len(missingUpstreams)
+	}
+	update.HeldOff = v.presences.Observe(now, upstreams)
+	v.SetHosts(routers, upstreams)
+	return update
+}
+
+func (v *View) missingRouters(listed []fleet.Host) []fleet.Host {
+	present := map[fleet.HostID]bool{v.self.ID: true}
+	for _, host := range listed {
+		present[host.ID] = true
+	}
+	var missing []fleet.Host
+	for id, host := range v.routers {
+		if !present[id] {
+			missing = append(missing, host)
+		}
+	}
+	return missing
+}
+
+func (v *View) missingUpstreams(listed []fleet.Upstream) []fleet.Upstream {
+	present := map[fleet.UpstreamID]bool{}
+	for _, upstream := range listed {
+		present[upstream.ID] = true
+	}
+	var missing []fleet.Upstream
+	for _, pool := range v.upstreams {
+		for _, upstream := range pool {
+			if !present[upstream.ID] {
+				missing = append(missing, upstream)
+			}
+		}
+	}
+	return missing
+}
+
+func (v *View) upstreamCount() int {
+	count := 0
+	for _, pool := range v.upstreams {
+		count += len(pool)
+	}
+	return count
+}
+
+// IsHeldOff tells whether an upstream gets no new work because it flaps.
+func (v *View) IsHeldOff(now time.Time, id fleet.UpstreamID) bool {
+	return v.presences.IsHeldOff(now, id)
+}
+
 // SetSelfState changes the own state, which the host list may not show yet.
 func (v *View) SetSelfState(state fleet.LifeState) {
 	v.self.State = state
--- a/node/members/members.go
+++ b/node/members/members.go
@@ -10,6 +10,9 @@
 	"agateswitch/core/fleet"
 	"agateswitch/core/membership"
 	"agateswitch/port"
+
+	"go.opentelemetry.io/otel/metric"
+	"go.opentelemetry.io/otel/metric/noop"
 )
 
 // PollInterval is the time between two readings of the host list.
@@ -22,6 +25,9 @@
 	telemetry port.Telemetry
 	self      fleet.Host
 
+	// heldOff counts how often upstreams began to be held off.
+	heldOff metric.Int64Counter
+
 	refreshed     chan struct{}
 	refreshedOnce sync.Once
 
@@ -31,8 +37,16 @@
 
 // New makes the service of one router.
 func New(self fleet.Host, hosts port.HostList, config port.Configuration, telemetry port.Telemetry) *Service {
+	meter := telemetry.Meter
+	if meter == nil {
+		meter = noop.NewMeterProvider().Meter("")
+	}
+	// Instruments fail only for malformed names, which are constants here.
+	heldOff, _ := meter.Int64Counter("agateswitch.upstream.held_off",
+		metric.WithDescription("Times that a flapping upstream was held off"))
 	return &Service{
-		hosts: hosts, config: config, telemetry: telemetry, self: self, view: membership.NewView(self),
+		heldOff: heldOff,
+		hosts:   hosts, config: config, telemetry: telemetry, self: self, view: membership.NewView(self),
 		refreshed: make(chan struct{}),
 	}
 }
@@ -66,7 +80,14 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.view.SetHosts(hosts.Routers, hosts.Upstreams)
+	update := s.view.TakeList(time.Now(), hosts.Routers, hosts.Upstreams)
+	if update.Kept > 0 {
+		s.telemetry.Log.Warn("host list lacks more than half of the members, keeping them for a while", "kept", update.Kept)
+	}
+	for _, id := range update.HeldOff {
+		s.telemetry.Log.Warn("upstream flaps, held off until it stays", "upstream", id)
+		s.heldOff.Add(ctx, 1)
+	}
 }
 
 // Self implements port.Members.
@@ -99,13 +120,19 @@
 	var usable []fleet.Upstream
 	for _, upstream := range s.Upstreams(pool) {
 		upstream.Weight = drain.Weight(snapshot.DataCentre(upstream.DataCentre), now)
-		if upstream.State == fleet.Live && upstream.Weight > 0 {
+		if upstream.State == fleet.Live && upstream.Weight > 0 && !s.isHeldOff(now, upstream.ID) {
 			usable = append(usable, upstream)
 		}
 	}
 	return usable
 }
 
+func (s *Service) isHeldOff(now time.Time, id fleet.UpstreamID) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.view.IsHeldOff(now, id)
+}
+
 // Suspect implements port.Members.
 func (s *Service) Suspect(id fleet.HostID) {
 	s.mu.Lock()
--- a/standin/hosts/server.go
+++ b/standin/hosts/server.go
@@ -4,11 +4,15 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"net/http"
 	"slices"
+	"strconv"
 	"sync"
 
 	"agateswitch/adapter/hostlist"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 // PathRegister takes one target group by PUT, and removes the group of an id by DELETE
@@ -54,12 +58,23 @@
 	})
 }
 
-func (s *Server) list(w http.ResponseWriter, _ *http.Request) {
+func (s *Server) list(w http.ResponseWriter, r *http.Request) {
 	s.mu.Lock()
 	groups := s.groups
 	s.mu.Unlock()
+	body, err := json.Marshal(groups)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusInternalServerError)
+		return
+	}
+	tag := fmt.Sprintf("%q", strconv.FormatUint(xxhash.Sum64(body), 16))
+	w.Header().Set("ETag", tag)
+	if r.Header.Get("If-None-Match") == tag {
+		w.WriteHeader(http.StatusNotModified)
+		return
+	}
 	w.Header().Set("Content-Type", "application/json")
-	json.NewEncoder(w).Encode(groups)
+	w.Write(body)
 }
 
 func (s *Server) put(w http.ResponseWriter, r *http.Request) {
