--- a/core/rollout/decide.go
+++ b/core/rollout/decide.go
@@ -69,8 +69,8 @@
 func holdReason(now time.Time, move Move, verdict Verdict, requests uint32, lacking string) string {
 	step := move.Plan[move.Step]
 	stays := step.Time
-	// Past the time planned for it, a step takes no longer than its evidence needs.
-	if now.Add(move.Remaining(0)).After(move.By) {
+	// A move that is late takes no longer than its evidence needs.
+	if now.Add(move.Remaining()).After(move.By) {
 		stays = StepTime
 	}
 	switch {
--- a/core/rollout/plan.go
+++ b/core/rollout/plan.go
@@ -26,6 +26,9 @@
 
 // Stretch of a plan when there is more time than the evidence needs.
 const (
+	// planReserve is how much longer the evidence may take than at a steady rate: requests
+	// come by chance, and a suspicion holds a step until it is refuted.
+	planReserve = 2.0
 	// planMargin is the part of the time until the deadline that a plan uses.
 	planMargin = 0.8
 	maxStretch = 3.0
@@ -58,7 +61,7 @@
 }
 
 // MakePlan works the steps back from the deadline. Spare time stretches every step alike,
-// up to three times, and a fifth of it is left for holds.
+// up to three times, and the rest is left for holds.
 func MakePlan(now, by time.Time, rate float64) Plan {
 	plan := Plan{Rate: rate}
 	if rate <= 0 {
@@ -67,7 +70,7 @@
 	}
 	var needed []time.Duration
 	for _, share := range shares {
-		evidence := time.Duration(StepRequests / (rate * share) * float64(time.Second))
+		evidence := time.Duration(planReserve * StepRequests / (rate * share) * float64(time.Second))
 		length := max(StepTime, evidence) + StepLead
 		needed = append(needed, length)
 		plan.Needed += length
@@ -88,15 +91,11 @@
 	return plan
 }
 
-// Remaining is the least time that a move needs from a step on, at a rate.
-func (m Move) Remaining(rate float64) time.Duration {
+// Remaining is the time that the plan gives to the steps from the present one on.
+func (m Move) Remaining() time.Duration {
 	var total time.Duration
 	for _, step := range m.Plan[m.Step:] {
-		length := StepTime
-		if rate > 0 {
-			length = max(length, time.Duration(float64(step.Requests)/(rate*step.Share)*float64(time.Second)))
-		}
-		total += length + StepLead
+		total += step.Expected
 	}
 	return total
 }
