--- a/node/router/router.go
+++ b/node/router/router.go
@@ -23,6 +23,7 @@
 	"agateswitch/node/grants"
 	"agateswitch/node/members"
 	"agateswitch/node/moves"
+	"agateswitch/node/running"
 	"agateswitch/port"
 	"agateswitch/settings"
 
@@ -94,11 +95,14 @@
 	r.mesh = peer.New(self.ID, r.members, s.PeerKey, logger)
 	r.config.Join(r.mesh, r.members)
 	r.moves = moves.New(r.config, store, r.members, r.mesh, telemetry)
+	r.moves.UseWriter(r.config)
 	r.grants = grants.New(r.members, r.config, r.moves, r.mesh, time.Now().UnixNano(), telemetry)
 	r.claims = claims.New(store, r.members, r.mesh, telemetry)
-	upstreams := upstreamhttp.New()
-	r.grants.UseReports(upstreams)
-	r.chat = chat.New(r.grants, upstreams, r.moves, telemetry)
+	client := upstreamhttp.New()
+	r.grants.UseReports(client)
+	upstreams := running.Count(client)
+	r.config.CountRunning(upstreams.Counts)
+	r.chat = chat.New(r.grants, countedChat{Upstreams: upstreams, AnswerFetcher: client}, r.moves, telemetry)
 	callers := &callerhttp.Server{
 		Config: r.config, Members: r.members, Log: logger, Chat: r.chat,
 		Forward:    forward.New(r.grants, upstreams, r.moves, r.claims, telemetry),
@@ -110,14 +114,22 @@
 	}
 	r.callers = &http.Server{Handler: callers.Handler()}
 	callerhttp.Harden(r.callers)
-	r.operators = &http.Server{Handler: r.operatorRoutes(operators.Handler())}
+	r.operators = &http.Server{Handler: r.operatorRoutes(operators.Handler(), operators.VersionRoutes(r.moves))}
 	callerhttp.Harden(r.operators)
 	return r, r.observe()
 }
 
+// countedChat is the chat's way to upstreams: calls are counted, fetches of whole answers
+// are short and are not.
+type countedChat struct {
+	*running.Upstreams
+	port.AnswerFetcher
+}
+
 // operatorRoutes adds health and metrics to the operators' interface.
-func (r *Router) operatorRoutes(operators http.Handler) http.Handler {
+func (r *Router) operatorRoutes(operators, versions http.Handler) http.Handler {
 	mux := http.NewServeMux()
+	mux.Handle(operatorhttp.PathVersion+"/", versions)
 	mux.Handle("/operator/", operators)
 	mux.Handle("GET /metrics", r.metrics.Handler())
 	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusNoContent) })
