Remember the last four upstreams of a chat

Cause: in a nearly idle pool the bound sends a chat elsewhere while its upstream runs one other request; only the last place was remembered, so the next displacement missed a cache that had the chat. Ruled out: a looser bound while a pool is nearly idle, which breaks its rule. Change: a trace holds four places, the last one first.

--- a/core/placement/choose.go
+++ b/core/placement/choose.go
@@ -14,8 +14,9 @@
 	engine *engine
 	// work is what the request costs there, without the prefix in the upstream's cache.
 	work fleet.Work
-	// warm is true when the chat last ran there.
+	// warm is true when the chat ran there lately, rank is 0 for the last place.
 	warm  bool
+	rank  int
 	score float64
 }
 
@@ -68,16 +69,16 @@
 // the next call.
 func (o *Owner) candidates(request Request) []candidate {
 	list := o.scratch[:0]
-	last, remembered := o.memory.find(request.Chat)
+	last, _ := o.memory.find(request.Chat)
 	for _, e := range o.engines {
 		if !request.allows(e.Upstream) {
 			continue
 		}
 		c := candidate{engine: e, work: request.Prefill + request.Decode}
 		c.score = rendezvous.MixWeighted(request.Chat, e.hash, e.weight)
-		if remembered && last.isOn(e) {
-			c.warm = true
-			c.work -= min(request.Prefill, fleet.Work(last.tokens))
+		if rank, isWarm := last.rank(e); isWarm {
+			c.warm, c.rank = true, rank
+			c.work -= min(request.Prefill, fleet.Work(last[rank].tokens))
 		}
 		list = insert(list, c)
 	}
@@ -98,6 +99,9 @@
 	if c.warm != other.warm {
 		return c.warm
 	}
+	if c.warm && c.rank != other.rank {
+		return c.rank < other.rank
+	}
 	return c.score > other.score
 }
 
