--- a/node/grants/failure_test.go
+++ b/node/grants/failure_test.go
@@ -69,6 +69,7 @@
 					lose(n, owner.self.ID)
 					lost := time.Now()
 					next := acquire(t, entry, truth, "chat-2")
+					t.Logf("next grant %s after the loss", time.Since(lost))
 					must.Less(t, takeoverLimit, time.Since(lost))
 					must.NotEq(t, owner.self.ID, next.Owner)
 
