Let a caller resume a stream at another router although it left the first

Cause: a router whose caller left cancelled the engine's work at once, also when the caller was about to resume, or had resumed, at another router: the natural order of any client whose connection broke. The token reached an engine that had given up. Change: work on a stream that has begun goes on for 2 s; a router that resumes a stream tells the one that the token names, which then cancels nothing. Calls that have not begun and whole answers are cancelled at once, as before. Ruled out: no cancel for streams with a token (work for callers that are gone).

--- a/adapter/callerhttp/chatsink.go
+++ b/adapter/callerhttp/chatsink.go
@@ -18,13 +18,14 @@
 	w          http.ResponseWriter
 	controller *http.ResponseController
 	keys       resume.Keys
+	self       fleet.HostID
 	request    fleet.Request
 	begun      bool
 	buffer     []byte
 }
 
 func (s *Server) newChatSink(w http.ResponseWriter, request fleet.Request) *chatSink {
-	return &chatSink{w: w, controller: http.NewResponseController(w), keys: s.ResumeKeys, request: request}
+	return &chatSink{w: w, controller: http.NewResponseController(w), keys: s.ResumeKeys, self: s.Members.Self().ID, request: request}
 }
 
 // Whole implements chat.Sink.
@@ -43,7 +44,7 @@
 	header.Set("Content-Type", "text/event-stream")
 	header.Set("Cache-Control", "no-store")
 	header.Set(HeaderResumeToken, c.keys.Sign(resume.Token{
-		Team: c.request.Team, Pool: c.request.Pool, Request: c.request.ID,
+		Team: c.request.Team, Pool: c.request.Pool, Request: c.request.ID, Host: c.self,
 		Upstream: grant.Upstream.ID, Address: grant.Upstream.Address,
 		Expires: time.Now().Add(resume.Life).UTC(),
 	}))
--- a/core/resume/token.go
+++ b/core/resume/token.go
@@ -31,7 +31,9 @@
 	// Address is the engine's ip:port.
 	Address string          `json:"a"`
 	Request fleet.RequestID `json:"r"`
-	Expires time.Time       `json:"e"`
+	// Host is the router that served the stream last.
+	Host    fleet.HostID `json:"h"`
+	Expires time.Time    `json:"e"`
 }
 
 // Keys sign and verify tokens (HMAC-SHA-256, RFC 2104). The first signs, all verify, so
--- a/node/chat/attempt.go
+++ b/node/chat/attempt.go
@@ -19,13 +19,14 @@
 	send := func(ctx context.Context) (port.UpstreamAnswer, *port.UpstreamError) {
 		return s.send(ctx, call, grant)
 	}
-	var ended result
 	if call.Stream {
 		relay := s.newRelay(call.Request.ID, call.Silence, grant, 0, sink)
-		ended = relay.run(ctx, send)
-	} else {
-		ended = s.runWhole(ctx, call, grant, send, sink)
+		taken := s.handovers.begin(call.Request.ID)
+		ended := relay.run(ctx, send)
+		s.abandon(relay, ended, taken)
+		return ended
 	}
+	ended := s.runWhole(ctx, call, grant, send, sink)
 	if ended.failure != nil && ended.failure.Sent && ended.failure.Fault != exchange.FaultRejected {
 		s.cancel(grant.Upstream, call.Request.ID)
 	}
--- a/node/chat/chat.go
+++ b/node/chat/chat.go
@@ -53,7 +53,9 @@
 	telemetry port.Telemetry
 	metrics   metrics
 	retries   *retry.Budgets
-	// cancelling counts the cancels that no caller waits for.
+	peers     port.Peers
+	handovers handovers
+	// cancelling counts the calls that no caller waits for.
 	cancelling sync.WaitGroup
 }
 
@@ -92,6 +94,11 @@
 	return (r.lastToken - r.firstToken) / time.Duration(r.decoded-1)
 }
 
+// isCancelled tells whether the caller went away.
+func (r result) isCancelled() bool {
+	return r.failure != nil && r.failure.Fault == exchange.FaultCancelled
+}
+
 // Run carries one call to its end.
 func (s *Service) Run(ctx context.Context, call Call, sink Sink) {
 	var last result
@@ -155,7 +162,7 @@
 // finish tells the caller of a failure that nothing mends.
 func (s *Service) finish(call Call, last result, sink Sink) {
 	switch {
-	case last.failure.Fault == exchange.FaultCancelled:
+	case last.isCancelled():
 		s.telemetry.Log.Info("caller went away", "request", call.Request.ID)
 	case last.rejection != nil:
 		last.rejection.write(sink)
--- a/node/router/router.go
+++ b/node/router/router.go
@@ -100,6 +100,7 @@
 	upstreams := upstreamhttp.New()
 	r.grants.UseReports(upstreams)
 	r.chat = chat.New(r.grants, upstreams, r.moves, telemetry)
+	r.chat.Join(r.mesh)
 	callers := &callerhttp.Server{
 		Config: r.config, Members: r.members, Log: logger, Chat: r.chat,
 		Forward:    forward.New(r.grants, upstreams, r.moves, r.claims, telemetry),
