Carry the engine's data centre in the resume token

Cause: node/running counts exchanges by data centre, so that operators see when one that was taken out is empty; a resumed stream counted for none.

--- a/adapter/callerhttp/chatsink.go
+++ b/adapter/callerhttp/chatsink.go
@@ -46,7 +46,8 @@
 	header.Set(HeaderResumeToken, c.keys.Sign(resume.Token{
 		Team: c.request.Team, Pool: c.request.Pool, Request: c.request.ID, Host: c.self,
 		Upstream: grant.Upstream.ID, Address: grant.Upstream.Address,
-		Expires: time.Now().Add(resume.Life).UTC(),
+		DataCentre: grant.Upstream.DataCentre,
+		Expires:    time.Now().Add(resume.Life).UTC(),
 	}))
 	c.w.WriteHeader(http.StatusOK)
 }
--- a/adapter/callerhttp/resume.go
+++ b/adapter/callerhttp/resume.go
@@ -47,7 +47,9 @@
 	request := fleet.Request{ID: token.Request, Team: token.Team, Pool: token.Pool}
 	resumption := chat.Resumption{
 		Request: token.Request, After: after, Host: token.Host, Silence: contract.Silence(),
-		Upstream: fleet.Upstream{ID: token.Upstream, Pool: token.Pool, Address: token.Address, State: fleet.Live},
+		Upstream: fleet.Upstream{
+			ID: token.Upstream, Pool: token.Pool, DataCentre: token.DataCentre, Address: token.Address, State: fleet.Live,
+		},
 	}
 	s.Chat.Resume(r.Context(), resumption, s.newChatSink(w, request))
 }
--- a/core/resume/token.go
+++ b/core/resume/token.go
@@ -31,6 +31,8 @@
 	// Address is the engine's ip:port.
 	Address string          `json:"a"`
 	Request fleet.RequestID `json:"r"`
+	// DataCentre is the engine's.
+	DataCentre fleet.DataCentre `json:"d"`
 	// Host is the router that served the stream last.
 	Host    fleet.HostID `json:"h"`
 	Expires time.Time    `json:"e"`
--- a/core/resume/token_test.go
+++ b/core/resume/token_test.go
@@ -19,6 +19,7 @@
 	now   = time.Unix(1000, 0)
 	token = resume.Token{
 		Team: "yard", Pool: "farrier-lm", Upstream: "e1", Address: "127.0.0.1:9", Request: "r1",
+		DataCentre: "arima", Host: "arima-1",
 		Expires: now.Add(resume.Life),
 	}
 )
@@ -31,6 +32,8 @@
 		must.Nil(t, refusal)
 		must.Eq(t, token.Address, read.Address)
 		must.True(t, token.Expires.Equal(read.Expires))
+		read.Expires = token.Expires
+		must.Eq(t, token, read)
 	}
 	_, refusal := before.Verify(during.Sign(token), "yard", now)
 	must.Eq(t, fleet.CodeForbidden, refusal.Code)
