--- a/adapter/callerhttp/service.go
+++ b/adapter/callerhttp/service.go
@@ -24,7 +24,7 @@
 func (s *Server) service(w http.ResponseWriter, r *http.Request) {
 	contract, refusal := s.authenticate(r)
 	if refusal != nil {
-		WriteRefusal(w, refusal)
+		WriteRefusal(w, beforeClaim(r, refusal))
 		return
 	}
 	prefix, rest, _ := strings.Cut(strings.TrimPrefix(r.URL.EscapedPath(), "/"), "/")
--- a/core/configuration/validate.go
+++ b/core/configuration/validate.go
@@ -153,14 +153,3 @@
 	c.require(dataCentre.RampSeconds >= 0 && dataCentre.RampSeconds <= MaxRampSeconds,
 		"ramp_seconds", "must be 0 to %d seconds", MaxRampSeconds)
 }
-
-// IsOnceOnly tells whether a call of a service may not be repeated.
-func (p Pool) IsOnceOnly(method, path string) bool {
-	for _, rule := range p.OnceOnly {
-		ruleMethod, rulePath, _ := strings.Cut(rule, " ")
-		if method == ruleMethod && strings.HasPrefix(path, rulePath) {
-			return true
-		}
-	}
-	return false
-}
