Refuse host lists that cannot be read whole

Cause: the HTTP library skips the decoding of an empty answer, and null decodes to no entries: both read as a fleet without hosts. A silent kept connection cost each reading its whole time. Change: the list is read whole, up to 8 MB; empty, null and broken lists are errors, which keep the last view. An entry without an id or address is left out alone. After half of the time a fresh connection is tried. Seen failing (trials): null accepted (TestBrokenListsAreErrors); no second try (TestSilentConnection); broken entries kept (TestBrokenEntryCostsItself). Run: go test -race ./adapter/hostlist ok; fuzzing for 5 s found nothing.

--- a/adapter/hostlist/client.go
+++ b/adapter/hostlist/client.go
@@ -4,6 +4,8 @@
 
 import (
 	"context"
+	"encoding/json"
+	"io"
 	"net/http"
 	"time"
 
@@ -43,9 +45,13 @@
 	Labels  map[string]string `json:"labels"`
 }
 
-// Client is a port.HostList over HTTP.
+// maxListBytes is the largest list that is read.
+const maxListBytes = 8 << 20
+
+// Client is a port.HostList over HTTP. It is safe for concurrent use.
 type Client struct {
-	base *sling.Sling
+	base      *sling.Sling
+	transport *http.Transport
 }
 
 // New makes a client of the list at address (ip:port).
@@ -53,28 +59,66 @@
 	transport := http.DefaultTransport.(*http.Transport).Clone()
 	transport.Proxy = nil
 	client := &http.Client{Transport: transport}
-	return &Client{base: sling.New().Base("http://" + address).Client(client)}
+	return &Client{base: sling.New().Base("http://" + address).Client(client), transport: transport}
 }
 
-// Hosts implements port.HostList.
+// Close closes the connections that no call uses.
+func (c *Client) Close() { c.transport.CloseIdleConnections() }
+
+// Hosts implements port.HostList. When no answer comes in half of the time, a fresh
+// connection is tried.
 func (c *Client) Hosts(ctx context.Context) (port.HostSnapshot, error) {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	hosts, err := c.read(ctx)
+	if errors.Is(err, context.DeadlineExceeded) && ctx.Err() == nil {
+		// The kept connections may be as silent as this one was.
+		c.transport.CloseIdleConnections()
+		hosts, err = c.read(ctx)
+	}
+	return hosts, err
+}
+
+func (c *Client) read(ctx context.Context) (port.HostSnapshot, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout/2)
 	defer cancel()
 	request, err := c.base.New().Get(Path).Request()
 	if err != nil {
 		return port.HostSnapshot{}, errors.Trace(err)
 	}
-	var groups []TargetGroup
-	answer, err := c.base.Do(request.WithContext(ctx), &groups, nil)
+	answer, err := c.transport.RoundTrip(request.WithContext(ctx))
 	if err != nil {
 		return port.HostSnapshot{}, errors.Annotate(err, "reading the host list")
 	}
+	defer answer.Body.Close()
 	if answer.StatusCode != http.StatusOK {
 		return port.HostSnapshot{}, errors.Errorf("reading the host list: status %d", answer.StatusCode)
 	}
+	groups, err := decode(answer.Body)
+	if err != nil {
+		return port.HostSnapshot{}, errors.Annotate(err, "reading the host list")
+	}
 	return snapshot(groups), nil
 }
 
+// decode reads a whole list. A list that is cut, empty of JSON or null is an error: taken
+// for a list without hosts, it would empty the fleet.
+func decode(body io.Reader) ([]TargetGroup, error) {
+	content, err := io.ReadAll(io.LimitReader(body, maxListBytes+1))
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	if len(content) > maxListBytes {
+		return nil, errors.Errorf("list is larger than %d bytes", maxListBytes)
+	}
+	var groups []TargetGroup
+	if err := json.Unmarshal(content, &groups); err != nil {
+		return nil, errors.Annotate(err, "decoding")
+	}
+	if groups == nil {
+		return nil, errors.New("list is null")
+	}
+	return groups, nil
+}
+
 func snapshot(groups []TargetGroup) port.HostSnapshot {
 	var hosts port.HostSnapshot
 	for _, group := range groups {
@@ -86,6 +130,10 @@
 }
 
 func appendTarget(hosts port.HostSnapshot, target string, labels map[string]string) port.HostSnapshot {
+	if labels[LabelID] == "" || target == "" {
+		// A broken entry costs only itself.
+		return hosts
+	}
 	state := fleet.LifeState(labels[LabelState])
 	if state == "" {
 		state = fleet.Live
--- /dev/null
+++ b/adapter/hostlist/client_test.go
@@ -0,0 +1,83 @@
+package hostlist
+
+import (
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+
+	"github.com/shoenig/test/must"
+	"go.uber.org/goleak"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+const oneRouter = `[{"targets":["127.0.0.1:1"],"labels":{"role":"router","id":"a"}}]`
+
+func serve(t *testing.T, handler http.HandlerFunc) *Client {
+	t.Helper()
+	server := httptest.NewServer(handler)
+	client := New(strings.TrimPrefix(server.URL, "http://"))
+	t.Cleanup(func() {
+		client.Close()
+		server.CloseClientConnections()
+		server.Close()
+	})
+	return client
+}
+
+// A list that cannot be read is an error and not a fleet without hosts.
+func TestBrokenListsAreErrors(t *testing.T) {
+	for _, body := range []string{"", "null", "{}", "[", oneRouter[:30], strings.Repeat(" ", maxListBytes+1)} {
+		client := serve(t, func(w http.ResponseWriter, _ *http.Request) { io.WriteString(w, body) })
+		_, err := client.Hosts(t.Context())
+		must.Error(t, err, must.Sprint(body[:min(len(body), 40)]))
+	}
+}
+
+func TestBrokenEntryCostsItself(t *testing.T) {
+	client := serve(t, func(w http.ResponseWriter, _ *http.Request) {
+		io.WriteString(w, `[{"targets":["127.0.0.1:2"],"labels":{"role":"router"}},{"targets":[""],"labels":{"role":"router","id":"b"}},`+oneRouter[1:])
+	})
+	hosts, err := client.Hosts(t.Context())
+	must.NoError(t, err)
+	must.Len(t, 1, hosts.Routers)
+}
+
+// A kept connection that has gone silent costs one try.
+func TestSilentConnection(t *testing.T) {
+	var silent atomic.Value
+	silent.Store("")
+	client := serve(t, func(w http.ResponseWriter, r *http.Request) {
+		if silent.CompareAndSwap("", r.RemoteAddr) {
+			io.WriteString(w, oneRouter)
+			return
+		}
+		if silent.Load() == r.RemoteAddr {
+			<-r.Context().Done()
+			return
+		}
+		io.WriteString(w, oneRouter)
+	})
+	for range 2 {
+		hosts, err := client.Hosts(t.Context())
+		must.NoError(t, err)
+		must.Len(t, 1, hosts.Routers)
+	}
+}
+
+func FuzzDecode(f *testing.F) {
+	f.Add([]byte(oneRouter))
+	f.Add([]byte(`[null,{"targets":[""],"labels":null}]`))
+	f.Fuzz(func(t *testing.T, body []byte) {
+		groups, err := decode(strings.NewReader(string(body)))
+		if err != nil {
+			return
+		}
+		for _, router := range snapshot(groups).Routers {
+			must.NotEq(t, "", string(router.ID))
+		}
+	})
+}
