Test paused claim owners and dropped leases

Cause: an owner's pause and a lease that the service drops were handled without a test. TestDroppedLeaseIsNoticed also passes without the check of a renewal's zero time, as a lease of no time is no longer valid; it was not seen failing.

--- a/node/claims/claims_test.go
+++ b/node/claims/claims_test.go
@@ -251,6 +251,22 @@
 	})
 }
 
+// An owner that was paused does not vouch for keys of the time in which others may have
+// taken its claims.
+func TestPausedOwnerDoesNotVouch(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, pause := context.WithCancel(t.Context())
+		f := newFleet(ctx, 1)
+		pause()
+		time.Sleep(pauseLimit + time.Second)
+		f.store.SetDown(true)
+		result := f.routers[0].Begin(t.Context(), newClaim(newKey()))
+		must.Eq(t, fleet.RanUnknown, result.Refusal.Ran, must.Sprint(result.Refusal.Message))
+		f.store.SetDown(false)
+		f.routers[0].Wait(t.Context())
+	})
+}
+
 func TestOldClaimsAreRemoved(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
--- a/node/lease/lease_test.go
+++ b/node/lease/lease_test.go
@@ -86,6 +86,22 @@
 	})
 }
 
+// A holder whose lease the service dropped stops at its next renewal; until then its
+// fencing number tells it from the next holder.
+func TestDroppedLeaseIsNoticed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		service := store.NewDirect()
+		first := hold(t, service, "a")
+		service.LapseLeases()
+		second := hold(t, service, "b")
+		must.Greater(t, first.Fence, second.Fence)
+		time.Sleep(ttl/renewalsPerTTL + time.Millisecond)
+		must.False(t, first.Valid(time.Now()))
+		must.True(t, second.Valid(time.Now()))
+		second.Release()
+	})
+}
+
 func TestLostAnswerIsReadBack(t *testing.T) {
 	for fate, wanted := range map[store.Fate]error{
 		store.LostAfter: nil, store.LostBefore: port.ErrUnavailable, store.Doubled: nil, store.Late: nil,
--- a/standin/store/direct.go
+++ b/standin/store/direct.go
@@ -75,6 +75,9 @@
 	d.keepAliveDelay = delay
 }
 
+// LapseLeases ends all leases, as if their time had passed.
+func (d *Direct) LapseLeases() { d.state.lapse() }
+
 // Calls returns the counts since the start.
 func (d *Direct) Calls() Calls {
 	d.mu.Lock()
