--- a/adapter/hostlist/client.go
+++ b/adapter/hostlist/client.go
@@ -7,6 +7,7 @@
 	"encoding/json"
 	"io"
 	"net/http"
+	"sync"
 	"time"
 
 	"agateswitch/core/fleet"
@@ -48,10 +49,16 @@
 // maxListBytes is the largest list that is read.
 const maxListBytes = 8 << 20
 
-// Client is a port.HostList over HTTP. It is safe for concurrent use.
+// Client is a port.HostList over HTTP. It is safe for concurrent use. A list that has not
+// changed is not sent again, when the server gives entity tags (RFC 9110, section 8.8.3):
+// at the target size a list has about a thousand entries.
 type Client struct {
 	base      *sling.Sling
 	transport *http.Transport
+
+	mu   sync.Mutex
+	tag  string
+	last port.HostSnapshot
 }
 
 // New makes a client of the list at address (ip:port).
@@ -84,11 +91,20 @@
 	if err != nil {
 		return port.HostSnapshot{}, errors.Trace(err)
 	}
+	c.mu.Lock()
+	tag, last := c.tag, c.last
+	c.mu.Unlock()
+	if tag != "" {
+		request.Header.Set("If-None-Match", tag)
+	}
 	answer, err := c.transport.RoundTrip(request.WithContext(ctx))
 	if err != nil {
 		return port.HostSnapshot{}, errors.Annotate(err, "reading the host list")
 	}
 	defer answer.Body.Close()
+	if answer.StatusCode == http.StatusNotModified && tag != "" {
+		return last, nil
+	}
 	if answer.StatusCode != http.StatusOK {
 		return port.HostSnapshot{}, errors.Errorf("reading the host list: status %d", answer.StatusCode)
 	}
@@ -96,7 +112,11 @@
 	if err != nil {
 		return port.HostSnapshot{}, errors.Annotate(err, "reading the host list")
 	}
-	return snapshot(groups), nil
+	hosts := snapshot(groups)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.tag, c.last = answer.Header.Get("ETag"), hosts
+	return hosts, nil
 }
 
 // decode reads a whole list. A list that is cut, empty of JSON or null is an error: taken
--- a/cmd/agateswitch/once_process_test.go
+++ b/cmd/agateswitch/once_process_test.go
@@ -1,7 +1,6 @@
 package main
 
 import (
-	"bufio"
 	"bytes"
 	"context"
 	"encoding/json"
@@ -10,7 +9,6 @@
 	"maps"
 	"net/http"
 	"os"
-	"os/exec"
 	"path/filepath"
 	"slices"
 	"sync"
@@ -60,35 +58,18 @@
 	body   string
 }
 
-// launch is start for a process that the test stops or kills.
-func launch(t *testing.T, find func(string) (string, bool), program string, args ...string) (*os.Process, string) {
+// launchUntil starts a process that the test stops or kills, and waits for a line.
+func launchUntil(t *testing.T, take func(string) (string, bool), program string, args ...string) (*os.Process, string) {
 	t.Helper()
-	command := exec.Command(program, args...)
-	reader, writer, err := os.Pipe()
-	must.NoError(t, err)
-	command.Stdout, command.Stderr = writer, writer
-	must.NoError(t, command.Start())
-	writer.Close()
-	t.Cleanup(func() {
-		command.Process.Kill()
-		command.Wait()
-	})
-	lines := bufio.NewScanner(reader)
-	for lines.Scan() {
-		if text, ok := find(lines.Text()); ok {
-			go io.Copy(io.Discard, reader)
-			return command.Process, text
-		}
-	}
-	t.Fatalf("%v ended before it came up", args)
-	return nil, ""
+	started := launch(t, program, args...)
+	return started.command.Process, started.find(t.Context(), t, take)
 }
 
 func newOnceFleet(ctx context.Context, t *testing.T) *onceFleet {
 	t.Helper()
 	program := buildProgram(t)
 	f := &onceFleet{told: map[string][]told{}}
-	f.storeProcess, f.store = launch(t, standinAddress, program, "standin", "store", "--listen", "127.0.0.1:0")
+	f.storeProcess, f.store = launchUntil(t, standinAddress, program, "standin", "store", "--listen", "127.0.0.1:0")
 	hosts := start(t, standinAddress, program, "standin", "hosts", "--listen", "127.0.0.1:0")
 	f.service = start(t, standinAddress, program, "standin", "service", "--id", "s1", "--pool", "rounds-app",
 		"--datacentre", "arima", "--hosts", hosts)
@@ -125,7 +106,7 @@
 	}`, id, store, hosts)
 	must.NoError(t, os.WriteFile(file, []byte(content), 0o600))
 	router := onceRouter{id: fleet.HostID(id)}
-	process, line := launch(t, servingText, program, "serve", file)
+	process, line := launchUntil(t, servingText, program, "serve", file)
 	router.process = process
 	must.NoError(t, json.Unmarshal([]byte(line), &router.servingLine))
 	must.NoError(t, register(hosts, hostlist.TargetGroup{Targets: []string{router.Callers}, Labels: map[string]string{
