Wait until a frozen process has stopped

Cause: TestOnceOnlyAcrossProcesses/store_frozen failed in 1 of 3 runs with -race on a busy machine: a call in the frozen store's time did not end as store_down, after 2.0 s. kill returns before the last thread has stopped, so the store could still commit the claim; the 2.0 s are the time for which an answer waits for its record. The status of the failed run was not printed, so this cause is inferred. Change: the test waits for the stop (wait4 with WUNTRACED) before it goes on, and prints what was heard. The assertions are unchanged. Run: go test -race -count=8 ./cmd/agateswitch -run TestOnceOnly ok, 80 s.

--- a/cmd/agateswitch/once_process_test.go
+++ b/cmd/agateswitch/once_process_test.go
@@ -208,6 +208,12 @@
 func freeze(t *testing.T, process *os.Process) (thaw func()) {
 	t.Helper()
 	must.NoError(t, process.Signal(syscall.SIGSTOP))
+	// The signal is under way when kill returns; a process may act until its last thread
+	// has stopped, which its parent is told of.
+	var status syscall.WaitStatus
+	_, err := syscall.Wait4(process.Pid, &status, syscall.WUNTRACED, nil)
+	must.NoError(t, err)
+	must.True(t, status.Stopped())
 	thaw = func() { process.Signal(syscall.SIGCONT) }
 	t.Cleanup(thaw)
 	return thaw
@@ -275,7 +281,8 @@
 	t.Run("store frozen", func(t *testing.T) {
 		key, _ := f.newKeyOf(func(int) bool { return true })
 		thaw := freeze(t, f.storeProcess)
-		must.Eq(t, fleet.CodeStoreDown, f.book(ctx, t, f.routers[1], key).code)
+		heard := f.book(ctx, t, f.routers[1], key)
+		must.Eq(t, fleet.CodeStoreDown, heard.code, must.Sprint(heard))
 		must.Eq(t, http.StatusOK, f.call(ctx, t, f.routers[1], http.MethodGet, "/visits", "").status)
 		must.Zero(t, f.runs(t)[key])
 		thaw()
