--- a/node/configsync/distribution_test.go
+++ b/node/configsync/distribution_test.go
@@ -217,16 +217,7 @@
 		maxBytesPerChange = 28_000
 	)
 	inFleet(t, 8, func(t *testing.T, f *fakeFleet, nodes []*fakeNode) {
-		pool := Change{Key: configuration.Key{Kind: configuration.KindPool, Name: "farrier-lm"}, Value: []byte(`{"name":"farrier-lm","type":"engine"}`)}
-		must.Nil(t, nodes[0].Accept(t.Context(), pool).Refusal)
-		var last configuration.Revision
-		for i := range contracts {
-			team := fmt.Sprintf("team-%04d", i)
-			key := configuration.Key{Kind: configuration.KindContract, Name: team}
-			result := nodes[0].Accept(t.Context(), Change{Key: key, Value: contractValue(team)})
-			must.Nil(t, result.Refusal)
-			last = result.Revision
-		}
+		last := f.store.fill(contracts)
 		timeToInForce(t, nodes, last)
 		sleep(t, 5*time.Second)
 		before := f.bytesOf(nodes)
--- a/node/configsync/fakes_test.go
+++ b/node/configsync/fakes_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"io"
 	"strings"
 	"sync"
@@ -16,6 +15,9 @@
 	"github.com/charmbracelet/log"
 )
 
+// storeLatency is the time of a call, so that calls of several routers interleave.
+const storeLatency = time.Millisecond
+
 // fakeStore is a port.Store in memory. Each router reaches it through a storeLink.
 type fakeStore struct {
 	port.Store
@@ -46,6 +48,7 @@
 }
 
 func (l *storeLink) reach(ctx context.Context) error {
+	<-time.After(storeLatency)
 	if !l.isDown() && !l.cut() {
 		return nil
 	}
@@ -200,10 +203,7 @@
 }
 
 func dataCentreChange(name string, out bool) Change {
-	value, err := json.Marshal(configuration.DataCentre{Name: fleet.DataCentre(name), Out: out})
-	if err != nil {
-		panic(err)
-	}
+	value := mustMarshal(configuration.DataCentre{Name: fleet.DataCentre(name), Out: out})
 	return Change{Key: configuration.Key{Kind: configuration.KindDataCentre, Name: name}, Value: value, Expected: AnyRevision}
 }
 
