Test configuration with real routers and a failing store

Cause: the configuration's way was tested with fakes only.

Change: real routers over TCP, driven by agatectl: 3 and 8 have a change in force, at most three watches stay; a lost answer is accepted once; an outage and a silent store refuse the change and say that nothing was changed, while what is in force stays.

--- /dev/null
+++ b/cmd/agatectl/outage_test.go
@@ -0,0 +1,82 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"testing"
+	"time"
+
+	"agateswitch/adapter/operatorhttp"
+	"agateswitch/core/dissemination"
+	"agateswitch/demo"
+	"agateswitch/examples"
+	"agateswitch/standin/store"
+
+	"github.com/charmbracelet/log"
+	"github.com/shoenig/test/must"
+)
+
+func startDemo(t *testing.T, routers int) (*demo.Fleet, operator) {
+	t.Helper()
+	example, err := examples.Load(examples.Hoofline)
+	must.NoError(t, err)
+	started, err := demo.Start(t.Context(), example, routers, log.New(io.Discard))
+	must.NoError(t, err)
+	t.Cleanup(started.Stop)
+	o := operator{t: t, server: started.Operators[0], token: demo.OperatorToken}
+	o.awaitRouters(routers)
+	return started, o
+}
+
+// Real routers over TCP: a change is in force on all of them, and the store's waiting
+// watches stay a few. The times are logged, not judged.
+func TestRealRoutersHaveAChangeInForce(t *testing.T) {
+	for _, count := range []int{3, 8} {
+		t.Run(fmt.Sprint(count), func(t *testing.T) {
+			started, o := startDemo(t, count)
+			begin := time.Now()
+			_, _, stderr := o.call("datacentre", "out", "arima", "--wait", "--timeout", "1m")
+			t.Logf("%d routers: in force and drained after %s", count, time.Since(begin))
+			must.StrContains(t, stderr, fmt.Sprintf("in force on all %d live routers", count))
+			awaitFewWatches(t, started.Store)
+		})
+	}
+}
+
+// awaitFewWatches waits until all but the chosen routers have ended their watches.
+func awaitFewWatches(t *testing.T, platform *store.Server) {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+	defer cancel()
+	for platform.Calls().Waiting > dissemination.Watchers {
+		select {
+		case <-time.After(10 * time.Millisecond):
+		case <-ctx.Done():
+			t.Fatalf("%d watches are waiting", platform.Calls().Waiting)
+		}
+	}
+}
+
+// Real routers and a store that loses an answer, is down, or is silent: changes are
+// accepted once or refused with the reason, and what is in force stays.
+func TestRealRoutersAndAFailingStore(t *testing.T) {
+	started, o := startDemo(t, 3)
+	revision := o.fleet().Revision
+	started.Store.SetFaults(store.Faults{LoseAnswers: 1})
+	var accepted operatorhttp.DataCentreAnswer
+	must.NoError(t, json.Unmarshal([]byte(o.must("datacentre", "out", "arima", "-o", "json")), &accepted))
+	must.Eq(t, revision+1, accepted.Revision)
+	for _, faults := range []store.Faults{{Down: true}, {Silent: true}} {
+		started.Store.SetFaults(faults)
+		code, _, stderr := o.call("datacentre", "in", "arima")
+		must.Eq(t, exitRefused, code)
+		must.StrContains(t, stderr, "store_down")
+		must.StrContains(t, stderr, "nothing was changed")
+		must.Eq(t, operatorhttp.DataCentreOut, o.dataCentre("arima").State)
+	}
+	started.Store.SetFaults(store.Faults{})
+	code, _, stderr := o.call("datacentre", "in", "arima", "--wait", "--timeout", "1m")
+	must.Eq(t, 0, code, must.Sprint(stderr))
+}
