Hold data centres written as items to the same rules

Cause: a data centre written by PUT of its item, as the demo does, passed the checks by: the last one could be taken out, and it came back without a ramp; deleting the item of one that was out brought it back at once.

Change: such an item gets its time and checks from the accepting router, and cannot be deleted while it is out.

--- a/adapter/operatorhttp/datacentre.go
+++ b/adapter/operatorhttp/datacentre.go
@@ -51,6 +51,23 @@
 		fail(w, http.StatusBadRequest, Failure{Code: fleet.CodeBadRequest, Message: ParamRamp + " is not a number"})
 		return
 	}
+	change, planned := s.dataCentreChange(name, out, ramp, query.Get(ParamForce) == "true")
+	if query.Get(ParamDryRun) == "true" {
+		s.planDataCentre(w, change, planned)
+		return
+	}
+	result := s.Config.Accept(r.Context(), change)
+	if result.Refusal != nil {
+		failResult(w, result)
+		return
+	}
+	planned.Revision = result.Revision
+	answer(w, planned)
+}
+
+// dataCentreChange makes the change that takes a data centre out or brings it back, with
+// its time. Unless it is forced, the change carries its checks.
+func (s *Server) dataCentreChange(name fleet.DataCentre, out bool, ramp int, force bool) (configsync.Change, DataCentreAnswer) {
 	current := s.Config.Current()
 	key := configuration.Key{Kind: configuration.KindDataCentre, Name: string(name)}
 	item, _ := current.Item(key)
@@ -60,20 +77,28 @@
 	// Marshalling a plain struct cannot fail.
 	value, _ := json.Marshal(planned.After)
 	change := configsync.Change{Key: key, Value: value, Expected: item.Revision}
-	if query.Get(ParamForce) != "true" {
+	if !force {
 		change.Check = s.checkDataCentre(name, out)
 	}
-	if query.Get(ParamDryRun) == "true" {
-		s.planDataCentre(w, change, planned)
-		return
+	return change, planned
+}
+
+// withDataCentreRules gives a data centre that is written as an item the same time and
+// checks. A value with problems stays as it is and is refused by its validation.
+func (s *Server) withDataCentreRules(change configsync.Change, force bool) configsync.Change {
+	if change.Key.Kind != configuration.KindDataCentre || change.Value == nil {
+		return change
 	}
-	result := s.Config.Accept(r.Context(), change)
-	if result.Refusal != nil {
-		failResult(w, result)
-		return
+	var value configuration.DataCentre
+	problems := configuration.ValidateItem(change.Key, change.Value, s.Config.Current())
+	if len(problems) > 0 || json.Unmarshal(change.Value, &value) != nil {
+		return change
 	}
-	planned.Revision = result.Revision
-	answer(w, planned)
+	ruled, _ := s.dataCentreChange(value.Name, value.Out, value.RampSeconds, force)
+	if change.Expected != configsync.AnyRevision {
+		ruled.Expected = change.Expected
+	}
+	return ruled
 }
 
 func (s *Server) planDataCentre(w http.ResponseWriter, change configsync.Change, planned DataCentreAnswer) {
--- a/adapter/operatorhttp/server.go
+++ b/adapter/operatorhttp/server.go
@@ -116,7 +116,9 @@
 		s.dryRun(w, r, value, before)
 		return
 	}
-	result := s.Config.Accept(r.Context(), configsync.Change{Key: key(r), Value: value, Expected: expected})
+	change := configsync.Change{Key: key(r), Value: value, Expected: expected}
+	change = s.withDataCentreRules(change, r.URL.Query().Get(ParamForce) == "true")
+	result := s.Config.Accept(r.Context(), change)
 	if result.Refusal != nil {
 		failResult(w, result)
 		return
--- a/cmd/agatectl/datacentre_test.go
+++ b/cmd/agatectl/datacentre_test.go
@@ -4,7 +4,9 @@
 	"encoding/json"
 	"testing"
 
+	"agateswitch/adapter/operatorclient"
 	"agateswitch/adapter/operatorhttp"
+	"agateswitch/core/configuration"
 	"agateswitch/core/fleet"
 
 	"github.com/shoenig/test/must"
@@ -71,6 +73,16 @@
 	o.must("datacentre", "out", "tunapuna")
 	refused("no other data centre is in", "datacentre", "out", "santa-rosa", "--plan")
 	refused("no other data centre is in", "datacentre", "out", "santa-rosa")
+	// The rules hold for a data centre that is written as an item, too.
+	key := configuration.Key{Kind: configuration.KindDataCentre, Name: "santa-rosa"}
+	value := []byte(`{"name":"santa-rosa","out":true}`)
+	_, err := operatorclient.New(o.server, o.token).Put(t.Context(), key, value, operatorclient.ChangeOptions{})
+	must.ErrorContains(t, err, "no other data centre is in")
+	_, err = operatorclient.New(o.server, o.token).Put(t.Context(), key, []byte(`{"name":"santa-rosa","outt":true}`), operatorclient.ChangeOptions{})
+	must.ErrorContains(t, err, "unknown field")
+	key.Name = "arima"
+	_, err = operatorclient.New(o.server, o.token).Delete(t.Context(), key, operatorclient.ChangeOptions{})
+	must.ErrorContains(t, err, "bring it in first")
 	o.must("datacentre", "out", "santa-rosa", "--force")
 	refused("contracts name this pool", "pool", "delete", "farrier-lm")
 }
--- a/core/configuration/references.go
+++ b/core/configuration/references.go
@@ -21,6 +21,10 @@
 		_, moving := current.Move(fleet.PoolID(key.Name))
 		c.require(!moving, "name", "a version move of this pool is stored")
 	}
+	if key.Kind == KindDataCentre {
+		// Deleting would bring it back at once, without the ramp.
+		c.require(!current.IsOut(fleet.DataCentre(key.Name)), "out", "the data centre is out; bring it in first")
+	}
 	return c.problems
 }
 
