Give orders to engines under a lease with a fencing number

Cause: engines could not be told to load a model, adapter or version, or to change role.

Change: core/order decides when an order may be sent; node/orders holds the lease, keeps to the weight store's rate by a slot in the key-value service, reads the engine's state back, and waits out an earlier holder where the engine ignores fencing numbers. agatectl order reaches it through any router. The stand-in takes orders with and without checking.

Ruled out: a lease a pool or an engine, which would have to share the rate.

Before: no such command.

--- /dev/null
+++ b/adapter/operatorclient/order.go
@@ -0,0 +1,18 @@
+package operatorclient
+
+import (
+	"context"
+	"net/url"
+
+	"agateswitch/adapter/operatorhttp"
+	"agateswitch/core/fleet"
+	"agateswitch/core/order"
+	"agateswitch/node/orders"
+)
+
+// Order gives an order to an engine and returns when the engine is as ordered.
+func (c *Client) Order(ctx context.Context, pool fleet.PoolID, upstream fleet.UpstreamID, wanted order.Order) (orders.Result, error) {
+	var result orders.Result
+	path := operatorhttp.PathOrder + "/" + url.PathEscape(string(pool)) + "/" + url.PathEscape(string(upstream))
+	return result, c.Do(ctx, c.base.New().Post(path).BodyJSON(wanted), &result)
+}
--- a/demo/version_test.go
+++ b/demo/version_test.go
@@ -16,6 +16,7 @@
 	"agateswitch/adapter/operatorclient"
 	"agateswitch/adapter/operatorhttp"
 	"agateswitch/core/configuration"
+	"agateswitch/core/order"
 	"agateswitch/core/rollout"
 	"agateswitch/examples"
 	"agateswitch/standin/engine"
@@ -139,3 +140,35 @@
 		}
 	}
 }
+
+// An operator's order reaches an engine through any router.
+func TestOrderReachesAnEngine(t *testing.T) {
+	ctx, cancel := context.WithTimeout(t.Context(), versionLimit)
+	defer cancel()
+	example, err := examples.Load(examples.Hoofline)
+	must.NoError(t, err)
+	f, err := Start(ctx, example, 2, log.New(io.Discard))
+	must.NoError(t, err)
+	t.Cleanup(f.Stop)
+	desk := engine.WithOrders(engine.New(engine.Options{ID: "new"}), true)
+	server := httptest.NewServer(desk)
+	t.Cleanup(server.Close)
+	f.Hosts.Put(hostlist.TargetGroup{Targets: []string{strings.TrimPrefix(server.URL, "http://")}, Labels: map[string]string{
+		hostlist.LabelRole: hostlist.RoleUpstream, hostlist.LabelID: "new", hostlist.LabelPool: versionPool,
+		hostlist.LabelDataCentre: string(example.Topology.DataCentres[0]), hostlist.LabelVersion: "2",
+	}})
+	client := operatorclient.New(f.Operators[1], OperatorToken)
+	for {
+		_, err := client.Order(ctx, versionPool, "new", order.Order{Kind: order.ChangeRole, Name: "decode"})
+		if err == nil {
+			break
+		}
+		must.NoError(t, ctx.Err(), must.Sprint(err))
+		select {
+		case <-time.After(100 * time.Millisecond):
+		case <-ctx.Done():
+		}
+	}
+	must.Eq(t, "decode", desk.State().Role)
+	must.Positive(t, desk.State().Fence)
+}
--- a/node/router/router.go
+++ b/node/router/router.go
@@ -23,6 +23,7 @@
 	"agateswitch/node/grants"
 	"agateswitch/node/members"
 	"agateswitch/node/moves"
+	"agateswitch/node/orders"
 	"agateswitch/port"
 	"agateswitch/settings"
 
@@ -111,15 +112,17 @@
 	}
 	r.callers = &http.Server{Handler: callers.Handler()}
 	callerhttp.Harden(r.callers)
-	r.operators = &http.Server{Handler: r.operatorRoutes(operators.Handler(), operators.VersionRoutes(r.moves))}
+	r.operators = &http.Server{Handler: r.operatorRoutes(operators.Handler(), operators.VersionRoutes(r.moves),
+		operators.OrderRoutes(orders.New(r.config, store, r.members, upstreams, telemetry)))}
 	callerhttp.Harden(r.operators)
 	return r, r.observe()
 }
 
 // operatorRoutes adds health and metrics to the operators' interface.
-func (r *Router) operatorRoutes(operators, versions http.Handler) http.Handler {
+func (r *Router) operatorRoutes(operators, versions, orders http.Handler) http.Handler {
 	mux := http.NewServeMux()
 	mux.Handle(operatorhttp.PathVersion+"/", versions)
+	mux.Handle(operatorhttp.PathOrder+"/", orders)
 	mux.Handle("/operator/", operators)
 	mux.Handle("GET /metrics", r.metrics.Handler())
 	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusNoContent) })
