--- a/node/router/router.go
+++ b/node/router/router.go
@@ -24,6 +24,7 @@
 	"agateswitch/node/members"
 	"agateswitch/node/moves"
 	"agateswitch/node/orders"
+	"agateswitch/node/running"
 	"agateswitch/port"
 	"agateswitch/settings"
 
@@ -98,9 +99,11 @@
 	r.moves.UseWriter(r.config)
 	r.grants = grants.New(r.members, r.config, r.moves, r.mesh, time.Now().UnixNano(), telemetry)
 	r.claims = claims.New(store, r.members, r.mesh, telemetry)
-	upstreams := upstreamhttp.New()
-	r.grants.UseReports(upstreams)
-	r.chat = chat.New(r.grants, upstreams, r.moves, telemetry)
+	client := upstreamhttp.New()
+	r.grants.UseReports(client)
+	upstreams := running.Count(client)
+	r.config.CountRunning(upstreams.Counts)
+	r.chat = chat.New(r.grants, countedChat{Upstreams: upstreams, AnswerFetcher: client}, r.moves, telemetry)
 	callers := &callerhttp.Server{
 		Config: r.config, Members: r.members, Log: logger, Chat: r.chat,
 		Forward:    forward.New(r.grants, upstreams, r.moves, r.claims, telemetry),
@@ -113,11 +116,18 @@
 	r.callers = &http.Server{Handler: callers.Handler()}
 	callerhttp.Harden(r.callers)
 	r.operators = &http.Server{Handler: r.operatorRoutes(operators.Handler(), operators.VersionRoutes(r.moves),
-		operators.OrderRoutes(orders.New(r.config, store, r.members, upstreams, telemetry)))}
+		operators.OrderRoutes(orders.New(r.config, store, r.members, client, telemetry)))}
 	callerhttp.Harden(r.operators)
 	return r, r.observe()
 }
 
+// countedChat is the chat's way to upstreams: calls are counted, fetches of whole answers
+// are short and are not.
+type countedChat struct {
+	*running.Upstreams
+	port.AnswerFetcher
+}
+
 // operatorRoutes adds health and metrics to the operators' interface.
 func (r *Router) operatorRoutes(operators, versions, orders http.Handler) http.Handler {
 	mux := http.NewServeMux()
