--- a/core/rollout/cost_test.go
+++ b/core/rollout/cost_test.go
@@ -57,6 +57,17 @@
 	}
 }
 
+func BenchmarkFingerprint(b *testing.B) {
+	for _, count := range []int{8, 64, 380} {
+		all := hosts(count)
+		b.Run(fmt.Sprint(count), func(b *testing.B) {
+			for b.Loop() {
+				rollout.Fingerprint(all)
+			}
+		})
+	}
+}
+
 func BenchmarkChoose(b *testing.B) {
 	move := rollout.Move{ID: "m", From: "1", To: "2"}
 	for b.Loop() {
--- a/core/rollout/spread.go
+++ b/core/rollout/spread.go
@@ -6,6 +6,8 @@
 
 	"agateswitch/core/fleet"
 	"agateswitch/core/rendezvous"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 // Spread of evidence and brakes among routers.
@@ -68,6 +70,16 @@
 	return all
 }
 
+// Fingerprint returns a number that changes when the set of routers does, whatever their
+// order, so that a place in a tree need not be computed again while it stays the same.
+func Fingerprint(routers []fleet.Host) uint64 {
+	var sum uint64
+	for _, router := range routers {
+		sum += xxhash.Sum64String(string(router.ID))
+	}
+	return sum
+}
+
 // Leader returns the router that decides about a move.
 func Leader(id MoveID, routers []fleet.Host) fleet.HostID {
 	first, _ := rendezvous.First("move/"+string(id), names(routers))
--- a/node/moves/lead.go
+++ b/node/moves/lead.go
@@ -16,7 +16,7 @@
 // and brakes of both say the same.
 func (s *Service) step(ctx context.Context) {
 	routers := s.members.Routers()
-	self := s.members.Self().ID
+	place := place{self: s.members.Self().ID, routers: routers, fingerprint: rollout.Fingerprint(routers)}
 	s.mu.Lock()
 	pools := make([]fleet.PoolID, 0, len(s.pools))
 	for pool := range s.pools {
@@ -24,11 +24,27 @@
 	}
 	s.mu.Unlock()
 	for _, pool := range pools {
-		s.stepPool(ctx, pool, self, routers)
+		s.stepPool(ctx, pool, place)
 	}
 }
 
-func (s *Service) stepPool(ctx context.Context, pool fleet.PoolID, self fleet.HostID, routers []fleet.Host) {
+// place is where a router stands among the routers that it believes alive.
+type place struct {
+	self        fleet.HostID
+	routers     []fleet.Host
+	fingerprint uint64
+}
+
+// find returns the router to which a move's evidence goes. The caller holds the service's mu.
+func (p *poolState) find(at place) (parent fleet.HostID, isLeader bool) {
+	if p.placed != at.fingerprint {
+		p.parent, p.isLeader = rollout.Parent(p.move.ID, at.self, at.routers)
+		p.placed = at.fingerprint
+	}
+	return p.parent, p.isLeader
+}
+
+func (s *Service) stepPool(ctx context.Context, pool fleet.PoolID, at place) {
 	usable := countVersions(s.members.Usable(pool))
 	now := time.Now()
 	s.mu.Lock()
@@ -37,7 +53,7 @@
 		s.mu.Unlock()
 		return
 	}
-	parent, isLeader := rollout.Parent(move.ID, self, routers)
+	parent, isLeader := state.find(at)
 	if move.Status == rollout.StatusBack {
 		due := isLeader && !state.writing && now.Sub(state.tried) >= writeInterval
 		s.mu.Unlock()
--- a/node/moves/moves.go
+++ b/node/moves/moves.go
@@ -74,6 +74,11 @@
 	missingSince    time.Time
 	fellBack        bool
 	hold            string
+	// parent and isLeader are the router's place in the move's tree, for the set of routers
+	// whose fingerprint is placed.
+	parent   fleet.HostID
+	isLeader bool
+	placed   uint64
 }
 
 // New makes the service and registers its methods with the peers.
