Keep the operator token out of agatectl's help

Cause: the token from the environment was the flag's default, which the help prints. Seen by trying the commands by hand; TestTokenFromTheEnvironmentStaysSecret failed first.

Ruled out: hiding the flag, which operators need.

Change: the flag has no default; without it the environment counts.

Measured: go test ./cmd/agatectl passes.

--- a/cmd/agatectl/main.go
+++ b/cmd/agatectl/main.go
@@ -92,13 +92,17 @@
 			if o.output != "text" && o.output != "json" {
 				return usageError{fmt.Errorf("--output must be text or json, not %q", o.output)}
 			}
+			// As the flag's default, the token would stand in the help.
+			if o.token == "" {
+				o.token = os.Getenv("AGATE_TOKEN")
+			}
 			o.accepted = true
 			return nil
 		},
 	}
 	flags := root.PersistentFlags()
 	flags.StringVar(&o.server, "server", envOr("AGATE_SERVER", "127.0.0.1:8081"), "operators' ip:port of any router (AGATE_SERVER)")
-	flags.StringVar(&o.token, "token", os.Getenv("AGATE_TOKEN"), "operator token (AGATE_TOKEN)")
+	flags.StringVar(&o.token, "token", "", "operator token; without it, AGATE_TOKEN counts")
 	flags.StringVarP(&o.output, "output", "o", "text", "output: text or json")
 	root.AddCommand(itemCommand(o, contractKind), itemCommand(o, poolKind), dataCentreCommand(o), versionCommand(o), orderCommand(o), statusCommand(o), explainCommand(o))
 	return root
--- a/cmd/agatectl/main_test.go
+++ b/cmd/agatectl/main_test.go
@@ -123,3 +123,13 @@
 		must.Eq(t, c.want, code, must.Sprint(c.args, stderr))
 	}
 }
+
+// The token may come from the environment and is never printed.
+func TestTokenFromTheEnvironmentStaysSecret(t *testing.T) {
+	o := startFleet(t)
+	t.Setenv("AGATE_TOKEN", o.token)
+	var out, errs bytes.Buffer
+	must.Eq(t, 0, run(t.Context(), []string{"--server", o.server, "status"}, &out, &errs), must.Sprint(errs.String()))
+	must.Eq(t, 0, run(t.Context(), []string{"status", "--help"}, &out, &errs))
+	must.StrNotContains(t, out.String(), o.token)
+}
