--- a/adapter/hostlist/client.go
+++ b/adapter/hostlist/client.go
@@ -4,6 +4,8 @@
 
 import (
 	"context"
+	"encoding/json"
+	"io"
 	"net/http"
 	"sync"
 	"time"
@@ -44,11 +46,15 @@
 	Labels  map[string]string `json:"labels"`
 }
 
+// maxListBytes is the largest list that is read.
+const maxListBytes = 8 << 20
+
 // Client is a port.HostList over HTTP. It is safe for concurrent use. A list that has not
 // changed is not sent again, when the server gives entity tags (RFC 9110, section 8.8.3):
 // at the target size a list has about a thousand entries.
 type Client struct {
-	base *sling.Sling
+	base      *sling.Sling
+	transport *http.Transport
 
 	mu   sync.Mutex
 	tag  string
@@ -60,12 +66,26 @@
 	transport := http.DefaultTransport.(*http.Transport).Clone()
 	transport.Proxy = nil
 	client := &http.Client{Transport: transport}
-	return &Client{base: sling.New().Base("http://" + address).Client(client)}
+	return &Client{base: sling.New().Base("http://" + address).Client(client), transport: transport}
 }
 
-// Hosts implements port.HostList.
+// Close closes the connections that no call uses.
+func (c *Client) Close() { c.transport.CloseIdleConnections() }
+
+// Hosts implements port.HostList. When no answer comes in half of the time, a fresh
+// connection is tried.
 func (c *Client) Hosts(ctx context.Context) (port.HostSnapshot, error) {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	hosts, err := c.read(ctx)
+	if errors.Is(err, context.DeadlineExceeded) && ctx.Err() == nil {
+		// The kept connections may be as silent as this one was.
+		c.transport.CloseIdleConnections()
+		hosts, err = c.read(ctx)
+	}
+	return hosts, err
+}
+
+func (c *Client) read(ctx context.Context) (port.HostSnapshot, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout/2)
 	defer cancel()
 	request, err := c.base.New().Get(Path).Request()
 	if err != nil {
@@ -77,17 +97,21 @@
 	if tag != "" {
 		request.Header.Set("If-None-Match", tag)
 	}
-	var groups []TargetGroup
-	answer, err := c.base.Do(request.WithContext(ctx), &groups, nil)
+	answer, err := c.transport.RoundTrip(request.WithContext(ctx))
 	if err != nil {
 		return port.HostSnapshot{}, errors.Annotate(err, "reading the host list")
 	}
+	defer answer.Body.Close()
 	if answer.StatusCode == http.StatusNotModified && tag != "" {
 		return last, nil
 	}
 	if answer.StatusCode != http.StatusOK {
 		return port.HostSnapshot{}, errors.Errorf("reading the host list: status %d", answer.StatusCode)
 	}
+	groups, err := decode(answer.Body)
+	if err != nil {
+		return port.HostSnapshot{}, errors.Annotate(err, "reading the host list")
+	}
 	hosts := snapshot(groups)
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -95,6 +119,26 @@
 	return hosts, nil
 }
 
+// decode reads a whole list. A list that is cut, empty of JSON or null is an error: taken
+// for a list without hosts, it would empty the fleet.
+func decode(body io.Reader) ([]TargetGroup, error) {
+	content, err := io.ReadAll(io.LimitReader(body, maxListBytes+1))
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	if len(content) > maxListBytes {
+		return nil, errors.Errorf("list is larger than %d bytes", maxListBytes)
+	}
+	var groups []TargetGroup
+	if err := json.Unmarshal(content, &groups); err != nil {
+		return nil, errors.Annotate(err, "decoding")
+	}
+	if groups == nil {
+		return nil, errors.New("list is null")
+	}
+	return groups, nil
+}
+
 func snapshot(groups []TargetGroup) port.HostSnapshot {
 	var hosts port.HostSnapshot
 	for _, group := range groups {
@@ -106,6 +150,10 @@
 }
 
 func appendTarget(hosts port.HostSnapshot, target string, labels map[string]string) port.HostSnapshot {
+	if labels[LabelID] == "" || target == "" {
+		// A broken entry costs only itself.
+		return hosts
+	}
 	state := fleet.LifeState(labels[LabelState])
 	if state == "" {
 		state = fleet.Live
