Rank routers without copying their records

Cause: the ranking copied each host's record several times, and compared names for each pair whose scores differ.

Change: it sorts pointers, and compares names for equal scores only.

--- a/core/dissemination/roles.go
+++ b/core/dissemination/roles.go
@@ -61,7 +61,7 @@
 	var chosen []fleet.HostID
 	for len(ordered) > 0 && len(chosen) < count {
 		used := map[fleet.DataCentre]bool{}
-		var later []fleet.Host
+		var later []*fleet.Host
 		for _, host := range ordered {
 			if used[host.DataCentre] {
 				later = append(later, host)
@@ -76,7 +76,7 @@
 }
 
 // ranked returns the routers in rendezvous order, without changing the argument.
-func ranked(key string, routers []fleet.Host) []fleet.Host {
+func ranked(key string, routers []fleet.Host) []*fleet.Host {
 	type scored struct {
 		score uint64
 		host  *fleet.Host
@@ -88,11 +88,14 @@
 		scores[i] = scored{score: rendezvous.Mix(keyHash, nodeHash), host: &routers[i]}
 	}
 	slices.SortFunc(scores, func(a, b scored) int {
-		return cmp.Or(cmp.Compare(b.score, a.score), cmp.Compare(a.host.ID, b.host.ID))
+		if a.score != b.score {
+			return cmp.Compare(b.score, a.score)
+		}
+		return cmp.Compare(a.host.ID, b.host.ID)
 	})
-	ordered := make([]fleet.Host, len(routers))
+	ordered := make([]*fleet.Host, len(routers))
 	for i, scored := range scores {
-		ordered[i] = *scored.host
+		ordered[i] = scored.host
 	}
 	return ordered
 }
