Cut evidence into cells with enough of the old version's requests

A cell closed with one request of the old version says little about which version an event falls on, and differs with each delay.

Change: a cell needs 20 requests of the old version, or 10 s. The state machine also checks that the store never goes back within a move.

Seen failing: the state machine with the compare-and-swap of its store removed.

--- a/core/rollout/detector.go
+++ b/core/rollout/detector.go
@@ -12,6 +12,9 @@
 	// cellTime is the least time of a cell; it grows until both versions have requests.
 	cellTime    = time.Second
 	maxCellTime = 10 * time.Second
+	// minCellRequests of the old version make the share of each version in a cell certain
+	// enough; with one or two an event says little about which version it falls on.
+	minCellRequests = 20
 	// restartInterval is the time between two restarts of the tests.
 	restartInterval = 10 * time.Second
 )
@@ -188,7 +191,8 @@
 func (s *stratumState) closeIfDue(now time.Time, alone bool) {
 	age := now.Sub(s.opened)
 	both := s.open.Old.seen() && s.open.New.seen()
-	if age < cellTime || (!both && !alone && age < maxCellTime) {
+	enough := both && max(s.open.Old.Requests, s.open.Old.FirstToken.total()) >= minCellRequests
+	if age < cellTime || (!enough && !alone && age < maxCellTime) {
 		return
 	}
 	for kind := range s.tests {
--- a/core/rollout/harness_test.go
+++ b/core/rollout/harness_test.go
@@ -39,6 +39,9 @@
 	by      time.Duration
 	fault   behaviour
 	isBad   bool
+	// margin is how far above its threshold evidence without delay has to be for the fault
+	// to count as shown.
+	margin float64
 }
 
 // outcome is what came of a move.
@@ -224,7 +227,7 @@
 	}
 	if w.isBad && !w.outcome.showed {
 		verdict := w.instant.Verdict(true)
-		w.outcome.showed, w.outcome.shown = verdict.Strength >= verdict.Threshold+oneEvent, at.Sub(w.start)
+		w.outcome.showed, w.outcome.shown = verdict.Strength >= verdict.Threshold+w.margin, at.Sub(w.start)
 	}
 	arrived := make([][]rollout.Pair, w.routers)
 	for i := range w.folded {
--- a/core/rollout/machine_test.go
+++ b/core/rollout/machine_test.go
@@ -42,6 +42,8 @@
 	// earned is how many steps the leader's evidence has allowed.
 	earned int
 	begun  int
+	// regressed is true once the store went back within a move.
+	regressed bool
 }
 
 func newMachine() *machine {
@@ -72,6 +74,10 @@
 // take makes a write if nothing has changed since it was decided.
 func (m *machine) take(w write) {
 	if w.expected == m.stored {
+		if m.store.ID == w.move.ID {
+			m.regressed = m.regressed || w.move.Step < m.store.Step ||
+				(m.store.Status == rollout.StatusBack && w.move.Status == rollout.StatusRunning)
+		}
 		m.store = w.move
 		m.stored++
 		m.earned = max(m.earned, w.move.Step)
@@ -181,6 +187,7 @@
 
 // check holds after every action.
 func (m *machine) check(t *rapid.T, before [][]fleet.Version, beforeMoves []rollout.Move) {
+	must.False(t, m.regressed, must.Sprint("an older step replaced a newer one"))
 	for i, r := range m.routers {
 		move, share := r.view(m.now)
 		if _, braked := r.brakes.Of(r.move.ID); braked {
--- a/core/rollout/moves_test.go
+++ b/core/rollout/moves_test.go
@@ -98,7 +98,9 @@
 		}{"hoofline": {hoofline, 5}, "target": {target, 1}} {
 			worst, after, most := time.Duration(0), 0, 0
 			for seed := range size.moves {
-				came := size.with(uint64(seed), fault).run()
+				move := size.with(uint64(seed), fault)
+				move.margin = oneEvent
+				came := move.run()
 				must.Eq(t, rollout.StatusBack, came.status, must.Sprintf("%s, %s, seed %d", name, sizeName, seed))
 				must.True(t, came.showed, must.Sprintf("%s, %s, seed %d: %s", name, sizeName, seed, came.reason))
 				if fromStart[name] {
@@ -115,3 +117,19 @@
 		}
 	}
 }
+
+// The same without a margin: the first moment in which evidence without any delay passes
+// the threshold counts, also if its next cell falls below it again.
+func TestNothingLaterThanTheFirstSign(t *testing.T) {
+	t.Parallel()
+	sum := 0
+	for name, fault := range faults {
+		after := 0
+		for seed := range 10 {
+			after += hoofline.with(uint64(seed), fault).run().after
+		}
+		t.Logf("%s: %d requests later than 2 s", name, after)
+		sum += after
+	}
+	must.Zero(t, sum)
+}
