--- a/node/router/router.go
+++ b/node/router/router.go
@@ -104,6 +104,7 @@
 	upstreams := running.Count(client)
 	r.config.CountRunning(upstreams.Counts)
 	r.chat = chat.New(r.grants, countedChat{Upstreams: upstreams, AnswerFetcher: client}, r.moves, telemetry)
+	r.chat.Join(r.mesh)
 	callers := &callerhttp.Server{
 		Config: r.config, Members: r.members, Log: logger, Chat: r.chat,
 		Forward:    forward.New(r.grants, upstreams, r.moves, r.claims, telemetry),
