--- a/node/moves/operate.go
+++ b/node/moves/operate.go
@@ -90,6 +90,8 @@
 	case counts[proposal.To] == 0:
 		return fleet.Refuse(fleet.CodeNoUpstream, fmt.Sprintf("no upstream of version %s takes work; others: %s",
 			proposal.To, strings.Join(others, ", ")), time.Minute)
+	case proposal.From == "" && len(others) == 0:
+		return fleet.Refuse(fleet.CodeConflict, fmt.Sprintf("all upstreams run version %s already", proposal.To), 0)
 	case proposal.From == "":
 		return fleet.Refuse(fleet.CodeInvalid, fmt.Sprintf("the version in use is not known: set the pool's version to one of %s",
 			strings.Join(others, ", ")), 0)
