Let operators set the share of the store's writes for once-only calls

Ruled out: a field of the fleet's configuration: the rate has to be known before any configuration is in force.

Measured: go test ./node/claims ./settings ./cmd/agateswitch ./demo passes.

--- a/node/claims/bench_test.go
+++ b/node/claims/bench_test.go
@@ -24,7 +24,7 @@
 			}
 			bus := &network{handlers: map[fleet.HostID]map[string]port.PeerHandler{"router-0": {}}}
 			s := New(store.NewDirect(), members{self: "router-0", routers: hosts}, peers{network: bus, self: "router-0"},
-				port.Telemetry{Log: log.New(io.Discard)})
+				0, port.Telemetry{Log: log.New(io.Discard)})
 			for b.Loop() {
 				ids := s.routerIDs()
 				for _, w := range s.workers {
--- a/node/claims/claims.go
+++ b/node/claims/claims.go
@@ -43,12 +43,16 @@
 	finishing sync.WaitGroup
 }
 
-// New makes the service.
-func New(store port.Store, members port.Members, peers port.Peers, telemetry port.Telemetry) *Service {
+// New makes the service. WritesPerSecond is the whole fleet's share of the writes of the
+// key-value service for claims; zero means coreclaim.DefaultWritesPerSecond.
+func New(store port.Store, members port.Members, peers port.Peers, writesPerSecond float64, telemetry port.Telemetry) *Service {
+	if writesPerSecond == 0 {
+		writesPerSecond = coreclaim.DefaultWritesPerSecond
+	}
 	s := &Service{store: store, members: members, peers: peers, telemetry: telemetry, metrics: newMetrics(telemetry.Meter)}
 	now := time.Now()
 	for i := range s.workers {
-		s.workers[i] = newWorker(s, i, now)
+		s.workers[i] = newWorker(s, i, now, writesPerSecond)
 	}
 	peers.Handle(methodBegin, s.handleBegin)
 	peers.Handle(methodFinish, s.handleFinish)
--- a/node/claims/claims_test.go
+++ b/node/claims/claims_test.go
@@ -94,7 +94,7 @@
 	for _, host := range hosts {
 		f.network.handlers[host.ID] = map[string]port.PeerHandler{}
 		telemetry := port.Telemetry{Log: log.New(io.Discard)}
-		s := New(f.store, members{self: host.ID, routers: hosts}, peers{network: f.network, self: host.ID}, telemetry)
+		s := New(f.store, members{self: host.ID, routers: hosts}, peers{network: f.network, self: host.ID}, 0, telemetry)
 		f.routers = append(f.routers, s)
 		go s.Run(ctx)
 	}
--- a/node/claims/worker.go
+++ b/node/claims/worker.go
@@ -42,10 +42,10 @@
 	owed map[fleet.HostID]bool
 }
 
-func newWorker(s *Service, number int, now time.Time) *worker {
+func newWorker(s *Service, number int, now time.Time, writesPerSecond float64) *worker {
 	return &worker{
 		service: s, number: number, kicked: make(chan struct{}, 1),
-		shard:   coreclaim.NewShard(now, coreclaim.DefaultWritesPerSecond),
+		shard:   coreclaim.NewShard(now, writesPerSecond),
 		waiting: map[coreclaim.OperationID]chan coreclaim.Reply{},
 		ticked:  now, removed: now, above: map[fleet.HostID]bool{}, owed: map[fleet.HostID]bool{},
 	}
--- a/node/router/router.go
+++ b/node/router/router.go
@@ -98,7 +98,7 @@
 	r.moves = moves.New(r.config, store, r.members, r.mesh, telemetry)
 	r.moves.UseWriter(r.config)
 	r.grants = grants.New(r.members, r.config, r.moves, r.mesh, time.Now().UnixNano(), telemetry)
-	r.claims = claims.New(store, r.members, r.mesh, telemetry)
+	r.claims = claims.New(store, r.members, r.mesh, s.Platform.ClaimWritesPerSecond, telemetry)
 	client := upstreamhttp.New()
 	r.grants.UseReports(client)
 	upstreams := running.Count(client)
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -8,6 +8,7 @@
 	"os"
 	"time"
 
+	"agateswitch/core/claim"
 	"agateswitch/core/fleet"
 
 	"github.com/juju/errors"
@@ -52,6 +53,9 @@
 	Store string `json:"store"`
 	// Hosts is the host list (HTTP service discovery).
 	Hosts string `json:"hosts"`
+	// ClaimWritesPerSecond is the whole fleet's share of the key-value service's writes for
+	// once-only calls. Default: 100. Range: 1 to 1000. The same on every router.
+	ClaimWritesPerSecond float64 `json:"claim_writes_per_second"`
 }
 
 // Log sets what is logged and how.
@@ -77,12 +81,14 @@
 
 // Defaults and ranges.
 const (
-	DefaultDrain      = 35 * time.Second
-	MaxDrain          = time.Hour
-	MinTokenLength    = 16
-	MinResumeKeyBytes = 32
-	MinPeerKeyBytes   = 32
-	MaxResumeKeys     = 2
+	DefaultDrain = 35 * time.Second
+	MaxDrain     = time.Hour
+	// MaxClaimWritesPerSecond is above what the key-value service bears in all.
+	MaxClaimWritesPerSecond = 1000
+	MinTokenLength          = 16
+	MinResumeKeyBytes       = 32
+	MinPeerKeyBytes         = 32
+	MaxResumeKeys           = 2
 )
 
 // Problem is one fault of a settings file.
@@ -111,8 +117,9 @@
 // Parse checks the content of a settings file.
 func Parse(name string, content []byte) (Settings, []Problem) {
 	parsed := Settings{
-		Log:   Log{Level: "info", Format: "text"},
-		Drain: Duration(DefaultDrain),
+		Log:      Log{Level: "info", Format: "text"},
+		Drain:    Duration(DefaultDrain),
+		Platform: Platform{ClaimWritesPerSecond: claim.DefaultWritesPerSecond},
 	}
 	d := decode(name, content, &parsed)
 	if d.broken {
@@ -133,6 +140,9 @@
 	})
 	d.address("platform.store", s.Platform.Store)
 	d.address("platform.hosts", s.Platform.Hosts)
+	rate := s.Platform.ClaimWritesPerSecond
+	d.require(rate >= 1 && rate <= MaxClaimWritesPerSecond, "platform.claim_writes_per_second",
+		"must be 1 to %d", MaxClaimWritesPerSecond)
 	d.require(len(s.OperatorToken) >= MinTokenLength, "operator_token", "needs at least %d characters", MinTokenLength)
 	d.require(len(s.ResumeKeys) >= 1 && len(s.ResumeKeys) <= MaxResumeKeys, "resume_keys", "needs 1 to %d keys", MaxResumeKeys)
 	for i, key := range s.ResumeKeys {
