--- /dev/null
+++ b/capacity/capacity_test.go
@@ -0,0 +1,314 @@
+package capacity
+
+import (
+	"compress/gzip"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"runtime"
+	"testing"
+	"time"
+
+	"agateswitch/adapter/hostlist"
+	"agateswitch/core/admission"
+	"agateswitch/core/claim"
+	"agateswitch/core/configuration"
+	"agateswitch/core/fleet"
+	"agateswitch/core/membership"
+	"agateswitch/core/placement"
+	"agateswitch/core/rendezvous"
+	"agateswitch/standin/hosts"
+
+	"github.com/shoenig/test/must"
+)
+
+// start is the time of all tests.
+var start = time.Date(2026, time.March, 1, 9, 0, 0, 0, time.UTC)
+
+// measure prints a figure at each size and its line, and returns the figure at the target:
+// the larger of what was measured there, if it was, and of what the line gives.
+func measure(t *testing.T, what string, sizes []int, target int, figure func(size int) float64) float64 {
+	t.Helper()
+	var points []Point
+	for _, size := range sizes {
+		points = append(points, Point{Size: float64(size), Figure: figure(size)})
+	}
+	line := Fit(points)
+	worked := line.At(float64(target))
+	for _, point := range points {
+		if point.Size == float64(target) {
+			worked = max(worked, point.Figure)
+		}
+	}
+	t.Logf("%s: %.0f; slope %.1f, base %.0f, residual %.3f, straight %t; at %d: %.0f",
+		what, points, line.Slope, line.Base, line.Residual, line.IsStraight(), target, worked)
+	return worked
+}
+
+// held returns the bytes of the heap that a value keeps.
+func held(build func() any) float64 {
+	before := heap()
+	value := build()
+	used := heap() - before
+	runtime.KeepAlive(value)
+	return used
+}
+
+func heap() float64 {
+	runtime.GC()
+	runtime.GC()
+	var stats runtime.MemStats
+	runtime.ReadMemStats(&stats)
+	return float64(stats.HeapAlloc)
+}
+
+func contracts(count int) configuration.Delta {
+	delta := configuration.Delta{To: configuration.Revision(count)}
+	for i := range count {
+		name := fmt.Sprintf("team-%04d", i)
+		digest := sha256.Sum256([]byte(name))
+		value, _ := json.Marshal(configuration.Contract{
+			Team: fleet.Team(name), KeyDigests: []string{hex.EncodeToString(digest[:])},
+			Pools: []fleet.PoolID{"farrier-lm"}, RequestsPerSecond: 10,
+		})
+		delta.Items = append(delta.Items, configuration.Item{
+			Key:      configuration.Key{Kind: configuration.KindContract, Name: name},
+			Revision: configuration.Revision(i + 1), Value: value,
+		})
+	}
+	return delta
+}
+
+// fleetList has routers and upstreams in the target's proportion.
+func fleetList(size int) (routers []fleet.Host, upstreams []fleet.Upstream) {
+	target := Stated()
+	for i := range size {
+		dataCentre := fleet.DataCentre(fmt.Sprint("arima-", i%4))
+		if i*(target.Routers+target.Engines)/size < target.Routers {
+			routers = append(routers, fleet.Host{
+				ID: fleet.HostID(fmt.Sprintf("tunapuna-%03d", i)), DataCentre: dataCentre, Region: "arima",
+				HTTPAddress: addressOf(i) + ":8080", PeerAddress: addressOf(i) + ":8081", State: fleet.Live,
+			})
+			continue
+		}
+		upstreams = append(upstreams, fleet.Upstream{
+			ID: fleet.UpstreamID(fmt.Sprintf("farrier-lm-%03d", i)), Pool: "farrier-lm", DataCentre: dataCentre,
+			Version: "2026-03-01", Address: addressOf(i) + ":8090", State: fleet.Live,
+		})
+	}
+	return routers, upstreams
+}
+
+func addressOf(i int) string {
+	hash := rendezvous.Hash(fmt.Sprint("host-", i))
+	return fmt.Sprintf("10.%d.%d.%d", 100+hash%100, 100+hash/100%100, 100+hash/10_000%100)
+}
+
+func TestCapacityOfConfiguration(t *testing.T) {
+	sizes := []int{10, 100, 1100}
+	memory := measure(t, "configuration, bytes of memory by contracts", sizes, Stated().Teams, func(size int) float64 {
+		return held(func() any {
+			snapshot, _, err := configuration.Empty().Apply(contracts(size))
+			must.NoError(t, err)
+			return snapshot
+		})
+	})
+	must.LessEq(t, StatedLimits().Memory, memory)
+}
+
+// The memory of an owner is bounded, so the part of it below its bound is measured.
+func TestCapacityOfChatMemory(t *testing.T) {
+	target := Stated()
+	perShard := target.Chats / target.Shards
+	memory := measure(t, "shard owner, bytes of memory by chats", []int{4000, 12_000, 36_000}, perShard, func(size int) float64 {
+		return held(func() any { return ownerWithChats(t, size) })
+	})
+	must.LessEq(t, StatedLimits().Memory, memory)
+}
+
+func ownerWithChats(t *testing.T, chats int) *placement.Owner {
+	settings := placement.Settings{BoundFactor: 1.25, ColdConcurrency: 1, MaxConcurrency: 64, GrantLife: 2 * time.Minute}
+	owner := placement.NewOwner("tunapuna-001", 1, settings)
+	var upstreams []fleet.Upstream
+	for i := range 8 {
+		upstreams = append(upstreams, fleet.Upstream{ID: fleet.UpstreamID(fmt.Sprint("farrier-lm-", i)), Pool: "farrier-lm", State: fleet.Live})
+	}
+	owner.SetUpstreams(start, upstreams)
+	now := start
+	for i := range chats {
+		now = now.Add(100 * time.Millisecond)
+		decision := owner.Acquire(now, placement.Request{
+			Ticket: admission.Ticket{Nonce: uint64(i)}, Chat: uint64(i+1) * 0x9e3779b97f4a7c15, Prefill: 3000, Decode: 400,
+			Deadline: now.Add(time.Second),
+		})
+		must.Nil(t, decision.Refusal)
+		must.False(t, decision.Waiting)
+		owner.Complete(now, fleet.Completion{Grant: decision.Grant.ID, Outcome: fleet.OutcomeWhole})
+	}
+	return owner
+}
+
+func TestCapacityOfBudgets(t *testing.T) {
+	target := Stated()
+	memory := measure(t, "budget owner, bytes of memory of one team by routers", []int{10, 100, 380}, target.Routers, func(size int) float64 {
+		return held(func() any {
+			budget := admission.NewBudget(start, admission.Limits{Rate: 100, Burst: 200, Concurrency: 400})
+			for i := range size {
+				budget.Draw(start, admission.Ask{From: fleet.HostID(fmt.Sprint("r", i)), Tokens: 3, Slots: 4})
+			}
+			return budget
+		})
+	})
+	// Any router may own some teams more than the mean: ten times the mean is allowed for.
+	const skew = 10
+	teams := skew * float64(target.Teams) / float64(target.Routers)
+	t.Logf("budget owner, bytes of memory for %.0f teams: %.0f", teams, teams*memory)
+	must.LessEq(t, StatedLimits().Memory, teams*memory)
+}
+
+func TestCapacityOfClaims(t *testing.T) {
+	sizes := []int{1, 10, 50}
+	measure(t, "claim owner, bytes of one write of claims by calls in it", sizes, 50, func(size int) float64 {
+		claims, _ := bytesOfWrites(t, size)
+		return claims
+	})
+	measure(t, "claim owner, bytes of one write of answers of 300 bytes by calls in it", sizes, 50, func(size int) float64 {
+		_, answers := bytesOfWrites(t, size)
+		return answers
+	})
+	// A shard remembers the calls of ten minutes. The store's writes carry 1,000 calls a second.
+	const rate, seconds = 1000, 600
+	memory := measure(t, "claim owner, bytes of memory by calls in ten minutes", []int{1000, 2000, 4000}, rate*seconds/claim.Shards, func(size int) float64 {
+		return held(func() any {
+			shard := claim.NewShard(start, 1e12)
+			for i := range size {
+				shard.Begin(start, onceCall(i))
+			}
+			return shard
+		})
+	})
+	must.LessEq(t, StatedLimits().Memory, memory)
+}
+
+// bytesOfWrites returns the keys and values of a group's claims and of their answers.
+func bytesOfWrites(t *testing.T, calls int) (claims, answers float64) {
+	shard := claim.NewShard(start, 1e12)
+	for i := range calls {
+		shard.Begin(start, onceCall(i))
+	}
+	transaction, found := shard.Next(start)
+	must.True(t, found)
+	must.SliceLen(t, calls, transaction.Writes)
+	shard.Done(start, claim.Outcome{Applied: true, Revision: 1})
+	for i := range calls {
+		call := onceCall(i)
+		call.Revision = 1
+		shard.Finish(start, call, fleet.ClaimAnswer{Status: http.StatusCreated, Body: make([]byte, 300)})
+	}
+	ends, found := shard.Next(start.Add(time.Second))
+	must.True(t, found)
+	must.SliceLen(t, calls, ends.Writes)
+	return writtenBytes(transaction), writtenBytes(ends)
+}
+
+func writtenBytes(transaction claim.Transaction) float64 {
+	bytes := 0
+	for _, write := range transaction.Writes {
+		bytes += len(write.Key) + len(write.Value)
+	}
+	return float64(bytes)
+}
+
+func onceCall(i int) fleet.Claim {
+	key := fmt.Sprintf("%08x-%04x-7000-8000-%012x", start.UnixMilli()>>16, start.UnixMilli()&0xffff, i)
+	return fleet.Claim{
+		Team: "arima-yard", Key: key, BodyDigest: "2cf24dba5fb0a30e26e83b2ac5b9e29e1b161e5c1fa7425e73043362938b9824",
+		Holder: fleet.RequestID(fmt.Sprint("holder-", i)), Host: "tunapuna-001", Begun: start,
+	}
+}
+
+func TestCapacityOfMembership(t *testing.T) {
+	target, limits := Stated(), StatedLimits()
+	hostCount := target.Routers + target.Engines
+	sizes := []int{98, 490, 980}
+	list := measure(t, "membership, bytes of a whole host list by hosts", sizes, hostCount, func(size int) float64 {
+		whole, _ := listBytes(size)
+		return whole
+	})
+	measure(t, "membership, bytes of a whole host list compressed by gzip, by hosts", sizes, hostCount, compressedListBytes)
+	unchanged := measure(t, "membership, bytes of an unchanged host list by hosts", sizes, hostCount, func(size int) float64 {
+		_, unchanged := listBytes(size)
+		return unchanged
+	})
+	memory := measure(t, "membership, bytes of memory by hosts", sizes, hostCount, func(size int) float64 {
+		return held(func() any {
+			view := membership.NewView(fleet.Host{ID: "self", State: fleet.Live})
+			routers, upstreams := fleetList(size)
+			view.TakeList(start, routers, upstreams)
+			return view
+		})
+	})
+	must.LessEq(t, limits.Memory, memory)
+	// A failed host leaves the list and its successor enters; a replaced one is shown as leaving before.
+	changes := float64(2*target.FailedHosts + 3*target.ReplacedHosts)
+	perSecond := unchanged + changes*list/SecondsPerDay
+	t.Logf("membership, bytes a second over a day of %.0f changes: %.0f; in a second with a change: %.0f", changes, perSecond, list)
+	must.LessEq(t, limits.Traffic, perSecond)
+}
+
+// listBytes returns the size of the whole list's body, and of the headers of an unchanged one.
+func listBytes(size int) (whole, unchanged float64) {
+	server := listServer(size)
+	first := httptest.NewRecorder()
+	request := httptest.NewRequest(http.MethodGet, hostlist.Path, nil)
+	server.ServeHTTP(first, request)
+	request.Header.Set("If-None-Match", first.Header().Get("ETag"))
+	second := httptest.NewRecorder()
+	server.ServeHTTP(second, request)
+	return float64(first.Body.Len()), headerBytes(request.Header) + headerBytes(second.Header()) + float64(second.Body.Len())
+}
+
+// compressedListBytes is what a platform that compresses would send.
+func compressedListBytes(size int) float64 {
+	list := httptest.NewRecorder()
+	listServer(size).ServeHTTP(list, httptest.NewRequest(http.MethodGet, hostlist.Path, nil))
+	counted := &counter{}
+	compressor := gzip.NewWriter(counted)
+	compressor.Write(list.Body.Bytes())
+	compressor.Close()
+	return float64(counted.bytes)
+}
+
+func listServer(size int) *hosts.Server {
+	server := hosts.New()
+	routers, upstreams := fleetList(size)
+	for _, host := range routers {
+		server.Put(hostlist.TargetGroup{Targets: []string{host.HTTPAddress}, Labels: map[string]string{
+			hostlist.LabelRole: hostlist.RoleRouter, hostlist.LabelID: string(host.ID), hostlist.LabelPeer: host.PeerAddress,
+			hostlist.LabelDataCentre: string(host.DataCentre), hostlist.LabelRegion: string(host.Region), hostlist.LabelState: string(host.State),
+		}})
+	}
+	for _, upstream := range upstreams {
+		server.Put(hostlist.TargetGroup{Targets: []string{upstream.Address}, Labels: map[string]string{
+			hostlist.LabelRole: hostlist.RoleUpstream, hostlist.LabelID: string(upstream.ID), hostlist.LabelPool: string(upstream.Pool),
+			hostlist.LabelDataCentre: string(upstream.DataCentre), hostlist.LabelVersion: string(upstream.Version), hostlist.LabelState: string(upstream.State),
+		}})
+	}
+	return server
+}
+
+func headerBytes(header http.Header) float64 {
+	counted := &counter{}
+	header.Write(counted)
+	return float64(counted.bytes)
+}
+
+type counter struct{ bytes int }
+
+func (c *counter) Write(content []byte) (int, error) {
+	c.bytes += len(content)
+	return len(content), nil
+}
