--- a/node/grants/fleet_test.go
+++ b/node/grants/fleet_test.go
@@ -114,7 +114,7 @@
 	narrowLimit = 5
 )
 
-func testSnapshot(t *testing.T) *configuration.Snapshot {
+func testSnapshot(t testing.TB) *configuration.Snapshot {
 	t.Helper()
 	encode := func(value any) json.RawMessage {
 		body, err := json.Marshal(value)
@@ -169,7 +169,7 @@
 
 const requestWork = 100
 
-func newNetwork(t *testing.T, routers int, upstreams []fleet.Upstream, reports port.EngineReports) *network {
+func newNetwork(t testing.TB, routers int, upstreams []fleet.Upstream, reports port.EngineReports) *network {
 	t.Helper()
 	n := &network{
 		nodes: map[fleet.HostID]*testRouter{}, dead: map[fleet.HostID]bool{}, silent: map[fleet.HostID]bool{},
--- a/node/grants/traffic_test.go
+++ b/node/grants/traffic_test.go
@@ -46,7 +46,7 @@
 }
 
 // meshPair connects two services over loopback TCP.
-func meshPair(t *testing.T) (owner, entry meshRouter) {
+func meshPair(t testing.TB) (owner, entry meshRouter) {
 	t.Helper()
 	ctx, stop := context.WithCancel(context.Background())
 	group := &errgroup.Group{}
