Refuse changes of a move's item past the checks of a move

Cause: PUT and DELETE of config/move/NAME took any valid JSON, so that an operator could begin, overwrite or delete a move without the checks that version move makes; a deletion could undo what was taken back.

Ruled out: a check in ValidateItem. Routers write steps and brakes through the same Accept, and must go on doing so.

Change: both methods, dry runs too, answer 422 invalid and name agatectl version. Reading stays.

Seen failing with the check removed: PUT answered 200 and the store counted 3 writes, 0 wanted; the DELETE was refused for another reason only, as there was no such item.

--- a/adapter/operatorhttp/server.go
+++ b/adapter/operatorhttp/server.go
@@ -89,6 +89,9 @@
 }
 
 func (s *Server) put(w http.ResponseWriter, r *http.Request) {
+	if refuseMoveItem(w, r) {
+		return
+	}
 	value, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxValueBytes))
 	if err != nil {
 		fail(w, http.StatusRequestEntityTooLarge, Failure{Code: fleet.CodeTooLarge, Message: "the value is too large"})
@@ -102,6 +105,9 @@
 }
 
 func (s *Server) remove(w http.ResponseWriter, r *http.Request) {
+	if refuseMoveItem(w, r) {
+		return
+	}
 	s.change(w, r, nil)
 }
 
