Tell plain services' evidence apart by route and time it

Cause: the evidence of plain calls named the method only and no latency, counted answers with status 500 as whole, and counted calls whose callers went away as failures. A version that slowed down or failed on one route only was diluted by all others, and a good one could be blamed for its callers.

Ruled out: the whole path, which holds identifiers and has no bound; patterns in the pool's configuration, which nobody would keep up.

Change: the route is the method and the first path segment (the next one after v1 and the like). A segment that is no word of small letters becomes *, as does an unknown method; the tally's bound of 8 routes stays behind that. The time to the first byte goes with it, from the attempt on, so that a second connection after silence shows. Status 500 and above speaks against the version; the caller still gets that answer. Calls whose callers went away are left out, as they are for chats.

Left: once-only calls carry the route, but neither time nor status, as once.go was not touched. A path whose first segment is random words can still use up the 8 routes.

--- a/node/forward/forward.go
+++ b/node/forward/forward.go
@@ -64,11 +64,30 @@
 }
 
 func (s *Service) end(call Call, grant fleet.Grant, outcome fleet.Outcome) {
+	s.endAnswered(call, grant, outcome, answered{})
+}
+
+// answered is what the start of an answer tells about an upstream. The zero value means that
+// there was none, or that it was not timed.
+type answered struct {
+	status int
+	// firstByte is the time from the attempt to the start of the answer.
+	firstByte time.Duration
+}
+
+// endAnswered reports the end of an attempt to the shard's owner and to the versions' evidence.
+// A call whose caller went away tells nothing about a version. An answer with a status of 500
+// or more is whole for the caller, but speaks against the version.
+func (s *Service) endAnswered(call Call, grant fleet.Grant, outcome fleet.Outcome, start answered) {
 	s.placer.Release(grant, fleet.Completion{Grant: grant.ID, Upstream: grant.Upstream.ID, Outcome: outcome})
-	s.versions.Observe(fleet.Evidence{
-		Pool: call.Pool.Name, Version: grant.Upstream.Version, Upstream: grant.Upstream.ID,
-		Route: call.Method, Failed: outcome != fleet.OutcomeWhole,
-	})
+	if outcome != fleet.OutcomeCancelled {
+		s.versions.Observe(fleet.Evidence{
+			Pool: call.Pool.Name, Version: grant.Upstream.Version, Upstream: grant.Upstream.ID,
+			Route:      routeOf(call.Method, call.Path),
+			Failed:     outcome != fleet.OutcomeWhole || start.status >= http.StatusInternalServerError,
+			FirstToken: start.firstByte,
+		})
+	}
 	s.telemetry.Log.Info("finished", "request", call.Request.ID, "upstream", grant.Upstream.ID, "outcome", outcome)
 }
 
--- a/node/forward/plain.go
+++ b/node/forward/plain.go
@@ -59,6 +59,7 @@
 func (r *plainRun) attempt(ctx context.Context, grant fleet.Grant) *exchange.Failure {
 	ctx, stop := context.WithCancel(ctx)
 	defer stop()
+	begun := time.Now()
 	answer, failure := r.open(ctx, grant)
 	if failure != nil {
 		r.sent = r.sent || failure.Ran != fleet.NotRun
@@ -67,21 +68,22 @@
 	}
 	defer answer.Body.Close()
 	r.sent = true
+	start := answered{status: answer.Status, firstByte: time.Since(begun)}
 	body := newAnswerBody(answer.Body, exchange.KeepAliveFactor*r.call.silence(), stop)
 	defer body.stop()
 	content, err := readBuffered(answer, body)
 	if err != nil {
-		r.service.end(r.call, grant, r.outcome(ctx, nil))
+		r.service.endAnswered(r.call, grant, r.outcome(ctx, nil), start)
 		return &exchange.Failure{Fault: exchange.FaultCut, Sent: true}
 	}
 	err = r.sink.Answer(answer.Status, answer.Header, content)
 	switch {
 	case body.failed:
-		r.service.end(r.call, grant, fleet.OutcomeFailed)
+		r.service.endAnswered(r.call, grant, fleet.OutcomeFailed, start)
 	case err != nil:
-		r.service.end(r.call, grant, fleet.OutcomeCancelled)
+		r.service.endAnswered(r.call, grant, fleet.OutcomeCancelled, start)
 	default:
-		r.service.end(r.call, grant, fleet.OutcomeWhole)
+		r.service.endAnswered(r.call, grant, fleet.OutcomeWhole, start)
 	}
 	return nil
 }
