Try a failed call of the new version on the old one

Cause: a retry whose only upstream of the new version had failed it was refused with no_upstream, although upstreams of the old version were up.

Ruled out: choosing through node/moves. It knows versions of the pool, not what a request has excluded; and a fallback from the old version to the new one needs the brakes, so it is not made.

Change: when no upstream of the chosen version is left and the request excludes some, the question is asked anew with the version that the pool's move came from, with a log line. The request's chat stays on the new version: only this request is served by the other one.

Seen failing: without the fallback 'new version failed' is refused; with it for first attempts too 'first attempt, none running' is granted on the old version.

--- a/node/grants/acquire.go
+++ b/node/grants/acquire.go
@@ -78,6 +78,9 @@
 func (s *Service) route(q *question) bool {
 	q.table = s.routes.pool(time.Now(), q.request.Pool)
 	home, found := q.table.home(placement.ChatHash(q.request.Chat), q.version, q.request.Exclude)
+	if !found {
+		home, found = s.fallBack(q)
+	}
 	if !found {
 		return false
 	}
--- a/node/grants/fleet_test.go
+++ b/node/grants/fleet_test.go
@@ -38,6 +38,8 @@
 	config   *configuration.Snapshot
 	service  *Service
 	view     *membership.View
+	// version is what the router chooses for every chat.
+	version fleet.Version
 }
 
 func (r *testRouter) Handle(method string, handler port.PeerHandler) { r.handlers[method] = handler }
@@ -101,7 +103,7 @@
 func (r *testRouter) Suspect(id fleet.HostID)                   { r.locked(func() { r.view.Suspect(time.Now(), id) }) }
 func (r *testRouter) Confirm(id fleet.HostID)                   { r.locked(func() { r.view.Confirm(id) }) }
 
-func (r *testRouter) Choose(fleet.PoolID, fleet.ChatID) fleet.Version { return "" }
+func (r *testRouter) Choose(fleet.PoolID, fleet.ChatID) fleet.Version { return r.version }
 func (r *testRouter) Observe(fleet.Evidence)                          {}
 
 const (
