Find budget owners from a list of routers that is made once

Cause: ten times a second, for each running team, the view of the fleet was copied, sorted and hashed anew to see whether the team's budget owner is still the same.

Ruled out: fewer ticks, which would age the queue's decisions; keeping the owner until a call fails, which would leave two owners for long.

The test now goes through all ten ticks of a second instead of multiplying one.

--- a/core/rendezvous/rendezvous.go
+++ b/core/rendezvous/rendezvous.go
@@ -51,16 +51,7 @@
 
 // First returns the best node for key, and false when there are none.
 func First(key string, nodes []string) (string, bool) {
-	best, found := "", false
-	var bestScore uint64
-	keyHash := xxhash.Sum64String(key)
-	for _, node := range nodes {
-		score := Mix(keyHash, xxhash.Sum64String(node))
-		if !found || score > bestScore || (score == bestScore && node < best) {
-			best, bestScore, found = node, score, true
-		}
-	}
-	return best, found
+	return NewNodes(nodes).First(key)
 }
 
 // Hash returns the hash of a key or a node, for Mix and MixWeighted.
--- a/node/grants/capacity_bench_test.go
+++ b/node/grants/capacity_bench_test.go
@@ -31,7 +31,7 @@
 			service := targetRouter(b, routers)
 			b.ReportAllocs()
 			for b.Loop() {
-				service.routes.budgetOwner(testTeam)
+				service.routes.budgetOwner(time.Now(), testTeam)
 			}
 		})
 	}
@@ -47,7 +47,7 @@
 		known.allowance.Arrive(now)
 		known.allowance.Receive(now, admission.Lent{Tokens: 1, Slots: 1, Interval: time.Minute})
 		must.True(t, known.allowance.Admit(now, false).Admitted)
-		known.owner, known.renewed = service.routes.budgetOwner(name), now
+		known.owner, known.renewed = service.routes.budgetOwner(now, name), now
 	}
 }
 
@@ -76,9 +76,11 @@
 	runTeams(t, service, now, teams)
 	var before, after runtime.MemStats
 	runtime.ReadMemStats(&before)
-	service.renewTeams(t.Context(), now)
+	for passed := time.Duration(0); passed < time.Second; passed += tickInterval {
+		service.renewTeams(t.Context(), now.Add(passed))
+	}
 	runtime.ReadMemStats(&after)
-	perSecond := (after.TotalAlloc - before.TotalAlloc) * uint64(time.Second/tickInterval)
+	perSecond := after.TotalAlloc - before.TotalAlloc
 	t.Logf("%d teams, %d routers: %d bytes a second", teams, targetRouters, perSecond)
 	must.LessEq(t, limitBytes, perSecond)
 }
--- a/node/grants/routes.go
+++ b/node/grants/routes.go
@@ -43,6 +43,10 @@
 	mu    sync.Mutex
 	made  time.Time
 	pools map[fleet.PoolID]*poolRoutes
+
+	// routers are the live routers as of listed; nil after a refresh.
+	routers *rendezvous.Nodes
+	listed  time.Time
 }
 
 // pool returns the routes of a pool, at most routesLife old.
@@ -66,6 +70,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.pools = nil
+	r.routers = nil
 }
 
 // compute makes the table of all pools: shards of all pools share the limit of shards that
@@ -118,15 +123,25 @@
 	return names
 }
 
-// budgetOwner returns the router that keeps a team's budget.
-func (r *routes) budgetOwner(team fleet.Team) fleet.HostID {
-	owner, found := rendezvous.First("team/"+string(team), r.routerNames())
+// budgetOwner returns the router that keeps a team's budget. The list of live routers that
+// it goes by is at most routesLife old.
+func (r *routes) budgetOwner(now time.Time, team fleet.Team) fleet.HostID {
+	owner, found := r.liveRouters(now).First("team/" + string(team))
 	if !found {
 		return r.members.Self().ID
 	}
 	return fleet.HostID(owner)
 }
 
+func (r *routes) liveRouters(now time.Time) *rendezvous.Nodes {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.routers == nil || now.Sub(r.listed) > routesLife {
+		r.routers, r.listed = rendezvous.NewNodes(r.routerNames()), now
+	}
+	return r.routers
+}
+
 // owner returns the router that grants on an upstream.
 func (p *poolRoutes) owner(upstream fleet.UpstreamID) fleet.HostID {
 	return p.owners[p.shards.Shard(upstream)]
--- a/node/grants/teams.go
+++ b/node/grants/teams.go
@@ -107,7 +107,7 @@
 	known.mu.Lock()
 	ask := known.allowance.Ask()
 	known.mu.Unlock()
-	owner := s.routes.budgetOwner(name)
+	owner := s.routes.budgetOwner(time.Now(), name)
 	var reply budgetReply
 	err := s.call(ctx, owner, methodBudget, budgetMessage{Asks: []askMessage{encodeAsk(name, ask)}}, &reply)
 	now := time.Now()
@@ -149,7 +149,7 @@
 // addRenewal adds a team's renewal to the message for its budget owner, if it is due. The
 // team's lock is held.
 func (s *Service) addRenewal(now time.Time, name fleet.Team, known *team, messages map[fleet.HostID]*budgetMessage) {
-	owner := s.routes.budgetOwner(name)
+	owner := s.routes.budgetOwner(now, name)
 	if owner == known.owner && now.Sub(known.renewed) < renewInterval {
 		return
 	}
@@ -168,7 +168,7 @@
 	}
 	line := fmt.Sprintf("team %s: contract allows %g requests a second, burst %d, concurrency %d (0: no limit)",
 		name, contract.RequestsPerSecond, contract.Burst, contract.Concurrency)
-	return []string{line, "budget owner " + string(s.routes.budgetOwner(name))}
+	return []string{line, "budget owner " + string(s.routes.budgetOwner(now, name))}
 }
 
 // budgets are the budgets that this router keeps as their owner. It is safe for concurrent use.
--- a/node/grants/teams_test.go
+++ b/node/grants/teams_test.go
@@ -83,7 +83,7 @@
 	const seconds = 5
 	truth := newEngines()
 	inFleet(t, 3, testUpstreams(8), truth, func(t *testing.T, n *network, run func(*testRouter)) {
-		owner := n.nodes["router-0"].service.routes.budgetOwner(surgingTeam)
+		owner := n.nodes["router-0"].service.routes.budgetOwner(time.Now(), surgingTeam)
 		runAll(n, run)
 		n.set(func() { n.silent[owner] = true; delete(n.nodes, owner) })
 		admitted := surge(t, n, surgingTeam, seconds, 100, 10*time.Millisecond)
