Free the grants of a router that the host list no longer names

Cause: grants of a dead entry router counted until they expired, 2 minutes after the last renewal, and held places on upstreams that bear few requests, which nobody used.

Ruled out: shorter renewals, which cost control traffic for each router and shard; asking holders whether they live, which costs a call for each holder; freeing on suspicion alone, as a cut link to one owner says nothing about the router's connections to upstreams.

Change: the owner notes who holds a grant, compares the holders with the host list every 0.5 s, and frees the grants of a router that the list has not named for 2 s and that has sent nothing to this owner meanwhile. Waiting requests get their turn at once; a log line names the router and the count. The guard against a list that loses most of its members stands before this. A router that was taken for lost renews its grants as before, and they count again.

--- a/core/placement/doc.go
+++ b/core/placement/doc.go
@@ -38,6 +38,12 @@
 // gets nothing for 0.5 s, then one request at a time until one is whole. The time doubles
 // with each failure up to 8 s.
 //
+// # Lost routers
+//
+// A grant counts until its end is told, until it has not been renewed for GrantLife, or until
+// the router that holds it is known to be lost. Whoever knows that calls Free. A router that
+// was taken for lost renews its grants as before, and they count again from then on.
+//
 // # Two owners
 //
 // While two routers grant for one shard, each counts what the upstream reports beyond its own
--- a/core/placement/owner.go
+++ b/core/placement/owner.go
@@ -137,7 +137,7 @@
 		Load: chosen.engine.load(), Bound: bound, Warm: chosen.warm,
 	}
 	o.grants[grant.ID] = &held{
-		ticket: request.Ticket, upstream: grant.Upstream.ID, chat: request.Chat,
+		ticket: request.Ticket, holder: request.Ticket.From, upstream: grant.Upstream.ID, chat: request.Chat,
 		prompt: request.Prefill, prefill: grant.Work - request.Decode, decode: request.Decode, work: grant.Work,
 		since: now, expires: grant.Expires, grant: grant,
 	}
@@ -220,7 +220,7 @@
 	for _, announced := range announcements {
 		grant, known := o.grants[announced.Grant]
 		if !known {
-			grant = &held{upstream: announced.Upstream, work: announced.Work, decode: announced.Work, since: now, adopted: true}
+			grant = &held{holder: announced.Holder, upstream: announced.Upstream, work: announced.Work, decode: announced.Work, since: now, adopted: true}
 			if e, found := o.engine(announced.Upstream); found {
 				e.adopt(announced.Work)
 			}
--- a/core/placement/request.go
+++ b/core/placement/request.go
@@ -68,11 +68,14 @@
 	Grant    fleet.GrantID
 	Upstream fleet.UpstreamID
 	Work     fleet.Work
+	// Holder is the router whose request runs on the grant.
+	Holder fleet.HostID
 }
 
 // held is one grant in force.
 type held struct {
 	ticket   admission.Ticket
+	holder   fleet.HostID
 	upstream fleet.UpstreamID
 	chat     uint64
 	// prompt is the whole prompt; prefill, its uncached part, and decode are the work granted,
--- a/node/grants/handlers.go
+++ b/node/grants/handlers.go
@@ -16,6 +16,7 @@
 		return nil, err
 	}
 	now := time.Now()
+	s.holders.hear(from)
 	s.end(now, endMessage{Ended: message.Ended}, from)
 	request := s.placementRequest(now, from, message)
 	var decision placement.Decision
@@ -84,6 +85,7 @@
 	if err := decode(&message); err != nil {
 		return nil, err
 	}
+	s.holders.hear(from)
 	s.end(time.Now(), message, from)
 	return empty{}, nil
 }
@@ -104,15 +106,17 @@
 	})
 }
 
-func (s *Service) handleAnnounce(_ context.Context, _ fleet.HostID, decode port.Decode) (any, error) {
+func (s *Service) handleAnnounce(_ context.Context, from fleet.HostID, decode port.Decode) (any, error) {
 	var message announceMessage
 	if err := decode(&message); err != nil {
 		return nil, err
 	}
+	s.holders.hear(from)
 	announcements := make([]placement.Announcement, 0, len(message.Held))
 	for _, held := range message.Held {
 		announcements = append(announcements, placement.Announcement{
 			Grant: fleet.GrantID(held.Grant), Upstream: fleet.UpstreamID(held.Upstream), Work: fleet.Work(max(0, held.Work)),
+			Holder: from,
 		})
 	}
 	now := time.Now()
--- a/node/grants/service.go
+++ b/node/grants/service.go
@@ -1,5 +1,9 @@
 // Package grants places requests: it asks the owner of a request's shard for a grant, and is
 // that owner for the shards that fall to this router. The same holds for the budgets of teams.
+//
+// A grant of a router that is lost counts until the host list has not named the router for
+// holderGrace and the router has sent nothing to the owner meanwhile; while the list still
+// names it, until the grant has not been renewed for grantLife.
 package grants
 
 import (
@@ -41,6 +45,7 @@
 	shards  *shards
 	held    *heldGrants
 	outbox  *outbox
+	holders *holders
 	teams   *teams
 	budgets *budgets
 	metrics *metrics
@@ -56,7 +61,7 @@
 	s := &Service{
 		members: members, config: config, versions: versions, peers: peers, telemetry: telemetry,
 		routes: table, shards: newShards(self, epoch, config, table),
-		held: newHeldGrants(), outbox: newOutbox(), teams: newTeams(self), budgets: newBudgets(config),
+		held: newHeldGrants(), outbox: newOutbox(), holders: newHolders(), teams: newTeams(self), budgets: newBudgets(config),
 	}
 	s.metrics = newMetrics(telemetry, s.shards)
 	// Nonces of an earlier life of the host must not be taken for repeated questions.
@@ -81,6 +86,8 @@
 	defer flush.Stop()
 	poll := time.NewTicker(reportInterval)
 	defer poll.Stop()
+	check := time.NewTicker(holderCheck)
+	defer check.Stop()
 	for {
 		select {
 		case <-ctx.Done():
@@ -92,6 +99,8 @@
 			s.renewTeams(ctx, now)
 		case <-flush.C:
 			s.flush(ctx)
+		case <-check.C:
+			s.freeLost(time.Now())
 		case <-poll.C:
 			s.readReports(ctx, false)
 		case <-s.shards.wake:
