Keep test logs and test processes in one way each

Cause: three packages had the same log buffer, and the process tests two ways of starting a process.

Change: internal/logtest; start is launch and find.

Conclusion: clean-up only.

--- a/adapter/peer/peer_test.go
+++ b/adapter/peer/peer_test.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"agateswitch/core/fleet"
+	"agateswitch/internal/logtest"
 	"agateswitch/internal/pipenet"
 	"agateswitch/port"
 
@@ -33,29 +34,11 @@
 	return fleet.Host{ID: id, PeerAddress: string(id) + ":1"}, true
 }
 
-// lines is the log of a test's routers.
-type lines struct {
-	mu   sync.Mutex
-	text bytes.Buffer
-}
-
-func (l *lines) Write(text []byte) (int, error) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.text.Write(text)
-}
-
-func (l *lines) String() string {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.text.String()
-}
-
 // bench is two routers, of which a calls b.
 type bench struct {
 	network *pipenet.Network
 	a       *Mesh
-	log     *lines
+	log     *logtest.Buffer
 	handled int
 	// release lets the handlers of "slow" end.
 	release chan struct{}
@@ -65,7 +48,7 @@
 
 func newBench(t *testing.T, keyOfA string) *bench {
 	t.Helper()
-	b := &bench{network: &pipenet.Network{}, log: &lines{}, release: make(chan struct{})}
+	b := &bench{network: &pipenet.Network{}, log: &logtest.Buffer{}, release: make(chan struct{})}
 	logger := log.New(b.log)
 	b.a = NewOn(b.network.Dial, "a", directory{}, keyOfA, logger)
 	called := NewOn(b.network.Dial, "b", directory{}, testKey, logger)
--- a/cmd/agateswitch/process_test.go
+++ b/cmd/agateswitch/process_test.go
@@ -1,7 +1,6 @@
 package main
 
 import (
-	"bufio"
 	"bytes"
 	"context"
 	"encoding/json"
@@ -36,36 +35,13 @@
 	return program
 }
 
-// start runs a process until the test ends and returns the first text that find takes
-// from a line of its output.
-func start(t *testing.T, find func(line string) (string, bool), program string, args ...string) string {
+// start runs a process until the test ends and returns the first text that take finds in
+// its output.
+func start(t *testing.T, take func(line string) (string, bool), program string, args ...string) string {
 	t.Helper()
-	command := exec.Command(program, args...)
-	reader, writer, err := os.Pipe()
-	must.NoError(t, err)
-	command.Stdout, command.Stderr = writer, writer
-	must.NoError(t, command.Start())
-	writer.Close()
-	t.Cleanup(func() { command.Process.Kill(); command.Wait() })
-	found := make(chan string, 1)
-	go func() {
-		lines := bufio.NewScanner(reader)
-		for lines.Scan() {
-			if text, ok := find(lines.Text()); ok {
-				select {
-				case found <- text:
-				default:
-				}
-			}
-		}
-	}()
-	select {
-	case text := <-found:
-		return text
-	case <-time.After(processLimit):
-		t.Fatalf("%v did not come up", args)
-		return ""
-	}
+	ctx, cancel := context.WithTimeout(t.Context(), processLimit)
+	defer cancel()
+	return launch(t, program, args...).find(ctx, t, take)
 }
 
 func standinAddress(line string) (string, bool) {
--- a/demo/fleet_test.go
+++ b/demo/fleet_test.go
@@ -1,36 +1,17 @@
 package demo
 
 import (
-	"bytes"
 	"io"
 	"net/http"
-	"sync"
 	"testing"
 
 	"agateswitch/examples"
+	"agateswitch/internal/logtest"
 
 	"github.com/charmbracelet/log"
 	"github.com/shoenig/test/must"
 )
 
-// syncBuffer is a buffer that several routers log to.
-type syncBuffer struct {
-	mu     sync.Mutex
-	buffer bytes.Buffer
-}
-
-func (s *syncBuffer) Write(p []byte) (int, error) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.buffer.Write(p)
-}
-
-func (s *syncBuffer) String() string {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.buffer.String()
-}
-
 func startFleet(t *testing.T, logs io.Writer) *Fleet {
 	t.Helper()
 	example, err := examples.Load(examples.BlueMahoe)
@@ -43,7 +24,7 @@
 
 // Each placement has a log line with its reason; keys and prompts are in none.
 func TestLogsExplainPlacementAndKeepSecrets(t *testing.T) {
-	logs := &syncBuffer{}
+	logs := &logtest.Buffer{}
 	f := startFleet(t, logs)
 	team := f.Example.Contracts[0].Team
 	c := caller{client: &http.Client{}, team: team, entry: func() string { return f.Entries[1] }}
--- a/node/router/fleet_test.go
+++ b/node/router/fleet_test.go
@@ -1,14 +1,12 @@
 package router_test
 
 import (
-	"bytes"
 	"context"
 	"encoding/json"
 	"io"
 	"net/http"
 	"net/http/httptest"
 	"strings"
-	"sync"
 	"testing"
 	"time"
 
@@ -17,6 +15,7 @@
 	"agateswitch/core/configuration"
 	"agateswitch/core/fleet"
 	"agateswitch/examples"
+	"agateswitch/internal/logtest"
 	"agateswitch/node/router"
 	"agateswitch/settings"
 	"agateswitch/sse"
@@ -36,28 +35,10 @@
 	model      = "farrier-lm"
 )
 
-// lines is the log of a router.
-type lines struct {
-	mu   sync.Mutex
-	text bytes.Buffer
-}
-
-func (l *lines) Write(text []byte) (int, error) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.text.Write(text)
-}
-
-func (l *lines) String() string {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.text.String()
-}
-
 // running is one router of a test.
 type running struct {
 	callers string
-	log     *lines
+	log     *logtest.Buffer
 	// leave begins a planned stop, force ends it at once, and ended is closed at its end.
 	leave, force func()
 	ended        chan struct{}
@@ -121,7 +102,7 @@
 
 func startRouter(t *testing.T, listeners router.Listeners, configured settings.Settings) *running {
 	t.Helper()
-	r := &running{callers: listeners.Callers.Addr().String(), log: &lines{}, ended: make(chan struct{})}
+	r := &running{callers: listeners.Callers.Addr().String(), log: &logtest.Buffer{}, ended: make(chan struct{})}
 	made, err := router.New(configured, listeners, log.New(r.log))
 	must.NoError(t, err)
 	life, leave := context.WithCancel(context.Background())
