--- a/node/grants/fleet_test.go
+++ b/node/grants/fleet_test.go
@@ -38,6 +38,8 @@
 	config   *configuration.Snapshot
 	service  *Service
 	view     *membership.View
+	// version is what the router chooses for every chat.
+	version fleet.Version
 }
 
 func (r *testRouter) Handle(method string, handler port.PeerHandler) { r.handlers[method] = handler }
@@ -101,7 +103,7 @@
 func (r *testRouter) Suspect(id fleet.HostID)                   { r.locked(func() { r.view.Suspect(time.Now(), id) }) }
 func (r *testRouter) Confirm(id fleet.HostID)                   { r.locked(func() { r.view.Confirm(id) }) }
 
-func (r *testRouter) Choose(fleet.PoolID, fleet.ChatID) fleet.Version { return "" }
+func (r *testRouter) Choose(fleet.PoolID, fleet.ChatID) fleet.Version { return r.version }
 func (r *testRouter) Observe(fleet.Evidence)                          {}
 
 const (
@@ -114,7 +116,7 @@
 	narrowLimit = 5
 )
 
-func testSnapshot(t *testing.T) *configuration.Snapshot {
+func testSnapshot(t testing.TB) *configuration.Snapshot {
 	t.Helper()
 	encode := func(value any) json.RawMessage {
 		body, err := json.Marshal(value)
@@ -169,7 +171,7 @@
 
 const requestWork = 100
 
-func newNetwork(t *testing.T, routers int, upstreams []fleet.Upstream, reports port.EngineReports) *network {
+func newNetwork(t testing.TB, routers int, upstreams []fleet.Upstream, reports port.EngineReports) *network {
 	t.Helper()
 	n := &network{
 		nodes: map[fleet.HostID]*testRouter{}, dead: map[fleet.HostID]bool{}, silent: map[fleet.HostID]bool{},
--- a/node/router/process_test.go
+++ b/node/router/process_test.go
@@ -14,6 +14,7 @@
 	"agateswitch/core/configuration"
 	"agateswitch/core/fleet"
 	"agateswitch/core/placement"
+	"agateswitch/internal/logtest"
 	"agateswitch/settings"
 
 	"github.com/shoenig/test/must"
@@ -45,7 +46,7 @@
 	command.Stdout, command.Stderr = writer, writer
 	must.NoError(t, command.Start())
 	writer.Close()
-	r := &running{log: &lines{}, ended: make(chan struct{})}
+	r := &running{log: &logtest.Buffer{}, ended: make(chan struct{})}
 	r.signal = func(signal syscall.Signal) { command.Process.Signal(signal) }
 	r.force = func() { r.signal(syscall.SIGKILL) }
 	serving := make(chan addresses, 1)
