--- a/node/router/fleet_test.go
+++ b/node/router/fleet_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -42,6 +43,8 @@
 	// leave begins a planned stop, force ends it at once, and ended is closed at its end.
 	leave, force func()
 	ended        chan struct{}
+	// signal is set for a router that runs as a process.
+	signal func(syscall.Signal)
 }
 
 // testFleet is two routers before an engine and a plain service, on loopback.
