Lend each router only its part of a team's idle slots

Cause: a draw lent all free slots for 250 ms of arrivals to one router, where they lay idle until its next draw while other routers refused the same team.

Ruled out: shorter lending, which multiplies draws; calling slots back, which needs a message to every holder.

Change: beyond what a router runs, it is lent its part of the spare slots, rounded up, among the routers that have drawn lately. A lone router still gets all of them.

--- a/core/admission/budget.go
+++ b/core/admission/budget.go
@@ -135,7 +135,12 @@
 		}
 	}
 	free := max(0, b.limits.Concurrency-others)
-	slots := max(ask.Running, min(ask.Slots, free))
+	// Lent slots may lie idle until the next draw. One router gets only its part of them, so
+	// that the others are not refused meanwhile.
+	spare := max(0, free-ask.Running)
+	routers := max(1, len(b.holders))
+	part := (spare + routers - 1) / routers
+	slots := max(ask.Running, min(ask.Slots, ask.Running+part, free))
 	b.holders[ask.From] = holder{slots: slots, seen: now}
 	return slots
 }
