--- a/adapter/callerhttp/chatsink.go
+++ b/adapter/callerhttp/chatsink.go
@@ -10,7 +10,7 @@
 	"agateswitch/sse"
 )
 
-// wholeWriteTimeout is how long a whole answer may take to be written.
+// wholeWriteTimeout is how long a complete answer may take to be written.
 const wholeWriteTimeout = 30 * time.Second
 
 // chatSink writes the answer of a chat completion to the caller.
--- a/adapter/callerhttp/server.go
+++ b/adapter/callerhttp/server.go
@@ -18,7 +18,7 @@
 
 // Limits towards callers.
 const (
-	// MaxBodyBytes is the largest body of a chat completion or of a once-only call.
+	// MaxBodyBytes is the largest body of a chat completion or of a non-idempotent call.
 	MaxBodyBytes = 4 << 20
 	// MaxHeaderBytes is the largest request header.
 	MaxHeaderBytes = 32 << 10
@@ -41,7 +41,7 @@
 // HeaderChat names the chat of a request. Without it, the body's prompt_cache_key counts.
 const HeaderChat = "X-Chat-Id"
 
-// HeaderIdempotencyKey carries the key of a once-only call, a UUIDv7
+// HeaderIdempotencyKey carries the key of a non-idempotent call, a UUIDv7
 // (draft-ietf-httpapi-idempotency-key-header).
 const HeaderIdempotencyKey = "Idempotency-Key"
 
--- a/adapter/callerhttp/service.go
+++ b/adapter/callerhttp/service.go
@@ -67,7 +67,7 @@
 	if r.URL.RawQuery != "" {
 		call.Path += "?" + r.URL.RawQuery
 	}
-	if !pool.IsOnceOnly(r.Method, path) {
+	if !pool.IsNonIdempotent(r.Method, path) {
 		if body := newServiceBody(w, r); body != nil {
 			call.Body = body
 		}
--- a/adapter/operatorhttp/moveitem.go
+++ b/adapter/operatorhttp/moveitem.go
@@ -10,7 +10,7 @@
 
 // refuseMoveItem refuses a change of a move's item, and tells whether it did. A move is
 // written by the routers after the checks of a proposal, which a plain change would skip;
-// a deletion would undo what was taken back.
+// a deletion would undo what was rolled back.
 func refuseMoveItem(w http.ResponseWriter, r *http.Request) bool {
 	if key(r).Kind != configuration.KindMove {
 		return false
--- a/adapter/operatorhttp/moveitem_test.go
+++ b/adapter/operatorhttp/moveitem_test.go
@@ -20,7 +20,7 @@
 
 const token = "operatorhttp-test-token"
 
-// A move is begun and taken back with its checks only: neither a PUT nor a DELETE of its item
+// A move is begun and rolled back with its checks only: neither a PUT nor a DELETE of its item
 // reaches the store, and the answer names the command to use.
 func TestMoveItemsAreNotChangedDirectly(t *testing.T) {
 	direct := store.NewDirect()
--- a/adapter/upstreamhttp/client.go
+++ b/adapter/upstreamhttp/client.go
@@ -44,8 +44,8 @@
 var keepAlive = net.KeepAliveConfig{Enable: true, Idle: 5 * time.Second, Interval: time.Second, Count: 3}
 
 const (
-	// ErrCrossed means that an answer carried another request's id.
-	ErrCrossed = errors.ConstError("answer belongs to another request")
+	// ErrMismatched means that an answer carried another request's id.
+	ErrMismatched = errors.ConstError("answer belongs to another request")
 	// ErrUnframed means that an answer has neither a length nor chunks, so that its end
 	// cannot be told from a lost connection (RFC 9112, section 6.3).
 	ErrUnframed = errors.ConstError("answer has neither a length nor chunks")
@@ -169,7 +169,7 @@
 		flight.abort()
 		answer.Body.Close()
 		client.CloseIdleConnections()
-		fault := exchange.FaultCrossed
+		fault := exchange.FaultMismatched
 		if errors.Is(err, ErrUnframed) {
 			fault = exchange.FaultUnframed
 		}
@@ -198,7 +198,7 @@
 
 func check(answer *http.Response, id fleet.RequestID) error {
 	if answer.Header.Get(port.HeaderRequestID) != string(id) {
-		return errors.Trace(ErrCrossed)
+		return errors.Trace(ErrMismatched)
 	}
 	if answer.StatusCode == http.StatusSwitchingProtocols {
 		return errors.Annotate(ErrUnframed, "the upstream switched protocols")
--- a/adapter/upstreamhttp/client_test.go
+++ b/adapter/upstreamhttp/client_test.go
@@ -82,7 +82,7 @@
 }
 
 // The transport resends requests with an idempotency key by itself when a pooled
-// connection breaks. A once-only call must reach the upstream once at most.
+// connection breaks. A non-idempotent call must reach the upstream once at most.
 func TestCallIsSentOnceAtMost(t *testing.T) {
 	for _, body := range []string{"credit", ""} {
 		synctest.Test(t, func(t *testing.T) {
@@ -140,7 +140,7 @@
 
 // An answer of another request is refused, and its connection is not used again: the
 // next request would get the true answer of this one.
-func TestCrossedAnswerEndsItsConnection(t *testing.T) {
+func TestMismatchedAnswerEndsItsConnection(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		client, requests := raw(t, func(request *http.Request, _ []byte, w net.Conn) {
 			answer(w, "r0", "Content-Length: 0\r\n\r\n")
@@ -149,7 +149,7 @@
 		for range 3 {
 			_, failure := client.Send(t.Context(), post("a", ""))
 			must.NotNil(t, failure)
-			must.Eq(t, exchange.FaultCrossed, failure.Fault)
+			must.Eq(t, exchange.FaultMismatched, failure.Fault)
 			must.Eq(t, fleet.RanUnknown, failure.Ran)
 		}
 		must.Eq(t, int64(3), requests.Load())
--- a/capacity/capacity_test.go
+++ b/capacity/capacity_test.go
@@ -146,7 +146,7 @@
 		})
 		must.Nil(t, decision.Refusal)
 		must.False(t, decision.Waiting)
-		owner.Complete(now, fleet.Completion{Grant: decision.Grant.ID, Outcome: fleet.OutcomeWhole})
+		owner.Complete(now, fleet.Completion{Grant: decision.Grant.ID, Outcome: fleet.OutcomeComplete})
 	}
 	return owner
 }
--- a/capacity/sum_test.go
+++ b/capacity/sum_test.go
@@ -38,12 +38,12 @@
 	must.LessEq(t, limits.Traffic, sum(t, "bytes a second", measured))
 
 	// Assumed: 190 teams with a concurrency limit run here, no draw takes the place of their
-	// renewals each 6.67 s, and this router answers as many. 100 once-only calls a second come
+	// renewals each 6.67 s, and this router answers as many. 100 non-idempotent calls a second come
 	// to 32 shards, of which it owns two; base64 adds a third to keys and values.
-	const renewalSeconds, onceOnly = 20.0 / 3, 100.0
+	const renewalSeconds, nonIdempotent = 20.0 / 3, 100.0
 	sum(t, "bytes a second, with assumptions", append(measured,
 		row{"renewals, asked and answered, TestDecisionFitsControlTraffic", printedBytes.Draw, 2 * 190 / renewalSeconds},
-		row{"claims and answers, TestCapacityOfClaims", (249 + 752) * 4 / 3, onceOnly * 2 / 32}))
+		row{"claims and answers, TestCapacityOfClaims", (249 + 752) * 4 / 3, nonIdempotent * 2 / 32}))
 
 	// The largest of four runs.
 	const streamBytes = 64.9 * 1024
--- a/cmd/agatectl/version.go
+++ b/cmd/agatectl/version.go
@@ -57,7 +57,7 @@
 	}
 	command.Flags().StringVar(&by, "by", "", "time by which all traffic has to be on the version")
 	command.Flags().BoolVar(&dryRun, "dry-run", false, "show the steps without beginning")
-	command.Flags().BoolVar(&wait, "wait", false, "wait until the move is done or taken back; fails when it is taken back")
+	command.Flags().BoolVar(&wait, "wait", false, "wait until the move is done or rolled back; fails when it is rolled back")
 	command.MarkFlagRequired("by")
 	return command
 }
@@ -82,7 +82,7 @@
 		return err
 	}
 	if status.Move.Status != rollout.StatusDone {
-		return fmt.Errorf("the move was taken back: %s", status.Move.Reason)
+		return fmt.Errorf("the move was rolled back: %s", status.Move.Reason)
 	}
 	return nil
 }
@@ -116,7 +116,7 @@
 				return err
 			}
 			return show(command, o, move, func() {
-				command.Printf("move %s of %s taken back to version %s\n", move.ID, move.Pool, move.From)
+				command.Printf("move %s of %s rolled back to version %s\n", move.ID, move.Pool, move.From)
 			})
 		},
 	}
--- a/cmd/agateswitch/demo.go
+++ b/cmd/agateswitch/demo.go
@@ -37,7 +37,7 @@
 		Short: "Run a whole fleet in one process, under load, and report",
 		Long: "Runs stand-ins of the platform and of the upstreams, and several routers on loopback\n" +
 			"addresses, sends requests of returning chats, and prints what came of them. The exit\n" +
-			"code is 1 when an answer was lost, cut, crossed or run twice.",
+			"code is 1 when an answer was lost, truncated, mismatched or duplicated.",
 		Example: "  agateswitch demo --example blue-mahoe --routers 4 --run-for 20s\n" +
 			"  agateswitch demo --scenario datacentre\n  agateswitch demo --keep",
 		Args: cobra.NoArgs,
--- a/cmd/agateswitch/main.go
+++ b/cmd/agateswitch/main.go
@@ -27,8 +27,8 @@
 	accepted := false
 	root := &cobra.Command{
 		Use:   "agateswitch",
-		Short: "Routes returning chats and once-only calls to model engines and plain services",
-		Long: "Routes returning chats and once-only calls to model engines and plain services.\n\n" +
+		Short: "Routes returning chats and non-idempotent calls to model engines and plain services",
+		Long: "Routes returning chats and non-idempotent calls to model engines and plain services.\n\n" +
 			"Exit codes: 0 done, 1 failed, 2 the call's words are wrong.",
 		SilenceUsage:  true,
 		SilenceErrors: true,
--- a/cmd/agateswitch/main_test.go
+++ b/cmd/agateswitch/main_test.go
@@ -59,5 +59,5 @@
 	must.NoError(t, json.Unmarshal([]byte(stdout), &report))
 	must.SliceEmpty(t, report.Faults)
 	must.Len(t, 1, report.Phases)
-	must.Positive(t, report.Phases[0].Outcomes[demo.KindChat][demo.Whole])
+	must.Positive(t, report.Phases[0].Outcomes[demo.KindChat][demo.Complete])
 }
--- a/cmd/agateswitch/once_process_test.go
+++ b/cmd/agateswitch/once_process_test.go
@@ -116,7 +116,7 @@
 	return router
 }
 
-// call makes one call; a key makes it once-only. What the caller is told is kept.
+// call makes one call; a key makes it non-idempotent. What the caller is told is kept.
 func (f *onceFleet) call(ctx context.Context, t *testing.T, entry onceRouter, method, path, key string) told {
 	t.Helper()
 	request, err := http.NewRequestWithContext(ctx, method, "http://"+entry.Callers+"/rounds"+path, bytes.NewReader([]byte("visit")))
@@ -261,7 +261,7 @@
 
 // Calls that may not be repeated run once while routers and the store are killed, frozen
 // and cut, and callers send them again to other entry hosts.
-func TestOnceOnlyAcrossProcesses(t *testing.T) {
+func TestNonIdempotentAcrossProcesses(t *testing.T) {
 	ctx, cancel := context.WithTimeout(t.Context(), 3*processLimit)
 	defer cancel()
 	f := newOnceFleet(ctx, t)
--- a/core/claim/cost_test.go
+++ b/core/claim/cost_test.go
@@ -11,7 +11,7 @@
 	"github.com/shoenig/test/must"
 )
 
-// costRun offers once-only calls to all shards of a fleet and counts the store's calls.
+// costRun offers non-idempotent calls to all shards of a fleet and counts the store's calls.
 type costRun struct {
 	shards  [Shards]*Shard
 	flights [Shards]flight
--- a/core/claim/key.go
+++ b/core/claim/key.go
@@ -1,4 +1,4 @@
-// Package claim decides about once-only calls: who may send a call, what a resend is
+// Package claim decides about non-idempotent calls: who may send a call, what a resend is
 // told, and how the claims and answers of many calls are grouped into one transaction of
 // the platform's key-value service.
 //
--- a/core/claim/record.go
+++ b/core/claim/record.go
@@ -12,7 +12,7 @@
 const (
 	// SendLimit is how long the holder of a claim may wait before it sends the call.
 	SendLimit = 5 * time.Second
-	// CallLimit is how long the holder waits for the whole answer.
+	// CallLimit is how long the holder waits for the complete answer.
 	CallLimit = 60 * time.Second
 	// endMargin is the time to record an answer, and for clocks that differ.
 	endMargin = 15 * time.Second
--- a/core/claim/shard.go
+++ b/core/claim/shard.go
@@ -72,7 +72,7 @@
 		return s.lastID, Reply{Operation: s.lastID, Result: refused(refusal)}, false
 	}
 	if len(s.waiting) >= maxWaiting {
-		refusal := s.refuse(now, claim, fleet.CodeOverloaded, "too many once-only calls wait for the store")
+		refusal := s.refuse(now, claim, fleet.CodeOverloaded, "too many non-idempotent calls wait for the store")
 		return s.lastID, Reply{Operation: s.lastID, Result: refused(refusal)}, false
 	}
 	keyTime, _ := KeyTime(claim.Key)
--- a/core/configuration/once.go
+++ b/core/configuration/idempotency.go
@@ -6,11 +6,11 @@
 	"strings"
 )
 
-// IsOnceOnly tells whether a call of a service may not be repeated. A path counts as it
+// IsNonIdempotent tells whether a call of a service may not be repeated. A path counts as it
 // is written and as the service may read it: without escapes, dots and doubled slashes.
-func (p Pool) IsOnceOnly(method, path string) bool {
+func (p Pool) IsNonIdempotent(method, path string) bool {
 	forms := pathForms(path)
-	for _, rule := range p.OnceOnly {
+	for _, rule := range p.NonIdempotent {
 		ruleMethod, rulePath, _ := strings.Cut(rule, " ")
 		if !strings.EqualFold(method, ruleMethod) {
 			continue
--- a/core/configuration/item.go
+++ b/core/configuration/item.go
@@ -88,9 +88,9 @@
 	MaxConcurrency int `json:"max_concurrency,omitempty"`
 	// PathPrefix is the first path segment under which a plain service is reached. Services only.
 	PathPrefix string `json:"path_prefix,omitempty"`
-	// OnceOnly lists methods and path prefixes of calls that may not be repeated,
+	// NonIdempotent lists methods and path prefixes of calls that may not be repeated,
 	// for example "POST /bookings". Services only.
-	OnceOnly []string `json:"once_only,omitempty"`
+	NonIdempotent []string `json:"non_idempotent,omitempty"`
 	// Version is the version in use when no move runs. Empty means any.
 	Version fleet.Version `json:"version,omitempty"`
 	// FencesOrders is true when the pool's upstreams refuse orders with an old fencing number.
--- a/core/configuration/validate.go
+++ b/core/configuration/validate.go
@@ -125,16 +125,16 @@
 	}
 	if pool.Type == PoolEngine {
 		c.require(pool.PathPrefix == "", "path_prefix", "is for services only")
-		c.require(len(pool.OnceOnly) == 0, "once_only", "is for services only")
+		c.require(len(pool.NonIdempotent) == 0, "non_idempotent", "is for services only")
 	}
 	c.require(!strings.Contains(pool.PathPrefix, "/"), "path_prefix", "is one path segment without slashes")
 	c.require(pool.PathPrefix != "v1", "path_prefix", "v1 is taken by the router itself")
-	for i, rule := range pool.OnceOnly {
-		field := fmt.Sprintf("once_only[%d]", i)
+	for i, rule := range pool.NonIdempotent {
+		field := fmt.Sprintf("non_idempotent[%d]", i)
 		method, path, ok := strings.Cut(rule, " ")
 		c.require(ok && isMethod(method) && strings.HasPrefix(path, "/") && !strings.ContainsAny(path, " ?#"),
 			field, `%q is not "METHOD /path" with an upper-case method and no query`, rule)
-		c.require(!slices.Contains(pool.OnceOnly[:i], rule), field, "%q is given twice", rule)
+		c.require(!slices.Contains(pool.NonIdempotent[:i], rule), field, "%q is given twice", rule)
 	}
 }
 
--- a/core/configuration/validate_test.go
+++ b/core/configuration/validate_test.go
@@ -21,8 +21,8 @@
 			`{"team":"n","key_digests":["` + digestOf("team-0000") + `"],"pools":["farrier-lm"],"requests_per_second":1}`,
 			[]string{"key_digests[0]"}},
 		"pool": {KindPool,
-			`{"name":"n","type":"service","path_prefix":"v1","once_only":["post /a","POST /a?b","POST /c","POST /c"]}`,
-			[]string{"path_prefix", "once_only[0]", "once_only[1]", "once_only[3]"}},
+			`{"name":"n","type":"service","path_prefix":"v1","non_idempotent":["post /a","POST /a?b","POST /c","POST /c"]}`,
+			[]string{"path_prefix", "non_idempotent[0]", "non_idempotent[1]", "non_idempotent[3]"}},
 		"data centre": {KindDataCentre, `{"name":"n","ramp_seconds":99999}`, []string{"ramp_seconds"}},
 		"wrong field": {KindDataCentre, `{"name":"n","outt":true}`, []string{""}},
 	} {
--- a/core/exchange/exchange_test.go
+++ b/core/exchange/exchange_test.go
@@ -51,7 +51,7 @@
 func TestFailureSaysNotRunOnlyWhenNothingWasSent(t *testing.T) {
 	faults := []exchange.Fault{
 		exchange.FaultUnreachable, exchange.FaultLost, exchange.FaultSilent, exchange.FaultStalled,
-		exchange.FaultCrossed, exchange.FaultCut, exchange.FaultUnframed, exchange.FaultGap,
+		exchange.FaultMismatched, exchange.FaultTruncated, exchange.FaultUnframed, exchange.FaultGap,
 		exchange.FaultMalformed, exchange.FaultTooLarge, exchange.FaultForgotten, exchange.FaultRejected,
 		exchange.FaultCancelled,
 	}
--- a/core/exchange/failure.go
+++ b/core/exchange/failure.go
@@ -18,10 +18,10 @@
 	FaultSilent Fault = "silent"
 	// FaultStalled means that the connection lived, but no event came within the stall limit.
 	FaultStalled Fault = "stalled"
-	// FaultCrossed means that the answer carried another request's id.
-	FaultCrossed Fault = "crossed"
-	// FaultCut means that the answer ended before its end.
-	FaultCut Fault = "cut"
+	// FaultMismatched means that the answer carried another request's id.
+	FaultMismatched Fault = "mismatched"
+	// FaultTruncated means that the answer ended before its end.
+	FaultTruncated Fault = "truncated"
 	// FaultUnframed means that the answer's end cannot be told from a lost connection.
 	FaultUnframed Fault = "unframed"
 	// FaultGap means that an event of a stream is missing.
@@ -64,7 +64,7 @@
 // same upstream, which has the request from an earlier one.
 func (f Failure) IsResumable() bool {
 	switch f.Fault {
-	case FaultUnreachable, FaultLost, FaultSilent, FaultCrossed, FaultCut, FaultUnframed, FaultGap, FaultMalformed:
+	case FaultUnreachable, FaultLost, FaultSilent, FaultMismatched, FaultTruncated, FaultUnframed, FaultGap, FaultMalformed:
 		return f.Sent
 	default:
 		return false
--- a/core/fleet/load.go
+++ b/core/fleet/load.go
@@ -9,7 +9,7 @@
 	// Work is the uncached prefill and expected decode that those requests have left. Zero
 	// while Running is not means that the upstream does not tell.
 	Work Work
-	// Completed is the number of whole answers since the start.
+	// Completed is the number of complete answers since the start.
 	Completed int64
 	// CacheEntries is the number of prefixes in the cache.
 	CacheEntries int
--- a/core/fleet/request.go
+++ b/core/fleet/request.go
@@ -67,8 +67,8 @@
 
 // Outcomes of exchanges.
 const (
-	// OutcomeWhole means that the whole answer was delivered.
-	OutcomeWhole Outcome = "whole"
+	// OutcomeComplete means that the complete answer was delivered.
+	OutcomeComplete Outcome = "complete"
 	// OutcomeFailed means that the upstream failed the request.
 	OutcomeFailed Outcome = "failed"
 	// OutcomeCancelled means that the caller went away.
--- a/core/placement/bench_test.go
+++ b/core/placement/bench_test.go
@@ -37,7 +37,7 @@
 	for i := range b.N {
 		r := Request{Ticket: admission.Ticket{Nonce: uint64(1_000_000 + i)}, Chat: uint64(i) * 0x9e3779b97f4a7c15, Decode: 400}
 		decision := o.Acquire(start, r)
-		o.Complete(start, fleet.Completion{Grant: decision.Grant.ID, Outcome: fleet.OutcomeWhole})
+		o.Complete(start, fleet.Completion{Grant: decision.Grant.ID, Outcome: fleet.OutcomeComplete})
 	}
 }
 
@@ -112,7 +112,7 @@
 	allocations := testing.AllocsPerRun(1000, func() {
 		nonce++
 		decision := o.Acquire(now, Request{Ticket: admission.Ticket{Nonce: nonce}, Chat: nonce * 0x9e3779b97f4a7c15, Decode: 400})
-		o.Complete(now, fleet.Completion{Grant: decision.Grant.ID, Outcome: fleet.OutcomeWhole})
+		o.Complete(now, fleet.Completion{Grant: decision.Grant.ID, Outcome: fleet.OutcomeComplete})
 	})
 	must.LessEq(t, limit, allocations)
 }
--- a/core/placement/cold_test.go
+++ b/core/placement/cold_test.go
@@ -55,7 +55,7 @@
 	for id := range o.waiting {
 		o.Abandon(now, id)
 	}
-	complete(o, now, grants, fleet.OutcomeWhole, 100*time.Millisecond)
+	complete(o, now, grants, fleet.OutcomeComplete, 100*time.Millisecond)
 	for _, upstream := range upstreams(count) {
 		o.Report(now, upstream.ID, fleet.LoadReport{Incarnation: "1", Completed: cold, CacheEntries: cold})
 	}
@@ -70,7 +70,7 @@
 			complete(o, now, []fleet.Grant{grant}, fleet.OutcomeFailed, 0)
 		},
 		SignLatency: func(o *Owner, now time.Time, grant fleet.Grant) {
-			complete(o, now, []fleet.Grant{grant}, fleet.OutcomeWhole, 2*time.Second)
+			complete(o, now, []fleet.Grant{grant}, fleet.OutcomeComplete, 2*time.Second)
 		},
 		SignIncarnation: func(o *Owner, now time.Time, grant fleet.Grant) {
 			o.Report(now, grant.Upstream.ID, fleet.LoadReport{Incarnation: "2"})
@@ -83,7 +83,7 @@
 		t.Run(string(sign), func(t *testing.T) {
 			o := warmOwner(1)
 			for i := range uint64(2 * jumpSamples) {
-				complete(o, start, storm(o, start, 1, 100+i), fleet.OutcomeWhole, 100*time.Millisecond)
+				complete(o, start, storm(o, start, 1, 100+i), fleet.OutcomeComplete, 100*time.Millisecond)
 			}
 			must.Eq(t, testSettings().MaxConcurrency, o.Stats(start).Upstreams[0].Allowed)
 			give(o, start, storm(o, start, 1, 1)[0])
@@ -143,7 +143,7 @@
 	must.Len(t, cold, fresh)
 	must.Eq(t, 2, o.Epoch())
 	must.NotEq(t, grants[0].ID, fresh[0].ID)
-	complete(o, woken, grants, fleet.OutcomeWhole, time.Millisecond)
+	complete(o, woken, grants, fleet.OutcomeComplete, time.Millisecond)
 	must.Eq(t, cold, o.Stats(woken).Upstreams[0].Running)
 }
 
@@ -152,7 +152,7 @@
 	const cold = 2
 	o := NewOwner("router-2", 1, testSettings())
 	o.SetUpstreams(start, upstreams(1))
-	complete(o, start, storm(o, start, cold, 1), fleet.OutcomeWhole, time.Millisecond)
+	complete(o, start, storm(o, start, cold, 1), fleet.OutcomeComplete, time.Millisecond)
 	must.Len(t, cold, storm(o, start, 100, 1000))
 	drain(o, start)
 	must.Greater(t, cold, len(storm(o, start.Add(LearnWindow), 100, 2000)))
@@ -178,7 +178,7 @@
 	now := start.Add(second)
 	o.Report(now, grants[0].Upstream.ID, fleet.LoadReport{Incarnation: "1", Running: 3 + foreign, Work: 100 * (3 + foreign), CacheEntries: 9})
 	must.Eq(t, 4+foreign-1, o.Stats(now).Upstreams[0].Running)
-	o.Complete(now.Add(200*time.Millisecond), fleet.Completion{Grant: grants[0].ID, Outcome: fleet.OutcomeWhole, Age: 300 * time.Millisecond})
+	o.Complete(now.Add(200*time.Millisecond), fleet.Completion{Grant: grants[0].ID, Outcome: fleet.OutcomeComplete, Age: 300 * time.Millisecond})
 	must.Eq(t, 3+foreign, o.Stats(now).Upstreams[0].Running)
 	must.Eq(t, 100*(3+foreign), o.Stats(now).Upstreams[0].Load)
 }
@@ -196,13 +196,13 @@
 func TestLongPromptIsNoColdSign(t *testing.T) {
 	o := warmOwner(1)
 	for i := range uint64(2 * jumpSamples) {
-		complete(o, start, storm(o, start, 1, 100+i), fleet.OutcomeWhole, 100*time.Millisecond)
+		complete(o, start, storm(o, start, 1, 100+i), fleet.OutcomeComplete, 100*time.Millisecond)
 	}
 	long := request(1, 100, start.Add(second))
 	long.Prefill = 8000
 	o.memory.remember(long.Chat, o.engines[0], long.Prefill)
 	grant := o.Acquire(start, long).Grant
 	must.Eq(t, 100, grant.Work)
-	complete(o, start, []fleet.Grant{grant}, fleet.OutcomeWhole, 900*time.Millisecond)
+	complete(o, start, []fleet.Grant{grant}, fleet.OutcomeComplete, 900*time.Millisecond)
 	must.False(t, o.engines[0].ramp.isCold())
 }
--- a/core/placement/holdoff.go
+++ b/core/placement/holdoff.go
@@ -15,7 +15,7 @@
 
 // holdoff is the circuit breaker of one upstream.
 type holdoff struct {
-	// failures counts the failed requests since the last whole answer.
+	// failures counts the failed requests since the last complete answer.
 	failures int
 	duration time.Duration
 	until    time.Time
@@ -35,7 +35,7 @@
 	h.until = now.Add(h.duration)
 }
 
-// answered notes a whole answer.
+// answered notes a complete answer.
 func (h *holdoff) answered() { *h = holdoff{} }
 
 // isHeld is true while the upstream gets nothing new.
--- a/core/placement/holdoff_test.go
+++ b/core/placement/holdoff_test.go
@@ -49,12 +49,12 @@
 		list := upstreams(8)
 		o := NewOwner("router-0", 1, testSettings())
 		o.SetUpstreams(start, list)
-		alive := func(fleet.UpstreamID) fleet.Outcome { return fleet.OutcomeWhole }
+		alive := func(fleet.UpstreamID) fleet.Outcome { return fleet.OutcomeComplete }
 		dead := func(id fleet.UpstreamID) fleet.Outcome {
 			if id == list[0].ID {
 				return failure
 			}
-			return fleet.OutcomeWhole
+			return fleet.OutcomeComplete
 		}
 		probeRun(o, list, start, 5*second, alive)
 		lost := probeRun(o, list, start.Add(5*second), 25*second, dead)
@@ -80,7 +80,7 @@
 		if count%4 == 0 {
 			return fleet.OutcomeFailed
 		}
-		return fleet.OutcomeWhole
+		return fleet.OutcomeComplete
 	}
 	perSecond := probeRun(o, list, start, 10*second, outcome)
 	for _, got := range perSecond {
--- a/core/placement/owner.go
+++ b/core/placement/owner.go
@@ -27,7 +27,7 @@
 	sequence uint64
 	// lastEvent is the time of the last event; a long gap means that the process was frozen.
 	lastEvent time.Time
-	// service is the smoothed time of whole answers.
+	// service is the smoothed time of complete answers.
 	service  time.Duration
 	progress progress
 	// advanced is when the progress of all requests was last brought up to date.
@@ -179,7 +179,7 @@
 		return
 	}
 	switch completion.Outcome {
-	case fleet.OutcomeWhole:
+	case fleet.OutcomeComplete:
 		e.hold.answered()
 		e.ramp.answered(completion.FirstToken, grant.prompt, grant.prefill)
 		if !grant.adopted {
--- a/core/placement/owner_test.go
+++ b/core/placement/owner_test.go
@@ -172,7 +172,7 @@
 		return
 	}
 	at := rapid.IntRange(0, len(m.live)-1).Draw(t, "request")
-	outcome := rapid.SampledFrom([]fleet.Outcome{fleet.OutcomeWhole, fleet.OutcomeWhole, fleet.OutcomeCancelled, fleet.OutcomeFailed}).Draw(t, "outcome")
+	outcome := rapid.SampledFrom([]fleet.Outcome{fleet.OutcomeComplete, fleet.OutcomeComplete, fleet.OutcomeCancelled, fleet.OutcomeFailed}).Draw(t, "outcome")
 	ended := m.live[at]
 	m.live = append(m.live[:at], m.live[at+1:]...)
 	m.owners[ended.owner].Complete(m.now, fleet.Completion{Grant: ended.id, Outcome: outcome, FirstToken: 100 * time.Millisecond})
--- a/core/placement/progress.go
+++ b/core/placement/progress.go
@@ -14,7 +14,7 @@
 	perToken   time.Duration
 }
 
-// learn takes the times of a whole answer.
+// learn takes the times of a complete answer.
 func (p *progress) learn(took, firstToken time.Duration, decoded fleet.Work) {
 	if firstToken > 0 {
 		p.firstToken = smooth(p.firstToken, firstToken)
--- a/core/placement/ramp.go
+++ b/core/placement/ramp.go
@@ -55,7 +55,7 @@
 	r.samples = 0
 }
 
-// answered notes a whole answer. Uncached is the expected uncached part of the prompt.
+// answered notes a complete answer. Uncached is the expected uncached part of the prompt.
 func (r *ramp) answered(firstToken time.Duration, prompt, uncached fleet.Work) {
 	if r.isJump(firstToken, prompt) {
 		r.reset(SignLatency)
--- a/core/placement/trace_test.go
+++ b/core/placement/trace_test.go
@@ -362,5 +362,5 @@
 }
 
 func (p *sharded) end(s *traceRun, r *traceRequest) {
-	p.owners[r.shard].Complete(start.Add(s.now), fleet.Completion{Grant: r.grant, Outcome: fleet.OutcomeWhole, FirstToken: r.prompt + tokenInterval, Decoded: r.decode})
+	p.owners[r.shard].Complete(start.Add(s.now), fleet.Completion{Grant: r.grant, Outcome: fleet.OutcomeComplete, FirstToken: r.prompt + tokenInterval, Decoded: r.decode})
 }
--- a/core/placement/waiting_test.go
+++ b/core/placement/waiting_test.go
@@ -16,7 +16,7 @@
 	o := warmOwner(1)
 	first := storm(o, start, 1, 1_000_000)
 	o.Tick(start.Add(500 * time.Millisecond))
-	complete(o, start.Add(second), first, fleet.OutcomeWhole, 100*time.Millisecond)
+	complete(o, start.Add(second), first, fleet.OutcomeComplete, 100*time.Millisecond)
 	grants := storm(o, start.Add(second), testSettings().MaxConcurrency, 1)
 	must.Len(t, testSettings().MaxConcurrency, grants)
 	return o, grants
@@ -53,7 +53,7 @@
 	must.True(t, o.Acquire(now, low).Waiting)
 	must.True(t, o.Acquire(now, high).Waiting)
 	for i, want := range []admission.Ticket{high.Ticket, low.Ticket} {
-		complete(o, now, grants[i:i+1], fleet.OutcomeWhole, 100*time.Millisecond)
+		complete(o, now, grants[i:i+1], fleet.OutcomeComplete, 100*time.Millisecond)
 		resolved := o.Resolved()
 		must.Len(t, 1, resolved)
 		must.Eq(t, want, resolved[0].Ticket)
@@ -92,7 +92,7 @@
 		calm.Team, calm.Share = "calm", 1
 		must.True(t, o.Acquire(now, calm).Waiting, must.Sprint(fmt.Sprint("calm request ", i)))
 	}
-	complete(o, now, grants[:6], fleet.OutcomeWhole, 100*time.Millisecond)
+	complete(o, now, grants[:6], fleet.OutcomeComplete, 100*time.Millisecond)
 	served := map[fleet.HostID]int{}
 	for _, decision := range o.Resolved() {
 		if decision.Refusal == nil {
--- a/core/rollout/decide.go
+++ b/core/rollout/decide.go
@@ -13,10 +13,10 @@
 
 // Actions.
 const (
-	ActionHold  Action = "hold"
-	ActionStep  Action = "step"
-	ActionBrake Action = "brake"
-	ActionDone  Action = "done"
+	ActionHold     Action = "hold"
+	ActionStep     Action = "step"
+	ActionRollback Action = "rollback"
+	ActionDone     Action = "done"
 )
 
 // Decision is an action with its reason.
@@ -42,16 +42,16 @@
 	}
 	verdict := input.Detector.Verdict(true)
 	if verdict.Bad {
-		return Decision{ActionBrake, verdict.Reason}
+		return Decision{ActionRollback, verdict.Reason}
 	}
 	share := move.ShareAt(now)
 	if !input.MissingSince.IsZero() && now.Sub(input.MissingSince) >= missingLimit && share > 0 {
-		return Decision{ActionBrake, fmt.Sprintf("no upstream of version %s has taken work for %s", move.To, missingLimit)}
+		return Decision{ActionRollback, fmt.Sprintf("no upstream of version %s has taken work for %s", move.To, missingLimit)}
 	}
 	requests, lacking := input.Detector.Earned()
 	hold := holdReason(now, move, verdict, requests, lacking)
 	if !now.Before(move.By) && share < 1 {
-		return Decision{ActionBrake, fmt.Sprintf("the deadline passed at a share of %g%%, held by: %s", share*100, hold)}
+		return Decision{ActionRollback, fmt.Sprintf("the deadline passed at a share of %g%%, held by: %s", share*100, hold)}
 	}
 	if !now.Before(move.By) {
 		return Decision{ActionDone, fmt.Sprintf("the deadline is reached with all traffic moved and %d requests", requests)}
--- a/core/rollout/detector.go
+++ b/core/rollout/detector.go
@@ -19,7 +19,7 @@
 	restartInterval = 10 * time.Second
 )
 
-// Error rates. A good version is taken back by the leader in at most 4 of 1,000 moves,
+// Error rates. A good version is rolled back by the leader in at most 4 of 1,000 moves,
 // and by any of up to 1,000 routers that judge what passes through them in at most 1 of
 // 1,000.
 const (
--- a/core/rollout/harness_test.go
+++ b/core/rollout/harness_test.go
@@ -16,7 +16,7 @@
 	ticksPerSec = 10
 	// reportTicks is ReportInterval.
 	reportTicks = 2
-	// spreadTicks is how long a brake takes to reach all routers: three rounds, rounded up.
+	// spreadTicks is how long a rollback takes to reach all routers: three rounds, rounded up.
 	spreadTicks = 6
 	// longestTicks bounds how long an exchange lasts.
 	longestTicks = 600
@@ -119,15 +119,15 @@
 func (s scenario) run() outcome {
 	w := newWorld(s)
 	detector := rollout.NewDetector(w.move)
-	brakedAt := -1
+	rolledBackAt := -1
 	for now := 0; ; now++ {
 		at := w.start.Add(time.Duration(now) * tick)
 		share := w.move.ShareAt(at)
-		if brakedAt >= 0 && now >= brakedAt+spreadTicks {
+		if rolledBackAt >= 0 && now >= rolledBackAt+spreadTicks {
 			w.outcome.took = at.Sub(w.start)
 			return w.end(rollout.StatusBack)
 		}
-		if brakedAt < 0 {
+		if rolledBackAt < 0 {
 			w.outcome.shareBefore = max(w.outcome.shareBefore, share)
 		}
 		step := w.move.Step
@@ -138,13 +138,13 @@
 		w.instant.SetStep(step, share)
 		w.requests(now, at, share)
 		w.finish(now, at, detector)
-		if brakedAt >= 0 || now%reportTicks != 0 {
+		if rolledBackAt >= 0 || now%reportTicks != 0 {
 			continue
 		}
 		decision := rollout.Decide(at, rollout.Input{Move: w.move, Detector: detector})
 		switch decision.Action {
-		case rollout.ActionBrake:
-			brakedAt, w.outcome.reason = now, decision.Reason
+		case rollout.ActionRollback:
+			rolledBackAt, w.outcome.reason = now, decision.Reason
 			if !w.outcome.showed {
 				w.outcome.showed, w.outcome.shown = true, at.Sub(w.start)
 			}
--- a/core/rollout/machine_test.go
+++ b/core/rollout/machine_test.go
@@ -17,11 +17,11 @@
 
 // routerModel is what one router holds.
 type routerModel struct {
-	revision int
-	move     rollout.Move
-	brakes   *rollout.Brakes
-	synced   bool
-	// known holds the moves whose brakes the router knew before it restarted.
+	revision  int
+	move      rollout.Move
+	rollbacks *rollout.Rollbacks
+	synced    bool
+	// known holds the moves whose rollbacks the router knew before it restarted.
 	known map[rollout.MoveID]bool
 }
 
@@ -33,12 +33,12 @@
 
 // machine is a fleet of routers, a store and a network that loses, doubles and delays.
 type machine struct {
-	now     time.Time
-	store   rollout.Move
-	stored  int
-	routers []*routerModel
-	pending []write
-	brakes  []rollout.Brake
+	now       time.Time
+	store     rollout.Move
+	stored    int
+	routers   []*routerModel
+	pending   []write
+	rollbacks []rollout.Rollback
 	// earned is how many steps the leader's evidence has allowed.
 	earned int
 	begun  int
@@ -49,7 +49,7 @@
 func newMachine() *machine {
 	m := &machine{now: time.Date(2026, 12, 1, 6, 0, 0, 0, time.UTC)}
 	for range 4 {
-		m.routers = append(m.routers, &routerModel{brakes: rollout.NewBrakes(), synced: true})
+		m.routers = append(m.routers, &routerModel{rollbacks: rollout.NewRollbacks(), synced: true})
 	}
 	m.begin()
 	for _, r := range m.routers {
@@ -88,9 +88,9 @@
 	return m.routers[rapid.IntRange(0, len(m.routers)-1).Draw(t, "router")]
 }
 
-// view is a router's move as its brakes leave it, and the share that it uses.
+// view is a router's move as its rollbacks leave it, and the share that it uses.
 func (r *routerModel) view(now time.Time) (rollout.Move, float64) {
-	move := r.brakes.Apply(r.move)
+	move := r.rollbacks.Apply(r.move)
 	if move.Status == rollout.StatusRunning && !r.synced {
 		return move, 0
 	}
@@ -128,26 +128,26 @@
 			m.take(w)
 		},
 		"store is down for pending writes": func(*rapid.T) { m.pending = nil },
-		"brake": func(t *rapid.T) {
+		"rollback": func(t *rapid.T) {
 			r := m.some(t)
 			move, _ := r.view(m.now)
 			if move.Status != rollout.StatusRunning || move.ID == "" {
 				return
 			}
-			brake := rollout.Brake{Move: move.ID, Pool: "p", At: m.now, Reason: "bad"}
-			r.brakes.Add(brake)
-			m.brakes = append(m.brakes, brake)
+			rollback := rollout.Rollback{Move: move.ID, Pool: "p", At: m.now, Reason: "bad"}
+			r.rollbacks.Add(rollback)
+			m.rollbacks = append(m.rollbacks, rollback)
 		},
-		"write brake": func(t *rapid.T) {
+		"write rollback": func(t *rapid.T) {
 			r := m.some(t)
 			if move, _ := r.view(m.now); move.Status == rollout.StatusBack && r.move.Status == rollout.StatusRunning {
 				m.pending = append(m.pending, write{move, r.revision})
 			}
 		},
-		"exchange brakes": func(t *rapid.T) {
+		"exchange rollbacks": func(t *rapid.T) {
 			from, to := m.some(t), m.some(t)
-			for _, brake := range from.brakes.All() {
-				to.brakes.Add(brake)
+			for _, rollback := range from.rollbacks.All() {
+				to.rollbacks.Add(rollback)
 			}
 			to.synced = to.synced || from.synced
 		},
@@ -156,17 +156,17 @@
 			// What a router alone knew is lost with it; there the fleet has to find out again.
 			isSpread := true
 			for _, other := range m.routers {
-				for _, brake := range r.brakes.All() {
-					_, known := other.brakes.Of(brake.Move)
+				for _, rollback := range r.rollbacks.All() {
+					_, known := other.rollbacks.Of(rollback.Move)
 					isSpread = isSpread && known
 				}
 			}
 			if isSpread {
 				known := map[rollout.MoveID]bool{}
-				for _, brake := range r.brakes.All() {
-					known[brake.Move] = true
+				for _, rollback := range r.rollbacks.All() {
+					known[rollback.Move] = true
 				}
-				*r = routerModel{brakes: rollout.NewBrakes(), known: known}
+				*r = routerModel{rollbacks: rollout.NewRollbacks(), known: known}
 			}
 		},
 		"prune": func(t *rapid.T) {
@@ -175,7 +175,7 @@
 			if r.move.Status == rollout.StatusRunning {
 				needed[r.move.ID] = true
 			}
-			r.brakes.Prune(needed)
+			r.rollbacks.Prune(needed)
 		},
 		"new move": func(*rapid.T) {
 			if m.store.Status == rollout.StatusBack {
@@ -190,11 +190,11 @@
 	must.False(t, m.regressed, must.Sprint("an older step replaced a newer one"))
 	for i, r := range m.routers {
 		move, share := r.view(m.now)
-		if _, braked := r.brakes.Of(r.move.ID); braked {
-			must.Eq(t, 0, share, must.Sprint("a brake was undone"))
+		if _, rolledBack := r.rollbacks.Of(r.move.ID); rolledBack {
+			must.Eq(t, 0, share, must.Sprint("a rollback was undone"))
 		}
 		if r.known[r.move.ID] {
-			must.Eq(t, 0, share, must.Sprint("a brake was undone by a restart"))
+			must.Eq(t, 0, share, must.Sprint("a rollback was undone by a restart"))
 		}
 		if move.ID == m.store.ID && m.earned == 0 {
 			must.LessEq(t, rollout.FirstShare, share, must.Sprint("a share was not earned"))
@@ -211,9 +211,9 @@
 	return move.Choose(fleet.ChatID(fmt.Sprint("c", chat)), share)
 }
 
-// Whatever the store and the network do, a brake is never undone on a router that knows
+// Whatever the store and the network do, a rollback is never undone on a router that knows
 // it, no share passes 5% before a step was earned, and no chat goes back within a move.
-func TestBrakesAndSharesHoldUnderFaults(t *testing.T) {
+func TestRollbacksAndSharesHoldUnderFaults(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		m := newMachine()
 		actions := m.actions()
--- a/core/rollout/move.go
+++ b/core/rollout/move.go
@@ -1,7 +1,7 @@
 // Package rollout decides how a pool's traffic moves from one version to another. It is
 // pure: evidence, configuration and a time go in, decisions with their reasons come out.
 //
-// A move goes forward by durable steps. It is taken back by a brake, which carries the
+// A move goes forward by durable steps. A rollback ends it; the rollback carries the
 // move's id and needs no agreement: whoever holds it sends nothing to the new version.
 package rollout
 
@@ -26,7 +26,7 @@
 	StatusRunning Status = "running"
 	// StatusDone moves have all traffic on the new version.
 	StatusDone Status = "done"
-	// StatusBack moves were taken back: all traffic is on the old version.
+	// StatusBack moves were rolled back: all traffic is on the old version.
 	StatusBack Status = "taken_back"
 )
 
@@ -129,8 +129,8 @@
 	return m.with(now, reason)
 }
 
-// Back returns the move as taken back.
-func (m Move) Back(brake Brake) Move {
+// Back returns the move as rolled back.
+func (m Move) Back(rollback Rollback) Move {
 	m.Status = StatusBack
-	return m.with(brake.At, brake.Reason)
+	return m.with(rollback.At, rollback.Reason)
 }
--- a/core/rollout/moves_test.go
+++ b/core/rollout/moves_test.go
@@ -23,7 +23,7 @@
 	return s
 }
 
-// A good version under noise is done by the time, and taken back in at most 1 of 100.
+// A good version under noise is done by the time, and rolled back in at most 1 of 100.
 func TestGoodVersionsMoveInTime(t *testing.T) {
 	t.Parallel()
 	for name, size := range map[string]struct {
@@ -37,14 +37,14 @@
 			must.LessEq(t, 1, came.changes)
 			if came.status == rollout.StatusBack {
 				back++
-				t.Logf("%s: seed %d taken back: %s", name, seed, came.reason)
+				t.Logf("%s: seed %d rolled back: %s", name, seed, came.reason)
 				continue
 			}
 			longest = max(longest, came.took)
 		}
 		must.LessEq(t, size.by, longest)
 		must.LessEq(t, size.moves/100, back)
-		t.Logf("%s: %d of %d taken back, the longest took %s", name, back, size.moves, longest)
+		t.Logf("%s: %d of %d rolled back, the longest took %s", name, back, size.moves, longest)
 	}
 }
 
@@ -87,7 +87,7 @@
 	"fails at once": true, "fails always": true, "slow first token": true, "slow tokens": true, "fails on one route": true,
 }
 
-// A bad version is taken back, gets at most 5% before it has earned more, and nothing
+// A bad version is rolled back, gets at most 5% before it has earned more, and nothing
 // later than 2 s after its fault shows.
 func TestBadVersionsAreTakenBack(t *testing.T) {
 	t.Parallel()
--- a/core/rollout/spread.go
+++ b/core/rollout/spread.go
@@ -10,14 +10,14 @@
 	"github.com/cespare/xxhash/v2"
 )
 
-// Spread of evidence and brakes among routers.
+// Spread of evidence and rollbacks among routers.
 const (
 	// treeWidth is how many routers report to one.
 	treeWidth = 8
 	// ReportInterval is the least time between two reports of a router on one move. A fleet
 	// of 380 routers has three levels, so that evidence is at the leader within 0.6 s.
 	ReportInterval = 200 * time.Millisecond
-	// GossipFanout is how many routers a router tells of a brake in one round, and
+	// GossipFanout is how many routers a router tells of a rollback in one round, and
 	// GossipRounds how many rounds it does so. A router that can be reached is missed by
 	// all with a probability of e^-18.
 	GossipFanout = 6
@@ -45,7 +45,7 @@
 	return "", true
 }
 
-// Listeners returns the routers that self tells of a brake in a round.
+// Listeners returns the routers that self tells of a rollback in a round.
 func Listeners(id MoveID, self fleet.HostID, round int, routers []fleet.Host) []fleet.HostID {
 	others := names(routers)
 	for i, name := range others {
--- a/demo/caller.go
+++ b/demo/caller.go
@@ -22,15 +22,15 @@
 // Outcome of a call as the caller saw it.
 type Outcome string
 
-// Outcomes of calls. Lost, Cut, Crossed and RunTwice are faults of the system.
+// Outcomes of calls. Lost, Truncated, Mismatched and Duplicated are faults of the system.
 const (
-	Whole    Outcome = "whole"
-	Refused  Outcome = "refused"
-	Unknown  Outcome = "unknown"
-	Lost     Outcome = "lost"
-	Cut      Outcome = "cut"
-	Crossed  Outcome = "crossed"
-	RunTwice Outcome = "run twice"
+	Complete   Outcome = "complete"
+	Refused    Outcome = "refused"
+	Unknown    Outcome = "unknown"
+	Lost       Outcome = "lost"
+	Truncated  Outcome = "truncated"
+	Mismatched Outcome = "mismatched"
+	Duplicated Outcome = "duplicated"
 )
 
 // Result is the end of one call.
@@ -44,7 +44,7 @@
 const maxTries = 5
 
 // caller sends calls as a careful client does: it goes on to another entry host when one
-// cannot be reached, resumes cut streams, and resends once-only calls with their key.
+// cannot be reached, resumes cut streams, and resends non-idempotent calls with their key.
 type caller struct {
 	client *http.Client
 	team   fleet.Team
@@ -188,15 +188,15 @@
 func (s *stream) result(want string) Result {
 	switch {
 	case s.cut:
-		return Result{Outcome: Cut}
+		return Result{Outcome: Truncated}
 	case s.refused != nil && !strings.HasPrefix(want, s.text.String()):
-		return Result{Outcome: Crossed}
+		return Result{Outcome: Mismatched}
 	case s.refused != nil:
 		return *s.refused
 	case s.text.String() != want:
-		return Result{Outcome: Crossed}
+		return Result{Outcome: Mismatched}
 	}
-	return Result{Outcome: Whole, FirstToken: s.firstToken}
+	return Result{Outcome: Complete, FirstToken: s.firstToken}
 }
 
 // call makes one call of a plain service and checks that the answer is its own.
@@ -214,17 +214,17 @@
 	if answer.StatusCode != http.StatusOK {
 		return refusal(json.NewDecoder(answer.Body))
 	}
-	result := Result{Outcome: Whole, FirstToken: time.Since(started)}
+	result := Result{Outcome: Complete, FirstToken: time.Since(started)}
 	var got service.Answer
 	if err := json.NewDecoder(answer.Body).Decode(&got); err != nil {
-		result.Outcome = Cut
+		result.Outcome = Truncated
 		return result
 	}
 	if got.Body != body {
-		result.Outcome = Crossed
+		result.Outcome = Mismatched
 	}
 	if got.Run > 1 {
-		result.Outcome = RunTwice
+		result.Outcome = Duplicated
 	}
 	return result
 }
--- a/demo/fleet_test.go
+++ b/demo/fleet_test.go
@@ -29,7 +29,7 @@
 	team := f.Example.Contracts[0].Team
 	c := caller{client: &http.Client{}, team: team, entry: func() string { return f.Entries[1] }}
 	result := c.chat(t.Context(), f.enginePool(), "c1", "a private question", 4)
-	must.Eq(t, Whole, result.Outcome)
+	must.Eq(t, Complete, result.Outcome)
 	text := logs.String()
 	for _, want := range []string{"placed", "team=" + string(team), "reason=", "upstream=assistant-pool-", "load=", "bound="} {
 		must.StrContains(t, text, want)
--- a/demo/load.go
+++ b/demo/load.go
@@ -130,7 +130,7 @@
 	g.tally.Add(kind, g.as(team).chat(ctx, g.fleet.enginePool(), chat, prompt, tokens))
 }
 
-// once sends the same once-only call to two entry hosts at once.
+// once sends the same non-idempotent call to two entry hosts at once.
 func (g *generator) once(ctx context.Context, team fleet.Team) {
 	key := uuid.Must(uuid.NewV7()).String()
 	body := fmt.Sprintf(`{"visit":%d}`, g.source.Uint32())
--- a/demo/report.go
+++ b/demo/report.go
@@ -33,7 +33,7 @@
 	return &Tally{outcomes: map[string]map[Outcome]int{}, codes: map[fleet.Code]int{}, firstToken: sketch}
 }
 
-// Add counts one result of a kind of call. The first-token time counts for whole answers
+// Add counts one result of a kind of call. The first-token time counts for complete answers
 // of chats that do not surge.
 func (t *Tally) Add(kind string, result Result) {
 	t.mu.Lock()
@@ -45,7 +45,7 @@
 	if result.Code != "" {
 		t.codes[result.Code]++
 	}
-	if kind == KindChat && result.Outcome == Whole {
+	if kind == KindChat && result.Outcome == Complete {
 		t.firstToken.Add(float64(result.FirstToken) / float64(time.Millisecond))
 	}
 }
@@ -104,7 +104,7 @@
 	defer t.mu.Unlock()
 	var faults []string
 	for _, kind := range sortedKeys(t.outcomes) {
-		for _, outcome := range []Outcome{Lost, Cut, Crossed, RunTwice} {
+		for _, outcome := range []Outcome{Lost, Truncated, Mismatched, Duplicated} {
 			if count := t.outcomes[kind][outcome]; count > 0 {
 				faults = append(faults, fmt.Sprintf("%s: %d %s answers %s", phase, count, kind, outcome))
 			}
--- a/demo/version_test.go
+++ b/demo/version_test.go
@@ -95,7 +95,7 @@
 	}
 }
 
-// Real routers take a bad version back while the key-value service is down, and store
+// Real routers roll a bad version back while the key-value service is down, and store
 // that once it is up.
 func TestRoutersTakeABadVersionBackWithTheStoreDown(t *testing.T) {
 	ctx, cancel := context.WithTimeout(t.Context(), versionLimit)
@@ -120,7 +120,7 @@
 	must.NoError(t, err)
 	must.False(t, ended.Stored)
 	must.StrContains(t, ended.Move.Reason, "failures")
-	t.Logf("taken back after %d requests: %s", newer.Served(), ended.Move.Reason)
+	t.Logf("rolled back after %d requests: %s", newer.Served(), ended.Move.Reason)
 	f.Store.SetFaults(store.Faults{})
 	waitForStatus(ctx, t, f.Operators[2], func(_ rollout.Move, stored bool) bool { return stored })
 }
--- a/node/chat/caller_test.go
+++ b/node/chat/caller_test.go
@@ -180,7 +180,7 @@
 func (c *caller) outcome() string {
 	switch {
 	case c.done:
-		return "whole"
+		return "complete"
 	case c.refusal == nil:
 		return "none"
 	case c.refusal.Ran == fleet.NotRun:
--- a/node/chat/chat.go
+++ b/node/chat/chat.go
@@ -72,7 +72,7 @@
 
 // result is how an attempt on one engine ended.
 type result struct {
-	// failure is nil when the caller has the whole answer.
+	// failure is nil when the caller has the complete answer.
 	failure *exchange.Failure
 	// rejection is the engine's own error answer, kept for the case that no other engine
 	// can be asked.
@@ -182,7 +182,7 @@
 		s.versions.Observe(fleet.Evidence{
 			Pool: call.Request.Pool, Version: grant.Upstream.Version, Upstream: grant.Upstream.ID,
 			Route:      "POST " + completionsPath,
-			Failed:     outcome != fleet.OutcomeWhole,
+			Failed:     outcome != fleet.OutcomeComplete,
 			FirstToken: last.firstToken, TokenInterval: last.tokenInterval(),
 			Cold: !grant.Warm,
 		})
@@ -203,7 +203,7 @@
 func outcomeOf(last result) fleet.Outcome {
 	switch {
 	case last.failure == nil:
-		return fleet.OutcomeWhole
+		return fleet.OutcomeComplete
 	case last.failure.Fault == exchange.FaultCancelled:
 		return fleet.OutcomeCancelled
 	case last.failure.Ran() == fleet.NotRun:
--- a/node/chat/failures_test.go
+++ b/node/chat/failures_test.go
@@ -50,41 +50,41 @@
 	plan := func(fault engine.Fault, after int) []engine.Plan { return []engine.Plan{{Fault: fault, After: after}} }
 	wholeTime := (tokens + 1) * interval
 	return []failureCase{
-		{"stream, no fault", true, nil, "whole", freshWithin},
-		{"stream, silent at its start", true, plan(engine.FaultSilent, 0), "whole", freshWithin},
-		{"stream, silent after 5", true, plan(engine.FaultSilent, 5), "whole", freshWithin},
-		{"stream, silent on two connections", true, repeat(engine.Plan{Fault: engine.FaultSilent, After: 5}, 2), "whole", freshWithin},
-		{"stream, cut after 5", true, plan(engine.FaultCut, 5), "whole", freshWithin},
-		{"stream, cut on every connection but the last", true, repeat(engine.Plan{Fault: engine.FaultCut, After: 1}, tokens-1), "whole", freshWithin},
-		{"stream, ended without its end", true, plan(engine.FaultEnd, 5), "whole", freshWithin},
-		{"stream, every event twice", true, plan(engine.FaultTwice, 0), "whole", freshWithin},
-		{"stream, an event missing", true, plan(engine.FaultGap, 5), "whole", freshWithin},
-		{"stream, crossed", true, plan(engine.FaultCrossed, 0), "whole", freshWithin},
-		{"stream, lost before it ran", true, plan(engine.FaultLost, 0), "whole", freshWithin},
-		{"stream, engine overloaded", true, plan(engine.FaultReject, 0), "whole", freshWithin},
-		{"stream, only pings after 5", true, plan(engine.FaultPings, 5), "whole", exchange.KeepAliveFactor*silence + time.Second},
+		{"stream, no fault", true, nil, "complete", freshWithin},
+		{"stream, silent at its start", true, plan(engine.FaultSilent, 0), "complete", freshWithin},
+		{"stream, silent after 5", true, plan(engine.FaultSilent, 5), "complete", freshWithin},
+		{"stream, silent on two connections", true, repeat(engine.Plan{Fault: engine.FaultSilent, After: 5}, 2), "complete", freshWithin},
+		{"stream, cut after 5", true, plan(engine.FaultTruncated, 5), "complete", freshWithin},
+		{"stream, cut on every connection but the last", true, repeat(engine.Plan{Fault: engine.FaultTruncated, After: 1}, tokens-1), "complete", freshWithin},
+		{"stream, ended without its end", true, plan(engine.FaultEnd, 5), "complete", freshWithin},
+		{"stream, every event twice", true, plan(engine.FaultTwice, 0), "complete", freshWithin},
+		{"stream, an event missing", true, plan(engine.FaultGap, 5), "complete", freshWithin},
+		{"stream, crossed", true, plan(engine.FaultMismatched, 0), "complete", freshWithin},
+		{"stream, lost before it ran", true, plan(engine.FaultLost, 0), "complete", freshWithin},
+		{"stream, engine overloaded", true, plan(engine.FaultReject, 0), "complete", freshWithin},
+		{"stream, only pings after 5", true, plan(engine.FaultPings, 5), "complete", exchange.KeepAliveFactor*silence + time.Second},
 		{"stream, only pings for ever", true, append(plan(engine.FaultPings, 5), repeat(engine.Plan{Fault: engine.FaultPings}, 9)...), "cut, said so", 0},
-		{"stream, forgotten at its start", true, plan(engine.FaultForget, 0), "whole", freshWithin},
+		{"stream, forgotten at its start", true, plan(engine.FaultForget, 0), "complete", freshWithin},
 		{"stream, forgotten after 5", true, plan(engine.FaultForget, 5), "cut, said so", 0},
-		{"stream, cut for ever", true, repeat(engine.Plan{Fault: engine.FaultCut, After: 0}, 200), "unknown", 0},
-		{"whole, no fault", false, nil, "whole", wholeTime + freshWithin},
-		{"whole, silent", false, plan(engine.FaultSilent, 0), "whole", wholeTime + freshWithin},
-		{"whole, cut", false, plan(engine.FaultCut, 0), "whole", 2*wholeTime + freshWithin},
-		{"whole, crossed", false, plan(engine.FaultCrossed, 0), "whole", 2*wholeTime + freshWithin},
-		{"whole, lost before it ran", false, plan(engine.FaultLost, 0), "whole", wholeTime + freshWithin},
-		{"whole, engine overloaded", false, plan(engine.FaultReject, 0), "whole", wholeTime + freshWithin},
-		{"whole, cut for ever", false, repeat(engine.Plan{Fault: engine.FaultCut}, 200), "unknown", 0},
+		{"stream, cut for ever", true, repeat(engine.Plan{Fault: engine.FaultTruncated, After: 0}, 200), "unknown", 0},
+		{"whole, no fault", false, nil, "complete", wholeTime + freshWithin},
+		{"whole, silent", false, plan(engine.FaultSilent, 0), "complete", wholeTime + freshWithin},
+		{"whole, cut", false, plan(engine.FaultTruncated, 0), "complete", 2*wholeTime + freshWithin},
+		{"whole, crossed", false, plan(engine.FaultMismatched, 0), "complete", 2*wholeTime + freshWithin},
+		{"whole, lost before it ran", false, plan(engine.FaultLost, 0), "complete", wholeTime + freshWithin},
+		{"whole, engine overloaded", false, plan(engine.FaultReject, 0), "complete", wholeTime + freshWithin},
+		{"whole, cut for ever", false, repeat(engine.Plan{Fault: engine.FaultTruncated}, 200), "unknown", 0},
 	}
 }
 
-// Every failure ends in the whole answer or in a true refusal, within the limits.
+// Every failure ends in the complete answer or in a true refusal, within the limits.
 func TestFailuresEndWholeOrInATrueRefusal(t *testing.T) {
 	for i, c := range failureCases() {
 		t.Run(c.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				b := newBench(t)
 				b.engines["e1"].Inject(c.plans...)
-				if c.outcome != "whole" {
+				if c.outcome != "complete" {
 					b.engines["e2"].Inject(c.plans...)
 				}
 				id := fleet.RequestID(fmt.Sprintf("r%d", i))
@@ -122,7 +122,7 @@
 				got := newCaller()
 				b.service.Run(t.Context(), call("r1", stream), got)
 				b.checkInvariants(t, "r1", got)
-				must.Eq(t, "whole", got.outcome())
+				must.Eq(t, "complete", got.outcome())
 				must.LessEq(t, freshWithin+(tokens+1)*interval, got.longest)
 			})
 		}
@@ -151,7 +151,7 @@
 		first := newCaller()
 		life, die := context.WithCancel(t.Context())
 		time.AfterFunc(6*interval+interval/2, func() {
-			b.engines["e1"].Inject(engine.Plan{Fault: engine.FaultCut, After: 3})
+			b.engines["e1"].Inject(engine.Plan{Fault: engine.FaultTruncated, After: 3})
 			b.network.Silence()
 		})
 		done := make(chan struct{})
@@ -165,7 +165,7 @@
 			Request: "r1", Upstream: b.placer.upstreams[0], After: int64(rest.from), Silence: silence,
 		}, rest)
 		b.checkInvariants(t, "r1", rest)
-		must.Eq(t, "whole", rest.outcome())
+		must.Eq(t, "complete", rest.outcome())
 		must.Eq(t, 7, rest.from)
 		die()
 		<-done
--- a/node/chat/stream.go
+++ b/node/chat/stream.go
@@ -141,7 +141,7 @@
 			return r.fail(ctx, exchange.FaultTooLarge)
 		}
 		if err != nil {
-			return r.fail(ctx, exchange.FaultCut)
+			return r.fail(ctx, exchange.FaultTruncated)
 		}
 		switch r.stream.Judge(event.ID, event.IsDone()) {
 		case exchange.Duplicate:
--- a/node/chat/whole.go
+++ b/node/chat/whole.go
@@ -15,9 +15,9 @@
 const (
 	// maxWholeAnswer is the largest answer without streaming, in bytes.
 	maxWholeAnswer = 8 << 20
-	// wholePerToken is the time that a whole answer may take for each expected token.
+	// wholePerToken is the time that a complete answer may take for each expected token.
 	wholePerToken = 200 * time.Millisecond
-	// maxWholeTokens is the most tokens that a whole answer is waited for.
+	// maxWholeTokens is the most tokens that a complete answer is waited for.
 	maxWholeTokens = 1 << 16
 )
 
@@ -39,7 +39,7 @@
 func readWhole(answer port.UpstreamAnswer) (*wholeAnswer, exchange.Fault) {
 	body, err := io.ReadAll(io.LimitReader(answer.Body, maxWholeAnswer+1))
 	if err != nil {
-		return nil, exchange.FaultCut
+		return nil, exchange.FaultTruncated
 	}
 	if len(body) > maxWholeAnswer {
 		return nil, exchange.FaultTooLarge
@@ -47,14 +47,14 @@
 	return &wholeAnswer{status: answer.Status, contentType: answer.Header.Get("Content-Type"), body: body}, ""
 }
 
-// reading is what one connection brought for a whole answer.
+// reading is what one connection brought for a complete answer.
 type reading struct {
 	answer *wholeAnswer
 	fault  exchange.Fault
 	ran    fleet.Ran
 }
 
-// whole waits for a whole answer. Its connection shows no progress before the end, so
+// whole waits for a complete answer. Its connection shows no progress before the end, so
 // that a silent one cannot be told from a busy engine: fresh connections wait beside it,
 // at growing intervals, and the first answer counts.
 type whole struct {
@@ -95,7 +95,7 @@
 	return ended
 }
 
-// limit returns how long the whole answer may take.
+// limit returns how long the complete answer may take.
 func (w *whole) limit() time.Duration {
 	tokens := min(w.call.Request.Decode, maxWholeTokens)
 	return exchange.LimitsOf(w.call.Silence).Stall + time.Duration(tokens)*wholePerToken
@@ -145,7 +145,7 @@
 
 // isAbandoned decides, when the engine says over a working connection that it does not
 // know the request, whether the silent connection is left for another engine. The retry
-// budget bounds what this costs with engines that cannot be asked for a whole answer.
+// budget bounds what this costs with engines that cannot be asked for a complete answer.
 func (w *whole) isAbandoned(failure exchange.Failure) bool {
 	if failure.Fault == exchange.FaultForgotten {
 		w.retry = w.service.decideRetry(w.call, failure)
--- a/node/claims/metrics.go
+++ b/node/claims/metrics.go
@@ -9,7 +9,7 @@
 	"go.opentelemetry.io/otel/metric/noop"
 )
 
-// metrics are the measurements of once-only calls.
+// metrics are the measurements of non-idempotent calls.
 type metrics struct {
 	results    metric.Int64Counter
 	added      metric.Float64Histogram
@@ -24,7 +24,7 @@
 	}
 	// An instrument whose name is refused still works, without being exported.
 	var m metrics
-	m.results, _ = meter.Int64Counter("claims", metric.WithDescription("once-only calls by result"))
+	m.results, _ = meter.Int64Counter("claims", metric.WithDescription("non-idempotent calls by result"))
 	m.added, _ = meter.Float64Histogram("claim_duration", metric.WithUnit("s"),
 		metric.WithDescription("time that a claim adds to a call"))
 	m.storeCalls, _ = meter.Int64Counter("claim_store_calls",
--- a/node/forward/failures_test.go
+++ b/node/forward/failures_test.go
@@ -74,7 +74,7 @@
 	case c.cut:
 		return "cut, visibly"
 	default:
-		return "whole"
+		return "complete"
 	}
 }
 
@@ -85,25 +85,25 @@
 	runs    int
 }
 
-// Every failure of a plain service ends in the whole answer, a visibly cut one, or a
+// Every failure of a plain service ends in the complete answer, a visibly cut one, or a
 // refusal that is true of what the services ran.
 func TestFailuresEndWholeOrInATrueRefusal(t *testing.T) {
 	one := func(fault service.Fault) []service.Fault { return []service.Fault{fault} }
 	cases := []failureCase{
-		{http.MethodGet, nil, "whole", 1},
-		{http.MethodPost, nil, "whole", 1},
-		{http.MethodGet, one(service.FaultLost), "whole", 1},
+		{http.MethodGet, nil, "complete", 1},
+		{http.MethodPost, nil, "complete", 1},
+		{http.MethodGet, one(service.FaultLost), "complete", 1},
 		{http.MethodPost, one(service.FaultLost), "unknown", 0},
-		{http.MethodGet, one(service.FaultLostAnswer), "whole", 2},
+		{http.MethodGet, one(service.FaultLostAnswer), "complete", 2},
 		{http.MethodPost, one(service.FaultLostAnswer), "unknown", 1},
-		{http.MethodGet, one(service.FaultSilent), "whole", 2},
+		{http.MethodGet, one(service.FaultSilent), "complete", 2},
 		{http.MethodPost, one(service.FaultSilent), "unknown", 1},
-		{http.MethodGet, one(service.FaultCut), "whole", 2},
-		{http.MethodPost, one(service.FaultCut), "unknown", 1},
-		{http.MethodGet, one(service.FaultCutLarge), "cut, visibly", 1},
+		{http.MethodGet, one(service.FaultTruncated), "complete", 2},
+		{http.MethodPost, one(service.FaultTruncated), "unknown", 1},
+		{http.MethodGet, one(service.FaultTruncatedLarge), "cut, visibly", 1},
 		{http.MethodGet, one(service.FaultStall), "cut, visibly", 1},
-		{http.MethodGet, one(service.FaultCrossed), "whole", 2},
-		{http.MethodPost, one(service.FaultCrossed), "unknown", 1},
+		{http.MethodGet, one(service.FaultMismatched), "complete", 2},
+		{http.MethodPost, one(service.FaultMismatched), "unknown", 1},
 	}
 	for i, c := range cases {
 		t.Run(fmt.Sprint(c.method, c.faults), func(t *testing.T) {
@@ -141,7 +141,7 @@
 	must.Positive(t, placer.released)
 	runs := services[0].Calls()[string(id)] + services[1].Calls()[string(id)]
 	must.Eq(t, c.runs, runs)
-	if got.outcome() == "whole" {
+	if got.outcome() == "complete" {
 		must.StrContains(t, string(got.body), `"body":"body"`)
 	}
 }
--- a/node/forward/forward.go
+++ b/node/forward/forward.go
@@ -1,4 +1,4 @@
-// Package forward carries calls of plain services, once-only calls among them.
+// Package forward carries calls of plain services, non-idempotent calls among them.
 package forward
 
 import (
@@ -24,7 +24,7 @@
 	Body   io.Reader
 	// ContentLength is the length of Body; -1 means unknown.
 	ContentLength int64
-	// IdempotencyKey is set for once-only calls, whose Body is read whole into OnceBody.
+	// IdempotencyKey is set for non-idempotent calls, whose Body is read whole into OnceBody.
 	IdempotencyKey string
 	OnceBody       []byte
 	// Silence is how long a connection may bring nothing before a fresh one is tried.
@@ -84,7 +84,7 @@
 		s.versions.Observe(fleet.Evidence{
 			Pool: call.Pool.Name, Version: grant.Upstream.Version, Upstream: grant.Upstream.ID,
 			Route:      routeOf(call.Method, call.Path),
-			Failed:     outcome != fleet.OutcomeWhole || start.status >= http.StatusInternalServerError,
+			Failed:     outcome != fleet.OutcomeComplete || start.status >= http.StatusInternalServerError,
 			FirstToken: start.firstByte,
 		})
 	}
--- a/node/forward/gate.go
+++ b/node/forward/gate.go
@@ -8,7 +8,7 @@
 	"agateswitch/core/fleet"
 )
 
-// gatedBody is the body of a once-only call. It may be sent until a deadline, and once:
+// gatedBody is the body of a non-idempotent call. It may be sent until a deadline, and once:
 // it is no type that net/http knows how to rewind, as http.Transport sends a call with an
 // Idempotency-Key header again when a connection fails and its body can be rewound.
 type gatedBody struct {
--- a/node/forward/once.go
+++ b/node/forward/idempotency.go
@@ -87,7 +87,7 @@
 // refuseLate ends a call whose router was paused between the claim and the send.
 func (s *Service) refuseLate(call Call, held fleet.Claim, grant fleet.Grant, sink Sink) {
 	s.end(call, grant, fleet.OutcomeUnsent)
-	s.telemetry.Log.Warn("once-only call not sent, the permission to send had ended", "request", call.Request.ID)
+	s.telemetry.Log.Warn("non-idempotent call not sent, the permission to send had ended", "request", call.Request.ID)
 	s.record(held, fleet.ClaimAnswer{Unsent: true})
 	sink.Refuse(fleet.Refuse(fleet.CodeDeadline, "the call was not sent in time", lateRetryAfter))
 }
@@ -119,7 +119,7 @@
 		outcome = fleet.OutcomeCancelled
 		return
 	}
-	outcome = fleet.OutcomeWhole
+	outcome = fleet.OutcomeComplete
 }
 
 // record makes the end of a call durable. The channel is closed when that is done or
@@ -129,7 +129,7 @@
 	go func() {
 		defer close(done)
 		if err := s.claims.Finish(context.Background(), held, answer); err != nil {
-			s.telemetry.Log.Error("end of a once-only call not recorded", "request", held.Holder, "key", held.Key, "err", err)
+			s.telemetry.Log.Error("end of a non-idempotent call not recorded", "request", held.Holder, "key", held.Key, "err", err)
 		}
 	}()
 	return done
--- a/node/forward/once_test.go
+++ b/node/forward/idempotency_test.go
@@ -54,8 +54,8 @@
 }
 func (p *parts) Refuse(refusal *fleet.Refusal) { p.refusal = refusal }
 
-// runOnceOnly makes one once-only call and returns what the caller and the record got.
-func runOnceOnly(t *testing.T, handler http.HandlerFunc, sendWithin time.Duration) (*parts, fleet.ClaimAnswer) {
+// runNonIdempotent makes one non-idempotent call and returns what the caller and the record got.
+func runNonIdempotent(t *testing.T, handler http.HandlerFunc, sendWithin time.Duration) (*parts, fleet.ClaimAnswer) {
 	t.Helper()
 	server := httptest.NewServer(handler)
 	defer server.Close()
@@ -81,7 +81,7 @@
 // http.Transport sends a call with an Idempotency-Key again when its connection fails.
 func TestConnectionLostAfterSendingIsNotRepeated(t *testing.T) {
 	var runs atomic.Int32
-	p, recorded := runOnceOnly(t, func(w http.ResponseWriter, r *http.Request) {
+	p, recorded := runNonIdempotent(t, func(w http.ResponseWriter, r *http.Request) {
 		echoID(w, r)
 		if r.Method == http.MethodPost {
 			io.Copy(io.Discard, r.Body)
@@ -104,7 +104,7 @@
 			runs.Add(1)
 		}
 	}
-	p, recorded := runOnceOnly(t, count, -time.Millisecond)
+	p, recorded := runNonIdempotent(t, count, -time.Millisecond)
 	must.Zero(t, runs.Load())
 	must.True(t, recorded.Unsent)
 	must.Eq(t, fleet.NotRun, p.refusal.Ran)
@@ -117,7 +117,7 @@
 // Of an answer above the limit the caller gets all and the record its status.
 func TestLargeAnswerIsRecordedByStatus(t *testing.T) {
 	large := strings.Repeat("x", 3*fleet.MaxRecordedBody)
-	p, recorded := runOnceOnly(t, func(w http.ResponseWriter, r *http.Request) {
+	p, recorded := runNonIdempotent(t, func(w http.ResponseWriter, r *http.Request) {
 		echoID(w, r)
 		w.WriteHeader(http.StatusCreated)
 		io.WriteString(w, large)
--- a/node/forward/plain.go
+++ b/node/forward/plain.go
@@ -18,7 +18,7 @@
 	maxBuffered = 64 << 10
 )
 
-// plainRun is one call that is not once-only.
+// plainRun is one call that is not non-idempotent.
 type plainRun struct {
 	service *Service
 	call    Call
@@ -28,7 +28,7 @@
 	sent bool
 }
 
-// runPlain carries a call that is not once-only to its end.
+// runPlain carries a call that is not non-idempotent to its end.
 func (s *Service) runPlain(ctx context.Context, call Call, sink Sink) {
 	r := &plainRun{service: s, call: call, sink: sink, body: newCallerBody(call)}
 	if err := r.body.prepare(); err != nil {
@@ -74,7 +74,7 @@
 	content, err := readBuffered(answer, body)
 	if err != nil {
 		r.service.endAnswered(r.call, grant, r.outcome(ctx, nil), start)
-		return &exchange.Failure{Fault: exchange.FaultCut, Sent: true}
+		return &exchange.Failure{Fault: exchange.FaultTruncated, Sent: true}
 	}
 	err = r.sink.Answer(answer.Status, answer.Header, content)
 	switch {
@@ -83,7 +83,7 @@
 	case err != nil:
 		r.service.endAnswered(r.call, grant, fleet.OutcomeCancelled, start)
 	default:
-		r.service.endAnswered(r.call, grant, fleet.OutcomeWhole, start)
+		r.service.endAnswered(r.call, grant, fleet.OutcomeComplete, start)
 	}
 	return nil
 }
--- a/node/grants/failure_test.go
+++ b/node/grants/failure_test.go
@@ -79,7 +79,7 @@
 					must.Eq(t, 2, runningAt(successor))
 					for _, grant := range []fleet.Grant{held, next} {
 						truth.add(grant.Upstream.ID, -1)
-						entry.service.Release(grant, fleet.Completion{Grant: grant.ID, Outcome: fleet.OutcomeWhole})
+						entry.service.Release(grant, fleet.Completion{Grant: grant.ID, Outcome: fleet.OutcomeComplete})
 					}
 					time.Sleep(2 * time.Second)
 					synctest.Wait()
@@ -160,7 +160,7 @@
 						}
 						time.Sleep(service)
 						truth.add(grant.Upstream.ID, -1)
-						r.service.Release(grant, fleet.Completion{Grant: grant.ID, Outcome: fleet.OutcomeWhole, FirstToken: tick})
+						r.service.Release(grant, fleet.Completion{Grant: grant.ID, Outcome: fleet.OutcomeComplete, FirstToken: tick})
 					})
 				}
 			}
@@ -246,7 +246,7 @@
 		time.Sleep(flushInterval)
 		synctest.Wait()
 		must.Eq(t, 1, waitingAt(owner))
-		entry.service.Release(grants[0], fleet.Completion{Grant: grants[0].ID, Outcome: fleet.OutcomeWhole})
+		entry.service.Release(grants[0], fleet.Completion{Grant: grants[0].ID, Outcome: fleet.OutcomeComplete})
 		must.Eq(t, owner.self.ID, (<-stays).Owner)
 	})
 }
--- a/node/grants/fallback.go
+++ b/node/grants/fallback.go
@@ -8,7 +8,7 @@
 )
 
 // fallBack finds a home of the old version for a retry whose every upstream of the new one
-// has failed it or takes no work. It never goes from the old version to the new one: a brake
+// has failed it or takes no work. It never goes from the old version to the new one: a rollback
 // on that may be known to other routers only, and the old version is safe.
 func (s *Service) fallBack(q *question) (fleet.Upstream, bool) {
 	if len(q.request.Exclude) == 0 {
--- a/node/grants/surge_test.go
+++ b/node/grants/surge_test.go
@@ -48,7 +48,7 @@
 				return
 			}
 			time.Sleep(hold)
-			s.router.service.Release(grant, fleet.Completion{Grant: grant.ID, Outcome: fleet.OutcomeWhole, FirstToken: time.Millisecond})
+			s.router.service.Release(grant, fleet.Completion{Grant: grant.ID, Outcome: fleet.OutcomeComplete, FirstToken: time.Millisecond})
 			s.admitted.Add(1)
 		})
 		time.Sleep(time.Second / time.Duration(perSecond))
--- a/node/grants/teams_test.go
+++ b/node/grants/teams_test.go
@@ -29,7 +29,7 @@
 				}
 				admitted.Add(1)
 				time.Sleep(hold)
-				r.service.Release(grant, fleet.Completion{Grant: grant.ID, Outcome: fleet.OutcomeWhole, FirstToken: time.Millisecond})
+				r.service.Release(grant, fleet.Completion{Grant: grant.ID, Outcome: fleet.OutcomeComplete, FirstToken: time.Millisecond})
 			})
 		}
 		time.Sleep(time.Second / time.Duration(perSecond))
@@ -54,7 +54,7 @@
 				if refusal != nil {
 					refused.Add(1)
 				} else {
-					n.nodes["router-0"].service.Release(grant, fleet.Completion{Grant: grant.ID, Outcome: fleet.OutcomeWhole})
+					n.nodes["router-0"].service.Release(grant, fleet.Completion{Grant: grant.ID, Outcome: fleet.OutcomeComplete})
 				}
 				time.Sleep(50 * time.Millisecond)
 			}
@@ -104,7 +104,7 @@
 				grant := acquire(t, n.nodes["router-0"], truth, chatID(first+i))
 				count[grant.Upstream.ID]++
 				truth.add(grant.Upstream.ID, -1)
-				n.nodes["router-0"].service.Release(grant, fleet.Completion{Grant: grant.ID, Outcome: fleet.OutcomeWhole})
+				n.nodes["router-0"].service.Release(grant, fleet.Completion{Grant: grant.ID, Outcome: fleet.OutcomeComplete})
 				time.Sleep(300 * time.Millisecond)
 			}
 		}
--- a/node/grants/wire.go
+++ b/node/grants/wire.go
@@ -134,7 +134,7 @@
 type empty struct{}
 
 // outcomes gives each outcome its number on the wire. Numbers are never reused.
-var outcomes = []fleet.Outcome{fleet.OutcomeWhole, fleet.OutcomeFailed, fleet.OutcomeCancelled, fleet.OutcomeUnsent}
+var outcomes = []fleet.Outcome{fleet.OutcomeComplete, fleet.OutcomeFailed, fleet.OutcomeCancelled, fleet.OutcomeUnsent}
 
 func encodeEnd(now time.Time, owner fleet.HostID, completion fleet.Completion) endedMessage {
 	message := endedMessage{
--- a/node/moves/fleet_test.go
+++ b/node/moves/fleet_test.go
@@ -89,7 +89,7 @@
 	return move
 }
 
-func braked(routers []*fakeRouter) int {
+func rolledBack(routers []*fakeRouter) int {
 	count := 0
 	for _, router := range routers {
 		if move, found := router.service.current(testPool); found && move.Status == rollout.StatusBack {
@@ -163,16 +163,16 @@
 				reachable = append(reachable, router)
 			}
 			l.failing = 0.5
-			must.True(t, l.until(time.Minute, func() bool { return braked(reachable) > 0 }))
+			must.True(t, l.until(time.Minute, func() bool { return rolledBack(reachable) > 0 }))
 			first := time.Now()
-			must.True(t, l.until(2*time.Second, func() bool { return braked(reachable) == len(reachable) }))
+			must.True(t, l.until(2*time.Second, func() bool { return rolledBack(reachable) == len(reachable) }))
 			t.Logf("%d routers: all that are reachable know %s after the first", size, time.Since(first))
 			must.LessEq(t, l.counts["1"]/10, l.counts["2"])
 
 			f.mu.Lock()
 			clear(f.cut)
 			f.mu.Unlock()
-			must.True(t, l.until(time.Minute, func() bool { return braked(others) == len(others) }))
+			must.True(t, l.until(time.Minute, func() bool { return rolledBack(others) == len(others) }))
 			must.LessEq(t, 2, l.mostChanges())
 			started := f.start("late")
 			must.Eq(t, rollout.StatusRunning, storedMove(t, f).Status)
@@ -216,8 +216,8 @@
 	})
 }
 
-// A step that a paused leader writes after the brake changes nothing.
-func TestOlderStepDoesNotUndoABrake(t *testing.T) {
+// A step that a paused leader writes after the rollback changes nothing.
+func TestOlderStepDoesNotUndoARollback(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := newFakeFleet(4)
 		defer f.end()
--- a/node/moves/lead.go
+++ b/node/moves/lead.go
@@ -13,7 +13,7 @@
 
 // step does what is due for each pool's move: evidence goes up the tree, and the leader
 // decides. Two leaders at once are harmless: each step is a compare-and-swap of the move,
-// and brakes of both say the same.
+// and rollbacks of both say the same.
 func (s *Service) step(ctx context.Context) {
 	routers := s.members.Routers()
 	place := place{self: s.members.Self().ID, routers: routers, fingerprint: rollout.Fingerprint(routers)}
@@ -73,9 +73,9 @@
 	s.mu.Unlock()
 	switch {
 	case verdict.Bad:
-		s.brake(move, verdict.Reason)
-	case decision.Action == rollout.ActionBrake:
-		s.brake(move, decision.Reason)
+		s.rollback(move, verdict.Reason)
+	case decision.Action == rollout.ActionRollback:
+		s.rollback(move, decision.Reason)
 	case decision.Action == rollout.ActionStep && due && s.isSynced():
 		s.write(ctx, pool, move.Forward(now, decision.Reason), state)
 	case decision.Action == rollout.ActionDone && due && s.isSynced():
@@ -132,8 +132,8 @@
 		return
 	}
 	s.members.Confirm(parent)
-	if answer.Brake != nil {
-		s.learn([]rollout.Brake{*answer.Brake})
+	if answer.Rollback != nil {
+		s.learn([]rollout.Rollback{*answer.Rollback})
 	}
 }
 
@@ -145,8 +145,8 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	var response reportResponse
-	if brake, found := s.brakes.Of(report.Move); found {
-		response.Brake = &brake
+	if rollback, found := s.rollbacks.Of(report.Move); found {
+		response.Rollback = &rollback
 	}
 	last := s.heard[from]
 	isLater := report.Epoch > last.epoch || (report.Epoch == last.epoch && report.Sequence > last.sequence)
--- a/node/moves/moves.go
+++ b/node/moves/moves.go
@@ -1,6 +1,6 @@
 // Package moves chooses between the versions of a pool and moves traffic from one to
 // another: it passes evidence to the leader of a move, which decides by core/rollout, and
-// spreads brakes among the routers.
+// spreads rollbacks among the routers.
 package moves
 
 import (
@@ -18,9 +18,9 @@
 const (
 	tickInterval = 100 * time.Millisecond
 	callTimeout  = 500 * time.Millisecond
-	// exchangeInterval is the time between two exchanges of brakes with some router.
+	// exchangeInterval is the time between two exchanges of rollbacks with some router.
 	exchangeInterval = time.Second
-	// roundInterval is the time between two rounds in which a new brake is told.
+	// roundInterval is the time between two rounds in which a new rollback is told.
 	roundInterval = 200 * time.Millisecond
 	// writeTimeout bounds the write of a step; it is well below rollout.StepLead, so that
 	// routers hear of a step before it takes effect.
@@ -38,7 +38,7 @@
 	telemetry port.Telemetry
 	metrics   instruments
 	epoch     int64
-	// synced is closed once the brakes of other routers are known.
+	// synced is closed once the rollbacks of other routers are known.
 	synced chan struct{}
 	// wake ends the wait for the next tick.
 	wake chan struct{}
@@ -46,13 +46,13 @@
 	calls sync.WaitGroup
 
 	// mu guards all below. It is never held during a call.
-	mu       sync.Mutex
-	pools    map[fleet.PoolID]*poolState
-	brakes   *rollout.Brakes
-	news     []rollout.Brake
-	rates    map[fleet.PoolID]*rateCounter
-	sequence uint64
-	heard    map[fleet.HostID]heardReport
+	mu        sync.Mutex
+	pools     map[fleet.PoolID]*poolState
+	rollbacks *rollout.Rollbacks
+	news      []rollout.Rollback
+	rates     map[fleet.PoolID]*rateCounter
+	sequence  uint64
+	heard     map[fleet.HostID]heardReport
 }
 
 // heardReport is the last report of a router.
@@ -86,17 +86,17 @@
 	s := &Service{
 		config: config, members: members, peers: peers, telemetry: telemetry, metrics: newInstruments(telemetry.Meter),
 		epoch: time.Now().UnixNano(), synced: make(chan struct{}), wake: make(chan struct{}, 1),
-		pools: map[fleet.PoolID]*poolState{}, brakes: rollout.NewBrakes(),
+		pools: map[fleet.PoolID]*poolState{}, rollbacks: rollout.NewRollbacks(),
 		rates: map[fleet.PoolID]*rateCounter{}, heard: map[fleet.HostID]heardReport{},
 	}
 	peers.Handle(methodReport, s.handleReport)
-	peers.Handle(methodBrakes, s.handleBrakes)
+	peers.Handle(methodRollbacks, s.handleRollbacks)
 	peers.Handle(methodRate, s.handleRate)
 	peers.Handle(methodStatus, s.handleStatus)
 	return s
 }
 
-// UseWriter sets how steps and brakes are made durable. It is called before Run.
+// UseWriter sets how steps and rollbacks are made durable. It is called before Run.
 func (s *Service) UseWriter(writer port.ConfigurationWriter) { s.writer = writer }
 
 // Run moves traffic between versions until ctx ends.
@@ -131,7 +131,7 @@
 	}
 }
 
-// refresh takes up moves from the configuration in force, and prunes brakes.
+// refresh takes up moves from the configuration in force, and prunes rollbacks.
 func (s *Service) refresh() {
 	items := s.config.Current().Items(configuration.KindMove)
 	s.mu.Lock()
@@ -142,7 +142,7 @@
 			needed[state.move.ID] = true
 		}
 	}
-	s.brakes.Prune(needed)
+	s.rollbacks.Prune(needed)
 }
 
 // take brings a pool's state up to an item. The caller holds mu.
@@ -168,7 +168,7 @@
 	return state
 }
 
-// moveOf returns a pool's state and its move as the brakes leave it. The caller holds mu.
+// moveOf returns a pool's state and its move as the rollbacks leave it. The caller holds mu.
 func (s *Service) moveOf(pool fleet.PoolID) (*poolState, rollout.Move, bool) {
 	state := s.pools[pool]
 	item, found := s.config.Current().Item(configuration.Key{Kind: configuration.KindMove, Name: string(pool)})
@@ -178,7 +178,7 @@
 	if state == nil {
 		return nil, rollout.Move{}, false
 	}
-	return state, s.brakes.Apply(state.move), true
+	return state, s.rollbacks.Apply(state.move), true
 }
 
 // Choose implements port.Versions.
@@ -190,10 +190,10 @@
 	}
 	share := move.ShareAt(time.Now())
 	if move.Status == rollout.StatusRunning && share > 0 && !s.waitSynced() {
-		// A brake may be unknown here, and it must hold: the old version is safe.
+		// A rollback may be unknown here, and it must hold: the old version is safe.
 		share = 0
 	}
-	// Waiting may have brought a brake.
+	// Waiting may have brought a rollback.
 	if move, _ = s.current(pool); move.Status == rollout.StatusBack {
 		share = 0
 	}
@@ -208,7 +208,7 @@
 }
 
 // withUpstream returns the version, or the other one while no upstream of it takes work.
-// A version that was taken back is never fallen back to.
+// A version that was rolled back is never fallen back to.
 func (s *Service) withUpstream(pool fleet.PoolID, move rollout.Move, version fleet.Version) fleet.Version {
 	other := move.From
 	if version == move.From {
--- a/node/moves/operate.go
+++ b/node/moves/operate.go
@@ -36,7 +36,7 @@
 	Requests uint32 `json:"requests"`
 	// Waiting tells what the next step waits for.
 	Waiting string `json:"waiting,omitempty"`
-	// Stored is false while a brake is not in the key-value service yet.
+	// Stored is false while a rollback is not in the key-value service yet.
 	Stored bool `json:"stored"`
 }
 
@@ -123,7 +123,7 @@
 	if !found || move.Status != rollout.StatusRunning {
 		return move, fleet.Refuse(fleet.CodeConflict, fmt.Sprintf("no move of pool %q is running", pool), 0)
 	}
-	return move.Back(s.brake(move, "operator: "+reason)), nil
+	return move.Back(s.rollback(move, "operator: "+reason)), nil
 }
 
 // Status tells how far the last move of a pool is. The leader knows its evidence.
--- a/node/moves/brakes.go
+++ b/node/moves/rollbacks.go
@@ -12,7 +12,7 @@
 
 // Start of a router.
 const (
-	// syncWait is how long a request waits for the brakes of others after the start.
+	// syncWait is how long a request waits for the rollbacks of others after the start.
 	syncWait = time.Second
 	// aloneAfter is when a router that sees no other believes to be alone.
 	aloneAfter = 2 * time.Second
@@ -22,27 +22,27 @@
 	syncSample = 8
 )
 
-// brakeMemory is how long a brake is told to others after it is in the store.
-const brakeMemory = 10 * time.Minute
+// rollbackMemory is how long a rollback is told to others after it is in the store.
+const rollbackMemory = 10 * time.Minute
 
-// brake takes a move back, here at once and everywhere soon.
-func (s *Service) brake(move rollout.Move, reason string) rollout.Brake {
-	brake := rollout.Brake{Move: move.ID, Pool: move.Pool, At: time.Now(), Host: s.members.Self().ID, Reason: reason}
-	s.learn([]rollout.Brake{brake})
-	return brake
+// rollback takes a move back, here at once and everywhere soon.
+func (s *Service) rollback(move rollout.Move, reason string) rollout.Rollback {
+	rollback := rollout.Rollback{Move: move.ID, Pool: move.Pool, At: time.Now(), Host: s.members.Self().ID, Reason: reason}
+	s.learn([]rollout.Rollback{rollback})
+	return rollback
 }
 
-// learn takes up brakes; those not known yet are told to other routers.
-func (s *Service) learn(brakes []rollout.Brake) {
+// learn takes up rollbacks; those not known yet are told to other routers.
+func (s *Service) learn(rollbacks []rollout.Rollback) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for _, brake := range brakes {
-		if !s.brakes.Add(brake) {
+	for _, rollback := range rollbacks {
+		if !s.rollbacks.Add(rollback) {
 			continue
 		}
-		s.news = append(s.news, brake)
-		s.telemetry.Log.Warn("version taken back", "pool", brake.Pool, "move", brake.Move, "by", brake.Host, "reason", brake.Reason)
-		s.metrics.transition(brake.Pool, "brake")
+		s.news = append(s.news, rollback)
+		s.telemetry.Log.Warn("version rolled back", "pool", rollback.Pool, "move", rollback.Move, "by", rollback.Host, "reason", rollback.Reason)
+		s.metrics.transition(rollback.Pool, "rollback")
 		s.wakeUp()
 	}
 }
@@ -54,11 +54,11 @@
 	news := s.news
 	s.news = nil
 	s.mu.Unlock()
-	for _, brake := range news {
+	for _, rollback := range news {
 		s.calls.Go(func() {
 			for round := range rollout.GossipRounds {
-				for _, to := range rollout.Listeners(brake.Move, s.members.Self().ID, round, s.members.Routers()) {
-					s.calls.Go(func() { s.exchange(ctx, to, []rollout.Brake{brake}) })
+				for _, to := range rollout.Listeners(rollback.Move, s.members.Self().ID, round, s.members.Routers()) {
+					s.calls.Go(func() { s.exchange(ctx, to, []rollout.Rollback{rollback}) })
 				}
 				select {
 				case <-time.After(roundInterval):
@@ -70,12 +70,12 @@
 	}
 }
 
-// exchange tells a router brakes and takes up those that it knows.
-func (s *Service) exchange(ctx context.Context, to fleet.HostID, brakes []rollout.Brake) (brakesMessage, error) {
+// exchange tells a router rollbacks and takes up those that it knows.
+func (s *Service) exchange(ctx context.Context, to fleet.HostID, rollbacks []rollout.Rollback) (rollbacksMessage, error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	var answer brakesMessage
-	err := s.peers.Call(ctx, to, methodBrakes, brakesMessage{Brakes: brakes, Synced: s.isSynced()}, &answer)
+	var answer rollbacksMessage
+	err := s.peers.Call(ctx, to, methodRollbacks, rollbacksMessage{Rollbacks: rollbacks, Synced: s.isSynced()}, &answer)
 	if err != nil {
 		if ctx.Err() != context.Canceled {
 			s.members.Suspect(to)
@@ -83,40 +83,40 @@
 		return answer, err
 	}
 	s.members.Confirm(to)
-	s.learn(answer.Brakes)
+	s.learn(answer.Rollbacks)
 	return answer, nil
 }
 
-func (s *Service) handleBrakes(_ context.Context, _ fleet.HostID, decode port.Decode) (any, error) {
-	var message brakesMessage
+func (s *Service) handleRollbacks(_ context.Context, _ fleet.HostID, decode port.Decode) (any, error) {
+	var message rollbacksMessage
 	if err := decode(&message); err != nil {
 		return nil, err
 	}
-	s.learn(message.Brakes)
-	return brakesMessage{Brakes: s.relevant(), Synced: s.isSynced()}, nil
+	s.learn(message.Rollbacks)
+	return rollbacksMessage{Rollbacks: s.relevant(), Synced: s.isSynced()}, nil
 }
 
-// relevant returns the brakes that others may need: young ones, and those of moves that
+// relevant returns the rollbacks that others may need: young ones, and those of moves that
 // the configuration in force still gives as running.
-func (s *Service) relevant() []rollout.Brake {
+func (s *Service) relevant() []rollout.Rollback {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	var relevant []rollout.Brake
-	for _, brake := range s.brakes.All() {
-		state := s.pools[brake.Pool]
-		unwritten := state != nil && state.move.ID == brake.Move && state.move.Status == rollout.StatusRunning
-		if unwritten || time.Since(brake.At) < brakeMemory {
-			relevant = append(relevant, brake)
+	var relevant []rollout.Rollback
+	for _, rollback := range s.rollbacks.All() {
+		state := s.pools[rollback.Pool]
+		unwritten := state != nil && state.move.ID == rollback.Move && state.move.Status == rollout.StatusRunning
+		if unwritten || time.Since(rollback.At) < rollbackMemory {
+			relevant = append(relevant, rollback)
 		}
 	}
 	return relevant
 }
 
-// exchangeInTurn exchanges brakes with one router, another each time, while a move runs or
-// brakes are young. It reaches routers that the rounds have missed.
+// exchangeInTurn exchanges rollbacks with one router, another each time, while a move runs or
+// rollbacks are young. It reaches routers that the rounds have missed.
 func (s *Service) exchangeInTurn(ctx context.Context, now time.Time) {
-	brakes := s.relevant()
-	if len(brakes) == 0 && !s.isMoving() {
+	rollbacks := s.relevant()
+	if len(rollbacks) == 0 && !s.isMoving() {
 		return
 	}
 	others := s.others()
@@ -126,7 +126,7 @@
 	key := "exchange/" + string(s.members.Self().ID) + "/" + now.UTC().Format(time.RFC3339)
 	to, _ := rendezvous.First(key, others)
 	// A failure leaves the router suspect; the next exchange goes to another one.
-	_, _ = s.exchange(ctx, fleet.HostID(to), brakes)
+	_, _ = s.exchange(ctx, fleet.HostID(to), rollbacks)
 }
 
 func (s *Service) isMoving() bool {
@@ -150,12 +150,12 @@
 	return others
 }
 
-// sync hears the brakes of other routers after the start. The store may hold a move as
-// running that was taken back while the store was down.
+// sync hears the rollbacks of other routers after the start. The store may hold a move as
+// running that was rolled back while the store was down.
 func (s *Service) sync(ctx context.Context) {
 	defer close(s.synced)
 	started := time.Now()
-	// unsynced holds routers that answered without knowing the brakes of others themselves.
+	// unsynced holds routers that answered without knowing the rollbacks of others themselves.
 	unsynced := map[string]bool{}
 	for ctx.Err() == nil {
 		others := s.others()
@@ -189,7 +189,7 @@
 	}
 }
 
-// waitSynced waits a little for the brakes of others and tells whether they are known.
+// waitSynced waits a little for the rollbacks of others and tells whether they are known.
 func (s *Service) waitSynced() bool {
 	if s.isSynced() {
 		return true
--- a/node/moves/wire.go
+++ b/node/moves/wire.go
@@ -7,10 +7,10 @@
 
 // Methods of the peer protocol.
 const (
-	methodReport = "moves.report"
-	methodBrakes = "moves.brakes"
-	methodRate   = "moves.rate"
-	methodStatus = "moves.status"
+	methodReport    = "moves.report"
+	methodRollbacks = "moves.rollbacks"
+	methodRate      = "moves.rate"
+	methodStatus    = "moves.status"
 )
 
 // reportRequest carries evidence one level up the tree. Sequence grows with each report of
@@ -23,15 +23,15 @@
 	Pairs    []rollout.Pair `msgpack:"d"`
 }
 
-// reportResponse carries the brake of the move, if there is one.
+// reportResponse carries the rollback of the move, if there is one.
 type reportResponse struct {
-	Brake *rollout.Brake `msgpack:"b,omitempty"`
+	Rollback *rollout.Rollback `msgpack:"b,omitempty"`
 }
 
-// brakesMessage is both request and response of methodBrakes: the brakes that still matter.
-type brakesMessage struct {
-	Brakes []rollout.Brake `msgpack:"b"`
-	// Synced is true when the sender has heard the brakes of others since its start.
+// rollbacksMessage is both request and response of methodRollbacks: the rollbacks that still matter.
+type rollbacksMessage struct {
+	Rollbacks []rollout.Rollback `msgpack:"b"`
+	// Synced is true when the sender has heard the rollbacks of others since its start.
 	Synced bool `msgpack:"s"`
 }
 
--- a/node/router/hostile_test.go
+++ b/node/router/hostile_test.go
@@ -121,7 +121,7 @@
 func TestCutAnswerOfAServiceIsVisiblyCut(t *testing.T) {
 	f := startFleet(t, 0, time.Millisecond)
 	f.service2xx(t, http.Header{})
-	f.service.Inject(service.FaultCutLarge)
+	f.service.Inject(service.FaultTruncatedLarge)
 	answer := f.request(t, http.MethodGet, f.routers[0].callers, "/"+f.pool.PathPrefix+"/x", "", nil)
 	must.Eq(t, http.StatusOK, answer.StatusCode)
 	_, err := io.Copy(io.Discard, answer.Body)
--- a/node/router/owner_test.go
+++ b/node/router/owner_test.go
@@ -245,7 +245,7 @@
 	return load
 }
 
-// wait returns when each staying router has brought a number of whole answers more.
+// wait returns when each staying router has brought a number of complete answers more.
 func (l *traffic) wait(t *testing.T, count int) {
 	t.Helper()
 	ctx, cancel := context.WithTimeout(t.Context(), eventLimit)
@@ -264,7 +264,7 @@
 	}
 }
 
-// ask returns true for a whole answer, false for a refusal, and an error for anything else.
+// ask returns true for a complete answer, false for a refusal, and an error for anything else.
 func (f *ownerFleet) ask(address, prompt string) (bool, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), eventLimit)
 	defer cancel()
--- a/node/router/router.go
+++ b/node/router/router.go
@@ -122,7 +122,7 @@
 	return r, r.observe()
 }
 
-// countedChat is the chat's way to upstreams: calls are counted, fetches of whole answers
+// countedChat is the chat's way to upstreams: calls are counted, fetches of complete answers
 // are short and are not.
 type countedChat struct {
 	*running.Upstreams
--- a/port/upstream.go
+++ b/port/upstream.go
@@ -62,8 +62,8 @@
 	Cancel(ctx context.Context, upstream fleet.Upstream, request fleet.RequestID) error
 }
 
-// AnswerFetcher gets an engine's whole answer again.
+// AnswerFetcher gets an engine's complete answer again.
 type AnswerFetcher interface {
-	// Fetch waits for the whole answer to an earlier call, over a new connection.
+	// Fetch waits for the complete answer to an earlier call, over a new connection.
 	Fetch(ctx context.Context, upstream fleet.Upstream, request fleet.RequestID) (UpstreamAnswer, *UpstreamError)
 }
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -54,7 +54,7 @@
 	// Hosts is the host list (HTTP service discovery).
 	Hosts string `json:"hosts"`
 	// ClaimWritesPerSecond is the whole fleet's share of the key-value service's writes for
-	// once-only calls. Default: 100. Range: 1 to 1000. The same on every router.
+	// non-idempotent calls. Default: 100. Range: 1 to 1000. The same on every router.
 	ClaimWritesPerSecond float64 `json:"claim_writes_per_second"`
 }
 
--- a/standin/engine/engine.go
+++ b/standin/engine/engine.go
@@ -111,8 +111,8 @@
 		return
 	}
 	generated := e.start(id, request)
-	if plan.Fault == FaultCrossed {
-		generated = crossed(generated)
+	if plan.Fault == FaultMismatched {
+		generated = mismatched(generated)
 	}
 	if request.Stream {
 		e.stream(w, r, generated, 0, plan)
@@ -149,7 +149,7 @@
 	return generated
 }
 
-// Tokens returns the whole answer to a prompt.
+// Tokens returns the complete answer to a prompt.
 func Tokens(prompt string, count int) []string {
 	tokens := make([]string, count)
 	for i := range tokens {
@@ -212,8 +212,8 @@
 	if plan.isRefused(w) {
 		return
 	}
-	if plan.Fault == FaultCrossed {
-		generated = crossed(generated)
+	if plan.Fault == FaultMismatched {
+		generated = mismatched(generated)
 	}
 	if r.URL.Query().Get("stream") == "true" {
 		e.stream(w, r, generated, after, plan)
--- a/standin/engine/fault.go
+++ b/standin/engine/fault.go
@@ -20,16 +20,16 @@
 	FaultSilent Fault = "silent"
 	// FaultPings sends keep-alive comments in place of events.
 	FaultPings Fault = "pings"
-	// FaultCut closes the connection.
-	FaultCut Fault = "cut"
+	// FaultTruncated closes the connection.
+	FaultTruncated Fault = "truncated"
 	// FaultEnd ends the answer in good order, without the stream's last event.
 	FaultEnd Fault = "end"
 	// FaultTwice sends every event twice.
 	FaultTwice Fault = "twice"
 	// FaultGap leaves one event out.
 	FaultGap Fault = "gap"
-	// FaultCrossed answers with another request's id.
-	FaultCrossed Fault = "crossed"
+	// FaultMismatched answers with another request's id.
+	FaultMismatched Fault = "mismatched"
 	// FaultReject answers that the engine is overloaded, and runs nothing.
 	FaultReject Fault = "reject"
 	// FaultLost closes the connection before the request is run.
@@ -83,14 +83,14 @@
 		return true
 	case FaultLost:
 		panic(http.ErrAbortHandler)
-	case FaultCrossed:
+	case FaultMismatched:
 		w.Header().Set(port.HeaderRequestID, "another-request")
 	}
 	return false
 }
 
-// crossed returns another request's answer of the same length, which is there at once.
-func crossed(own *generation) *generation {
+// mismatched returns another request's answer of the same length, which is there at once.
+func mismatched(own *generation) *generation {
 	other := newGeneration("another-request", own.model, Tokens("another prompt", len(own.tokens)))
 	other.produced = len(other.tokens)
 	return other
@@ -106,7 +106,7 @@
 // stops tells whether the connection brings only a part of the events.
 func (p Plan) stops() bool {
 	switch p.Fault {
-	case FaultSilent, FaultPings, FaultCut, FaultEnd, FaultForget:
+	case FaultSilent, FaultPings, FaultTruncated, FaultEnd, FaultForget:
 		return true
 	default:
 		return false
@@ -120,7 +120,7 @@
 		<-r.Context().Done()
 	case FaultPings:
 		p.ping(w, r)
-	case FaultCut, FaultForget:
+	case FaultTruncated, FaultForget:
 		panic(http.ErrAbortHandler)
 	}
 }
--- a/standin/engine/generation.go
+++ b/standin/engine/generation.go
@@ -141,7 +141,7 @@
 		}
 		seen = produced
 	}
-	if plan.Fault == FaultCut {
+	if plan.Fault == FaultTruncated {
 		// A length that is not reached makes the server close the connection.
 		w.Header().Set("Content-Length", "1000000")
 	}
--- a/standin/service/fault.go
+++ b/standin/service/fault.go
@@ -18,17 +18,17 @@
 	FaultLostAnswer Fault = "lost_answer"
 	// FaultSilent runs the call and keeps the connection open without an answer.
 	FaultSilent Fault = "silent"
-	// FaultCut sends a part of the answer and closes the connection.
-	FaultCut Fault = "cut"
-	// FaultCutLarge is FaultCut with more bytes than a router holds back.
-	FaultCutLarge Fault = "cut_large"
+	// FaultTruncated sends a part of the answer and closes the connection.
+	FaultTruncated Fault = "truncated"
+	// FaultTruncatedLarge is FaultTruncated with more bytes than a router holds back.
+	FaultTruncatedLarge Fault = "cut_large"
 	// FaultStall sends as much and keeps the connection open.
 	FaultStall Fault = "stall"
-	// FaultCrossed answers with another request's id.
-	FaultCrossed Fault = "crossed"
+	// FaultMismatched answers with another request's id.
+	FaultMismatched Fault = "mismatched"
 )
 
-// largeBytes is how much FaultCutLarge and FaultStall send.
+// largeBytes is how much FaultTruncatedLarge and FaultStall send.
 const largeBytes = 256 << 10
 
 // Inject makes the next calls go wrong, one fault for each.
@@ -68,10 +68,10 @@
 		panic(http.ErrAbortHandler)
 	case FaultSilent:
 		<-r.Context().Done()
-	case FaultCut:
+	case FaultTruncated:
 		f.part(w, 1, 2)
 		panic(http.ErrAbortHandler)
-	case FaultCutLarge:
+	case FaultTruncatedLarge:
 		// Chunks end where the connection does.
 		w.Write(make([]byte, largeBytes))
 		http.NewResponseController(w).Flush()
@@ -79,7 +79,7 @@
 	case FaultStall:
 		f.part(w, largeBytes, 2*largeBytes)
 		<-r.Context().Done()
-	case FaultCrossed:
+	case FaultMismatched:
 		w.Header().Set(port.HeaderRequestID, "another-request")
 		return false
 	default:
