--- a/cmd/agatectl/main_test.go
+++ b/cmd/agatectl/main_test.go
@@ -133,3 +133,15 @@
 	must.Eq(t, 0, run(t.Context(), []string{"status", "--help"}, &out, &errs))
 	must.StrNotContains(t, out.String(), o.token)
 }
+
+// Help shows an example for each command that does something.
+func TestEveryCommandHasAnExample(t *testing.T) {
+	commands := rootCommand(&options{}).Commands()
+	for len(commands) > 0 {
+		command := commands[0]
+		commands = append(commands[1:], command.Commands()...)
+		if command.Runnable() && command.Name() != "help" {
+			must.NotEq(t, "", command.Example, must.Sprint(command.CommandPath()))
+		}
+	}
+}
--- a/cmd/agateswitch/freeze_test.go
+++ b/cmd/agateswitch/freeze_test.go
@@ -10,12 +10,10 @@
 	"net/http"
 	"os"
 	"os/exec"
-	"path/filepath"
 	"strings"
 	"syscall"
 	"testing"
 
-	"agateswitch/adapter/hostlist"
 	"agateswitch/core/fleet"
 	"agateswitch/examples"
 	"agateswitch/sse"
@@ -99,7 +97,8 @@
 		f.engines[id].find(ctx, t, standinAddress)
 	}
 	for _, id := range []string{"arima-1", "arima-2"} {
-		f.startRouter(ctx, t, program, id, storeAddress, hostList)
+		router, addresses := startRouter(t, program, id, "arima", storeAddress, hostList)
+		f.routers, f.entries = append(f.routers, router), append(f.entries, addresses)
 	}
 	example, err := examples.Load(examples.Hoofline)
 	must.NoError(t, err)
@@ -110,30 +109,6 @@
 	return f
 }
 
-func (f *processFleet) startRouter(ctx context.Context, t *testing.T, program, id, store, hostList string) {
-	t.Helper()
-	file := filepath.Join(t.TempDir(), "router.jsonc")
-	content := fmt.Sprintf(`{
-		"host": {"id": %q, "datacentre": "arima", "region": "tt-north"},
-		"listen": {"callers": "127.0.0.1:0", "operators": "127.0.0.2:0", "peers": "127.0.0.3:0"},
-		"platform": {"store": %q, "hosts": %q},
-		"operator_token": "process-test-token",
-		"resume_keys": ["process-test-resume-key-of-32-characters"],
-		"peer_key": "process-test-peer-key-of-32-characters",
-		"log": {"format": "json"}, "drain": "0s"
-	}`, id, store, hostList)
-	must.NoError(t, os.WriteFile(file, []byte(content), 0o600))
-	p := launch(t, program, "serve", file)
-	var addresses servingLine
-	must.NoError(t, json.Unmarshal([]byte(p.find(ctx, t, servingText)), &addresses))
-	must.NoError(t, register(hostList, hostlist.TargetGroup{Targets: []string{addresses.Callers}, Labels: map[string]string{
-		hostlist.LabelRole: hostlist.RoleRouter, hostlist.LabelID: id,
-		hostlist.LabelDataCentre: "arima", hostlist.LabelPeer: addresses.Peers,
-	}}))
-	f.routers = append(f.routers, p)
-	f.entries = append(f.entries, addresses)
-}
-
 // ask sends a request as the team.
 func (f *processFleet) ask(ctx context.Context, t *testing.T, method, url, body string, header map[string]string) *http.Response {
 	t.Helper()
--- a/cmd/agateswitch/main.go
+++ b/cmd/agateswitch/main.go
@@ -25,6 +25,24 @@
 // run executes one command and returns its exit code.
 func run(args []string, stdout, stderr io.Writer) int {
 	accepted := false
+	root := rootCommand(&accepted)
+	root.SetArgs(args)
+	root.SetOut(stdout)
+	root.SetErr(stderr)
+	err := root.Execute()
+	if err == nil {
+		return 0
+	}
+	fmt.Fprintln(stderr, "agateswitch:", err)
+	if _, usage := err.(usageError); usage || !accepted {
+		return exitUsage
+	}
+	return exitFailure
+}
+
+// rootCommand makes the program's commands. Accepted becomes true once the call's words have
+// been found right.
+func rootCommand(accepted *bool) *cobra.Command {
 	root := &cobra.Command{
 		Use:   "agateswitch",
 		Short: "Routes returning chats and non-idempotent calls to model engines and plain services",
@@ -37,21 +55,10 @@
 			if err := command.ValidateRequiredFlags(); err != nil {
 				return usageError{err}
 			}
-			accepted = true
+			*accepted = true
 			return nil
 		},
 	}
-	root.SetArgs(args)
-	root.SetOut(stdout)
-	root.SetErr(stderr)
 	root.AddCommand(serveCommand(), checkCommand(), demoCommand(), standinCommand(), versionCommand())
-	err := root.Execute()
-	if err == nil {
-		return 0
-	}
-	fmt.Fprintln(stderr, "agateswitch:", err)
-	if _, usage := err.(usageError); usage || !accepted {
-		return exitUsage
-	}
-	return exitFailure
+	return root
 }
--- a/cmd/agateswitch/main_test.go
+++ b/cmd/agateswitch/main_test.go
@@ -61,3 +61,16 @@
 	must.Len(t, 1, report.Phases)
 	must.Positive(t, report.Phases[0].Outcomes[demo.KindChat][demo.Complete])
 }
+
+// Help shows an example for each command that does something.
+func TestEveryCommandHasAnExample(t *testing.T) {
+	var accepted bool
+	commands := rootCommand(&accepted).Commands()
+	for len(commands) > 0 {
+		command := commands[0]
+		commands = append(commands[1:], command.Commands()...)
+		if command.Runnable() && command.Name() != "help" {
+			must.NotEq(t, "", command.Example, must.Sprint(command.CommandPath()))
+		}
+	}
+}
--- a/cmd/agateswitch/once_process_test.go
+++ b/cmd/agateswitch/once_process_test.go
@@ -9,14 +9,12 @@
 	"maps"
 	"net/http"
 	"os"
-	"path/filepath"
 	"slices"
 	"sync"
 	"syscall"
 	"testing"
 
 	"agateswitch/adapter/callerhttp"
-	"agateswitch/adapter/hostlist"
 	coreclaim "agateswitch/core/claim"
 	"agateswitch/core/fleet"
 	"agateswitch/core/rendezvous"
@@ -94,26 +92,8 @@
 
 func launchRouter(t *testing.T, program, id, store, hosts string) onceRouter {
 	t.Helper()
-	file := filepath.Join(t.TempDir(), "router.jsonc")
-	content := fmt.Sprintf(`{
-		"host": {"id": %q, "datacentre": "arima", "region": "tt-north"},
-		"listen": {"callers": "127.0.0.1:0", "operators": "127.0.0.2:0", "peers": "127.0.0.3:0"},
-		"platform": {"store": %q, "hosts": %q},
-		"operator_token": "process-test-token",
-		"resume_keys": ["process-test-resume-key-of-32-characters"],
-		"peer_key": "process-test-peer-key-of-32-characters",
-		"log": {"format": "json"}, "drain": "0s"
-	}`, id, store, hosts)
-	must.NoError(t, os.WriteFile(file, []byte(content), 0o600))
-	router := onceRouter{id: fleet.HostID(id)}
-	process, line := launchUntil(t, servingText, program, "serve", file)
-	router.process = process
-	must.NoError(t, json.Unmarshal([]byte(line), &router.servingLine))
-	must.NoError(t, register(hosts, hostlist.TargetGroup{Targets: []string{router.Callers}, Labels: map[string]string{
-		hostlist.LabelRole: hostlist.RoleRouter, hostlist.LabelID: id,
-		hostlist.LabelDataCentre: "arima", hostlist.LabelPeer: router.Peers,
-	}}))
-	return router
+	started, addresses := startRouter(t, program, id, "arima", store, hosts)
+	return onceRouter{id: fleet.HostID(id), process: started.command.Process, servingLine: addresses}
 }
 
 // call makes one call; a key makes it non-idempotent. What the caller is told is kept.
--- a/cmd/agateswitch/process_test.go
+++ b/cmd/agateswitch/process_test.go
@@ -59,8 +59,11 @@
 	return line, true
 }
 
-func startRouter(t *testing.T, program, id, dataCentre, store, hostList string) servingLine {
+// startRouter runs a router as a process, with its place on the host list.
+func startRouter(t *testing.T, program, id, dataCentre, store, hostList string) (*process, servingLine) {
 	t.Helper()
+	ctx, cancel := context.WithTimeout(t.Context(), processLimit)
+	defer cancel()
 	file := filepath.Join(t.TempDir(), "router.jsonc")
 	content := fmt.Sprintf(`{
 		"host": {"id": %q, "datacentre": %q, "region": "tt-north"},
@@ -72,13 +75,14 @@
 		"log": {"format": "json"}, "drain": "0s"
 	}`, id, dataCentre, store, hostList)
 	must.NoError(t, os.WriteFile(file, []byte(content), 0o600))
+	started := launch(t, program, "serve", file)
 	var addresses servingLine
-	must.NoError(t, json.Unmarshal([]byte(start(t, servingText, program, "serve", file)), &addresses))
+	must.NoError(t, json.Unmarshal([]byte(started.find(ctx, t, servingText)), &addresses))
 	must.NoError(t, register(hostList, hostlist.TargetGroup{Targets: []string{addresses.Callers}, Labels: map[string]string{
 		hostlist.LabelRole: hostlist.RoleRouter, hostlist.LabelID: id,
 		hostlist.LabelDataCentre: dataCentre, hostlist.LabelPeer: addresses.Peers,
 	}}))
-	return addresses
+	return started, addresses
 }
 
 // One request goes from a caller through separate processes to an engine and back.
@@ -94,8 +98,8 @@
 	}
 	start(t, standinAddress, program, "standin", "service", "--id", "s1", "--pool", "rounds-app",
 		"--datacentre", "arima", "--hosts", hostList)
-	first := startRouter(t, program, "arima-1", "arima", storeAddress, hostList)
-	second := startRouter(t, program, "tunapuna-1", "tunapuna", storeAddress, hostList)
+	_, first := startRouter(t, program, "arima-1", "arima", storeAddress, hostList)
+	_, second := startRouter(t, program, "tunapuna-1", "tunapuna", storeAddress, hostList)
 	example, err := examples.Load(examples.Hoofline)
 	must.NoError(t, err)
 	configure(ctx, t, first.Operators, second.Operators, example)
