Route by host and path on the users' platform: a thin path

Cause: agateswitch did not speak what the users' platform speaks. Change: a gateway that routes by host and longest prefix from a replica of the platform's store, chooses engines by rendezvous on the prompt's last shared part with a bound on load, and brings answers back whole; platform/ translates.

--- a/adapter/upstreamhttp/client.go
+++ b/adapter/upstreamhttp/client.go
@@ -63,6 +63,10 @@
 	// pooled reuses connections; fresh makes a new one for each call.
 	pooled *http.Client
 	fresh  *http.Client
+	// idHeader carries the request's id in calls and answers.
+	idHeader string
+	// allowUnframed takes answers that end with their connection.
+	allowUnframed bool
 
 	mu         sync.Mutex
 	distrusted map[string]time.Time
@@ -79,10 +83,29 @@
 
 // NewOn makes a client that connects by dial.
 func NewOn(dial Dial) *Client {
-	return &Client{pooled: newHTTP(dial, false), fresh: newHTTP(dial, true), distrusted: map[string]time.Time{}}
+	return NewWith(dial, Options{IDHeader: port.HeaderRequestID, IdleTimeout: idleConnTimeout})
 }
 
-func newHTTP(dial Dial, fresh bool) *http.Client {
+// Options are the ways in which upstreams' protocols differ.
+type Options struct {
+	// IDHeader carries the request's id in calls, and must return in answers.
+	IDHeader string
+	// IdleTimeout is how long an unused connection is kept. It is less than upstreams keep it.
+	IdleTimeout time.Duration
+	// AllowUnframed takes answers that have neither a length nor chunks and end with their
+	// connection. A connection that is reset on the way still fails the answer.
+	AllowUnframed bool
+}
+
+// NewWith makes a client that connects by dial.
+func NewWith(dial Dial, options Options) *Client {
+	return &Client{
+		pooled: newHTTP(dial, false, options.IdleTimeout), fresh: newHTTP(dial, true, options.IdleTimeout),
+		idHeader: options.IDHeader, allowUnframed: options.AllowUnframed, distrusted: map[string]time.Time{},
+	}
+}
+
+func newHTTP(dial Dial, fresh bool, idle time.Duration) *http.Client {
 	transport := &http.Transport{
 		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
 			connection, err := dial(ctx, network, address)
@@ -93,7 +116,7 @@
 		},
 		DisableKeepAlives:      fresh,
 		MaxIdleConnsPerHost:    maxIdlePerUpstream,
-		IdleConnTimeout:        idleConnTimeout,
+		IdleConnTimeout:        idle,
 		MaxResponseHeaderBytes: maxAnswerHeaderSize,
 		DisableCompression:     true,
 	}
@@ -120,6 +143,9 @@
 	if call.Header != nil {
 		request.Header = call.Header.Clone()
 	}
+	if call.Host != "" {
+		request.Host = call.Host
+	}
 	request.ContentLength = call.ContentLength
 	// Without GetBody the transport sends a body once at most.
 	request.GetBody = nil
@@ -158,12 +184,12 @@
 // do sends a request and checks whose answer comes back, and that its end can be told.
 func (c *Client) do(ctx context.Context, client *http.Client, request *http.Request, id fleet.RequestID) (port.UpstreamAnswer, *port.UpstreamError) {
 	var flight flight
-	request.Header.Set(port.HeaderRequestID, string(id))
+	request.Header.Set(c.idHeader, string(id))
 	answer, err := client.Do(request.WithContext(httptrace.WithClientTrace(ctx, flight.trace())))
 	if err != nil {
 		return port.UpstreamAnswer{}, failed(ctx, &flight, err)
 	}
-	if err := check(answer, id); err != nil {
+	if err := c.check(answer, id); err != nil {
 		// The true answer may follow on the connection. The pool has it already if the
 		// answer has no body, and gives it up only with all others.
 		flight.abort()
@@ -196,8 +222,8 @@
 	return failure
 }
 
-func check(answer *http.Response, id fleet.RequestID) error {
-	if answer.Header.Get(port.HeaderRequestID) != string(id) {
+func (c *Client) check(answer *http.Response, id fleet.RequestID) error {
+	if answer.Header.Get(c.idHeader) != string(id) {
 		return errors.Trace(ErrMismatched)
 	}
 	if answer.StatusCode == http.StatusSwitchingProtocols {
@@ -206,7 +232,7 @@
 	// The end of an event stream shows in its last event.
 	isStream := strings.HasPrefix(answer.Header.Get("Content-Type"), "text/event-stream")
 	isFramed := answer.ContentLength >= 0 || len(answer.TransferEncoding) > 0
-	if !isFramed && !isStream && answer.Body != http.NoBody {
+	if !isFramed && !isStream && !c.allowUnframed && answer.Body != http.NoBody {
 		return errors.Trace(ErrUnframed)
 	}
 	return nil
--- a/cmd/agateswitch/main.go
+++ b/cmd/agateswitch/main.go
@@ -59,6 +59,6 @@
 			return nil
 		},
 	}
-	root.AddCommand(serveCommand(), checkCommand(), demoCommand(), standinCommand(), versionCommand())
+	root.AddCommand(serveCommand(), gatewayCommand(), checkCommand(), demoCommand(), standinCommand(), versionCommand())
 	return root
 }
--- /dev/null
+++ b/node/gateway/gateway.go
@@ -0,0 +1,159 @@
+// Package gateway serves callers' requests by host and path: it finds the route and the team,
+// chooses an upstream, and brings its answer back whole. Every decision is made on this router
+// from its replica of the store; nothing on the path of a request waits for another router.
+package gateway
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"agateswitch/core/fleet"
+	"agateswitch/core/pace"
+	"agateswitch/node/replica"
+	"agateswitch/port"
+
+	"github.com/charmbracelet/log"
+)
+
+// Fleet tells about the other routers.
+type Fleet interface {
+	// Count is the number of routers that may send to upstreams.
+	Count() int
+	// Rank is this router's place in the order of all routers for a key.
+	Rank(key string) int
+	// LoadOfOthers is what other routers run on each upstream.
+	LoadOfOthers() map[fleet.UpstreamID]int
+}
+
+// Newest makes sure that the desired state in force is the newest.
+type Newest interface {
+	Confirm(ctx context.Context) error
+	// Age is how old the state may be.
+	Age() time.Duration
+}
+
+// Bounds are the platform's figures that decisions depend on.
+type Bounds struct {
+	// RetryRatio and RetryExtra bound the retries of the whole fleet in RetryWindow:
+	// RetryRatio of the requests for a pool, and RetryExtra more.
+	RetryRatio  float64
+	RetryExtra  float64
+	RetryWindow time.Duration
+}
+
+// Parts are what a gateway works with.
+type Parts struct {
+	Codec     port.FactCodec
+	Callers   port.CallerProtocol
+	Engines   port.EngineProtocol
+	Upstreams port.Upstreams
+	Newest    Newest
+	Fleet     Fleet
+	Log       *log.Logger
+	Bounds    Bounds
+}
+
+// Gateway is an http.Handler. It is safe for concurrent use.
+type Gateway struct {
+	Parts
+	view    *view
+	leaving atomic.Bool
+	// running counts requests from callers.
+	running sync.WaitGroup
+
+	mu      sync.Mutex
+	retries map[fleet.PoolID]*pace.RetryBudget
+	others  map[fleet.UpstreamID]int
+	heardAt time.Time
+}
+
+// New makes a gateway. Its Observe is to be subscribed to the replica.
+func New(parts Parts) *Gateway {
+	return &Gateway{
+		Parts: parts, view: newView(parts.Codec, parts.Log), retries: map[fleet.PoolID]*pace.RetryBudget{},
+	}
+}
+
+// Observe takes changes of the store.
+func (g *Gateway) Observe(changes []replica.Change) { g.view.observe(changes) }
+
+// Ready is closed once a desired state is in force.
+func (g *Gateway) Ready() <-chan struct{} { return g.view.ready }
+
+// Leave makes callers move their connections to other routers: each answer closes its own.
+func (g *Gateway) Leave() { g.leaving.Store(true) }
+
+// Wait returns when no request runs.
+func (g *Gateway) Wait() { g.running.Wait() }
+
+// Load tells how many requests this router runs on each upstream.
+func (g *Gateway) Load() map[fleet.UpstreamID]int {
+	load := map[fleet.UpstreamID]int{}
+	current := g.view.current.Load()
+	if current == nil {
+		return load
+	}
+	for _, engines := range current.engines {
+		for _, e := range engines {
+			if running := e.running.Load(); running > 0 {
+				load[e.id] = int(running)
+			}
+		}
+	}
+	return load
+}
+
+// ServeHTTP implements http.Handler.
+func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	g.running.Add(1)
+	defer g.running.Done()
+	if g.leaving.Load() {
+		w.Header().Set("Connection", "close")
+	}
+	x := &exchange{gateway: g, writer: w, request: r, began: time.Now(), call: g.Callers.Read(r)}
+	x.serve()
+}
+
+// othersRefresh is how long a sum of other routers' loads is used.
+const othersRefresh = 200 * time.Millisecond
+
+// loadOfOthers returns what other routers run on each upstream.
+func (g *Gateway) loadOfOthers(now time.Time) map[fleet.UpstreamID]int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if now.Sub(g.heardAt) > othersRefresh {
+		g.others, g.heardAt = g.Fleet.LoadOfOthers(), now
+	}
+	return g.others
+}
+
+// countRequest counts a request in its pool's retry budget.
+func (g *Gateway) countRequest(pool fleet.PoolID, now time.Time) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.budget(pool).Request(now)
+}
+
+// mayRetry takes a retry from this router's share of its pool's budget.
+func (g *Gateway) mayRetry(pool fleet.PoolID, now time.Time) bool {
+	extra := g.Bounds.RetryExtra / float64(g.Fleet.Count())
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.budget(pool).Retry(now, g.Bounds.RetryRatio*retryMargin, extra*retryMargin)
+}
+
+// retryMargin is the part of the retry budget that is used: requests that a router has counted
+// and an upstream has not yet seen are no base of the budget.
+const retryMargin = 0.8
+
+func (g *Gateway) budget(pool fleet.PoolID) *pace.RetryBudget {
+	budget, found := g.retries[pool]
+	if !found {
+		budget = pace.NewRetryBudget(g.Bounds.RetryWindow)
+		g.retries[pool] = budget
+	}
+	return budget
+}
--- /dev/null
+++ b/node/replica/pull.go
@@ -0,0 +1,114 @@
+package replica
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"agateswitch/core/fleet"
+	"agateswitch/port"
+)
+
+// pullRequest asks for what is newer than a revision.
+type pullRequest struct {
+	After int64 `msgpack:"after"`
+}
+
+// pulledEntry is an entry or a deletion.
+type pulledEntry struct {
+	Key      string `msgpack:"k"`
+	Value    []byte `msgpack:"v,omitempty"`
+	Revision int64  `msgpack:"r"`
+	Deleted  bool   `msgpack:"d,omitempty"`
+}
+
+// pullResponse is what a router knows.
+type pullResponse struct {
+	// AsOf is the revision up to which the router knows everything; zero means nothing.
+	AsOf    int64         `msgpack:"as_of"`
+	Entries []pulledEntry `msgpack:"entries"`
+	// Complete is true when Entries is the whole state.
+	Complete bool `msgpack:"complete,omitempty"`
+	// AgeMs is how long ago the router made sure that AsOf is the newest revision.
+	AgeMs int64 `msgpack:"age_ms"`
+}
+
+// pullWhileStale asks other routers while the store brings nothing.
+func (r *Replica) pullWhileStale(ctx context.Context) {
+	for ctx.Err() == nil {
+		sleep(ctx, pullInterval)
+		if r.Age() > staleAfter {
+			r.pull(ctx)
+		}
+	}
+}
+
+// pull asks some routers, and returns when all have answered or run out of time.
+func (r *Replica) pull(ctx context.Context) {
+	others := r.peers.Others()
+	rand.Shuffle(len(others), func(i, j int) { others[i], others[j] = others[j], others[i] })
+	var asked sync.WaitGroup
+	for _, other := range others[:min(len(others), pullFanout)] {
+		asked.Go(func() { r.pullFrom(ctx, other) })
+	}
+	asked.Wait()
+}
+
+func (r *Replica) pullFrom(ctx context.Context, other fleet.HostID) {
+	ctx, cancel := context.WithTimeout(ctx, pullTimeout)
+	defer cancel()
+	r.mu.Lock()
+	after := r.asOf
+	r.mu.Unlock()
+	began := time.Now()
+	var response pullResponse
+	if err := r.transport.Call(ctx, other, methodPull, pullRequest{After: after}, &response); err != nil {
+		r.log.Debug("router did not tell its state", "peer", other, "err", err)
+		return
+	}
+	if response.AsOf == 0 || response.AsOf < after {
+		return
+	}
+	// The age counts from before the question, so that the copy is never taken for newer.
+	confirmed := began.Add(-time.Duration(response.AgeMs) * time.Millisecond)
+	if response.Complete {
+		entries := make([]port.Entry, 0, len(response.Entries))
+		for _, entry := range response.Entries {
+			entries = append(entries, port.Entry{Key: entry.Key, Value: entry.Value, Revision: entry.Revision})
+		}
+		r.replaceAll(entries, response.AsOf, confirmed)
+		return
+	}
+	changes := make([]Change, 0, len(response.Entries))
+	for _, entry := range response.Entries {
+		changes = append(changes, Change{
+			Entry: port.Entry{Key: entry.Key, Value: entry.Value, Revision: entry.Revision}, Deleted: entry.Deleted,
+		})
+	}
+	r.apply(changes, response.AsOf, confirmed)
+}
+
+func (r *Replica) answerPull(_ context.Context, _ fleet.HostID, decode port.Decode) (any, error) {
+	var request pullRequest
+	if err := decode(&request); err != nil {
+		return nil, err
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	response := pullResponse{AsOf: r.asOf, AgeMs: time.Since(r.confirmed).Milliseconds()}
+	if request.After <= r.forgotten {
+		response.Complete, request.After = true, 0
+	}
+	for key, entry := range r.entries {
+		if entry.Revision > request.After {
+			response.Entries = append(response.Entries, pulledEntry{Key: key, Value: entry.Value, Revision: entry.Revision})
+		}
+	}
+	for key, gone := range r.graves {
+		if gone.revision > request.After && !response.Complete {
+			response.Entries = append(response.Entries, pulledEntry{Key: key, Revision: gone.revision, Deleted: true})
+		}
+	}
+	return response, nil
+}
--- a/port/store.go
+++ b/port/store.go
@@ -13,6 +13,13 @@
 // ErrUnavailable may have taken effect: only reading back tells.
 const ErrUnavailable = errors.ConstError("key-value service unavailable")
 
+// ErrNothingDone means that the platform's service refused a call before doing anything. It is
+// also an ErrUnavailable.
+const ErrNothingDone = errors.ConstError("key-value service refused the call")
+
+// ErrCompacted means that the changes after a watch's revision are no longer kept.
+const ErrCompacted = errors.ConstError("key-value service no longer keeps these changes")
+
 // Entry is one key of the platform's key-value service.
 type Entry struct {
 	Key   string
@@ -65,7 +72,10 @@
 type WatchEvent struct {
 	Entry   Entry
 	Deleted bool
-	Err     error
+	// Progress, when above zero, tells that all changes up to this revision have come. Such an
+	// event carries no entry. Not every store sends it.
+	Progress int64
+	Err      error
 }
 
 // Store is the platform's key-value service. Each call counts against its rates, a
--- a/port/upstream.go
+++ b/port/upstream.go
@@ -18,7 +18,9 @@
 	Request  fleet.RequestID
 	Method   string
 	// Path holds the path and query, and starts with a slash.
-	Path   string
+	Path string
+	// Host is the name in the call's Host header. Empty means the upstream's address.
+	Host   string
 	Header http.Header
 	Body   io.Reader
 	// ContentLength is the length of Body; -1 means unknown.
--- /dev/null
+++ b/sse/raw.go
@@ -0,0 +1,48 @@
+package sse
+
+import (
+	"bufio"
+	"bytes"
+	"io"
+
+	"github.com/juju/errors"
+)
+
+// RawReader reads events without changing a byte, for passing them on.
+type RawReader struct {
+	buffered *bufio.Reader
+	raw      []byte
+}
+
+// NewRawReader makes a reader.
+func NewRawReader(r io.Reader) *RawReader {
+	return &RawReader{buffered: bufio.NewReader(r)}
+}
+
+// Next returns the bytes of the next event, with the blank line that ends it, and its id. The
+// bytes are valid until the next call. io.EOF is the stream's end between two events;
+// io.ErrUnexpectedEOF is one in the middle of an event.
+func (r *RawReader) Next() (raw []byte, id string, err error) {
+	r.raw = r.raw[:0]
+	for {
+		line, err := r.buffered.ReadSlice('\n')
+		r.raw = append(r.raw, line...)
+		switch {
+		case len(r.raw) > MaxEventBytes:
+			return nil, "", errors.Trace(ErrTooLarge)
+		case err == bufio.ErrBufferFull:
+			continue
+		case err == io.EOF && len(r.raw) > 0:
+			return nil, "", io.ErrUnexpectedEOF
+		case err != nil:
+			return nil, "", err
+		}
+		line = bytes.TrimRight(line, "\r\n")
+		if len(line) == 0 {
+			return r.raw, id, nil
+		}
+		if value, found := bytes.CutPrefix(line, []byte("id:")); found {
+			id = string(bytes.TrimPrefix(value, []byte(" ")))
+		}
+	}
+}
