Share load and warm prompts between routers, and copy cached prompts

Change: routers tell each other what they run and where prompts were read; an engine is ranked by tokens still to read, running requests and uncached tokens; a prompt that another engine has is copied from there.

--- a/cmd/agateswitch/gateway.go
+++ b/cmd/agateswitch/gateway.go
@@ -16,6 +16,7 @@
 	"agateswitch/node/gateway"
 	"agateswitch/node/presence"
 	"agateswitch/node/replica"
+	"agateswitch/node/workload"
 	"agateswitch/platform"
 	"agateswitch/settings"
 
@@ -80,19 +81,20 @@
 	known := presence.New(self, store, logger)
 	mesh := peer.NewOn(dialer.New().DialContext, self.ID, known, s.PeerKey, logger)
 	copied := replica.New(store, mesh, known, platform.Facts{}.DesiredKey(), logger)
+	work := workload.New(mesh, known, logger)
 	router := gateway.New(gateway.Parts{
 		Codec: platform.Facts{}, Callers: platform.Callers{}, Engines: platform.Engines{},
 		Upstreams: upstreamhttp.NewWith(dialer.New().DialContext, upstreamhttp.Options{
 			IDHeader: platform.RequestIDHeader, IdleTimeout: upstreamIdle, AllowUnframed: true,
 		}),
-		Newest: copied, Fleet: known, Log: logger,
+		Newest: copied, Fleet: known, Workload: work, Log: logger,
 		Bounds: gateway.Bounds{
 			RetryRatio: s.Retries.Ratio, RetryExtra: s.Retries.Extra, RetryWindow: time.Duration(s.Retries.Window),
 		},
 	})
 	copied.Subscribe(known.Observe)
 	copied.Subscribe(router.Observe)
-	known.Join(mesh, router.Load)
+	known.Join(mesh)
 	peers, err := net.Listen("tcp", s.Listen.Peers)
 	if err != nil {
 		return errors.Annotate(err, "listening for routers")
@@ -113,6 +115,7 @@
 	var parts sync.WaitGroup
 	parts.Go(func() { copied.Run(background) })
 	parts.Go(func() { known.Run(background) })
+	parts.Go(func() { work.Run(background) })
 	parts.Go(func() {
 		if err := mesh.Serve(background, peers); err != nil {
 			logger.Error("routers are not served", "err", err)
--- a/core/balance/balance.go
+++ b/core/balance/balance.go
@@ -1,6 +1,7 @@
-// Package balance ranks the upstreams of a pool for one request. It answers two loads: prompts
+// Package balance ranks the upstreams of a pool for one request. It answers three loads: prompts
 // whose first parts return within minutes, which should meet an engine that has them in its
-// cache, and surges on one such prompt, which should not overload that engine.
+// cache; surges on one such prompt, which should not overload that engine; and many long new
+// prompts at once, each of which should meet an engine that has little left to read.
 package balance
 
 import (
@@ -15,20 +16,29 @@
 	ID fleet.UpstreamID
 	// Hash is rendezvous.Hash of ID.
 	Hash uint64
-	// Load is the number of requests that the upstream is believed to run, from all routers.
-	Load float64
+	// Running is the number of requests that the upstream is believed to run.
+	Running float64
+	// Unread is the number of prompt tokens that it has still to read for them.
+	Unread float64
+	// Uncached is how many tokens of this prompt it would have to read.
+	Uncached float64
 	// FailureRate is the recent share of its calls that failed.
 	FailureRate float64
 }
 
 // Figures of the ranking.
 const (
-	// spread is the multiple of the pool's mean load up to which the upstream with the warm
-	// cache is taken. The fleet's bound is 2; this leaves room for what other routers add
-	// before they are heard.
+	// spread is the multiple of the pool's mean load up to which an upstream gets more. The
+	// fleet's bound is 2; this leaves room for what other routers add before they are heard.
 	spread = 1.4
 	// spreadSlack keeps requests with their cache while the pool is nearly idle.
 	spreadSlack = 2.0
+	// runningTokens is what a running request delays another one, in prompt tokens read in the
+	// same time: its steps take turns with the reading of prompts.
+	runningTokens = 40
+	// rereadFactor weighs tokens that are read again against tokens that are waited for: the
+	// engine's time is lost to others, too.
+	rereadFactor = 1.5
 	// faulty is the failure rate from which an upstream comes last, if others fail much less.
 	faulty = 0.25
 	// faultyRatio is how many times the pool's mean failure rate that is at the least. Where
@@ -41,10 +51,12 @@
 
 // Reasons.
 const (
-	// Warm is the upstream that the prompt's shared parts belong to.
+	// Warm is an upstream with a part of the prompt in its cache.
 	Warm Reason = "warm"
-	// Spread is the next one in the prompt's order, since those before it are loaded.
+	// Spread is one without, since those with are loaded.
 	Spread Reason = "spread"
+	// Cold is one without when there is none with.
+	Cold Reason = "cold"
 	// LeastLoaded is the one with the least load.
 	LeastLoaded Reason = "least_loaded"
 )
@@ -57,40 +69,55 @@
 	Mean, Bound float64
 }
 
-// ByPrompt ranks candidates for a prompt whose shared parts have a key.
-func ByPrompt(key string, candidates []Candidate) Ranking {
+// ByPrompt ranks candidates for a prompt by the time until they could answer it. Key breaks
+// ties in the same way on all routers.
+func ByPrompt(key string, promptTokens float64, candidates []Candidate) Ranking {
 	ranking := newRanking(candidates)
-	hash := rendezvous.Hash(key)
-	score := func(i int) uint64 { return rendezvous.Mix(hash, candidates[i].Hash) }
-	sort.Slice(ranking.Order, func(a, b int) bool { return score(ranking.Order[a]) > score(ranking.Order[b]) })
 	if len(candidates) == 0 {
 		return ranking
 	}
-	home := ranking.Order[0]
+	hash := rendezvous.Hash(key)
 	faults := faultyOnes(candidates)
-	class := func(i int) int {
-		switch {
-		case faults[i]:
-			return 2
-		case candidates[i].Load > ranking.Bound:
-			return 1
+	ranks := make([]rank, len(candidates))
+	anyWarm := false
+	for i, c := range candidates {
+		ranks[i] = rank{
+			faulty: faults[i], loaded: c.Running > ranking.Bound, tie: rendezvous.Mix(hash, c.Hash),
+			cost: c.Unread + runningTokens*c.Running + rereadFactor*c.Uncached,
 		}
-		return 0
+		anyWarm = anyWarm || c.Uncached < promptTokens
 	}
-	sort.SliceStable(ranking.Order, func(a, b int) bool {
-		i, j := ranking.Order[a], ranking.Order[b]
-		if class(i) != class(j) {
-			return class(i) < class(j)
-		}
-		return class(i) == 1 && candidates[i].Load < candidates[j].Load
-	})
-	ranking.Reason = Warm
-	if ranking.Order[0] != home {
+	sort.Slice(ranking.Order, func(a, b int) bool { return ranks[ranking.Order[a]].before(ranks[ranking.Order[b]]) })
+	switch {
+	case candidates[ranking.Order[0]].Uncached < promptTokens:
+		ranking.Reason = Warm
+	case anyWarm:
 		ranking.Reason = Spread
+	default:
+		ranking.Reason = Cold
 	}
 	return ranking
 }
 
+// rank is what candidates are compared by.
+type rank struct {
+	faulty, loaded bool
+	cost           float64
+	tie            uint64
+}
+
+func (r rank) before(other rank) bool {
+	switch {
+	case r.faulty != other.faulty:
+		return !r.faulty
+	case r.loaded != other.loaded:
+		return !r.loaded
+	case r.cost != other.cost:
+		return r.cost < other.cost
+	}
+	return r.tie > other.tie
+}
+
 // ByLoad ranks candidates by their load. Tie returns a random order of two equals.
 func ByLoad(candidates []Candidate, tie func(i int) uint64) Ranking {
 	ranking := newRanking(candidates)
@@ -98,13 +125,8 @@
 	faults := faultyOnes(candidates)
 	sort.Slice(ranking.Order, func(a, b int) bool {
 		i, j := ranking.Order[a], ranking.Order[b]
-		if faults[i] != faults[j] {
-			return faults[j]
-		}
-		if candidates[i].Load != candidates[j].Load {
-			return candidates[i].Load < candidates[j].Load
-		}
-		return tie(i) < tie(j)
+		return rank{faulty: faults[i], cost: candidates[i].Running, tie: tie(i)}.before(
+			rank{faulty: faults[j], cost: candidates[j].Running, tie: tie(j)})
 	})
 	return ranking
 }
@@ -113,7 +135,7 @@
 	ranking := Ranking{Order: make([]int, len(candidates))}
 	for i, candidate := range candidates {
 		ranking.Order[i] = i
-		ranking.Mean += candidate.Load / float64(len(candidates))
+		ranking.Mean += candidate.Running / float64(len(candidates))
 	}
 	ranking.Bound = spread*ranking.Mean + spreadSlack
 	return ranking
--- /dev/null
+++ b/core/warmth/warmth.go
@@ -0,0 +1,99 @@
+// Package warmth remembers which engines have read which parts of prompts, so that a prompt that
+// returns meets an engine that need not read it again. What it holds is a belief: an engine may
+// have dropped a part since, which costs time and nothing else.
+package warmth
+
+import (
+	"time"
+
+	"agateswitch/core/fleet"
+)
+
+const (
+	// lifetime is how long a part is taken to be cached after its last use. Engines drop the
+	// least recently used parts first; at the users' rates a part in use stays for minutes.
+	lifetime = 60 * time.Second
+	// maxParts bounds the memory of the map. At about 100 bytes a part it stays below 4 MB.
+	maxParts = 32768
+)
+
+// Part is one part of a prompt.
+type Part struct {
+	ID     string
+	Tokens int
+}
+
+// Map remembers the engines of parts. It is not safe for concurrent use.
+type Map struct {
+	parts map[string]map[fleet.UpstreamID]time.Time
+}
+
+// NewMap makes an empty map.
+func NewMap() *Map { return &Map{parts: map[string]map[fleet.UpstreamID]time.Time{}} }
+
+// Note takes down that an engine reads a part.
+func (m *Map) Note(part string, engine fleet.UpstreamID, now time.Time) {
+	engines, found := m.parts[part]
+	if !found {
+		if len(m.parts) >= maxParts {
+			m.prune(now)
+		}
+		engines = map[fleet.UpstreamID]time.Time{}
+		m.parts[part] = engines
+	}
+	engines[engine] = now
+}
+
+// prune drops what has lapsed, and an arbitrary part if nothing has.
+func (m *Map) prune(now time.Time) {
+	for part, engines := range m.parts {
+		for engine, used := range engines {
+			if now.Sub(used) > lifetime {
+				delete(engines, engine)
+			}
+		}
+		if len(engines) == 0 {
+			delete(m.parts, part)
+		}
+	}
+	for part := range m.parts {
+		if len(m.parts) < maxParts {
+			return
+		}
+		delete(m.parts, part)
+	}
+}
+
+// Forget drops an engine that has restarted or is gone.
+func (m *Map) Forget(engine fleet.UpstreamID) {
+	for part, engines := range m.parts {
+		delete(engines, engine)
+		if len(engines) == 0 {
+			delete(m.parts, part)
+		}
+	}
+}
+
+// Cached returns for each engine that has the first part of a prompt how many tokens it need
+// not read: those of the parts that it has without a gap from the start.
+func (m *Map) Cached(prompt []Part, now time.Time) map[fleet.UpstreamID]int {
+	if len(prompt) == 0 {
+		return nil
+	}
+	cached := map[fleet.UpstreamID]int{}
+	for engine, used := range m.parts[prompt[0].ID] {
+		if now.Sub(used) > lifetime {
+			continue
+		}
+		tokens := prompt[0].Tokens
+		for _, part := range prompt[1:] {
+			used, found := m.parts[part.ID][engine]
+			if !found || now.Sub(used) > lifetime {
+				break
+			}
+			tokens += part.Tokens
+		}
+		cached[engine] = tokens
+	}
+	return cached
+}
--- a/node/gateway/engine.go
+++ b/node/gateway/engine.go
@@ -2,7 +2,6 @@
 
 import (
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"agateswitch/core/fleet"
@@ -28,8 +27,6 @@
 	id   fleet.UpstreamID
 	hash uint64
 	born int64
-	// running is the number of requests that this router has there.
-	running atomic.Int64
 
 	mu      sync.Mutex
 	entry   port.EngineEntry
--- a/node/gateway/exchange.go
+++ b/node/gateway/exchange.go
@@ -12,6 +12,7 @@
 	"agateswitch/core/fleet"
 	"agateswitch/core/outlier"
 	"agateswitch/core/routing"
+	"agateswitch/core/warmth"
 	"agateswitch/port"
 
 	"github.com/juju/errors"
@@ -40,7 +41,9 @@
 	body     []byte
 	deadline time.Time
 
-	tried map[*engine]bool
+	// prompt lists the parts of the request's prompt.
+	prompt []warmth.Part
+	tried  map[*engine]bool
 	// sends counts the upstreams that the request was sent to.
 	sends int
 	// ran tells whether the request can have run on any of them.
@@ -57,6 +60,9 @@
 func (x *exchange) serve() {
 	x.ran = fleet.NotRun
 	x.tried = map[*engine]bool{}
+	for _, part := range x.call.Prompt {
+		x.prompt = append(x.prompt, warmth.Part(part))
+	}
 	if refusal := x.prepare(); refusal != nil {
 		x.refuse(refusal)
 		return
@@ -152,23 +158,15 @@
 	return nil
 }
 
-// cacheKey is the key of the prompt's shared parts: the last part belongs to the request alone.
-func (x *exchange) cacheKey() string {
-	parts := x.call.Prompt
-	switch len(parts) {
-	case 0:
-		return ""
-	case 1:
-		return parts[0].ID
-	}
-	return parts[len(parts)-2].ID
-}
+// shared returns the parts of the prompt that other requests may share. The last part belongs
+// to the request alone.
+func (x *exchange) shared() []warmth.Part { return x.prompt[:max(0, len(x.prompt)-1)] }
 
 // forward sends the request to upstreams until one answers it, or none can.
 func (x *exchange) forward(ctx context.Context) {
 	for {
 		x.current = x.gateway.view.current.Load()
-		chosen := x.gateway.choose(x.current, x.pool, x.cacheKey(), x.tried, time.Now())
+		chosen := x.gateway.choose(x.current, x.pool, x.prompt, x.tried, time.Now())
 		if chosen == nil {
 			x.giveUp(fleet.CodeNoUpstream, "no upstream can take the request now")
 			return
@@ -266,6 +264,7 @@
 func (x *exchange) send(ctx context.Context, chosen *choice, resume string) (port.UpstreamAnswer, *port.UpstreamError) {
 	call := port.EngineCall{
 		ID: x.call.ID, Upstream: chosen.upstream.ID, TimeLeft: time.Until(x.deadline), Rank: x.rank(), ResumeAfter: resume,
+		FetchFrom: chosen.fetchFrom,
 	}
 	if x.team != nil {
 		call.Team = x.team.Name
@@ -288,8 +287,8 @@
 
 // attempt sends the request to one upstream and brings back what it answers.
 func (x *exchange) attempt(ctx context.Context, chosen *choice) attemptResult {
-	chosen.engine.running.Add(1)
-	defer chosen.engine.running.Add(-1)
+	chosen.ticket = x.gateway.Workload.Start(chosen.engine.id, chosen.uncached, x.shared())
+	defer chosen.ticket.End()
 	if x.route.Kind == routing.Streaming {
 		return x.attemptStream(ctx, chosen)
 	}
@@ -314,14 +313,15 @@
 
 func (x *exchange) logAttempt(chosen *choice, result attemptResult) {
 	x.gateway.Log.Info("attempt failed", "request", x.call.ID, "route", x.route.Name, "upstream", chosen.upstream.ID,
-		"version", chosen.upstream.Version, "reason", chosen.ranking.Reason, "load", chosen.load,
+		"version", chosen.upstream.Version, "reason", chosen.ranking.Reason, "load", chosen.load.Running, "unread", chosen.load.Unread,
 		"sent", result.sent, "ran", result.ran, "cause", result.cause, "took", time.Since(x.began))
 }
 
 func (x *exchange) logAnswer(chosen *choice, status int, first time.Duration, events int) {
 	x.gateway.Log.Info("answered", "request", x.call.ID, "route", x.route.Name, "team", x.teamName(),
 		"upstream", chosen.upstream.ID, "version", chosen.upstream.Version, "reason", chosen.ranking.Reason,
-		"load", chosen.load, "bound", chosen.ranking.Bound, "key", x.cacheKey(), "state", x.stateVersion(),
+		"load", chosen.load.Running, "unread", chosen.load.Unread, "bound", chosen.ranking.Bound,
+		"uncached", chosen.uncached, "fetch_from", chosen.fetchFrom, "state", x.stateVersion(),
 		"status", status, "first", first, "events", events, "took", time.Since(x.began))
 }
 
--- a/node/gateway/gateway.go
+++ b/node/gateway/gateway.go
@@ -13,6 +13,7 @@
 	"agateswitch/core/fleet"
 	"agateswitch/core/pace"
 	"agateswitch/node/replica"
+	"agateswitch/node/workload"
 	"agateswitch/port"
 
 	"github.com/charmbracelet/log"
@@ -24,8 +25,6 @@
 	Count() int
 	// Rank is this router's place in the order of all routers for a key.
 	Rank(key string) int
-	// LoadOfOthers is what other routers run on each upstream.
-	LoadOfOthers() map[fleet.UpstreamID]int
 }
 
 // Newest makes sure that the desired state in force is the newest.
@@ -52,6 +51,7 @@
 	Upstreams port.Upstreams
 	Newest    Newest
 	Fleet     Fleet
+	Workload  *workload.Workload
 	Log       *log.Logger
 	Bounds    Bounds
 }
@@ -66,14 +66,12 @@
 
 	mu      sync.Mutex
 	retries map[fleet.PoolID]*pace.RetryBudget
-	others  map[fleet.UpstreamID]int
-	heardAt time.Time
 }
 
 // New makes a gateway. Its Observe is to be subscribed to the replica.
 func New(parts Parts) *Gateway {
 	return &Gateway{
-		Parts: parts, view: newView(parts.Codec, parts.Log), retries: map[fleet.PoolID]*pace.RetryBudget{},
+		Parts: parts, view: newView(parts.Codec, parts.Workload.Forget, parts.Log), retries: map[fleet.PoolID]*pace.RetryBudget{},
 	}
 }
 
@@ -89,23 +87,6 @@
 // Wait returns when no request runs.
 func (g *Gateway) Wait() { g.running.Wait() }
 
-// Load tells how many requests this router runs on each upstream.
-func (g *Gateway) Load() map[fleet.UpstreamID]int {
-	load := map[fleet.UpstreamID]int{}
-	current := g.view.current.Load()
-	if current == nil {
-		return load
-	}
-	for _, engines := range current.engines {
-		for _, e := range engines {
-			if running := e.running.Load(); running > 0 {
-				load[e.id] = int(running)
-			}
-		}
-	}
-	return load
-}
-
 // ServeHTTP implements http.Handler.
 func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	g.running.Add(1)
@@ -117,19 +98,6 @@
 	x.serve()
 }
 
-// othersRefresh is how long a sum of other routers' loads is used.
-const othersRefresh = 200 * time.Millisecond
-
-// loadOfOthers returns what other routers run on each upstream.
-func (g *Gateway) loadOfOthers(now time.Time) map[fleet.UpstreamID]int {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	if now.Sub(g.heardAt) > othersRefresh {
-		g.others, g.heardAt = g.Fleet.LoadOfOthers(), now
-	}
-	return g.others
-}
-
 // countRequest counts a request in its pool's retry budget.
 func (g *Gateway) countRequest(pool fleet.PoolID, now time.Time) {
 	g.mu.Lock()
--- a/node/gateway/stream.go
+++ b/node/gateway/stream.go
@@ -104,6 +104,7 @@
 		}
 		watchdog.Reset(x.pauseLimit())
 		x.beginStream(head)
+		chosen.ticket.Read()
 		if x.stream.events == 0 {
 			x.stream.first = time.Since(x.began)
 		}
--- a/node/gateway/view.go
+++ b/node/gateway/view.go
@@ -24,7 +24,9 @@
 
 // view follows the replica and publishes snapshots.
 type view struct {
-	codec   port.FactCodec
+	codec port.FactCodec
+	// lost is called for an upstream that has restarted or is gone.
+	lost    func(fleet.UpstreamID)
 	log     *log.Logger
 	current atomic.Pointer[snapshot]
 	ready   chan struct{}
@@ -37,9 +39,9 @@
 	moves   map[string]port.MoveOrder
 }
 
-func newView(codec port.FactCodec, logger *log.Logger) *view {
+func newView(codec port.FactCodec, lost func(fleet.UpstreamID), logger *log.Logger) *view {
 	return &view{
-		codec: codec, log: logger, ready: make(chan struct{}), engines: map[string]*engine{},
+		codec: codec, lost: lost, log: logger, ready: make(chan struct{}), engines: map[string]*engine{},
 		outs: map[string]fleet.DataCentre{}, moves: map[string]port.MoveOrder{},
 	}
 }
@@ -93,6 +95,7 @@
 func (v *view) takeEngine(key string, entry port.EngineEntry, now time.Time) {
 	known, found := v.engines[key]
 	if !found || known.born != entry.Born || known.upstream().Address != entry.Upstream.Address {
+		v.lost(entry.Upstream.ID)
 		known = newEngine(entry)
 		v.engines[key] = known
 		v.log.Info("upstream appeared", "upstream", entry.Upstream.ID, "pool", entry.Upstream.Pool,
@@ -144,6 +147,7 @@
 func (v *view) forget(key string) {
 	if known, found := v.engines[key]; found {
 		v.log.Info("upstream gone", "upstream", known.id)
+		v.lost(known.id)
 		delete(v.engines, key)
 	}
 }
--- a/node/presence/presence.go
+++ b/node/presence/presence.go
@@ -46,8 +46,6 @@
 type Beat struct {
 	Host    fleet.Host `msgpack:"host"`
 	Leaving bool       `msgpack:"leaving,omitempty"`
-	// Load is how many requests the router runs on each upstream.
-	Load map[fleet.UpstreamID]int `msgpack:"load,omitempty"`
 }
 
 // Presence is one router's part. It is safe for concurrent use.
@@ -57,8 +55,6 @@
 	transport port.Peers
 	log       *log.Logger
 	leaving   atomic.Bool
-	// load tells this router's load on each upstream.
-	load func() map[fleet.UpstreamID]int
 
 	// left is closed when this router begins to leave.
 	left chan struct{}
@@ -81,13 +77,13 @@
 func New(self fleet.Host, store port.Store, logger *log.Logger) *Presence {
 	return &Presence{
 		self: self, store: store, log: logger, listed: map[fleet.HostID]fleet.Host{}, heard: map[fleet.HostID]heard{},
-		load: func() map[fleet.UpstreamID]int { return nil }, left: make(chan struct{}),
+		left: make(chan struct{}),
 	}
 }
 
-// Join connects the presence to other routers, and to what tells this router's load.
-func (p *Presence) Join(transport port.Peers, load func() map[fleet.UpstreamID]int) {
-	p.transport, p.load = transport, load
+// Join connects the presence to other routers.
+func (p *Presence) Join(transport port.Peers) {
+	p.transport = transport
 	transport.Handle(methodBeat, p.answerBeat)
 }
 
@@ -212,22 +208,6 @@
 	return rank
 }
 
-// LoadOfOthers sums what other routers run on each upstream, by their last beats.
-func (p *Presence) LoadOfOthers() map[fleet.UpstreamID]int {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	sum := map[fleet.UpstreamID]int{}
-	for id, last := range p.heard {
-		if id == p.self.ID || time.Since(last.at) > silentAfter {
-			continue
-		}
-		for upstream, running := range last.beat.Load {
-			sum[upstream] += running
-		}
-	}
-	return sum
-}
-
 // Run keeps the router known until ctx ends.
 func (p *Presence) Run(ctx context.Context) {
 	var parts sync.WaitGroup
@@ -307,7 +287,7 @@
 
 // beat makes this router's beat.
 func (p *Presence) beat() Beat {
-	return Beat{Host: p.self, Leaving: p.leaving.Load(), Load: p.load()}
+	return Beat{Host: p.self, Leaving: p.leaving.Load()}
 }
 
 // sendBeats exchanges beats with the routers whose id comes after this one's: the others begin
--- /dev/null
+++ b/node/workload/workload.go
@@ -0,0 +1,282 @@
+// Package workload shares between routers what each of them runs on each upstream, and where
+// prompts have been read. A router sends its figures as they stand, not their changes, so that a
+// lost message is made good by the next; a router that falls silent stops counting.
+package workload
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"agateswitch/core/fleet"
+	"agateswitch/core/warmth"
+	"agateswitch/port"
+
+	"github.com/charmbracelet/log"
+)
+
+// Times of the exchange.
+const (
+	// flushPause gathers what changes within it into one message.
+	flushPause = 10 * time.Millisecond
+	// pausePerPair makes a router of a large fleet gather for longer, so that the number of
+	// messages grows with the number of routers and not with its square.
+	pausePerPair = 50 * time.Microsecond
+	// fullInterval is the time between two messages with all figures.
+	fullInterval = 500 * time.Millisecond
+	// silentAfter is how long the figures of a silent router count.
+	silentAfter = 1600 * time.Millisecond
+	// tellTimeout bounds one message.
+	tellTimeout = 300 * time.Millisecond
+)
+
+const methodTell = "workload.tell"
+
+// Load is what one or more routers run on an upstream.
+type Load struct {
+	Running int `msgpack:"r"`
+	// Unread is the number of prompt tokens that the upstream has still to read.
+	Unread int `msgpack:"u,omitempty"`
+}
+
+// note says that an upstream reads a part of a prompt.
+type note struct {
+	Part     string           `msgpack:"p"`
+	Upstream fleet.UpstreamID `msgpack:"u"`
+}
+
+// message is what a router tells.
+type message struct {
+	Load map[fleet.UpstreamID]Load `msgpack:"l,omitempty"`
+	// Full is true when Load holds all upstreams on which the router runs requests.
+	Full  bool   `msgpack:"f,omitempty"`
+	Notes []note `msgpack:"n,omitempty"`
+}
+
+// Peers are the routers that are told.
+type Peers interface {
+	Others() []fleet.HostID
+}
+
+// Workload is one router's part. It is safe for concurrent use.
+type Workload struct {
+	transport port.Peers
+	peers     Peers
+	log       *log.Logger
+	dirty     chan struct{}
+
+	mu sync.Mutex
+	// own is what this router runs.
+	own map[fleet.UpstreamID]Load
+	// others holds the figures of each other router, and total their sum.
+	others map[fleet.HostID]*figures
+	total  map[fleet.UpstreamID]Load
+	warm   *warmth.Map
+	// changed and notes wait for the next message.
+	changed map[fleet.UpstreamID]bool
+	notes   []note
+}
+
+// figures is what one router has told.
+type figures struct {
+	load map[fleet.UpstreamID]Load
+	at   time.Time
+}
+
+// New makes a router's part.
+func New(transport port.Peers, peers Peers, logger *log.Logger) *Workload {
+	w := &Workload{
+		transport: transport, peers: peers, log: logger, dirty: make(chan struct{}, 1),
+		own: map[fleet.UpstreamID]Load{}, others: map[fleet.HostID]*figures{}, total: map[fleet.UpstreamID]Load{},
+		warm: warmth.NewMap(), changed: map[fleet.UpstreamID]bool{},
+	}
+	transport.Handle(methodTell, w.heard)
+	return w
+}
+
+// Ticket is a running request.
+type Ticket struct {
+	workload *Workload
+	upstream fleet.UpstreamID
+	unread   int
+}
+
+// Start counts a request that is sent to an upstream, which has to read unread tokens of its
+// prompt. From then on the upstream is taken to have the parts.
+func (w *Workload) Start(upstream fleet.UpstreamID, unread int, parts []warmth.Part) *Ticket {
+	w.mu.Lock()
+	now := time.Now()
+	for _, part := range parts {
+		w.warm.Note(part.ID, upstream, now)
+		w.notes = append(w.notes, note{Part: part.ID, Upstream: upstream})
+	}
+	w.mu.Unlock()
+	w.add(upstream, Load{Running: 1, Unread: unread})
+	return &Ticket{workload: w, upstream: upstream, unread: unread}
+}
+
+// Read notes that the upstream has read the prompt.
+func (t *Ticket) Read() {
+	if t.unread > 0 {
+		t.workload.add(t.upstream, Load{Unread: -t.unread})
+		t.unread = 0
+	}
+}
+
+// End notes that the request has ended.
+func (t *Ticket) End() {
+	t.workload.add(t.upstream, Load{Running: -1, Unread: -t.unread})
+	t.unread = 0
+}
+
+func (w *Workload) add(upstream fleet.UpstreamID, change Load) {
+	w.mu.Lock()
+	sum := Load{Running: w.own[upstream].Running + change.Running, Unread: w.own[upstream].Unread + change.Unread}
+	if sum == (Load{}) {
+		delete(w.own, upstream)
+	} else {
+		w.own[upstream] = sum
+	}
+	w.changed[upstream] = true
+	w.mu.Unlock()
+	select {
+	case w.dirty <- struct{}{}:
+	default:
+	}
+}
+
+// Load returns what all routers run on an upstream.
+func (w *Workload) Load(upstream fleet.UpstreamID) Load {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	own, others := w.own[upstream], w.total[upstream]
+	return Load{Running: own.Running + others.Running, Unread: own.Unread + others.Unread}
+}
+
+// Cached returns how many tokens of a prompt each upstream need not read.
+func (w *Workload) Cached(prompt []warmth.Part) map[fleet.UpstreamID]int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.warm.Cached(prompt, time.Now())
+}
+
+// Forget drops what is believed of the cache of an upstream that has restarted or is gone.
+func (w *Workload) Forget(upstream fleet.UpstreamID) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.warm.Forget(upstream)
+}
+
+// Run tells the other routers until ctx ends.
+func (w *Workload) Run(ctx context.Context) {
+	full := time.NewTicker(fullInterval)
+	defer full.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-full.C:
+			w.expire()
+			w.tell(ctx, true)
+		case <-w.dirty:
+			others := len(w.peers.Others())
+			time.Sleep(flushPause + time.Duration(others*others)*pausePerPair)
+			w.tell(ctx, false)
+		}
+	}
+}
+
+// take makes the next message.
+func (w *Workload) take(full bool) message {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	m := message{Load: map[fleet.UpstreamID]Load{}, Full: full, Notes: w.notes}
+	if full {
+		for upstream, load := range w.own {
+			m.Load[upstream] = load
+		}
+	} else {
+		for upstream := range w.changed {
+			m.Load[upstream] = w.own[upstream]
+		}
+	}
+	w.notes, w.changed = nil, map[fleet.UpstreamID]bool{}
+	return m
+}
+
+func (w *Workload) tell(ctx context.Context, full bool) {
+	m := w.take(full)
+	for _, other := range w.peers.Others() {
+		go func() {
+			ctx, cancel := context.WithTimeout(ctx, tellTimeout)
+			defer cancel()
+			var none struct{}
+			if err := w.transport.Call(ctx, other, methodTell, m, &none); err != nil {
+				w.log.Debug("router not told of the workload", "peer", other, "err", err)
+			}
+		}()
+	}
+}
+
+// heard takes the figures of another router.
+func (w *Workload) heard(_ context.Context, from fleet.HostID, decode port.Decode) (any, error) {
+	var m message
+	if err := decode(&m); err != nil {
+		return nil, err
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	now := time.Now()
+	known, found := w.others[from]
+	if !found {
+		known = &figures{load: map[fleet.UpstreamID]Load{}}
+		w.others[from] = known
+	}
+	known.at = now
+	if m.Full {
+		for upstream := range known.load {
+			if _, still := m.Load[upstream]; !still {
+				w.replace(known, upstream, Load{})
+			}
+		}
+	}
+	for upstream, load := range m.Load {
+		w.replace(known, upstream, load)
+	}
+	for _, n := range m.Notes {
+		w.warm.Note(n.Part, n.Upstream, now)
+	}
+	return struct{}{}, nil
+}
+
+// replace sets one figure of a router, and the total. Callers hold mu.
+func (w *Workload) replace(known *figures, upstream fleet.UpstreamID, load Load) {
+	old, sum := known.load[upstream], w.total[upstream]
+	sum.Running += load.Running - old.Running
+	sum.Unread += load.Unread - old.Unread
+	if load == (Load{}) {
+		delete(known.load, upstream)
+	} else {
+		known.load[upstream] = load
+	}
+	if sum == (Load{}) {
+		delete(w.total, upstream)
+	} else {
+		w.total[upstream] = sum
+	}
+}
+
+// expire drops the figures of silent routers.
+func (w *Workload) expire() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for from, known := range w.others {
+		if time.Since(known.at) <= silentAfter {
+			continue
+		}
+		for upstream := range known.load {
+			w.replace(known, upstream, Load{})
+		}
+		delete(w.others, from)
+	}
+}
--- a/port/edge.go
+++ b/port/edge.go
@@ -49,6 +49,9 @@
 	Rank int
 	// ResumeAfter asks for the events after this one.
 	ResumeAfter string
+	// FetchFrom is the address of an engine from which the called one may copy the cached
+	// prompt. Empty means none.
+	FetchFrom string
 }
 
 // EngineLoad is what an upstream tells of its load in an answer.
