--- a/core/balance/balance.go
+++ b/core/balance/balance.go
@@ -39,6 +39,9 @@
 	// rereadFactor weighs tokens that are read again against tokens that are waited for: the
 	// engine's time is lost to others, too.
 	rereadFactor = 1.5
+	// homeShare of a prompt is taken to be cached on the first engine in the key's order while
+	// no engine is known to have it. All routers, and one that has lost its memory, then agree.
+	homeShare = 0.5
 	// faulty is the failure rate from which an upstream comes last, if others fail much less.
 	faulty = 0.25
 	// faultyRatio is how many times the pool's mean failure rate that is at the least. Where
@@ -69,9 +72,9 @@
 	Mean, Bound float64
 }
 
-// ByPrompt ranks candidates for a prompt by the time until they could answer it. Key breaks
-// ties in the same way on all routers.
-func ByPrompt(key string, promptTokens float64, candidates []Candidate) Ranking {
+// ByPrompt ranks candidates for a prompt by the time until they could answer it. Key names the
+// last part that other requests share; known tells whether some engine is believed to have it.
+func ByPrompt(key string, known bool, promptTokens float64, candidates []Candidate) Ranking {
 	ranking := newRanking(candidates)
 	if len(candidates) == 0 {
 		return ranking
@@ -79,14 +82,20 @@
 	hash := rendezvous.Hash(key)
 	faults := faultyOnes(candidates)
 	ranks := make([]rank, len(candidates))
-	anyWarm := false
+	anyWarm, home := false, 0
 	for i, c := range candidates {
+		if rendezvous.Mix(hash, c.Hash) > rendezvous.Mix(hash, candidates[home].Hash) {
+			home = i
+		}
 		ranks[i] = rank{
 			faulty: faults[i], loaded: c.Running > ranking.Bound, tie: rendezvous.Mix(hash, c.Hash),
 			cost: c.Unread + runningTokens*c.Running + rereadFactor*c.Uncached,
 		}
 		anyWarm = anyWarm || c.Uncached < promptTokens
 	}
+	if !known {
+		ranks[home].cost -= rereadFactor * homeShare * promptTokens
+	}
 	sort.Slice(ranking.Order, func(a, b int) bool { return ranks[ranking.Order[a]].before(ranks[ranking.Order[b]]) })
 	switch {
 	case candidates[ranking.Order[0]].Uncached < promptTokens:
--- a/core/warmth/warmth.go
+++ b/core/warmth/warmth.go
@@ -74,6 +74,16 @@
 	}
 }
 
+// Known tells whether any engine is believed to have a part.
+func (m *Map) Known(part string, now time.Time) bool {
+	for _, used := range m.parts[part] {
+		if now.Sub(used) <= lifetime {
+			return true
+		}
+	}
+	return false
+}
+
 // Cached returns for each engine that has the first part of a prompt how many tokens it need
 // not read: those of the parts that it has without a gap from the start.
 func (m *Map) Cached(prompt []Part, now time.Time) map[fleet.UpstreamID]int {
@@ -97,3 +107,34 @@
 	}
 	return cached
 }
+
+// Placement is one part on one engine.
+type Placement struct {
+	Part   string           `msgpack:"p"`
+	Engine fleet.UpstreamID `msgpack:"u"`
+	// Age is how long ago the part was last used there.
+	Age time.Duration `msgpack:"a,omitempty"`
+}
+
+// All returns everything that has not lapsed.
+func (m *Map) All(now time.Time) []Placement {
+	var all []Placement
+	for part, engines := range m.parts {
+		for engine, used := range engines {
+			if age := now.Sub(used); age <= lifetime {
+				all = append(all, Placement{Part: part, Engine: engine, Age: age})
+			}
+		}
+	}
+	return all
+}
+
+// Add takes placements that another router knows. Newer ones stay.
+func (m *Map) Add(placements []Placement, now time.Time) {
+	for _, p := range placements {
+		used := now.Add(-p.Age)
+		if used.After(m.parts[p.Part][p.Engine]) {
+			m.Note(p.Part, p.Engine, used)
+		}
+	}
+}
--- a/node/gateway/choose.go
+++ b/node/gateway/choose.go
@@ -83,7 +83,8 @@
 func (g *Gateway) first(among candidates, pool *routing.Pool, prompt []warmth.Part, now time.Time) *choice {
 	var ranking balance.Ranking
 	if len(prompt) > 0 {
-		ranking = balance.ByPrompt(prompt[max(0, len(prompt)-2)].ID, float64(promptTokens(prompt)), among.ranked)
+		key := prompt[max(0, len(prompt)-2)].ID
+		ranking = balance.ByPrompt(key, g.Workload.Known(key), float64(promptTokens(prompt)), among.ranked)
 	} else {
 		ties := make([]uint64, len(among.ranked))
 		for i := range ties {
--- a/node/workload/workload.go
+++ b/node/workload/workload.go
@@ -30,7 +30,11 @@
 	tellTimeout = 300 * time.Millisecond
 )
 
-const methodTell = "workload.tell"
+// Methods between routers.
+const (
+	methodTell = "workload.tell"
+	methodWarm = "workload.warm"
+)
 
 // Load is what one or more routers run on an upstream.
 type Load struct {
@@ -39,18 +43,13 @@
 	Unread int `msgpack:"u,omitempty"`
 }
 
-// note says that an upstream reads a part of a prompt.
-type note struct {
-	Part     string           `msgpack:"p"`
-	Upstream fleet.UpstreamID `msgpack:"u"`
-}
-
 // message is what a router tells.
 type message struct {
 	Load map[fleet.UpstreamID]Load `msgpack:"l,omitempty"`
 	// Full is true when Load holds all upstreams on which the router runs requests.
-	Full  bool   `msgpack:"f,omitempty"`
-	Notes []note `msgpack:"n,omitempty"`
+	Full bool `msgpack:"f,omitempty"`
+	// Warm holds the parts of prompts that upstreams read since the last message.
+	Warm []warmth.Placement `msgpack:"w,omitempty"`
 }
 
 // Peers are the routers that are told.
@@ -72,9 +71,9 @@
 	others map[fleet.HostID]*figures
 	total  map[fleet.UpstreamID]Load
 	warm   *warmth.Map
-	// changed and notes wait for the next message.
+	// changed and placed wait for the next message.
 	changed map[fleet.UpstreamID]bool
-	notes   []note
+	placed  []warmth.Placement
 }
 
 // figures is what one router has told.
@@ -91,6 +90,7 @@
 		warm: warmth.NewMap(), changed: map[fleet.UpstreamID]bool{},
 	}
 	transport.Handle(methodTell, w.heard)
+	transport.Handle(methodWarm, w.tellWarm)
 	return w
 }
 
@@ -108,7 +108,7 @@
 	now := time.Now()
 	for _, part := range parts {
 		w.warm.Note(part.ID, upstream, now)
-		w.notes = append(w.notes, note{Part: part.ID, Upstream: upstream})
+		w.placed = append(w.placed, warmth.Placement{Part: part.ID, Engine: upstream})
 	}
 	w.mu.Unlock()
 	w.add(upstream, Load{Running: 1, Unread: unread})
@@ -160,6 +160,13 @@
 	return w.warm.Cached(prompt, time.Now())
 }
 
+// Known tells whether any upstream is believed to have a part.
+func (w *Workload) Known(part string) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.warm.Known(part, time.Now())
+}
+
 // Forget drops what is believed of the cache of an upstream that has restarted or is gone.
 func (w *Workload) Forget(upstream fleet.UpstreamID) {
 	w.mu.Lock()
@@ -171,11 +178,13 @@
 func (w *Workload) Run(ctx context.Context) {
 	full := time.NewTicker(fullInterval)
 	defer full.Stop()
+	learned := false
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-full.C:
+			learned = learned || w.learnWarm(ctx)
 			w.expire()
 			w.tell(ctx, true)
 		case <-w.dirty:
@@ -186,11 +195,38 @@
 	}
 }
 
+// learnWarm asks a router for all that is warm, which a started router does not know. It returns
+// false when none answered.
+func (w *Workload) learnWarm(ctx context.Context) bool {
+	for _, other := range w.peers.Others() {
+		ctx, cancel := context.WithTimeout(ctx, tellTimeout)
+		var warm []warmth.Placement
+		err := w.transport.Call(ctx, other, methodWarm, struct{}{}, &warm)
+		cancel()
+		if err != nil {
+			w.log.Debug("router did not tell what is warm", "peer", other, "err", err)
+			continue
+		}
+		w.mu.Lock()
+		w.warm.Add(warm, time.Now())
+		w.mu.Unlock()
+		w.log.Info("warm prompts learned", "peer", other, "placements", len(warm))
+		return true
+	}
+	return false
+}
+
+func (w *Workload) tellWarm(context.Context, fleet.HostID, port.Decode) (any, error) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.warm.All(time.Now()), nil
+}
+
 // take makes the next message.
 func (w *Workload) take(full bool) message {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	m := message{Load: map[fleet.UpstreamID]Load{}, Full: full, Notes: w.notes}
+	m := message{Load: map[fleet.UpstreamID]Load{}, Full: full, Warm: w.placed}
 	if full {
 		for upstream, load := range w.own {
 			m.Load[upstream] = load
@@ -200,7 +236,7 @@
 			m.Load[upstream] = w.own[upstream]
 		}
 	}
-	w.notes, w.changed = nil, map[fleet.UpstreamID]bool{}
+	w.placed, w.changed = nil, map[fleet.UpstreamID]bool{}
 	return m
 }
 
@@ -243,9 +279,7 @@
 	for upstream, load := range m.Load {
 		w.replace(known, upstream, load)
 	}
-	for _, n := range m.Notes {
-		w.warm.Note(n.Part, n.Upstream, now)
-	}
+	w.warm.Add(m.Warm, now)
 	return struct{}{}, nil
 }
 
