Read engines' caches once after all routers have restarted

Ruled out: following cache events (each call that waits less than 200 ms is a probe). Change: a router that finds no other one that knows reads the caches of the engines for which it is first by rendezvous, and tells the others; not on the fleet's first start.

--- a/cmd/agateswitch/gateway.go
+++ b/cmd/agateswitch/gateway.go
@@ -87,7 +87,7 @@
 		Upstreams: upstreamhttp.NewWith(dialer.New().DialContext, upstreamhttp.Options{
 			IDHeader: platform.RequestIDHeader, IdleTimeout: upstreamIdle, AllowUnframed: true,
 		}),
-		Newest: copied, Fleet: known, Workload: work, Log: logger,
+		Newest: copied, Fleet: known, Workload: work, Caches: platform.NewCaches(), Log: logger,
 		Bounds: gateway.Bounds{
 			RetryRatio: s.Retries.Ratio, RetryExtra: s.Retries.Extra, RetryWindow: time.Duration(s.Retries.Window),
 		},
@@ -116,6 +116,7 @@
 	parts.Go(func() { copied.Run(background) })
 	parts.Go(func() { known.Run(background) })
 	parts.Go(func() { work.Run(background) })
+	parts.Go(func() { router.LearnWarm(background, s.FirstStart) })
 	parts.Go(func() {
 		if err := mesh.Serve(background, peers); err != nil {
 			logger.Error("routers are not served", "err", err)
--- a/node/gateway/gateway.go
+++ b/node/gateway/gateway.go
@@ -52,6 +52,7 @@
 	Newest    Newest
 	Fleet     Fleet
 	Workload  *workload.Workload
+	Caches    port.PromptCache
 	Log       *log.Logger
 	Bounds    Bounds
 }
--- a/port/edge.go
+++ b/port/edge.go
@@ -1,6 +1,7 @@
 package port
 
 import (
+	"context"
 	"net/http"
 	"time"
 
@@ -127,3 +128,9 @@
 	// MoveStatus makes the entry that tells operators how a move stands.
 	MoveStatus(order MoveOrder, state MoveState) (key string, value []byte, err error)
 }
+
+// PromptCache reads which parts of prompts an engine has in its cache.
+type PromptCache interface {
+	// CachedParts lists the parts. The call costs the engine some of its time.
+	CachedParts(ctx context.Context, upstream fleet.Upstream) ([]string, error)
+}
--- a/settings/gateway.go
+++ b/settings/gateway.go
@@ -16,6 +16,9 @@
 	// PeerKey proves that a process is a router of the fleet. At least 32 characters, the
 	// same on every router.
 	PeerKey string `json:"peer_key"`
+	// FirstStart is true when the whole system starts for the first time, so that nothing is
+	// known anywhere that a router could learn. Default: false.
+	FirstStart bool `json:"first_start"`
 	// Grace is how long the process may go on after SIGTERM.
 	Grace Duration `json:"grace"`
 	// DirectoryTTL is how long callers may keep an answer of the directory. Default: 2s.
