Reload settings at SIGHUP and when the file changes

Change: the file is read again at SIGHUP and every 5 s; what is wrong leaves the old settings in force.

--- a/cmd/agateswitch/gateway.go
+++ b/cmd/agateswitch/gateway.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"net"
 	"os"
 	"sync"
@@ -46,22 +47,36 @@
 			if len(args) == 1 {
 				path = args[0]
 			}
-			checked, problems, err := settings.LoadGateway(path)
+			checked, err := loadGatewaySettings(command.ErrOrStderr(), path)
 			if err != nil {
 				return err
 			}
-			for _, problem := range problems {
-				fmt.Fprintln(command.ErrOrStderr(), problem)
-			}
-			if len(problems) > 0 {
-				return errors.Errorf("%d problems in the settings, nothing started", len(problems))
-			}
-			return runGateway(checked)
+			return runGateway(checked, path)
 		},
 	}
 }
 
-func runGateway(s settings.Gateway) error {
+func loadGatewaySettings(stderr io.Writer, path string) (settings.Gateway, error) {
+	checked, problems, err := settings.LoadGateway(path)
+	if err != nil {
+		return settings.Gateway{}, err
+	}
+	for _, problem := range problems {
+		fmt.Fprintln(stderr, problem)
+	}
+	if len(problems) > 0 {
+		return settings.Gateway{}, errors.Errorf("%d problems in the settings, nothing started", len(problems))
+	}
+	return checked, nil
+}
+
+func bounds(s settings.Gateway) gateway.Bounds {
+	return gateway.Bounds{
+		RetryRatio: s.Retries.Ratio, RetryExtra: s.Retries.Extra, RetryWindow: time.Duration(s.Retries.Window),
+	}
+}
+
+func runGateway(s settings.Gateway, path string) error {
 	lines := telemetry.NewAsyncWriter(os.Stdout)
 	defer lines.Close()
 	logger, err := telemetry.NewLogger(lines, s.Log.Level, s.Log.Format)
@@ -88,10 +103,7 @@
 			IDHeader: platform.RequestIDHeader, IdleTimeout: upstreamIdle, AllowUnframed: true,
 		}),
 		Newest: copied, Fleet: known, Workload: work, Caches: platform.NewCaches(), Log: logger,
-		Bounds: gateway.Bounds{
-			RetryRatio: s.Retries.Ratio, RetryExtra: s.Retries.Extra, RetryWindow: time.Duration(s.Retries.Window),
-		},
-	})
+	}, bounds(s))
 	copied.Subscribe(known.Observe)
 	copied.Subscribe(router.Observe)
 	known.Join(mesh)
@@ -113,6 +125,10 @@
 	defer stop()
 	background, end := context.WithCancel(forced)
 	var parts sync.WaitGroup
+	reload := reloader{path: path, inForce: s, log: logger, apply: func(changed settings.Gateway) {
+		router.SetBounds(bounds(changed))
+	}}
+	parts.Go(func() { reload.run(background) })
 	parts.Go(func() { copied.Run(background) })
 	parts.Go(func() { known.Run(background) })
 	parts.Go(func() { work.Run(background) })
--- a/node/gateway/gateway.go
+++ b/node/gateway/gateway.go
@@ -54,13 +54,13 @@
 	Workload  *workload.Workload
 	Caches    port.PromptCache
 	Log       *log.Logger
-	Bounds    Bounds
 }
 
 // Gateway is an http.Handler. It is safe for concurrent use.
 type Gateway struct {
 	Parts
 	view    *view
+	bounds  atomic.Pointer[Bounds]
 	leaving atomic.Bool
 	// running counts requests from callers.
 	running sync.WaitGroup
@@ -70,10 +70,22 @@
 }
 
 // New makes a gateway. Its Observe is to be subscribed to the replica.
-func New(parts Parts) *Gateway {
-	return &Gateway{
+func New(parts Parts, bounds Bounds) *Gateway {
+	g := &Gateway{
 		Parts: parts, view: newView(parts.Codec, parts.Workload.Forget, parts.Log), retries: map[fleet.PoolID]*pace.RetryBudget{},
 	}
+	g.SetBounds(bounds)
+	return g
+}
+
+// SetBounds puts changed bounds in force. A changed window counts from now on.
+func (g *Gateway) SetBounds(bounds Bounds) {
+	old := g.bounds.Swap(&bounds)
+	if old != nil && old.RetryWindow != bounds.RetryWindow {
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		g.retries = map[fleet.PoolID]*pace.RetryBudget{}
+	}
 }
 
 // Observe takes changes of the store.
@@ -108,10 +120,11 @@
 
 // mayRetry takes a retry from this router's share of its pool's budget.
 func (g *Gateway) mayRetry(pool fleet.PoolID, now time.Time) bool {
-	extra := g.Bounds.RetryExtra / float64(g.Fleet.Count())
+	bounds := g.bounds.Load()
+	extra := bounds.RetryExtra / float64(g.Fleet.Count())
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.budget(pool).Retry(now, g.Bounds.RetryRatio*retryMargin, extra*retryMargin)
+	return g.budget(pool).Retry(now, bounds.RetryRatio*retryMargin, extra*retryMargin)
 }
 
 // retryMargin is the part of the retry budget that is used: requests that a router has counted
@@ -121,7 +134,7 @@
 func (g *Gateway) budget(pool fleet.PoolID) *pace.RetryBudget {
 	budget, found := g.retries[pool]
 	if !found {
-		budget = pace.NewRetryBudget(g.Bounds.RetryWindow)
+		budget = pace.NewRetryBudget(g.bounds.Load().RetryWindow)
 		g.retries[pool] = budget
 	}
 	return budget
