--- a/node/gateway/exchange.go
+++ b/node/gateway/exchange.go
@@ -232,6 +232,7 @@
 }
 
 func (x *exchange) refuse(refusal *fleet.Refusal) {
+	x.gateway.Instruments.refused(x.routeName(), string(refusal.Code))
 	x.gateway.Log.Info("request refused", "request", x.call.ID, "route", x.routeName(), "code", refusal.Code,
 		"ran", refusal.Ran, "why", refusal.Message, "last", x.last, "retry_after", refusal.RetryAfter,
 		"state", x.stateVersion(), "state_age", x.gateway.Newest.Age().Round(time.Millisecond), "took", time.Since(x.began))
@@ -312,12 +313,14 @@
 }
 
 func (x *exchange) logAttempt(chosen *choice, result attemptResult) {
+	x.gateway.Instruments.attemptFailed(x.route.Name)
 	x.gateway.Log.Info("attempt failed", "request", x.call.ID, "route", x.route.Name, "upstream", chosen.upstream.ID,
 		"version", chosen.upstream.Version, "reason", chosen.ranking.Reason, "load", chosen.load.Running, "unread", chosen.load.Unread,
 		"sent", result.sent, "ran", result.ran, "cause", result.cause, "took", time.Since(x.began))
 }
 
 func (x *exchange) logAnswer(chosen *choice, status int, first time.Duration, events int) {
+	x.gateway.Instruments.answered(x.route.Name, status, first)
 	x.gateway.Log.Info("answered", "request", x.call.ID, "route", x.route.Name, "team", x.teamName(),
 		"upstream", chosen.upstream.ID, "version", chosen.upstream.Version, "reason", chosen.ranking.Reason,
 		"load", chosen.load.Running, "unread", chosen.load.Unread, "bound", chosen.ranking.Bound,
--- a/node/gateway/gateway.go
+++ b/node/gateway/gateway.go
@@ -12,6 +12,7 @@
 
 	"agateswitch/core/fleet"
 	"agateswitch/core/pace"
+	"agateswitch/core/routing"
 	"agateswitch/node/replica"
 	"agateswitch/node/workload"
 	"agateswitch/port"
@@ -45,15 +46,13 @@
 
 // Parts are what a gateway works with.
 type Parts struct {
-	Codec     port.FactCodec
-	Callers   port.CallerProtocol
-	Engines   port.EngineProtocol
-	Upstreams port.Upstreams
-	Newest    Newest
-	Fleet     Fleet
-	Workload  *workload.Workload
-	Caches    port.PromptCache
-	Log       *log.Logger
+	port.Edge
+	Newest   Newest
+	Fleet    Fleet
+	Workload *workload.Workload
+	// Instruments count what the gateway does.
+	Instruments Instruments
+	Log         *log.Logger
 }
 
 // Gateway is an http.Handler. It is safe for concurrent use.
@@ -94,6 +93,9 @@
 // Ready is closed once a desired state is in force.
 func (g *Gateway) Ready() <-chan struct{} { return g.view.ready }
 
+// Limits returns what callers may send, by the desired state in force.
+func (g *Gateway) Limits() routing.Limits { return g.view.current.Load().table.State.Limits }
+
 // Leave makes callers move their connections to other routers: each answer closes its own.
 func (g *Gateway) Leave() { g.leaving.Store(true) }
 
--- a/port/edge.go
+++ b/port/edge.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"net/http"
 	"time"
 
@@ -134,3 +135,28 @@
 	// CachedParts lists the parts. The call costs the engine some of its time.
 	CachedParts(ctx context.Context, upstream fleet.Upstream) ([]string, error)
 }
+
+// EntryList is what callers and the platform ask a router beside requests.
+type EntryList struct {
+	// Addresses returns the addresses of the routers that take callers.
+	Addresses func() []string
+	// TTL is how long callers may keep an answer.
+	TTL func() time.Duration
+	// Ready tells whether this router takes callers.
+	Ready func() bool
+}
+
+// Dial makes a connection, as net.Dialer.DialContext does.
+type Dial func(ctx context.Context, network, address string) (net.Conn, error)
+
+// Edge is everything that a router by host and path meets outside the fleet.
+type Edge struct {
+	Store     Store
+	Codec     FactCodec
+	Callers   CallerProtocol
+	Engines   EngineProtocol
+	Upstreams Upstreams
+	Caches    PromptCache
+	// Entries serves an entry list: the directory that callers ask, and the readiness check.
+	Entries func(EntryList) (directory, readiness http.Handler)
+}
