--- a/cmd/agateswitch/gateway.go
+++ b/cmd/agateswitch/gateway.go
@@ -73,6 +73,6 @@
 	stopping, forced, stop := signalContexts()
 	defer stop()
 	reload := reloader{path: path, inForce: s, log: logger, apply: router.Apply}
-	go reload.run(forced)
+	reload.start(forced)
 	return router.Run(stopping, forced)
 }
--- a/cmd/agateswitch/reload.go
+++ b/cmd/agateswitch/reload.go
@@ -27,11 +27,20 @@
 	log     *log.Logger
 }
 
-// run looks for changes at each SIGHUP and from time to time, until ctx ends.
-func (r *reloader) run(ctx context.Context) {
+// hangup is the signal that asks for a reload.
+const hangup = syscall.SIGHUP
+
+// start looks for changes at each hangup and from time to time, until ctx ends.
+func (r *reloader) start(ctx context.Context) {
 	hangups := make(chan os.Signal, 1)
-	signal.Notify(hangups, syscall.SIGHUP)
-	defer signal.Stop(hangups)
+	signal.Notify(hangups, hangup)
+	go func() {
+		defer signal.Stop(hangups)
+		r.run(ctx, hangups)
+	}()
+}
+
+func (r *reloader) run(ctx context.Context, hangups <-chan os.Signal) {
 	ticker := time.NewTicker(reloadInterval)
 	defer ticker.Stop()
 	for {
--- /dev/null
+++ b/core/outlier/outlier_test.go
@@ -0,0 +1,41 @@
+package outlier
+
+import (
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+)
+
+var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+func TestUnreachableUpstreamIsEjectedForAWhile(t *testing.T) {
+	var tracker Tracker
+	tracker.Observe(start, Unreachable)
+	must.False(t, tracker.Ejected(start))
+	must.True(t, tracker.Suspect())
+	tracker.Observe(start, Unreachable)
+	must.True(t, tracker.Ejected(start))
+	must.False(t, tracker.Ejected(start.Add(baseEjection)))
+	// Each ejection is longer, up to a bound; a success ends the suspicion.
+	now := start
+	for range 10 {
+		now = now.Add(maxEjection)
+		must.False(t, tracker.Ejected(now))
+		tracker.Observe(now, Unreachable)
+		must.True(t, tracker.Ejected(now))
+	}
+	tracker.Observe(now.Add(maxEjection), Success)
+	must.False(t, tracker.Suspect())
+}
+
+func TestFailureRateFollowsAndForgets(t *testing.T) {
+	var tracker Tracker
+	tracker.Observe(start, Failure)
+	must.Less(t, 0.25, tracker.FailureRate(start))
+	for range 20 {
+		tracker.Observe(start, Failure)
+	}
+	must.Greater(t, 0.8, tracker.FailureRate(start))
+	must.Less(t, 0.1, tracker.FailureRate(start.Add(20*time.Second)))
+}
--- a/core/warmth/warmth.go
+++ b/core/warmth/warmth.go
@@ -44,7 +44,8 @@
 	engines[engine] = now
 }
 
-// prune drops what has lapsed, and an arbitrary part if nothing has.
+// prune drops what has lapsed, and arbitrary parts until a quarter of the map is free, so that it
+// runs seldom.
 func (m *Map) prune(now time.Time) {
 	for part, engines := range m.parts {
 		for engine, used := range engines {
@@ -57,7 +58,7 @@
 		}
 	}
 	for part := range m.parts {
-		if len(m.parts) < maxParts {
+		if len(m.parts) < maxParts*3/4 {
 			return
 		}
 		delete(m.parts, part)
--- a/node/replica/pull.go
+++ b/node/replica/pull.go
@@ -13,6 +13,8 @@
 // pullRequest asks for what is newer than a revision.
 type pullRequest struct {
 	After int64 `msgpack:"after"`
+	// Newest asks the router to make sure first that its desired state is the newest.
+	Newest bool `msgpack:"newest,omitempty"`
 }
 
 // pulledEntry is an entry or a deletion.
@@ -32,6 +34,8 @@
 	Complete bool `msgpack:"complete,omitempty"`
 	// AgeMs is how long ago the router made sure that AsOf is the newest revision.
 	AgeMs int64 `msgpack:"age_ms"`
+	// DesiredAgeMs is the same for the desired state alone.
+	DesiredAgeMs int64 `msgpack:"desired_age_ms"`
 }
 
 // pullWhileStale asks other routers while the store brings nothing.
@@ -39,23 +43,23 @@
 	for ctx.Err() == nil {
 		sleep(ctx, pullInterval)
 		if r.Age() > staleAfter {
-			r.pull(ctx)
+			r.pull(ctx, false)
 		}
 	}
 }
 
 // pull asks some routers, and returns when all have answered or run out of time.
-func (r *Replica) pull(ctx context.Context) {
+func (r *Replica) pull(ctx context.Context, newest bool) {
 	others := r.peers.Others()
 	rand.Shuffle(len(others), func(i, j int) { others[i], others[j] = others[j], others[i] })
 	var asked sync.WaitGroup
 	for _, other := range others[:min(len(others), pullFanout)] {
-		asked.Go(func() { r.pullFrom(ctx, other) })
+		asked.Go(func() { r.pullFrom(ctx, other, newest) })
 	}
 	asked.Wait()
 }
 
-func (r *Replica) pullFrom(ctx context.Context, other fleet.HostID) {
+func (r *Replica) pullFrom(ctx context.Context, other fleet.HostID, newest bool) {
 	ctx, cancel := context.WithTimeout(ctx, pullTimeout)
 	defer cancel()
 	r.mu.Lock()
@@ -63,7 +67,7 @@
 	r.mu.Unlock()
 	began := time.Now()
 	var response pullResponse
-	if err := r.transport.Call(ctx, other, methodPull, pullRequest{After: after}, &response); err != nil {
+	if err := r.transport.Call(ctx, other, methodPull, pullRequest{After: after, Newest: newest}, &response); err != nil {
 		r.log.Debug("router did not tell its state", "peer", other, "err", err)
 		return
 	}
@@ -72,6 +76,7 @@
 	}
 	// The age counts from before the question, so that the copy is never taken for newer.
 	confirmed := began.Add(-time.Duration(response.AgeMs) * time.Millisecond)
+	defer r.takeDesiredAge(began.Add(-time.Duration(response.DesiredAgeMs) * time.Millisecond))
 	if response.Complete {
 		entries := make([]port.Entry, 0, len(response.Entries))
 		for _, entry := range response.Entries {
@@ -89,14 +94,30 @@
 	r.apply(changes, response.AsOf, confirmed)
 }
 
-func (r *Replica) answerPull(_ context.Context, _ fleet.HostID, decode port.Decode) (any, error) {
+func (r *Replica) takeDesiredAge(confirmed time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if confirmed.After(r.desiredConfirmed) {
+		r.desiredConfirmed = confirmed
+	}
+}
+
+func (r *Replica) answerPull(ctx context.Context, _ fleet.HostID, decode port.Decode) (any, error) {
 	var request pullRequest
 	if err := decode(&request); err != nil {
 		return nil, err
 	}
+	if request.Newest && r.desiredAge() > confirmAge/2 {
+		if err := r.readDesired(ctx); err != nil {
+			r.log.Debug("newest state not read for a router", "err", err)
+		}
+	}
+	desiredAge := r.desiredAge()
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	response := pullResponse{AsOf: r.asOf, AgeMs: time.Since(r.confirmed).Milliseconds()}
+	response := pullResponse{
+		AsOf: r.asOf, AgeMs: time.Since(r.confirmed).Milliseconds(), DesiredAgeMs: desiredAge.Milliseconds(),
+	}
 	if request.After <= r.forgotten {
 		response.Complete, request.After = true, 0
 	}
--- a/node/replica/replica.go
+++ b/node/replica/replica.go
@@ -30,7 +30,7 @@
 	// pullFanout is how many routers are asked at once.
 	pullFanout = 2
 	// confirmTimeout bounds the read that makes sure nothing newer exists.
-	confirmTimeout = 400 * time.Millisecond
+	confirmTimeout = 300 * time.Millisecond
 	// confirmAge is the age at which a copy counts as the newest state. A change has to be in
 	// force 2 s after it was acknowledged; half of that is left for other delays.
 	confirmAge = time.Second
@@ -74,12 +74,14 @@
 	entries map[string]port.Entry
 	graves  map[string]grave
 	// forgotten is the newest deletion that is no longer remembered.
-	forgotten   int64
-	asOf        int64
-	confirmed   time.Time
-	reached     bool
-	returned    time.Time
-	subscribers []func([]Change)
+	forgotten int64
+	asOf      int64
+	confirmed time.Time
+	// desiredConfirmed is when the desired state alone was last known to be the newest.
+	desiredConfirmed time.Time
+	reached          bool
+	returned         time.Time
+	subscribers      []func([]Change)
 
 	// confirming lets one confirmation run at a time; those that wait share its result.
 	confirming   sync.Mutex
@@ -276,10 +278,17 @@
 	r.reached = false
 }
 
+// desiredAge returns how old the desired state may be.
+func (r *Replica) desiredAge() time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return min(time.Since(r.confirmed), time.Since(r.desiredConfirmed))
+}
+
 // Confirm makes sure that the desired state is the newest. Calls that wait for a confirmation
 // which began after they came share its result.
 func (r *Replica) Confirm(ctx context.Context) error {
-	if r.Age() <= confirmAge {
+	if r.desiredAge() <= confirmAge {
 		return nil
 	}
 	came := time.Now()
@@ -293,25 +302,38 @@
 	return r.confirmError
 }
 
+// confirm reads the desired state, or asks routers that may have read it.
 func (r *Replica) confirm(ctx context.Context) error {
-	ctx, cancel := context.WithTimeout(ctx, confirmTimeout)
-	defer cancel()
-	began := time.Now()
-	entry, err := r.store.Get(ctx, r.desiredKey)
+	err := r.readDesired(ctx)
 	if err == nil {
-		if entry.Revision > 0 {
-			r.learn(entry)
-		}
 		return nil
 	}
 	r.log.Warn("store did not confirm the newest state, asking routers", "err", err)
-	// The deadline of the read above is spent; routers get their own.
-	if r.pull(context.WithoutCancel(ctx)); time.Since(began) > 0 && r.Age() <= confirmAge {
+	r.pull(ctx, true)
+	if r.desiredAge() <= confirmAge {
 		return nil
 	}
 	return errors.Trace(ErrUnconfirmed)
 }
 
+// readDesired reads the desired state alone from the store.
+func (r *Replica) readDesired(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, confirmTimeout)
+	defer cancel()
+	began := time.Now()
+	entry, err := r.store.Get(ctx, r.desiredKey)
+	if err != nil {
+		return err
+	}
+	if entry.Revision > 0 {
+		r.learn(entry)
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.desiredConfirmed = began
+	return nil
+}
+
 // learn takes one entry that was read by itself.
 func (r *Replica) learn(entry port.Entry) {
 	r.mu.Lock()
