Move versions by the time that operators name, or roll them back

Ruled out: the product's stepwise moves, whose steps last 30 s at least; their detector and evidence are used. Change: every router judges the evidence of all; the exposure stays within its bound by each router's share; a rollback needs no store; the end is reported under a condition. A good end waits for the last evidence: without that, one router reported success while another rolled back (seen in TestBadVersionIsRolledBack, hanging version). Measured: tests only, in virtual time; go test -race -count=3 ./platform passes.

--- a/node/edge/edge.go
+++ b/node/edge/edge.go
@@ -11,9 +11,11 @@
 	"agateswitch/adapter/peer"
 	"agateswitch/adapter/telemetry"
 	"agateswitch/core/fleet"
+	"agateswitch/core/rollout"
 	"agateswitch/node/gateway"
 	"agateswitch/node/presence"
 	"agateswitch/node/replica"
+	"agateswitch/node/versionmove"
 	"agateswitch/node/workload"
 	"agateswitch/port"
 	"agateswitch/settings"
@@ -37,6 +39,7 @@
 	presence *presence.Presence
 	replica  *replica.Replica
 	workload *workload.Workload
+	moves    *versionmove.Service
 	mesh     *peer.Mesh
 	servers  *servers
 }
@@ -54,14 +57,17 @@
 	r.presence.Join(r.mesh)
 	r.replica = replica.New(outside.Store, r.mesh, r.presence, outside.Codec.DesiredKey(), logger)
 	r.workload = workload.New(r.mesh, r.presence, logger)
+	r.moves = versionmove.New(outside.Codec, outside.Store, r.mesh, r.presence, exposure(s), logger)
 	instruments, err := gateway.NewInstruments(metrics.Meter())
 	if err != nil {
 		return nil, err
 	}
 	r.gateway = gateway.New(gateway.Parts{
-		Edge: outside, Newest: r.replica, Fleet: r.presence, Workload: r.workload, Instruments: instruments, Log: logger,
+		Edge: outside, Newest: r.replica, Fleet: r.presence, Workload: r.workload, Moves: r.moves,
+		Instruments: instruments, Log: logger,
 	}, bounds(s))
 	r.replica.Subscribe(r.presence.Observe)
+	r.replica.Subscribe(r.moves.Observe)
 	r.replica.Subscribe(r.gateway.Observe)
 	directory, readiness := outside.Entries(port.EntryList{Addresses: r.addresses, TTL: r.ttl, Ready: r.ready})
 	r.servers = &servers{
@@ -80,10 +86,15 @@
 	}
 }
 
+func exposure(s settings.Gateway) rollout.Exposure {
+	return rollout.Exposure{Share: s.Exposure.Share, Slack: s.Exposure.Slack}
+}
+
 // Apply puts changed settings in force: bounds, the directory's TTL and the grace time.
 func (r *Router) Apply(s settings.Gateway) {
 	r.settings.Store(&s)
 	r.gateway.SetBounds(bounds(s))
+	r.moves.SetExposure(exposure(s))
 }
 
 func (r *Router) addresses() []string {
@@ -117,7 +128,7 @@
 	}
 	life, end := context.WithCancel(forced)
 	var parts sync.WaitGroup
-	for _, run := range []func(context.Context){r.replica.Run, r.presence.Run, r.workload.Run, r.learn} {
+	for _, run := range []func(context.Context){r.replica.Run, r.presence.Run, r.workload.Run, r.moves.Run, r.learn} {
 		parts.Go(func() { run(life) })
 	}
 	parts.Go(func() {
--- a/node/gateway/choose.go
+++ b/node/gateway/choose.go
@@ -14,9 +14,9 @@
 	"agateswitch/node/workload"
 )
 
-// minFetchTokens is how many tokens more another engine must have in its cache for a copy to be
+// minCopyTokens is how many tokens more another engine must have in its cache for a copy to be
 // worth the transfer's setup, which takes as long as reading about 300 tokens.
-const minFetchTokens = 512
+const minCopyTokens = 512
 
 // choice is an upstream for one attempt, and why.
 type choice struct {
@@ -29,6 +29,11 @@
 	// fetchFrom is the address of an engine that has more of the prompt.
 	fetchFrom string
 	ticket    *workload.Ticket
+	// sentAt is when the attempt began, and first how long its first byte took.
+	sentAt time.Time
+	first  time.Duration
+	// events is how many events of a stream came.
+	events int
 }
 
 // candidates are upstreams side by side with what the ranking knows of them.
@@ -43,13 +48,15 @@
 
 // choose takes an upstream of the pool. It returns nil when none may get the request now.
 func (g *Gateway) choose(current *snapshot, pool *routing.Pool, prompt []warmth.Part, tried map[*engine]bool, now time.Time) *choice {
-	var usable, ejected candidates
+	var preferred, usable, ejected candidates
 	total := promptTokens(prompt)
 	cached := g.Workload.Cached(prompt)
 	sources := fetchSources(current, pool.ID, cached, now)
+	versions := g.Moves.Choose(pool.ID, presentVersions(current, pool.ID))
 	for _, e := range current.engines[pool.ID] {
 		s := e.standing(now)
-		if tried[e] || s.upstream.State != fleet.Live || current.out[s.upstream.DataCentre] {
+		if tried[e] || s.upstream.State != fleet.Live || current.out[s.upstream.DataCentre] ||
+			versions.Avoid != "" && s.upstream.Version == versions.Avoid {
 			continue
 		}
 		load := g.Workload.Load(e.id)
@@ -57,27 +64,43 @@
 			ID: e.id, Hash: e.hash, FailureRate: s.failureRate, Running: float64(load.Running),
 			Unread: float64(load.Unread), Uncached: float64(total - cached[e.id]),
 		}
-		if source, found := sources.besides(e); found && source.tokens >= cached[e.id]+minFetchTokens {
+		if source, found := sources.besides(e); found && source.tokens >= cached[e.id]+minCopyTokens {
 			candidate.Fetchable = float64(source.tokens - cached[e.id])
 		}
-		if s.ejected {
+		switch {
+		case s.ejected:
 			ejected.add(e, candidate)
-		} else {
+		case versions.Prefer != "" && s.upstream.Version == versions.Prefer:
+			preferred.add(e, candidate)
+		default:
 			usable.add(e, candidate)
 		}
 	}
-	chosen := g.first(usable, pool, prompt, now)
-	if chosen == nil {
-		chosen = g.first(ejected, pool, prompt, now)
+	var chosen *choice
+	for _, among := range []candidates{preferred, usable, ejected} {
+		if chosen = g.first(among, pool, prompt, now); chosen != nil {
+			break
+		}
 	}
 	if chosen != nil {
-		if source, found := sources.besides(chosen.engine); found && source.tokens >= cached[chosen.engine.id]+minFetchTokens {
+		if source, found := sources.besides(chosen.engine); found && source.tokens >= cached[chosen.engine.id]+minCopyTokens {
 			chosen.fetchFrom = source.address
 		}
 	}
 	return chosen
 }
 
+// presentVersions counts the pool's upstreams that take work, by version.
+func presentVersions(current *snapshot, pool fleet.PoolID) map[fleet.Version]int {
+	present := map[fleet.Version]int{}
+	for _, e := range current.engines[pool] {
+		if upstream := e.upstream(); upstream.State == fleet.Live && !current.out[upstream.DataCentre] {
+			present[upstream.Version]++
+		}
+	}
+	return present
+}
+
 func promptTokens(prompt []warmth.Part) int {
 	total := 0
 	for _, part := range prompt {
--- a/node/gateway/exchange.go
+++ b/node/gateway/exchange.go
@@ -290,10 +290,28 @@
 func (x *exchange) attempt(ctx context.Context, chosen *choice) attemptResult {
 	chosen.ticket = x.gateway.Workload.Start(chosen.engine.id, chosen.uncached, x.shared())
 	defer chosen.ticket.End()
+	chosen.sentAt = time.Now()
+	send := x.attemptPlain
 	if x.route.Kind == routing.Streaming {
-		return x.attemptStream(ctx, chosen)
+		send = x.attemptStream
 	}
-	return x.attemptPlain(ctx, chosen)
+	result := send(ctx, chosen)
+	if result.delivered || result.sent && x.request.Context().Err() == nil {
+		x.gateway.Moves.Add(x.evidence(chosen, result))
+	}
+	return result
+}
+
+// evidence is what an attempt tells about the upstream's version.
+func (x *exchange) evidence(chosen *choice, result attemptResult) fleet.Evidence {
+	e := fleet.Evidence{
+		Pool: x.pool.ID, Version: chosen.upstream.Version, Upstream: chosen.upstream.ID, Route: x.route.Name,
+		Failed: !result.delivered, FirstToken: chosen.first, Cold: chosen.uncached > minCopyTokens,
+	}
+	if chosen.events > 1 {
+		e.TokenInterval = (time.Since(chosen.sentAt) - chosen.first) / time.Duration(chosen.events-1)
+	}
+	return e
 }
 
 // failed judges a call that brought no answer.
--- a/node/gateway/gateway.go
+++ b/node/gateway/gateway.go
@@ -14,6 +14,7 @@
 	"agateswitch/core/pace"
 	"agateswitch/core/routing"
 	"agateswitch/node/replica"
+	"agateswitch/node/versionmove"
 	"agateswitch/node/workload"
 	"agateswitch/port"
 
@@ -50,6 +51,7 @@
 	Newest   Newest
 	Fleet    Fleet
 	Workload *workload.Workload
+	Moves    *versionmove.Service
 	// Instruments count what the gateway does.
 	Instruments Instruments
 	Log         *log.Logger
--- a/node/gateway/plain.go
+++ b/node/gateway/plain.go
@@ -35,6 +35,7 @@
 	defer head.Body.Close()
 	x.sends++
 	told := x.gateway.Engines.Read(head.Status, head.Header)
+	chosen.first = time.Since(chosen.sentAt)
 	body, err := io.ReadAll(io.LimitReader(head.Body, maxAnswerBytes))
 	if told.NotRun {
 		return x.notRun(chosen, head.Status, told)
--- a/node/gateway/stream.go
+++ b/node/gateway/stream.go
@@ -105,6 +105,10 @@
 		watchdog.Reset(x.pauseLimit())
 		x.beginStream(head)
 		chosen.ticket.Read()
+		if chosen.events == 0 {
+			chosen.first = time.Since(chosen.sentAt)
+		}
+		chosen.events++
 		if x.stream.events == 0 {
 			x.stream.first = time.Since(x.began)
 		}
--- a/node/gateway/view.go
+++ b/node/gateway/view.go
@@ -19,7 +19,6 @@
 	// engines holds the upstreams of each pool.
 	engines map[fleet.PoolID][]*engine
 	out     map[fleet.DataCentre]bool
-	moves   map[fleet.PoolID]port.MoveOrder
 }
 
 // view follows the replica and publishes snapshots.
@@ -36,13 +35,12 @@
 	table   *routing.Table
 	engines map[string]*engine
 	outs    map[string]fleet.DataCentre
-	moves   map[string]port.MoveOrder
 }
 
 func newView(codec port.FactCodec, lost func(fleet.UpstreamID), logger *log.Logger) *view {
 	return &view{
 		codec: codec, lost: lost, log: logger, ready: make(chan struct{}), engines: map[string]*engine{},
-		outs: map[string]fleet.DataCentre{}, moves: map[string]port.MoveOrder{},
+		outs: map[string]fleet.DataCentre{},
 	}
 }
 
@@ -75,10 +73,6 @@
 	case fact.Out != "":
 		v.log.Info("data centre taken out", "datacentre", fact.Out, "revision", entry.Revision)
 		v.outs[entry.Key] = fact.Out
-	case fact.Move != nil:
-		v.log.Info("version move ordered", "pool", fact.Move.Pool, "target", fact.Move.Target,
-			"duration", fact.Move.Duration, "revision", entry.Revision)
-		v.moves[entry.Key] = *fact.Move
 	}
 }
 
@@ -113,7 +107,6 @@
 		v.returned(out, now)
 		return
 	}
-	delete(v.moves, key)
 	known, found := v.engines[key]
 	if !found {
 		return
@@ -171,7 +164,6 @@
 	}
 	next := &snapshot{
 		table: v.table, engines: map[fleet.PoolID][]*engine{}, out: map[fleet.DataCentre]bool{},
-		moves: map[fleet.PoolID]port.MoveOrder{},
 	}
 	for _, known := range v.engines {
 		pool := known.upstream().Pool
@@ -180,9 +172,6 @@
 	for _, out := range v.outs {
 		next.out[out] = true
 	}
-	for _, move := range v.moves {
-		next.moves[move.Pool] = move
-	}
 	v.current.Store(next)
 	select {
 	case <-v.ready:
--- a/port/edge.go
+++ b/port/edge.go
@@ -106,6 +106,8 @@
 	// Out is a data centre that is taken out.
 	Out  fleet.DataCentre
 	Move *MoveOrder
+	// MoveStatus is what the routers have reported of a move.
+	MoveStatus *MoveStatus
 	// Problem tells why an entry that should mean something can't be read.
 	Problem error
 }
@@ -120,6 +122,13 @@
 	MoveRolledBack MoveState = "rolled_back"
 )
 
+// MoveStatus is the reported state of a pool's move.
+type MoveStatus struct {
+	Pool   fleet.PoolID
+	Target fleet.Version
+	State  MoveState
+}
+
 // FactCodec reads and writes entries of the store that others share.
 type FactCodec interface {
 	// Decode reads an entry of the store.
--- a/settings/gateway.go
+++ b/settings/gateway.go
@@ -26,6 +26,8 @@
 	// MaxDirectoryTTL is the longest that callers heed.
 	MaxDirectoryTTL Duration    `json:"max_directory_ttl"`
 	Retries         RetryLimits `json:"retries"`
+	// Exposure bounds what a version gets before it has shown that it is good.
+	Exposure Exposure `json:"exposure"`
 	Log             Log         `json:"log"`
 }
 
@@ -50,6 +52,17 @@
 	Window Duration `json:"window"`
 }
 
+// Exposure bounds the requests of a new version, over the whole fleet.
+type Exposure struct {
+	// Share of a pool's requests since the order. Range: 0 to 1. Default: 0.1.
+	Share float64 `json:"share"`
+	// Slack is how many requests more. Default: 50.
+	Slack float64 `json:"slack"`
+}
+
+// DefaultExposure is the users' bound.
+var DefaultExposure = Exposure{Share: 0.1, Slack: 50}
+
 // DefaultDirectoryTTL makes callers leave a lost router within seconds, at one question of each
 // caller in two seconds.
 const DefaultDirectoryTTL = 2 * time.Second
@@ -67,7 +80,7 @@
 // ParseGateway checks the content of a settings file.
 func ParseGateway(name string, content []byte) (Gateway, []Problem) {
 	parsed := Gateway{
-		Log: Log{Level: "info", Format: "text"}, DirectoryTTL: Duration(DefaultDirectoryTTL),
+		Log: Log{Level: "info", Format: "text"}, DirectoryTTL: Duration(DefaultDirectoryTTL), Exposure: DefaultExposure,
 	}
 	d := decode(name, content, &parsed)
 	if d.broken {
@@ -97,6 +110,8 @@
 	d.require(g.Retries.Ratio >= 0 && g.Retries.Ratio <= 1, "retries.ratio", "must be 0 to 1")
 	d.require(g.Retries.Extra >= 0, "retries.extra", "must be 0 or more")
 	d.require(g.Retries.Window > 0, "retries.window", "must be above 0s")
+	d.require(g.Exposure.Share >= 0 && g.Exposure.Share <= 1, "exposure.share", "must be 0 to 1")
+	d.require(g.Exposure.Slack >= 0, "exposure.slack", "must be 0 or more")
 	d.oneOf("log.level", g.Log.Level, "debug", "info", "warn", "error")
 	d.oneOf("log.format", g.Log.Format, "text", "json")
 }
