Take callers before the first state, and keep the limits of the desired state

Change: a router listens at once, holds a request for 300 ms for its first state, then refuses with a time to come back; header and body limits follow the desired state.

--- a/core/fleet/refusal.go
+++ b/core/fleet/refusal.go
@@ -24,6 +24,7 @@
 	CodeForbidden        Code = "forbidden"
 	CodeBadRequest       Code = "bad_request"
 	CodeTooLarge         Code = "too_large"
+	CodeHeaderTooLarge   Code = "header_too_large"
 	CodeNotFound         Code = "not_found"
 	CodeRateLimited      Code = "rate_limited"
 	CodeOverloaded       Code = "overloaded"
--- a/node/edge/server.go
+++ b/node/edge/server.go
@@ -18,8 +18,10 @@
 	// idleTimeout is how long a caller's connection may be unused. It is far above the limit
 	// of the desired state, which may be raised while connections are open.
 	idleTimeout = 2 * time.Minute
-	// minHeaderTimeout is the least time that a caller has for a header.
-	minHeaderTimeout = 5 * time.Second
+	// headerTimeout is the time that a caller has for a header, and maxHeaderBytes the most of
+	// it that is read. The limits of the desired state are tighter.
+	headerTimeout  = 5 * time.Second
+	maxHeaderBytes = 64 << 10
 	// lingerTime is how long a leaving router goes on taking connections: callers keep the
 	// entry answers for a while.
 	lingerTime = 3 * time.Second
@@ -49,7 +51,7 @@
 	group, life := errgroup.WithContext(context.Background())
 	for address, handler := range s.side {
 		server := &http.Server{
-			Addr: address, Handler: handler, ReadHeaderTimeout: minHeaderTimeout, IdleTimeout: idleTimeout,
+			Addr: address, Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
 		}
 		side = append(side, server)
 		group.Go(func() error { return s.serve(server) })
@@ -65,20 +67,12 @@
 	return group.Wait()
 }
 
-// serveCallers takes callers once a desired state is in force.
+// serveCallers takes callers from the start: one that comes before the first desired state is
+// told when to come back, where a refused connection would tell it nothing.
 func (s *servers) serveCallers(ctx, life context.Context) error {
-	select {
-	case <-s.gateway.Ready():
-	case <-ctx.Done():
-		s.leave()
-		return nil
-	case <-life.Done():
-		return nil
-	}
-	limits := s.gateway.Limits()
 	server := &http.Server{
 		Addr: s.callers, Handler: s.gateway, IdleTimeout: idleTimeout,
-		ReadHeaderTimeout: max(limits.HeaderTimeout, minHeaderTimeout), MaxHeaderBytes: limits.HeaderBytes,
+		ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes,
 		ErrorLog: s.log.StandardLog(log.StandardLogOptions{ForceLevel: log.DebugLevel}),
 	}
 	failed := make(chan error, 1)
--- a/node/gateway/exchange.go
+++ b/node/gateway/exchange.go
@@ -20,6 +20,9 @@
 
 // Times after which a refused caller may come back.
 const (
+	// startingWait is how long a request waits for the first state of a router that has just
+	// started: a few calls to the store.
+	startingWait = 300 * time.Millisecond
 	// startingRetry is about the time that a router needs for its first state.
 	startingRetry = 500 * time.Millisecond
 	// busyRetry lets a cold or full upstream do some of its work.
@@ -74,10 +77,13 @@
 
 // prepare finds the route, the team and the pool, and reads the body.
 func (x *exchange) prepare() *fleet.Refusal {
-	x.current = x.gateway.view.current.Load()
-	if x.current == nil {
+	if !x.gateway.awaitState(x.request.Context()) {
 		return fleet.Refuse(fleet.CodeStarting, "no desired state is known yet", jitter(startingRetry))
 	}
+	x.current = x.gateway.view.current.Load()
+	if headerBytes(x.request) > x.current.table.State.Limits.HeaderBytes {
+		return fleet.Refuse(fleet.CodeHeaderTooLarge, "the header is too large", 0)
+	}
 	if x.call.ID == "" {
 		return fleet.Refuse(fleet.CodeBadRequest, "the request has no id", 0)
 	}
@@ -99,6 +105,32 @@
 	return x.findPool()
 }
 
+// awaitState returns once a desired state is in force, and false if it takes too long.
+func (g *Gateway) awaitState(ctx context.Context) bool {
+	if g.view.current.Load() != nil {
+		return true
+	}
+	ctx, cancel := context.WithTimeout(ctx, startingWait)
+	defer cancel()
+	select {
+	case <-g.Ready():
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// headerBytes is the size of a request's header as it was sent, but for its spacing.
+func headerBytes(request *http.Request) int {
+	size := len(request.Method) + len(request.RequestURI) + len(request.Host)
+	for name, values := range request.Header {
+		for _, value := range values {
+			size += len(name) + len(value) + len(": \r\n")
+		}
+	}
+	return size
+}
+
 // authorise finds the route and the team in the state at hand.
 func (x *exchange) authorise() *fleet.Refusal {
 	path, _, _ := strings.Cut(x.request.RequestURI, "?")
--- a/node/gateway/gateway.go
+++ b/node/gateway/gateway.go
@@ -12,7 +12,6 @@
 
 	"agateswitch/core/fleet"
 	"agateswitch/core/pace"
-	"agateswitch/core/routing"
 	"agateswitch/node/replica"
 	"agateswitch/node/versionmove"
 	"agateswitch/node/workload"
@@ -95,9 +94,6 @@
 // Ready is closed once a desired state is in force.
 func (g *Gateway) Ready() <-chan struct{} { return g.view.ready }
 
-// Limits returns what callers may send, by the desired state in force.
-func (g *Gateway) Limits() routing.Limits { return g.view.current.Load().table.State.Limits }
-
 // Leave makes callers move their connections to other routers: each answer closes its own.
 func (g *Gateway) Leave() { g.leaving.Store(true) }
 
