Share the workload of a large fleet through a collector

Ruled out: longer pauses before each message (the number of messages still grows with the square of the fleet). Change: above 16 routers each exchanges its figures for the sum of all with the first router by rendezvous, four times a second; beats go to four neighbours.

--- a/node/edge/edge.go
+++ b/node/edge/edge.go
@@ -56,7 +56,7 @@
 	r.mesh = peer.NewOn(peer.Dial(network.Dial), self.ID, r.presence, s.PeerKey, logger)
 	r.presence.Join(r.mesh)
 	r.replica = replica.New(outside.Store, r.mesh, r.presence, outside.Codec.DesiredKey(), logger)
-	r.workload = workload.New(r.mesh, r.presence, logger)
+	r.workload = workload.New(self.ID, r.mesh, r.presence, logger)
 	r.moves = versionmove.New(outside.Codec, outside.Store, r.mesh, r.presence, exposure(s), logger)
 	instruments, err := gateway.NewInstruments(metrics.Meter())
 	if err != nil {
--- a/node/presence/presence.go
+++ b/node/presence/presence.go
@@ -5,7 +5,7 @@
 import (
 	"context"
 	"encoding/json"
-	"math/rand/v2"
+	"slices"
 	"sort"
 	"strings"
 	"sync"
@@ -33,8 +33,11 @@
 	// silentAfter is how long a router may be silent before it leaves the entry answers: three
 	// beats, so that one lost packet does not move callers.
 	silentAfter = 1800 * time.Millisecond
-	// beatFanout is how many routers get a beat at once. In a larger fleet they take turns.
-	beatFanout = 12
+	// directFleet is the largest fleet whose routers all exchange beats. In a larger one each
+	// sends beats to its next neighbours by id, and the store tells who is alive.
+	directFleet = 16
+	// neighbours is how many routers get beats in a large fleet.
+	neighbours = 4
 )
 
 // prefix of the routers' entries in the store.
@@ -151,7 +154,7 @@
 	delete(known, p.self.ID)
 	delete(alive, p.self.ID)
 	// A router that hears less than half of the others may be the one that is cut off.
-	if 2*len(alive) >= len(known) {
+	if len(p.listed) <= directFleet && 2*len(alive) >= len(known) {
 		known = alive
 	}
 	if !p.leaving.Load() {
@@ -304,7 +307,7 @@
 	defer p.mu.Unlock()
 	var targets []fleet.HostID
 	for id := range p.listed {
-		if id > p.self.ID || all && id != p.self.ID {
+		if id > p.self.ID || (all || len(p.listed) > directFleet) && id != p.self.ID {
 			targets = append(targets, id)
 		}
 	}
@@ -316,11 +319,21 @@
 			delete(p.heard, id)
 		}
 	}
-	if len(targets) <= beatFanout || all {
+	if all || len(p.listed) <= directFleet {
 		return targets
 	}
-	rand.Shuffle(len(targets), func(i, j int) { targets[i], targets[j] = targets[j], targets[i] })
-	return targets[:beatFanout]
+	return nextOf(targets, p.self.ID, neighbours)
+}
+
+// nextOf returns the ids that follow one in a ring.
+func nextOf(ids []fleet.HostID, self fleet.HostID, count int) []fleet.HostID {
+	slices.Sort(ids)
+	first, _ := slices.BinarySearch(ids, self)
+	next := make([]fleet.HostID, 0, count)
+	for i := range min(count, len(ids)) {
+		next = append(next, ids[(first+i)%len(ids)])
+	}
+	return next
 }
 
 func (p *Presence) exchange(ctx context.Context, id fleet.HostID, beat Beat) {
--- a/node/workload/workload.go
+++ b/node/workload/workload.go
@@ -1,6 +1,11 @@
 // Package workload shares between routers what each of them runs on each upstream, and where
 // prompts have been read. A router sends its figures as they stand, not their changes, so that a
 // lost message is made good by the next; a router that falls silent stops counting.
+//
+// In a small fleet every router tells all others at once. In a large one that would cost a number
+// of messages that grows with the square of the fleet: there each router exchanges its figures
+// for the sum of all with one collector, the first router by rendezvous. Nothing depends on the
+// collector but how fresh the sum is, so that no agreement is needed on who it is.
 package workload
 
 import (
@@ -19,9 +24,10 @@
 const (
 	// flushPause gathers what changes within it into one message.
 	flushPause = 3 * time.Millisecond
-	// pausePerPair makes a router of a large fleet gather for longer, so that the number of
-	// messages grows with the number of routers and not with its square.
-	pausePerPair = 50 * time.Microsecond
+	// directFleet is the largest fleet whose routers tell each other directly.
+	directFleet = 16
+	// collectInterval is the time between two exchanges with the collector.
+	collectInterval = 250 * time.Millisecond
 	// fullInterval is the time between two messages with all figures.
 	fullInterval = 500 * time.Millisecond
 	// silentAfter is how long the figures of a silent router count.
@@ -32,8 +38,9 @@
 
 // Methods between routers.
 const (
-	methodTell = "workload.tell"
-	methodWarm = "workload.warm"
+	methodTell    = "workload.tell"
+	methodWarm    = "workload.warm"
+	methodCollect = "workload.collect"
 )
 
 // Load is what one or more routers run on an upstream.
@@ -43,6 +50,14 @@
 	Unread int `msgpack:"u,omitempty"`
 }
 
+func (l Load) plus(other Load) Load {
+	return Load{Running: l.Running + other.Running, Unread: l.Unread + other.Unread}
+}
+
+func (l Load) minus(other Load) Load {
+	return Load{Running: l.Running - other.Running, Unread: l.Unread - other.Unread}
+}
+
 // message is what a router tells.
 type message struct {
 	Load map[fleet.UpstreamID]Load `msgpack:"l,omitempty"`
@@ -59,6 +74,7 @@
 
 // Workload is one router's part. It is safe for concurrent use.
 type Workload struct {
+	self      fleet.HostID
 	transport port.Peers
 	peers     Peers
 	log       *log.Logger
@@ -76,6 +92,11 @@
 	// changed and placed wait for the next message.
 	changed map[fleet.UpstreamID]bool
 	placed  []warmth.Placement
+	// collected is the placements that other routers have told this one as their collector.
+	collected journal
+	// cursor is how far this router has read the journal of its collector.
+	cursor    uint64
+	collector fleet.HostID
 }
 
 // figures is what one router has told.
@@ -85,14 +106,15 @@
 }
 
 // New makes a router's part.
-func New(transport port.Peers, peers Peers, logger *log.Logger) *Workload {
+func New(self fleet.HostID, transport port.Peers, peers Peers, logger *log.Logger) *Workload {
 	w := &Workload{
-		transport: transport, peers: peers, log: logger, dirty: make(chan struct{}, 1),
+		self: self, transport: transport, peers: peers, log: logger, dirty: make(chan struct{}, 1),
 		own: map[fleet.UpstreamID]Load{}, others: map[fleet.HostID]*figures{}, total: map[fleet.UpstreamID]Load{},
 		warm: warmth.NewMap(), changed: map[fleet.UpstreamID]bool{},
 	}
 	transport.Handle(methodTell, w.heard)
 	transport.Handle(methodWarm, w.tellWarm)
+	transport.Handle(methodCollect, w.collect)
 	return w
 }
 
@@ -133,7 +155,7 @@
 
 func (w *Workload) add(upstream fleet.UpstreamID, change Load) {
 	w.mu.Lock()
-	sum := Load{Running: w.own[upstream].Running + change.Running, Unread: w.own[upstream].Unread + change.Unread}
+	sum := w.own[upstream].plus(change)
 	if sum == (Load{}) {
 		delete(w.own, upstream)
 	} else {
@@ -151,8 +173,7 @@
 func (w *Workload) Load(upstream fleet.UpstreamID) Load {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	own, others := w.own[upstream], w.total[upstream]
-	return Load{Running: own.Running + others.Running, Unread: own.Unread + others.Unread}
+	return w.own[upstream].plus(w.total[upstream])
 }
 
 // Cached returns how many tokens of a prompt each upstream need not read.
@@ -186,10 +207,18 @@
 			return
 		case <-full.C:
 			w.expire()
+			if len(w.peers.Others()) > directFleet {
+				w.exchange(ctx)
+				continue
+			}
 			w.tell(ctx, true)
 		case <-w.dirty:
-			others := len(w.peers.Others())
-			time.Sleep(flushPause + time.Duration(others*others)*pausePerPair)
+			if len(w.peers.Others()) > directFleet {
+				time.Sleep(collectInterval)
+				w.exchange(ctx)
+				continue
+			}
+			time.Sleep(flushPause)
 			w.tell(ctx, false)
 		}
 	}
@@ -289,6 +318,12 @@
 	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	w.takeFrom(from, m)
+	return struct{}{}, nil
+}
+
+// takeFrom takes the figures of another router. Callers hold mu.
+func (w *Workload) takeFrom(from fleet.HostID, m message) {
 	now := time.Now()
 	known, found := w.others[from]
 	if !found {
@@ -307,14 +342,11 @@
 		w.replace(known, upstream, load)
 	}
 	w.warm.Add(m.Warm, now)
-	return struct{}{}, nil
 }
 
 // replace sets one figure of a router, and the total. Callers hold mu.
 func (w *Workload) replace(known *figures, upstream fleet.UpstreamID, load Load) {
-	old, sum := known.load[upstream], w.total[upstream]
-	sum.Running += load.Running - old.Running
-	sum.Unread += load.Unread - old.Unread
+	sum := w.total[upstream].plus(load).minus(known.load[upstream])
 	if load == (Load{}) {
 		delete(known.load, upstream)
 	} else {
