Let few routers of a large fleet watch the store

Old figures of load drew crowds of new prompts to the same engine. Change: the square root of each data centre's routers watch, the others pull from them; costs that differ by less than 2,048 tokens count as equal where figures are old, and ties are random in a surge.

--- a/core/balance/balance.go
+++ b/core/balance/balance.go
@@ -5,6 +5,7 @@
 package balance
 
 import (
+	"math"
 	"sort"
 
 	"agateswitch/core/fleet"
@@ -47,6 +48,9 @@
 	// homeShare of a prompt is taken to be cached on the first engine in the key's order while
 	// no engine is known to have it. All routers, and one that has lost its memory, then agree.
 	homeShare = 0.5
+	// OldFiguresStep is the Step for figures that are some hundred milliseconds old: an engine
+	// reads that many tokens in 40 ms.
+	OldFiguresStep = 2048
 	// faulty is the failure rate from which an upstream comes last, if others fail much less.
 	faulty = 0.25
 	// faultyRatio is how many times the pool's mean failure rate that is at the least. Where
@@ -77,14 +81,29 @@
 	Mean, Bound float64
 }
 
-// ByPrompt ranks candidates for a prompt by the time until they could answer it. Key names the
-// last part that other requests share; known tells whether some engine is believed to have it.
-func ByPrompt(key string, known bool, promptTokens float64, candidates []Candidate) Ranking {
+// Prompt is what the ranking needs to know of a request.
+type Prompt struct {
+	// Key names the last part that other requests share. It breaks ties in the same way on all
+	// routers.
+	Key string
+	// Known tells whether some engine is believed to have that part.
+	Known bool
+	// Tokens is the prompt's length.
+	Tokens float64
+	// Step makes costs that differ by less count as equal. Routers whose figures are old would
+	// else all send to the same engine until they hear of it. Zero for fresh figures.
+	Step float64
+	// Draw breaks ties in place of Key when the engines that have the prompt are loaded.
+	Draw uint64
+}
+
+// ByPrompt ranks candidates for a prompt by the time until they could answer it.
+func ByPrompt(prompt Prompt, candidates []Candidate) Ranking {
 	ranking := newRanking(candidates)
 	if len(candidates) == 0 {
 		return ranking
 	}
-	hash := rendezvous.Hash(key)
+	hash := rendezvous.Hash(prompt.Key)
 	faults := faultyOnes(candidates)
 	ranks := make([]rank, len(candidates))
 	anyWarm, home := false, 0
@@ -96,14 +115,17 @@
 			faulty: faults[i], loaded: c.Running > ranking.Bound, tie: rendezvous.Mix(hash, c.Hash),
 			cost: c.Unread + runningTokens*c.Running + rereadFactor*(c.Uncached-c.Fetchable) + fetchFactor*c.Fetchable,
 		}
-		anyWarm = anyWarm || c.Uncached < promptTokens
+		anyWarm = anyWarm || c.Uncached < prompt.Tokens
 	}
-	if !known {
-		ranks[home].cost -= rereadFactor * homeShare * promptTokens
+	if !prompt.Known {
+		ranks[home].cost -= rereadFactor * homeShare * prompt.Tokens
+	}
+	if prompt.Step > 0 {
+		roughen(ranks, candidates, prompt)
 	}
 	sort.Slice(ranking.Order, func(a, b int) bool { return ranks[ranking.Order[a]].before(ranks[ranking.Order[b]]) })
 	switch {
-	case candidates[ranking.Order[0]].Uncached < promptTokens:
+	case candidates[ranking.Order[0]].Uncached < prompt.Tokens:
 		ranking.Reason = Warm
 	case anyWarm:
 		ranking.Reason = Spread
@@ -113,6 +135,21 @@
 	return ranking
 }
 
+// roughen makes similar costs equal, and ties random where a surge leaves the warm engines.
+func roughen(ranks []rank, candidates []Candidate, prompt Prompt) {
+	surge := false
+	for i := range ranks {
+		ranks[i].cost = math.Floor(ranks[i].cost / prompt.Step)
+		surge = surge || ranks[i].loaded && candidates[i].Uncached < prompt.Tokens
+	}
+	if !surge {
+		return
+	}
+	for i := range ranks {
+		ranks[i].tie = rendezvous.Mix(prompt.Draw, candidates[i].Hash)
+	}
+}
+
 // rank is what candidates are compared by.
 type rank struct {
 	faulty, loaded bool
--- a/core/balance/balance_test.go
+++ b/core/balance/balance_test.go
@@ -23,29 +23,29 @@
 func TestWarmEngineIsTakenUnlessItIsLoaded(t *testing.T) {
 	candidates := pool(9)
 	candidates[3].Uncached = 500
-	ranking := ByPrompt("key", true, 9000, candidates)
+	ranking := ByPrompt(Prompt{Key: "key", Known: true, Tokens: 9000}, candidates)
 	must.Eq(t, 3, ranking.Order[0])
 	must.Eq(t, Warm, ranking.Reason)
 	// More left to read than the prompt's own tokens.
 	candidates[3].Unread = 15000
-	ranking = ByPrompt("key", true, 9000, candidates)
+	ranking = ByPrompt(Prompt{Key: "key", Known: true, Tokens: 9000}, candidates)
 	must.NotEq(t, 3, ranking.Order[0])
 	must.Eq(t, Spread, ranking.Reason)
 	// More running than the bound.
 	candidates[3].Unread, candidates[3].Running = 0, 20
-	must.NotEq(t, 3, ByPrompt("key", true, 9000, candidates).Order[0])
+	must.NotEq(t, 3, ByPrompt(Prompt{Key: "key", Known: true, Tokens: 9000}, candidates).Order[0])
 }
 
 // Routers that know nothing agree on an engine, and keep agreeing while others come and go.
 func TestUnknownPromptsHaveAHome(t *testing.T) {
 	candidates := pool(9)
-	home := ByPrompt("key", false, 9000, candidates).Order[0]
+	home := ByPrompt(Prompt{Key: "key", Tokens: 9000}, candidates).Order[0]
 	for lost := range candidates {
 		if lost == home {
 			continue
 		}
 		rest := append(append([]Candidate(nil), candidates[:lost]...), candidates[lost+1:]...)
-		must.Eq(t, candidates[home].ID, rest[ByPrompt("key", false, 9000, rest).Order[0]].ID)
+		must.Eq(t, candidates[home].ID, rest[ByPrompt(Prompt{Key: "key", Tokens: 9000}, rest).Order[0]].ID)
 	}
 }
 
@@ -65,7 +65,7 @@
 				candidates[e].Uncached = 500
 			}
 		}
-		chosen := ByPrompt(fmt.Sprint("key", hot, i%100), hot, 9000, candidates).Order[0]
+		chosen := ByPrompt(Prompt{Key: fmt.Sprint("key", hot, i%100), Known: hot, Tokens: 9000}, candidates).Order[0]
 		if hot {
 			warm[chosen] = true
 		}
@@ -86,7 +86,7 @@
 	candidates := pool(3)
 	candidates[2].FailureRate = 0.9
 	must.Eq(t, 2, ByLoad(candidates, tie).Order[2])
-	must.Eq(t, 2, ByPrompt("key", true, 9000, candidates).Order[2])
+	must.Eq(t, 2, ByPrompt(Prompt{Key: "key", Known: true, Tokens: 9000}, candidates).Order[2])
 	for i := range candidates {
 		candidates[i].FailureRate = 0.9
 	}
@@ -94,6 +94,42 @@
 }
 
 func TestNoCandidates(t *testing.T) {
-	must.Len(t, 0, ByPrompt("key", true, 10, nil).Order)
+	must.Len(t, 0, ByPrompt(Prompt{}, nil).Order)
 	must.Len(t, 0, ByLoad(nil, nil).Order)
 }
+
+// Routers with old figures do not all send to the engine that had least: 500 requests a second
+// for prompts that no engine has, at 60 engines, with figures that are renewed 4 times a second.
+func TestOldFiguresDoNotDrawACrowd(t *testing.T) {
+	random := rand.New(rand.NewPCG(1, 2))
+	const interval, lasts, engines = 125, 300, 60
+	now := make([]Candidate, 0)
+	now = append(now, pool(engines)...)
+	old := append([]Candidate(nil), now...)
+	ends := make([][]int, 5000+lasts)
+	above, judged := 0, 0
+	for i := range 5000 {
+		if i%interval == 0 {
+			copy(old, now)
+		}
+		for _, e := range ends[i] {
+			now[e].Running--
+		}
+		running := 0.0
+		for _, c := range now {
+			running += c.Running
+		}
+		chosen := ByPrompt(Prompt{
+			Key: fmt.Sprint(random.IntN(400)), Tokens: 9000, Step: OldFiguresStep, Draw: random.Uint64(),
+		}, old).Order[0]
+		if i > lasts {
+			judged++
+			if now[chosen].Running > 2*running/engines+3 {
+				above++
+			}
+		}
+		now[chosen].Running++
+		ends[i+1+random.IntN(2*lasts-1)%lasts] = append(ends[i+1+random.IntN(2*lasts-1)%lasts], chosen)
+	}
+	must.LessEq(t, 0.03, float64(above)/float64(judged))
+}
--- a/node/gateway/choose.go
+++ b/node/gateway/choose.go
@@ -114,7 +114,10 @@
 	var ranking balance.Ranking
 	if len(prompt) > 0 {
 		key := prompt[max(0, len(prompt)-2)].ID
-		ranking = balance.ByPrompt(key, g.Workload.Known(key), float64(promptTokens(prompt)), among.ranked)
+		ranking = balance.ByPrompt(balance.Prompt{
+			Key: key, Known: g.Workload.Known(key), Tokens: float64(promptTokens(prompt)),
+			Step: g.costStep(), Draw: rand.Uint64(),
+		}, among.ranked)
 	} else {
 		ties := make([]uint64, len(among.ranked))
 		for i := range ties {
@@ -136,6 +139,14 @@
 	return nil
 }
 
+// costStep is how far costs must differ to count, by the age of the workload's figures.
+func (g *Gateway) costStep() float64 {
+	if g.Workload.Direct() {
+		return 0
+	}
+	return balance.OldFiguresStep
+}
+
 // coldShare is this router's part of what a cold upstream bears in a second.
 func (g *Gateway) coldShare(e *engine, rate float64, routers int) int {
 	if rate <= 0 {
--- a/node/presence/presence.go
+++ b/node/presence/presence.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"encoding/json"
+	"math"
 	"slices"
 	"sort"
 	"strings"
@@ -181,6 +182,33 @@
 	return others
 }
 
+// watchersKey names the duty of watching the store in the routers' rendezvous order.
+const watchersKey = "store watcher"
+
+// Watchers returns the routers of this one's data centre that watch the store for it, and whether
+// it is one of them. In a small fleet all watch. In a large one the square root of a data
+// centre's routers do, so that both the store's calls and what a watcher passes on stay few.
+func (p *Presence) Watchers() (watchers []fleet.HostID, self bool) {
+	routers := p.Routers()
+	if len(routers) <= directFleet {
+		return nil, true
+	}
+	var near []string
+	for _, router := range routers {
+		if router.DataCentre == p.self.DataCentre {
+			near = append(near, string(router.ID))
+		}
+	}
+	order := rendezvous.Order(watchersKey, near)
+	for _, id := range order[:int(math.Ceil(math.Sqrt(float64(len(order)))))] {
+		if fleet.HostID(id) == p.self.ID {
+			return nil, true
+		}
+		watchers = append(watchers, fleet.HostID(id))
+	}
+	return watchers, false
+}
+
 // Count returns how many routers may send to upstreams: those listed and those heard, leaving
 // ones included, so that a share of a limit is never too large.
 func (p *Presence) Count() int {
--- a/node/replica/replica.go
+++ b/node/replica/replica.go
@@ -29,6 +29,10 @@
 	pullTimeout = 400 * time.Millisecond
 	// pullFanout is how many routers are asked at once.
 	pullFanout = 2
+	// watcherAge is the age of the watchers' copies at which a router watches the store itself,
+	// for watchTime at least.
+	watcherAge = 1500 * time.Millisecond
+	watchTime  = 3 * time.Second
 	// confirmTimeout bounds the read that makes sure nothing newer exists.
 	confirmTimeout = 300 * time.Millisecond
 	// confirmAge is the age at which a copy counts as the newest state. A change has to be in
@@ -45,6 +49,8 @@
 // ErrUnconfirmed means that neither the store nor a router could tell whether newer state exists.
 const ErrUnconfirmed = errors.ConstError("newest state is not known")
 
+const errWatchedByOthers = errors.ConstError("other routers watch the store")
+
 // Change is one entry that was written or deleted.
 type Change struct {
 	Entry   port.Entry
@@ -58,6 +64,8 @@
 type Peers interface {
 	// Others returns the routers believed to be alive, without this one.
 	Others() []fleet.HostID
+	// Watchers returns the routers that watch the store for this one, unless it watches itself.
+	Watchers() (watchers []fleet.HostID, self bool)
 }
 
 // Replica is the copy. It is safe for concurrent use.
@@ -125,16 +133,39 @@
 func (r *Replica) Run(ctx context.Context) {
 	go r.pullWhileStale(ctx)
 	for ctx.Err() == nil {
+		if r.followWatchers(ctx) {
+			continue
+		}
 		err := r.follow(ctx)
 		if ctx.Err() != nil {
 			return
 		}
+		if errors.Is(err, errWatchedByOthers) {
+			r.log.Info("other routers watch the store for this one")
+			continue
+		}
 		r.lost(err)
 		sleep(ctx, retryPause+rand.N(retryPause))
 	}
 }
 
-// follow watches the store until the watch fails.
+// followWatchers gets changes from a router that watches the store. It returns false at once when
+// this router is to read the store itself: to load everything, as a watcher, or because the
+// watchers' copies are old.
+func (r *Replica) followWatchers(ctx context.Context) bool {
+	watchers, self := r.peers.Watchers()
+	r.mu.Lock()
+	loaded := r.asOf > 0
+	r.mu.Unlock()
+	if self || !loaded || r.Age() > watcherAge || len(watchers) == 0 {
+		return false
+	}
+	sleep(ctx, pullInterval)
+	r.pullFrom(ctx, watchers[rand.N(len(watchers))], false)
+	return true
+}
+
+// follow watches the store until the watch fails, or until another router watches for this one.
 func (r *Replica) follow(ctx context.Context) error {
 	r.mu.Lock()
 	after := r.asOf
@@ -149,6 +180,7 @@
 	r.mu.Unlock()
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
+	began := time.Now()
 	var batch []Change
 	for event := range r.store.Watch(ctx, "", after) {
 		switch {
@@ -161,6 +193,9 @@
 			r.regained()
 			r.apply(batch, event.Progress, time.Now())
 			batch = nil
+			if _, self := r.peers.Watchers(); !self && time.Since(began) > watchTime {
+				return errWatchedByOthers
+			}
 		default:
 			batch = append(batch, Change{Entry: event.Entry, Deleted: event.Deleted})
 		}
--- a/node/workload/workload.go
+++ b/node/workload/workload.go
@@ -176,6 +176,9 @@
 	return w.own[upstream].plus(w.total[upstream])
 }
 
+// Direct tells whether routers tell each other directly, so that figures are milliseconds old.
+func (w *Workload) Direct() bool { return len(w.peers.Others()) <= directFleet }
+
 // Cached returns how many tokens of a prompt each upstream need not read.
 func (w *Workload) Cached(prompt []warmth.Part) map[fleet.UpstreamID]int {
 	w.mu.Lock()
@@ -207,13 +210,13 @@
 			return
 		case <-full.C:
 			w.expire()
-			if len(w.peers.Others()) > directFleet {
+			if !w.Direct() {
 				w.exchange(ctx)
 				continue
 			}
 			w.tell(ctx, true)
 		case <-w.dirty:
-			if len(w.peers.Others()) > directFleet {
+			if !w.Direct() {
 				time.Sleep(collectInterval)
 				w.exchange(ctx)
 				continue
