--- a/adapter/telemetry/async.go
+++ b/adapter/telemetry/async.go
@@ -1,8 +1,13 @@
 package telemetry
 
 import (
+	"context"
 	"io"
+	"sync"
 	"sync/atomic"
+
+	"github.com/juju/errors"
+	"go.opentelemetry.io/otel/metric"
 )
 
 // asyncLines is how many log lines may wait for a slow reader.
@@ -14,6 +19,10 @@
 	lines   chan []byte
 	done    chan struct{}
 	dropped atomic.Int64
+
+	// mu lets Close wait for writes that have begun; later ones are dropped.
+	mu     sync.RWMutex
+	closed bool
 }
 
 // NewAsyncWriter makes a writer to w.
@@ -33,6 +42,12 @@
 
 // Write implements io.Writer.
 func (a *AsyncWriter) Write(line []byte) (int, error) {
+	a.mu.RLock()
+	defer a.mu.RUnlock()
+	if a.closed {
+		a.dropped.Add(1)
+		return len(line), nil
+	}
 	select {
 	case a.lines <- append([]byte(nil), line...):
 	default:
@@ -41,11 +56,24 @@
 	return len(line), nil
 }
 
-// Dropped returns how many lines were lost.
-func (a *AsyncWriter) Dropped() int64 { return a.dropped.Load() }
+// Observe makes the counter of lines that were lost.
+func (a *AsyncWriter) Observe(meter metric.Meter) error {
+	_, err := meter.Int64ObservableCounter("agateswitch_log_lines_dropped",
+		metric.WithDescription("Log lines that were lost, since their reader was too slow or gone"),
+		metric.WithInt64Callback(func(_ context.Context, observer metric.Int64Observer) error {
+			observer.Observe(a.dropped.Load())
+			return nil
+		}))
+	return errors.Trace(err)
+}
 
-// Close writes the waiting lines. Nothing may be written afterwards.
+// Close writes the waiting lines.
 func (a *AsyncWriter) Close() {
-	close(a.lines)
+	a.mu.Lock()
+	if !a.closed {
+		a.closed = true
+		close(a.lines)
+	}
+	a.mu.Unlock()
 	<-a.done
 }
--- a/cmd/agateswitch/gateway.go
+++ b/cmd/agateswitch/gateway.go
@@ -23,7 +23,7 @@
 		Short: "Run a router by host and path on the users' platform until SIGTERM",
 		Long: "Run a router by host and path on the users' platform until SIGTERM.\n\n" +
 			"Without SETTINGS, the file that " + platform.SettingsVariable + " names is read.",
-		Example: "  agateswitch gateway /etc/agateswitch/boot.yaml",
+		Example: "  agateswitch gateway /etc/agateswitch/settings.jsonc",
 		Args:    cobra.MaximumNArgs(1),
 		RunE: func(command *cobra.Command, args []string) error {
 			path := os.Getenv(platform.SettingsVariable)
@@ -64,6 +64,9 @@
 	if err != nil {
 		return err
 	}
+	if err := lines.Observe(metrics.Meter()); err != nil {
+		return err
+	}
 	logger.Info("starting", "host", s.Host.ID, "datacentre", s.Host.DataCentre, "store", s.Store, "settings", path)
 	dial := port.Dial(dialer.New().DialContext)
 	router, err := edge.New(s, platform.New(dial, s.Store), edge.Network{Dial: dial, Listen: net.Listen}, metrics, logger)
--- a/cmd/agateswitch/reload_test.go
+++ b/cmd/agateswitch/reload_test.go
@@ -60,3 +60,35 @@
 		t.Fatal("the signal did not reload the settings")
 	}
 }
+
+// The check names every problem of a gateway's settings, with its line.
+func TestCheckGatewaySettings(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "settings.jsonc")
+	must.NoError(t, os.WriteFile(path, []byte(strings.ReplaceAll(gatewaySettings, "RATIO", "0.2")), 0o600))
+	var stdout, stderr strings.Builder
+	must.Eq(t, 0, run([]string{"check", "--gateway", path}, &stdout, &stderr))
+	wrong := strings.ReplaceAll(strings.ReplaceAll(gatewaySettings, "RATIO", "7"), `"10.0.0.2:1"`, `"store.example"`)
+	must.NoError(t, os.WriteFile(path, []byte(wrong), 0o600))
+	must.Eq(t, exitFailure, run([]string{"check", "--gateway", path}, &stdout, &stderr))
+	must.StrContains(t, stderr.String(), path+`:4: store: "store.example" is not ip:port`)
+	must.StrContains(t, stderr.String(), path+":8: retries.ratio: must be 0 to 1")
+}
+
+// The settings that the platform fills in are right for any value of its fields.
+func TestDeployedTemplateIsRight(t *testing.T) {
+	template, err := os.ReadFile("../../deploy/settings.jsonc")
+	must.NoError(t, err)
+	filled := strings.NewReplacer(
+		"{{node_name|json}}", `"front-1"`, "{{zone|json}}", `"arima"`, "{{region|json}}", `"tt-north"`,
+		"{{listen.front|json}}", `"10.0.0.1:1"`, "{{listen.ready|json}}", `"10.0.0.1:2"`,
+		"{{listen.directory|json}}", `"10.0.0.1:3"`, "{{ip}}", "10.0.0.1", "{{internal_ports.0}}", "7340",
+		"{{internal_ports.1}}", "7341", "{{platform.address|json}}", `"10.200.1.7:8223"`, "{{bootstrap|json}}", "true",
+		"{{bounds.grace_s}}", "8", "{{bounds.ttl_max_s}}", "5", "{{bounds.retry_budget_ratio|json}}", "0.2",
+		"{{bounds.budget_slack|json}}", "56", "{{bounds.budget_window_s}}", "10", "{{bounds.exposure_share|json}}", "0.1",
+		"{{bounds.exposure_slack|json}}", "50",
+	).Replace(string(template))
+	parsed, problems := settings.ParseGateway("settings.jsonc", []byte(filled))
+	must.Len(t, 0, problems)
+	must.Eq(t, "10.0.0.1:7340", parsed.Listen.Peers)
+	must.Eq(t, settings.DefaultExposure, parsed.Exposure)
+}
--- a/cmd/agateswitch/serve.go
+++ b/cmd/agateswitch/serve.go
@@ -33,19 +33,29 @@
 }
 
 func checkCommand() *cobra.Command {
-	return &cobra.Command{
-		Use:     "check SETTINGS",
-		Short:   "Check a settings file and print every problem",
-		Example: "  agateswitch check examples/hoofline/router.jsonc",
-		Args:    cobra.ExactArgs(1),
+	var isGateway bool
+	command := &cobra.Command{
+		Use:   "check SETTINGS",
+		Short: "Check a settings file and print every problem",
+		Example: "  agateswitch check examples/hoofline/router.jsonc\n" +
+			"  agateswitch check --gateway /etc/agateswitch/boot.yaml",
+		Args: cobra.ExactArgs(1),
 		RunE: func(command *cobra.Command, args []string) error {
-			if _, err := loadSettings(command.ErrOrStderr(), args[0]); err != nil {
+			var err error
+			if isGateway {
+				_, err = loadGatewaySettings(command.ErrOrStderr(), args[0])
+			} else {
+				_, err = loadSettings(command.ErrOrStderr(), args[0])
+			}
+			if err != nil {
 				return err
 			}
 			fmt.Fprintln(command.OutOrStdout(), args[0]+": ok")
 			return nil
 		},
 	}
+	command.Flags().BoolVar(&isGateway, "gateway", false, "the file is for the gateway command")
+	return command
 }
 
 func loadSettings(stderr io.Writer, path string) (settings.Settings, error) {
--- a/node/presence/presence.go
+++ b/node/presence/presence.go
@@ -101,6 +101,7 @@
 			continue
 		}
 		if change.Deleted {
+			p.log.Info("router no longer listed", "peer", id, "revision", change.Entry.Revision)
 			delete(p.listed, fleet.HostID(id))
 			continue
 		}
@@ -109,6 +110,9 @@
 			p.log.Warn("unreadable router entry", "key", change.Entry.Key, "err", err)
 			continue
 		}
+		if _, found := p.listed[host.ID]; !found {
+			p.log.Info("router listed", "peer", id, "address", host.HTTPAddress, "revision", change.Entry.Revision)
+		}
 		p.listed[host.ID] = host
 	}
 }
