--- a/core/pace/pace.go
+++ b/core/pace/pace.go
@@ -64,21 +64,23 @@
 	return share
 }
 
-// RetryBudget allows retries as a fraction of the requests of a sliding window, and a few more.
-type RetryBudget struct {
+// WindowedRetries allows retries as a fraction of the requests of a sliding window, and a few more.
+// Where a bound is given for windows of a length, it keeps to it exactly; the retry budget of
+// package admission follows successes instead.
+type WindowedRetries struct {
 	requests *Window
 	retries  *Window
 }
 
-// NewRetryBudget makes a budget.
-func NewRetryBudget(span time.Duration) *RetryBudget {
-	return &RetryBudget{requests: NewWindow(span), retries: NewWindow(span)}
+// NewWindowedRetries makes a budget.
+func NewWindowedRetries(span time.Duration) *WindowedRetries {
+	return &WindowedRetries{requests: NewWindow(span), retries: NewWindow(span)}
 }
 
 // Request counts a request.
-func (b *RetryBudget) Request(now time.Time) { b.requests.Take(now, math.MaxInt) }
+func (b *WindowedRetries) Request(now time.Time) { b.requests.Take(now, math.MaxInt) }
 
 // Retry counts a retry, unless those of the window exceed ratio of the requests, and extra.
-func (b *RetryBudget) Retry(now time.Time, ratio, extra float64) bool {
+func (b *WindowedRetries) Retry(now time.Time, ratio, extra float64) bool {
 	return b.retries.Take(now, int(ratio*float64(b.requests.Count(now))+extra))
 }
--- a/core/pace/pace_test.go
+++ b/core/pace/pace_test.go
@@ -51,7 +51,7 @@
 }
 
 func TestRetriesAreAFractionOfRequests(t *testing.T) {
-	budget := NewRetryBudget(10 * time.Second)
+	budget := NewWindowedRetries(10 * time.Second)
 	for i := range 100 {
 		budget.Request(start.Add(time.Duration(i) * time.Millisecond))
 	}
--- a/node/gateway/gateway.go
+++ b/node/gateway/gateway.go
@@ -66,13 +66,13 @@
 	running sync.WaitGroup
 
 	mu      sync.Mutex
-	retries map[fleet.PoolID]*pace.RetryBudget
+	retries map[fleet.PoolID]*pace.WindowedRetries
 }
 
 // New makes a gateway. Its Observe is to be subscribed to the replica.
 func New(parts Parts, bounds Bounds) *Gateway {
 	g := &Gateway{
-		Parts: parts, view: newView(parts.Codec, parts.Workload.Forget, parts.Log), retries: map[fleet.PoolID]*pace.RetryBudget{},
+		Parts: parts, view: newView(parts.Codec, parts.Workload.Forget, parts.Log), retries: map[fleet.PoolID]*pace.WindowedRetries{},
 	}
 	g.SetBounds(bounds)
 	return g
@@ -84,7 +84,7 @@
 	if old != nil && old.RetryWindow != bounds.RetryWindow {
 		g.mu.Lock()
 		defer g.mu.Unlock()
-		g.retries = map[fleet.PoolID]*pace.RetryBudget{}
+		g.retries = map[fleet.PoolID]*pace.WindowedRetries{}
 	}
 }
 
@@ -131,10 +131,10 @@
 // and an upstream has not yet seen are no base of the budget.
 const retryMargin = 0.8
 
-func (g *Gateway) budget(pool fleet.PoolID) *pace.RetryBudget {
+func (g *Gateway) budget(pool fleet.PoolID) *pace.WindowedRetries {
 	budget, found := g.retries[pool]
 	if !found {
-		budget = pace.NewRetryBudget(g.bounds.Load().RetryWindow)
+		budget = pace.NewWindowedRetries(g.bounds.Load().RetryWindow)
 		g.retries[pool] = budget
 	}
 	return budget
--- /dev/null
+++ b/node/presence/routers.go
@@ -0,0 +1,127 @@
+package presence
+
+import (
+	"math"
+	"sort"
+	"time"
+
+	"agateswitch/core/fleet"
+	"agateswitch/core/rendezvous"
+)
+
+// Router implements peer.Directory.
+func (p *Presence) Router(id fleet.HostID) (fleet.Host, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if host, found := p.listed[id]; found {
+		return host, true
+	}
+	last, found := p.heard[id]
+	return last.beat.Host, found && time.Since(last.at) < leaseTime
+}
+
+// Routers returns the routers that take callers, this one included unless it leaves, by id.
+func (p *Presence) Routers() []fleet.Host {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := time.Now()
+	known := map[fleet.HostID]fleet.Host{}
+	alive := map[fleet.HostID]fleet.Host{}
+	for id, host := range p.listed {
+		known[id] = host
+	}
+	for id, last := range p.heard {
+		if last.beat.Leaving {
+			delete(known, id)
+			continue
+		}
+		if now.Sub(last.at) < silentAfter {
+			known[id], alive[id] = last.beat.Host, last.beat.Host
+		}
+	}
+	delete(known, p.self.ID)
+	delete(alive, p.self.ID)
+	// A router that hears less than half of the others may be the one that is cut off.
+	if len(p.listed) <= directFleet && 2*len(alive) >= len(known) {
+		known = alive
+	}
+	if !p.leaving.Load() {
+		known[p.self.ID] = p.self
+	}
+	routers := make([]fleet.Host, 0, len(known))
+	for _, host := range known {
+		if host.State != fleet.Leaving {
+			routers = append(routers, host)
+		}
+	}
+	sort.Slice(routers, func(i, j int) bool { return routers[i].ID < routers[j].ID })
+	return routers
+}
+
+// Others returns the routers that may be asked, without this one.
+func (p *Presence) Others() []fleet.HostID {
+	var others []fleet.HostID
+	for _, host := range p.Routers() {
+		if host.ID != p.self.ID {
+			others = append(others, host.ID)
+		}
+	}
+	return others
+}
+
+// watchersKey names the duty of watching the store in the routers' rendezvous order.
+const watchersKey = "store watcher"
+
+// Watchers returns the routers of this one's data centre that watch the store for it, and whether
+// it is one of them. In a small fleet all watch. In a large one the square root of a data
+// centre's routers do, so that both the store's calls and what a watcher passes on stay few.
+func (p *Presence) Watchers() (watchers []fleet.HostID, self bool) {
+	routers := p.Routers()
+	if len(routers) <= directFleet {
+		return nil, true
+	}
+	var near []string
+	for _, router := range routers {
+		if router.DataCentre == p.self.DataCentre {
+			near = append(near, string(router.ID))
+		}
+	}
+	order := rendezvous.Order(watchersKey, near)
+	for _, id := range order[:int(math.Ceil(math.Sqrt(float64(len(order)))))] {
+		if fleet.HostID(id) == p.self.ID {
+			return nil, true
+		}
+		watchers = append(watchers, fleet.HostID(id))
+	}
+	return watchers, false
+}
+
+// Count returns how many routers may send to upstreams: those listed and those heard, leaving
+// ones included, so that a share of a limit is never too large.
+func (p *Presence) Count() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	known := map[fleet.HostID]bool{p.self.ID: true}
+	for id := range p.listed {
+		known[id] = true
+	}
+	for id, last := range p.heard {
+		if time.Since(last.at) < leaseTime {
+			known[id] = true
+		}
+	}
+	return len(known)
+}
+
+// Rank returns this router's place, from 0, in the order of all routers for a key.
+func (p *Presence) Rank(key string) int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	own, rank := rendezvous.Score(key, string(p.self.ID)), 0
+	for id := range p.listed {
+		if id != p.self.ID && rendezvous.Score(key, string(id)) > own {
+			rank++
+		}
+	}
+	return rank
+}
--- a/node/versionmove/versionmove.go
+++ b/node/versionmove/versionmove.go
@@ -215,16 +215,6 @@
 	}
 }
 
-// told is what a router tells of one move.
-type moveMessage struct {
-	Pool     fleet.PoolID   `msgpack:"pool"`
-	ID       rollout.MoveID `msgpack:"id"`
-	AgeMs    int64          `msgpack:"age_ms"`
-	Back     bool           `msgpack:"back,omitempty"`
-	Reason   string         `msgpack:"reason,omitempty"`
-	Evidence []rollout.Pair `msgpack:"evidence,omitempty"`
-}
-
 // Run carries moves on until ctx ends.
 func (s *Service) Run(ctx context.Context) {
 	ticker := time.NewTicker(tellInterval)
@@ -239,46 +229,6 @@
 	}
 }
 
-func (s *Service) tick(ctx context.Context) {
-	messages := s.gather()
-	if len(messages) == 0 {
-		return
-	}
-	for _, other := range s.fleet.Others() {
-		go func() {
-			ctx, cancel := context.WithTimeout(ctx, tellTimeout)
-			defer cancel()
-			var none struct{}
-			if err := s.transport.Call(ctx, other, methodTell, messages, &none); err != nil {
-				s.log.Info("router not told of a version move", "peer", other, "err", err)
-			}
-		}()
-	}
-	for _, report := range s.reports() {
-		s.report(ctx, report)
-	}
-}
-
-// gather judges the running moves and returns what the other routers are to be told.
-func (s *Service) gather() []moveMessage {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	var messages []moveMessage
-	for pool, m := range s.moves {
-		if m.state != rollout.StatusRunning && m.reported {
-			continue
-		}
-		pairs := m.evidence.Take()
-		m.add(pairs)
-		s.judge(m)
-		messages = append(messages, moveMessage{
-			Pool: pool, ID: m.id, AgeMs: time.Since(m.began).Milliseconds(), Back: m.state == rollout.StatusBack,
-			Reason: m.reason, Evidence: pairs,
-		})
-	}
-	return messages
-}
-
 func (m *move) add(pairs []rollout.Pair) {
 	m.detector.Add(time.Now(), pairs)
 	for _, pair := range pairs {
@@ -308,90 +258,3 @@
 	s.log.Warn("version rolled back", "move", m.id, "target", m.order.Target, "reason", reason,
 		"age", time.Since(m.began), "exposed", m.exposed, "requests", m.requests)
 }
-
-// report is an end that the store is to be told.
-type report struct {
-	move     *move
-	order    port.MoveOrder
-	state    port.MoveState
-	revision int64
-}
-
-// reports returns the ends that it is this router's turn to report.
-func (s *Service) reports() []report {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	var due []report
-	for pool, m := range s.moves {
-		turn := m.due.Add(time.Duration(s.fleet.Rank(string(m.id))) * takeOver)
-		running := m.state == rollout.StatusRunning && m.due.IsZero() && s.statuses[pool].revision < m.revision
-		switch {
-		case m.reported:
-		case running && s.fleet.Rank(string(m.id)) == 0:
-			due = append(due, report{m, m.order, port.MoveRunning, s.statuses[pool].revision})
-		case m.due.IsZero() || time.Now().Before(turn):
-		case m.state == rollout.StatusBack:
-			due = append(due, report{m, m.order, port.MoveRolledBack, s.statuses[pool].revision})
-		case time.Now().Before(turn.Add(settle)):
-		default:
-			due = append(due, report{m, m.order, port.MoveSucceeded, s.statuses[pool].revision})
-		}
-	}
-	return due
-}
-
-// report writes a status under the condition that nobody has written another one. A conflict or
-// an unknown outcome shows in the replica, and the next tick goes on from there.
-func (s *Service) report(ctx context.Context, r report) {
-	if s.isBack(r.move) && r.state != port.MoveRolledBack {
-		return
-	}
-	key, value, err := s.codec.MoveStatus(r.order, r.state)
-	if err != nil {
-		s.log.Error("status of a move not encoded", "move", r.move.id, "err", err)
-		return
-	}
-	result, err := s.store.Commit(ctx, port.Transaction{
-		Conditions: []port.Condition{{Key: key, Revision: r.revision}}, Writes: []port.Write{{Key: key, Value: value}},
-	})
-	if err != nil || !result.Applied {
-		s.log.Warn("status of a move not written", "move", r.move.id, "state", r.state, "conflict", err == nil, "err", err)
-		return
-	}
-	s.log.Info("status of a move written", "move", r.move.id, "state", r.state, "reason", r.move.reason)
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.told(port.Entry{Revision: result.Revision}, port.MoveStatus{Pool: r.order.Pool, Target: r.order.Target, State: r.state})
-}
-
-func (s *Service) isBack(m *move) bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return m.state == rollout.StatusBack
-}
-
-// heard takes what another router tells.
-func (s *Service) heard(_ context.Context, from fleet.HostID, decode port.Decode) (any, error) {
-	var messages []moveMessage
-	if err := decode(&messages); err != nil {
-		return nil, err
-	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	for _, message := range messages {
-		m, found := s.moves[message.Pool]
-		if !found || m.id != message.ID {
-			continue
-		}
-		// The router that knew of the order first is nearest to its time.
-		if began := time.Now().Add(-time.Duration(message.AgeMs) * time.Millisecond); began.Before(m.began) {
-			m.began = began
-		}
-		m.add(message.Evidence)
-		if message.Back && m.state == rollout.StatusRunning {
-			m.state, m.reason, m.due = rollout.StatusBack, message.Reason, time.Now()
-			s.log.Warn("version rolled back by another router", "move", m.id, "peer", from, "reason", message.Reason)
-		}
-	}
-	return struct{}{}, nil
-}
