--- /dev/null
+++ b/cmd/agateswitch/gateway_process_test.go
@@ -0,0 +1,169 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"agateswitch/platform/standin"
+
+	"github.com/shoenig/test/must"
+)
+
+const (
+	gatewayHost = "farrier.example"
+	gatewayKey  = "key-of-team-one"
+)
+
+// gatewayFleet is real gateway processes before stand-ins of the platform on loopback.
+type gatewayFleet struct {
+	program string
+	store   *standin.Store
+	plain   *standin.Engine
+	stream  *standin.Engine
+}
+
+func newGatewayFleet(t *testing.T) *gatewayFleet {
+	t.Helper()
+	f := &gatewayFleet{
+		program: buildProgram(t), store: standin.NewStore(), plain: &standin.Engine{ID: "app-0"},
+		stream: &standin.Engine{ID: "lm-0", Stream: true, Events: 100, Interval: 10 * time.Millisecond},
+	}
+	route := func(name, service, kind string) map[string]any {
+		return map[string]any{"name": name, "host": gatewayHost, "path_prefix": "/" + name + "/", "kind": kind,
+			"timeout_ms": 60000, "service": service, "max_attempts": 1}
+	}
+	f.store.Put("op/config", map[string]any{
+		"version":  1,
+		"routes":   []any{route("book", "app", "non_idempotent"), route("plan", "lm", "streaming")},
+		"services": []any{map[string]any{"name": "app"}, map[string]any{"name": "lm", "engine": map[string]any{"slots": 8}}},
+		"limits":   map[string]any{"max_header_bytes": 16384, "max_body_bytes": 1 << 20},
+		"tenants":  []any{map[string]any{"name": "team-one", "api_keys": []string{gatewayKey}}},
+	})
+	for pool, e := range map[string]*standin.Engine{"app": f.plain, "lm": f.stream} {
+		f.store.Put("servers/"+e.ID, map[string]any{
+			"service": pool, "address": listenOn(t, e), "zone": "arima", "version": "v1", "state": "ready", "born": 1,
+		})
+	}
+	return f
+}
+
+func listenOn(t *testing.T, handler http.Handler) string {
+	t.Helper()
+	server := httptest.NewServer(handler)
+	t.Cleanup(server.Close)
+	return server.Listener.Addr().String()
+}
+
+// gatewayProcess is one router, and the file of its settings.
+type gatewayProcess struct {
+	*process
+	callers  string
+	settings string
+}
+
+// start runs a router and waits until it serves. Each has a loopback address of its own, so that
+// its ports are free.
+func (f *gatewayFleet) start(ctx context.Context, t *testing.T, number int) gatewayProcess {
+	t.Helper()
+	ip := fmt.Sprintf("127.%d.%d.%d", 20+os.Getpid()%200, os.Getpid()/200%250, number)
+	file := filepath.Join(t.TempDir(), "settings.jsonc")
+	content := fmt.Sprintf(`{
+		"host": {"id": "front-%d", "datacentre": "arima", "region": "tt-north"},
+		"listen": {"callers": "%[2]s:7001", "readiness": "%[2]s:7002", "directory": "%[2]s:7003", "peers": "%[2]s:7004", "metrics": "%[2]s:7005"},
+		"store": %[3]q, "peer_key": "process-test-peer-key-of-32-characters", "grace": "30s", "max_directory_ttl": "5s",
+		"retries": {"ratio": 0.2, "extra": 50, "window": "10s"}, "log": {"format": "json"}
+	}`, number, ip, listenOn(t, f.store.For(ip)))
+	must.NoError(t, os.WriteFile(file, []byte(content), 0o600))
+	p := gatewayProcess{process: launch(t, f.program, "gateway", file), callers: ip + ":7001", settings: file}
+	p.await(ctx, t, "desired state in force")
+	return p
+}
+
+// await waits for a log line.
+func (p gatewayProcess) await(ctx context.Context, t *testing.T, message string) {
+	t.Helper()
+	p.find(ctx, t, func(line string) (string, bool) {
+		var parsed struct{ Msg string }
+		return line, json.Unmarshal([]byte(line), &parsed) == nil && parsed.Msg == message
+	})
+}
+
+// ask sends a request and returns its status and body; an answer that is cut is an error.
+func (p gatewayProcess) ask(ctx context.Context, path string) (int, string, error) {
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+p.callers+path, strings.NewReader("body"))
+	if err != nil {
+		return 0, "", err
+	}
+	request.Host = gatewayHost
+	request.Header.Set("Attempt-Id", fmt.Sprint(time.Now().UnixNano()))
+	request.Header.Set("X-Api-Key", gatewayKey)
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return 0, "", err
+	}
+	defer response.Body.Close()
+	body, err := io.ReadAll(response.Body)
+	return response.StatusCode, string(body), err
+}
+
+// The real program serves through a reload, a planned stop that cuts no request, and the kill of
+// another router.
+func TestGatewayProcesses(t *testing.T) {
+	ctx, cancel := context.WithTimeout(t.Context(), processLimit)
+	defer cancel()
+	f := newGatewayFleet(t)
+	first, second := f.start(ctx, t, 1), f.start(ctx, t, 2)
+	serves := func(p gatewayProcess) {
+		t.Helper()
+		status, body, err := p.ask(ctx, "/book/1")
+		must.NoError(t, err)
+		must.Eq(t, http.StatusOK, status)
+		must.Eq(t, "answer of app-0", body)
+	}
+	serves(first)
+	serves(second)
+
+	text, err := os.ReadFile(first.settings)
+	must.NoError(t, err)
+	must.NoError(t, os.WriteFile(first.settings, []byte(strings.Replace(string(text), "0.2", "0.3", 1)), 0o600))
+	must.NoError(t, first.command.Process.Signal(syscall.SIGHUP))
+	first.await(ctx, t, "settings in force")
+	serves(first)
+
+	type ended struct {
+		body string
+		err  error
+	}
+	long := make(chan ended, 1)
+	go func() {
+		_, body, err := first.ask(ctx, "/plan/1")
+		long <- ended{body, err}
+	}()
+	for len(f.stream.Runs()) == 0 {
+		must.NoError(t, ctx.Err())
+		time.Sleep(time.Millisecond)
+	}
+	must.NoError(t, first.command.Process.Signal(syscall.SIGTERM))
+	first.await(ctx, t, "leaving")
+	serves(first)
+	stream := <-long
+	must.NoError(t, stream.err)
+	must.StrHasSuffix(t, "id: 100\ndata: piece 100\n\n", stream.body)
+	first.await(ctx, t, "stopped")
+	must.NoError(t, first.command.Wait())
+
+	serves(second)
+	third := f.start(ctx, t, 3)
+	must.NoError(t, second.command.Process.Kill())
+	serves(third)
+}
--- a/core/balance/balance.go
+++ b/core/balance/balance.go
@@ -19,8 +19,8 @@
 	Hash uint64
 	// Running is the number of requests that the upstream is believed to run.
 	Running float64
-	// Unread is the number of prompt tokens that it has still to read for them.
-	Unread float64
+	// PendingPrefill is the number of prompt tokens that it has still to read for them.
+	PendingPrefill float64
 	// Uncached is how many tokens of this prompt it has not in its cache.
 	Uncached float64
 	// Fetchable is how many of those it could copy from another engine instead of reading them.
@@ -113,7 +113,7 @@
 		}
 		ranks[i] = rank{
 			faulty: faults[i], loaded: c.Running > ranking.Bound, tie: rendezvous.Mix(hash, c.Hash),
-			cost: c.Unread + runningTokens*c.Running + rereadFactor*(c.Uncached-c.Fetchable) + fetchFactor*c.Fetchable,
+			cost: c.PendingPrefill + runningTokens*c.Running + rereadFactor*(c.Uncached-c.Fetchable) + fetchFactor*c.Fetchable,
 		}
 		anyWarm = anyWarm || c.Uncached < prompt.Tokens
 	}
--- a/core/balance/balance_test.go
+++ b/core/balance/balance_test.go
@@ -27,12 +27,12 @@
 	must.Eq(t, 3, ranking.Order[0])
 	must.Eq(t, Warm, ranking.Reason)
 	// More left to read than the prompt's own tokens.
-	candidates[3].Unread = 15000
+	candidates[3].PendingPrefill = 15000
 	ranking = ByPrompt(Prompt{Key: "key", Known: true, Tokens: 9000}, candidates)
 	must.NotEq(t, 3, ranking.Order[0])
 	must.Eq(t, Spread, ranking.Reason)
 	// More running than the bound.
-	candidates[3].Unread, candidates[3].Running = 0, 20
+	candidates[3].PendingPrefill, candidates[3].Running = 0, 20
 	must.NotEq(t, 3, ByPrompt(Prompt{Key: "key", Known: true, Tokens: 9000}, candidates).Order[0])
 }
 
--- a/core/pace/pace.go
+++ b/core/pace/pace.go
@@ -33,15 +33,6 @@
 	return len(w.events)
 }
 
-// Next returns when an event leaves the window, so that another fits in.
-func (w *Window) Next(now time.Time) time.Duration {
-	w.forget(now)
-	if len(w.events) == 0 {
-		return 0
-	}
-	return w.events[0].Add(w.span).Sub(now)
-}
-
 func (w *Window) forget(now time.Time) {
 	old := 0
 	for old < len(w.events) && now.Sub(w.events[old]) >= w.span {
--- a/node/gateway/authorise.go
+++ b/node/gateway/authorise.go
@@ -113,8 +113,8 @@
 // findPool picks the pool and sets the deadline.
 func (x *exchange) findPool() *fleet.Refusal {
 	limit := x.route.Timeout
-	if x.call.Patience > 0 && x.call.Patience < limit {
-		limit = x.call.Patience
+	if x.call.Timeout > 0 && x.call.Timeout < limit {
+		limit = x.call.Timeout
 	}
 	x.deadline = x.began.Add(limit)
 	id, found := x.route.Pick(rand.Float64())
--- a/node/gateway/choose.go
+++ b/node/gateway/choose.go
@@ -62,7 +62,7 @@
 		load := g.Workload.Load(e.id)
 		candidate := balance.Candidate{
 			ID: e.id, Hash: e.hash, FailureRate: s.failureRate, Running: float64(load.Running),
-			Unread: float64(load.Unread), Uncached: float64(total - cached[e.id]),
+			PendingPrefill: float64(load.PendingPrefill), Uncached: float64(total - cached[e.id]),
 		}
 		if source, found := sources.besides(e); found && source.tokens >= cached[e.id]+minCopyTokens {
 			candidate.Fetchable = float64(source.tokens - cached[e.id])
@@ -133,7 +133,7 @@
 		}
 		return &choice{
 			engine: e, upstream: e.upstream(), ranking: ranking, uncached: int(ranked.Uncached),
-			load: workload.Load{Running: int(ranked.Running), Unread: int(ranked.Unread)},
+			load: workload.Load{Running: int(ranked.Running), PendingPrefill: int(ranked.PendingPrefill)},
 		}
 	}
 	return nil
--- a/node/gateway/report.go
+++ b/node/gateway/report.go
@@ -44,7 +44,7 @@
 func (x *exchange) logAttempt(chosen *choice, result attemptResult, retry admission.RetryReason) {
 	x.gateway.Instruments.attemptFailed(x.route.Name)
 	x.gateway.Log.Info("attempt failed", "request", x.call.ID, "route", x.route.Name, "upstream", chosen.upstream.ID,
-		"version", chosen.upstream.Version, "reason", chosen.ranking.Reason, "load", chosen.load.Running, "unread", chosen.load.Unread,
+		"version", chosen.upstream.Version, "reason", chosen.ranking.Reason, "load", chosen.load.Running, "pending_prefill", chosen.load.PendingPrefill,
 		"sent", result.sent, "ran", result.ran, "cause", result.cause, "retry", retry, "took", time.Since(x.began))
 }
 
@@ -58,7 +58,7 @@
 	x.gateway.Instruments.answered(x.route.Name, status, first)
 	x.gateway.Log.Info("answered", "request", x.call.ID, "route", x.route.Name, "team", x.teamName(),
 		"upstream", chosen.upstream.ID, "version", chosen.upstream.Version, "reason", chosen.ranking.Reason,
-		"load", chosen.load.Running, "unread", chosen.load.Unread, "bound", chosen.ranking.Bound,
+		"load", chosen.load.Running, "pending_prefill", chosen.load.PendingPrefill, "bound", chosen.ranking.Bound,
 		"uncached", chosen.uncached, "fetch_from", chosen.fetchFrom, "state", x.stateVersion(),
 		"status", status, "first", first, "events", events, "took", time.Since(x.began))
 }
--- a/node/presence/beats.go
+++ b/node/presence/heartbeats.go
@@ -9,33 +9,33 @@
 	"agateswitch/port"
 )
 
-// Beat is what routers tell each other.
-type Beat struct {
+// Heartbeat is what routers tell each other.
+type Heartbeat struct {
 	Host    fleet.Host `msgpack:"host"`
 	Leaving bool       `msgpack:"leaving,omitempty"`
 }
 
-// heard is the last beat of a router.
+// heard is the last heartbeat of a router.
 type heard struct {
-	beat Beat
-	at   time.Time
+	heartbeat Heartbeat
+	at        time.Time
 }
 
-// beat makes this router's beat.
-func (p *Presence) beat() Beat {
-	return Beat{Host: p.self, Leaving: p.leaving.Load()}
+// heartbeat makes this router's heartbeat.
+func (p *Presence) heartbeat() Heartbeat {
+	return Heartbeat{Host: p.self, Leaving: p.leaving.Load()}
 }
 
-// sendBeats exchanges beats with the routers whose id comes after this one's: the others begin
+// sendHeartbeats exchanges heartbeats with the routers whose id comes after this one's: the others begin
 // the exchange themselves. A leaving router tells all.
-func (p *Presence) sendBeats(ctx context.Context) {
-	beat := p.beat()
-	for _, id := range p.beatTargets(beat.Leaving) {
-		go p.exchange(ctx, id, beat)
+func (p *Presence) sendHeartbeats(ctx context.Context) {
+	heartbeat := p.heartbeat()
+	for _, id := range p.heartbeatTargets(heartbeat.Leaving) {
+		go p.exchange(ctx, id, heartbeat)
 	}
 }
 
-func (p *Presence) beatTargets(all bool) []fleet.HostID {
+func (p *Presence) heartbeatTargets(all bool) []fleet.HostID {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	var targets []fleet.HostID
@@ -69,28 +69,28 @@
 	return next
 }
 
-func (p *Presence) exchange(ctx context.Context, id fleet.HostID, beat Beat) {
-	ctx, cancel := context.WithTimeout(ctx, beatTimeout)
+func (p *Presence) exchange(ctx context.Context, id fleet.HostID, heartbeat Heartbeat) {
+	ctx, cancel := context.WithTimeout(ctx, heartbeatTimeout)
 	defer cancel()
-	var answer Beat
-	if err := p.transport.Call(ctx, id, methodBeat, beat, &answer); err != nil {
-		p.log.Debug("no beat", "peer", id, "err", err)
+	var answer Heartbeat
+	if err := p.transport.Call(ctx, id, methodHeartbeat, heartbeat, &answer); err != nil {
+		p.log.Debug("no heartbeat", "peer", id, "err", err)
 		return
 	}
 	p.hear(answer)
 }
 
-func (p *Presence) hear(beat Beat) {
+func (p *Presence) hear(heartbeat Heartbeat) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.heard[beat.Host.ID] = heard{beat: beat, at: time.Now()}
+	p.heard[heartbeat.Host.ID] = heard{heartbeat: heartbeat, at: time.Now()}
 }
 
-func (p *Presence) answerBeat(_ context.Context, _ fleet.HostID, decode port.Decode) (any, error) {
-	var beat Beat
-	if err := decode(&beat); err != nil {
+func (p *Presence) answerHeartbeat(_ context.Context, _ fleet.HostID, decode port.Decode) (any, error) {
+	var heartbeat Heartbeat
+	if err := decode(&heartbeat); err != nil {
 		return nil, err
 	}
-	p.hear(beat)
-	return p.beat(), nil
+	p.hear(heartbeat)
+	return p.heartbeat(), nil
 }
--- a/node/presence/presence.go
+++ b/node/presence/presence.go
@@ -1,5 +1,5 @@
 // Package presence makes a router known to the others and tells which of them are alive: by an
-// entry in the store under a lease, and by beats that routers exchange.
+// entry in the store under a lease, and by heartbeats that routers exchange.
 package presence
 
 import (
@@ -23,24 +23,24 @@
 	leaseTime = 2500 * time.Millisecond
 	// renewInterval leaves room for two renewals that fail.
 	renewInterval = 800 * time.Millisecond
-	// beatInterval is the time between two beats to a router.
-	beatInterval = 500 * time.Millisecond
-	// beatTimeout bounds one exchange of beats.
-	beatTimeout = 400 * time.Millisecond
+	// heartbeatInterval is the time between two heartbeats to a router.
+	heartbeatInterval = 500 * time.Millisecond
+	// heartbeatTimeout bounds one exchange of heartbeats.
+	heartbeatTimeout = 400 * time.Millisecond
 	// silentAfter is how long a router may be silent before it leaves the entry answers: three
-	// beats, so that one lost packet does not move callers.
+	// heartbeats, so that one lost packet does not move callers.
 	silentAfter = 1800 * time.Millisecond
-	// directFleet is the largest fleet whose routers all exchange beats. In a larger one each
-	// sends beats to its next neighbours by id, and the store tells who is alive.
+	// directFleet is the largest fleet whose routers all exchange heartbeats. In a larger one each
+	// sends heartbeats to its next neighbours by id, and the store tells who is alive.
 	directFleet = 16
-	// neighbours is how many routers get beats in a large fleet.
+	// neighbours is how many routers get heartbeats in a large fleet.
 	neighbours = 4
 )
 
 // prefix of the routers' entries in the store.
 const prefix = "agateswitch/router/"
 
-const methodBeat = "presence.beat"
+const methodHeartbeat = "presence.heartbeat"
 
 // Presence is one router's part. It is safe for concurrent use.
 type Presence struct {
@@ -72,7 +72,7 @@
 // Join connects the presence to other routers.
 func (p *Presence) Join(transport port.Peers) {
 	p.transport = transport
-	transport.Handle(methodBeat, p.answerBeat)
+	transport.Handle(methodHeartbeat, p.answerHeartbeat)
 }
 
 // Observe takes changes of the store.
@@ -113,7 +113,7 @@
 // Run keeps the router known until ctx ends.
 func (p *Presence) Run(ctx context.Context) {
 	var parts sync.WaitGroup
-	parts.Go(func() { p.every(ctx, beatInterval, p.sendBeats) })
+	parts.Go(func() { p.every(ctx, heartbeatInterval, p.sendHeartbeats) })
 	parts.Go(func() { p.every(ctx, renewInterval, p.renew) })
 	parts.Wait()
 }
--- a/node/presence/routers.go
+++ b/node/presence/routers.go
@@ -17,7 +17,7 @@
 		return host, true
 	}
 	last, found := p.heard[id]
-	return last.beat.Host, found && time.Since(last.at) < leaseTime
+	return last.heartbeat.Host, found && time.Since(last.at) < leaseTime
 }
 
 // Routers returns the routers that take callers, this one included unless it leaves, by id.
@@ -31,12 +31,12 @@
 		known[id] = host
 	}
 	for id, last := range p.heard {
-		if last.beat.Leaving {
+		if last.heartbeat.Leaving {
 			delete(known, id)
 			continue
 		}
 		if now.Sub(last.at) < silentAfter {
-			known[id], alive[id] = last.beat.Host, last.beat.Host
+			known[id], alive[id] = last.heartbeat.Host, last.heartbeat.Host
 		}
 	}
 	delete(known, p.self.ID)
--- a/node/replica/pull.go
+++ b/node/replica/pull.go
@@ -126,7 +126,7 @@
 			response.Entries = append(response.Entries, pulledEntry{Key: key, Value: entry.Value, Revision: entry.Revision})
 		}
 	}
-	for key, gone := range r.graves {
+	for key, gone := range r.tombstones {
 		if gone.revision > request.After && !response.Complete {
 			response.Entries = append(response.Entries, pulledEntry{Key: key, Revision: gone.revision, Deleted: true})
 		}
--- a/node/replica/replica.go
+++ b/node/replica/replica.go
@@ -37,9 +37,9 @@
 	// confirmAge is the age at which a copy counts as the newest state. A change has to be in
 	// force 2 s after it was acknowledged; half of that is left for other delays.
 	confirmAge = time.Second
-	// graveTime is how long a deletion is remembered for routers that ask: longer than the
+	// tombstoneTime is how long a deletion is remembered for routers that ask: longer than the
 	// store's history and any outage that the routers bridge by themselves.
-	graveTime = 60 * time.Second
+	tombstoneTime = 60 * time.Second
 )
 
 // methodPull asks another router for what it knows beyond a revision.
@@ -77,9 +77,9 @@
 	loaded     chan struct{}
 
 	// mu orders changes: subscribers see them in the order in which they are applied.
-	mu      sync.Mutex
-	entries map[string]port.Entry
-	graves  map[string]grave
+	mu         sync.Mutex
+	entries    map[string]port.Entry
+	tombstones map[string]tombstone
 	// forgotten is the newest deletion that is no longer remembered.
 	forgotten int64
 	asOf      int64
@@ -96,8 +96,8 @@
 	confirmError error
 }
 
-// grave remembers a deletion.
-type grave struct {
+// tombstone remembers a deletion.
+type tombstone struct {
 	revision int64
 	at       time.Time
 }
@@ -109,7 +109,7 @@
 func New(store port.Store, transport port.Peers, peers Peers, desiredKey string, logger *log.Logger) *Replica {
 	r := &Replica{
 		store: store, transport: transport, peers: peers, desiredKey: desiredKey, log: logger,
-		loaded: make(chan struct{}), entries: map[string]port.Entry{}, graves: map[string]grave{},
+		loaded: make(chan struct{}), entries: map[string]port.Entry{}, tombstones: map[string]tombstone{},
 	}
 	transport.Handle(methodPull, r.answerPull)
 	return r
@@ -165,20 +165,20 @@
 	if found && known.Revision >= revision && !(change.Deleted && known.Revision == revision) {
 		return false
 	}
-	if gone, dead := r.graves[key]; dead && gone.revision >= revision {
+	if gone, dead := r.tombstones[key]; dead && gone.revision >= revision {
 		return false
 	}
 	if !change.Deleted {
 		r.entries[key] = change.Entry
-		delete(r.graves, key)
+		delete(r.tombstones, key)
 		return true
 	}
 	delete(r.entries, key)
-	r.graves[key] = grave{revision: revision, at: now}
-	for other, old := range r.graves {
-		if now.Sub(old.at) > graveTime {
+	r.tombstones[key] = tombstone{revision: revision, at: now}
+	for other, old := range r.tombstones {
+		if now.Sub(old.at) > tombstoneTime {
 			r.forgotten = max(r.forgotten, old.revision)
-			delete(r.graves, other)
+			delete(r.tombstones, other)
 		}
 	}
 	return found
--- a/node/workload/workload.go
+++ b/node/workload/workload.go
@@ -46,16 +46,16 @@
 // Load is what one or more routers run on an upstream.
 type Load struct {
 	Running int `msgpack:"r"`
-	// Unread is the number of prompt tokens that the upstream has still to read.
-	Unread int `msgpack:"u,omitempty"`
+	// PendingPrefill is the number of prompt tokens that the upstream has still to read.
+	PendingPrefill int `msgpack:"u,omitempty"`
 }
 
 func (l Load) plus(other Load) Load {
-	return Load{Running: l.Running + other.Running, Unread: l.Unread + other.Unread}
+	return Load{Running: l.Running + other.Running, PendingPrefill: l.PendingPrefill + other.PendingPrefill}
 }
 
 func (l Load) minus(other Load) Load {
-	return Load{Running: l.Running - other.Running, Unread: l.Unread - other.Unread}
+	return Load{Running: l.Running - other.Running, PendingPrefill: l.PendingPrefill - other.PendingPrefill}
 }
 
 // message is what a router tells.
@@ -122,12 +122,12 @@
 type Ticket struct {
 	workload *Workload
 	upstream fleet.UpstreamID
-	unread   int
+	pending  int
 }
 
-// Start counts a request that is sent to an upstream, which has to read unread tokens of its
-// prompt. From then on the upstream is taken to have the parts.
-func (w *Workload) Start(upstream fleet.UpstreamID, unread int, parts []warmth.Part) *Ticket {
+// Start counts a request that is sent to an upstream, which has to read pending tokens of
+// its prompt. From then on the upstream is taken to have the parts.
+func (w *Workload) Start(upstream fleet.UpstreamID, pending int, parts []warmth.Part) *Ticket {
 	w.mu.Lock()
 	now := time.Now()
 	for _, part := range parts {
@@ -135,22 +135,22 @@
 		w.placed = append(w.placed, warmth.Placement{Part: part.ID, Engine: upstream})
 	}
 	w.mu.Unlock()
-	w.add(upstream, Load{Running: 1, Unread: unread})
-	return &Ticket{workload: w, upstream: upstream, unread: unread}
+	w.add(upstream, Load{Running: 1, PendingPrefill: pending})
+	return &Ticket{workload: w, upstream: upstream, pending: pending}
 }
 
 // Read notes that the upstream has read the prompt.
 func (t *Ticket) Read() {
-	if t.unread > 0 {
-		t.workload.add(t.upstream, Load{Unread: -t.unread})
-		t.unread = 0
+	if t.pending > 0 {
+		t.workload.add(t.upstream, Load{PendingPrefill: -t.pending})
+		t.pending = 0
 	}
 }
 
 // End notes that the request has ended.
 func (t *Ticket) End() {
-	t.workload.add(t.upstream, Load{Running: -1, Unread: -t.unread})
-	t.unread = 0
+	t.workload.add(t.upstream, Load{Running: -1, PendingPrefill: -t.pending})
+	t.pending = 0
 }
 
 func (w *Workload) add(upstream fleet.UpstreamID, change Load) {
--- a/node/workload/workload_test.go
+++ b/node/workload/workload_test.go
@@ -123,16 +123,16 @@
 				}
 				time.Sleep(delay)
 				for _, n := range w.nodes {
-					must.Eq(t, Load{Running: routers, Unread: 1000 * routers}, n.Load("e1"))
+					must.Eq(t, Load{Running: routers, PendingPrefill: 1000 * routers}, n.Load("e1"))
 					must.Eq(t, map[fleet.UpstreamID]int{"e1": 100}, n.Cached(prompt))
 				}
 				tickets[0].Read()
 				tickets[1].End()
 				time.Sleep(delay)
-				must.Eq(t, Load{Running: routers - 1, Unread: 1000 * (routers - 2)}, w.node(2).Load("e1"))
+				must.Eq(t, Load{Running: routers - 1, PendingPrefill: 1000 * (routers - 2)}, w.node(2).Load("e1"))
 				w.silence(w.node(3))
 				time.Sleep(silentAfter + 2*fullInterval + delay)
-				must.Eq(t, Load{Running: routers - 2, Unread: 1000 * (routers - 3)}, w.node(2).Load("e1"))
+				must.Eq(t, Load{Running: routers - 2, PendingPrefill: 1000 * (routers - 3)}, w.node(2).Load("e1"))
 			})
 		})
 	}
--- a/port/edge.go
+++ b/port/edge.go
@@ -23,12 +23,10 @@
 	ID fleet.RequestID
 	// Key is the caller's API key.
 	Key string
-	// Patience is how long the caller waits. Zero means that it does not say.
-	Patience time.Duration
+	// Timeout is how long the caller waits. Zero means that it does not say.
+	Timeout time.Duration
 	// Prompt lists the parts of a prompt, in order. It is empty for plain services.
 	Prompt []PromptPart
-	// OutputTokens is the largest number of tokens that the caller asks for.
-	OutputTokens int
 	// ResumeAfter is the last event that the caller has of an earlier answer.
 	ResumeAfter string
 }
@@ -56,11 +54,6 @@
 	FetchFrom string
 }
 
-// EngineLoad is what an upstream tells of its load in an answer.
-type EngineLoad struct {
-	Running, Waiting, Slots int
-}
-
 // EngineAnswer is what the header of an upstream's answer tells.
 type EngineAnswer struct {
 	// ID is the request that the answer belongs to.
@@ -71,7 +64,6 @@
 	Misdirected bool
 	// Signed is true when the answer is an upstream's, and not of something between.
 	Signed bool
-	Load   *EngineLoad
 }
 
 // EngineProtocol writes the header of upstreams' calls and reads that of their answers.
