Come back after a second while the store is away; mend three faults that tests showed now and then

Change: Retry-After of 1 s on average while the state is unknown; fewer calls to a store that is away, more before the first state; routers tell for how long lapsed entries may come back; an attempt's limit lies behind the deadline; a version with as many failed requests as not is rolled back.

--- a/core/rollout/exposure.go
+++ b/core/rollout/exposure.go
@@ -1,6 +1,9 @@
 package rollout
 
-import "time"
+import (
+	"fmt"
+	"time"
+)
 
 // Exposure bounds what a version gets before it has shown that it is good, over the whole fleet:
 // Share of a pool's requests since the order, and Slack more.
@@ -72,8 +75,10 @@
 func (v Verdict) suspicious() bool { return v.Strength >= suspicion }
 
 // EndOfShort decides how a short move ends: rolled back as soon as the evidence is against the
-// version, or when it is due without any request that shows it, or under suspicion.
-func EndOfShort(phase Phase, verdict Verdict, requests uint32) (status Status, reason string) {
+// version, or when it is due under suspicion, without any request that shows it, or with as many
+// failed as not. The last rule is for evidence too thin for the sequential tests. Requests and
+// failures are those that ended on the new version.
+func EndOfShort(phase Phase, verdict Verdict, requests, failures uint32) (status Status, reason string) {
 	switch {
 	case verdict.Bad:
 		return StatusBack, verdict.Reason
@@ -81,6 +86,8 @@
 		return StatusRunning, ""
 	case requests == 0:
 		return StatusBack, "the deadline came without a request on the new version"
+	case 2*failures >= requests:
+		return StatusBack, fmt.Sprintf("the deadline came with %d of %d requests failed", failures, requests)
 	case verdict.suspicious():
 		return StatusBack, "the deadline came under suspicion: " + verdict.Reason
 	}
--- a/core/rollout/exposure_test.go
+++ b/core/rollout/exposure_test.go
@@ -47,18 +47,19 @@
 
 func TestEndOfAShortMove(t *testing.T) {
 	for _, c := range []struct {
-		phase    Phase
-		verdict  Verdict
-		requests uint32
-		want     Status
+		phase              Phase
+		verdict            Verdict
+		requests, failures uint32
+		want               Status
 	}{
-		{PhaseCanary, Verdict{Bad: true}, 1, StatusBack},
-		{PhaseFull, Verdict{Strength: suspicion}, 100, StatusRunning},
-		{PhaseDue, Verdict{Strength: suspicion}, 100, StatusBack},
-		{PhaseDue, Verdict{}, 0, StatusBack},
-		{PhaseDue, Verdict{}, 100, StatusDone},
+		{PhaseCanary, Verdict{Bad: true}, 1, 1, StatusBack},
+		{PhaseFull, Verdict{Strength: suspicion}, 100, 3, StatusRunning},
+		{PhaseDue, Verdict{Strength: suspicion}, 100, 3, StatusBack},
+		{PhaseDue, Verdict{}, 0, 0, StatusBack},
+		{PhaseDue, Verdict{}, 1, 1, StatusBack},
+		{PhaseDue, Verdict{}, 100, 1, StatusDone},
 	} {
-		status, _ := EndOfShort(c.phase, c.verdict, c.requests)
+		status, _ := EndOfShort(c.phase, c.verdict, c.requests, c.failures)
 		must.Eq(t, c.want, status)
 	}
 }
--- a/node/gateway/exchange.go
+++ b/node/gateway/exchange.go
@@ -20,8 +20,10 @@
 	// startingWait is how long a request waits for the first state of a router that has just
 	// started: a few calls to the store.
 	startingWait = 300 * time.Millisecond
-	// startingRetry is about the time that a router needs for its first state.
-	startingRetry = 500 * time.Millisecond
+	// startingRetry is when a caller may come back to a router that lacks a state or cannot
+	// make sure of it: the store is away then, mostly for seconds. Callers heed a third of the
+	// time that they have left, which is 1 s to 2 s at the users' deadlines.
+	startingRetry = time.Second
 	// busyRetry lets a cold or full upstream do some of its work.
 	busyRetry = 400 * time.Millisecond
 )
--- a/node/gateway/stream.go
+++ b/node/gateway/stream.go
@@ -72,7 +72,7 @@
 func (x *exchange) firstEventLimit() time.Duration {
 	left := time.Until(x.deadline)
 	if !x.route.Resumable || x.sends+1 >= x.route.MaxAttempts {
-		return left
+		return left + afterDeadline
 	}
 	return min(3*x.route.Target, left/2)
 }
@@ -81,11 +81,15 @@
 func (x *exchange) pauseLimit() time.Duration {
 	left := time.Until(x.deadline)
 	if !x.route.Resumable || x.sends >= x.route.MaxAttempts || x.route.MaxPause == 0 {
-		return left
+		return left + afterDeadline
 	}
-	return min(3*x.route.MaxPause, left)
+	return min(3*x.route.MaxPause, left+afterDeadline)
 }
 
+// afterDeadline keeps an attempt's own limit from ending it at the very moment of the request's
+// deadline, which would look like a failure of the upstream.
+const afterDeadline = time.Second
+
 const errCallerGone = errors.ConstError("the caller is gone")
 
 // pass writes events to the caller until the stream ends. An error other than errCallerGone
--- a/node/replica/confirm.go
+++ b/node/replica/confirm.go
@@ -35,11 +35,14 @@
 
 // confirm reads the desired state, or asks routers that may have read it.
 func (r *Replica) confirm(ctx context.Context) error {
-	err := r.readDesired(ctx)
-	if err == nil {
-		return nil
+	if time.Since(r.readFailed) > readPause {
+		err := r.readDesired(ctx)
+		if err == nil {
+			return nil
+		}
+		r.readFailed = time.Now()
+		r.log.Warn("store did not confirm the newest state, asking routers", "err", err)
 	}
-	r.log.Warn("store did not confirm the newest state, asking routers", "err", err)
 	r.pull(ctx, true)
 	if r.desiredAge() <= confirmAge {
 		return nil
--- a/node/replica/follow.go
+++ b/node/replica/follow.go
@@ -13,11 +13,16 @@
 // Run keeps the replica until ctx ends.
 func (r *Replica) Run(ctx context.Context) {
 	go r.pullWhileStale(ctx)
+	failures := 0
 	for ctx.Err() == nil {
 		if r.followWatchers(ctx) {
 			continue
 		}
+		began := time.Now()
 		err := r.follow(ctx)
+		if time.Since(began) > maxRetryPause {
+			failures = 0
+		}
 		if ctx.Err() != nil {
 			return
 		}
@@ -26,7 +31,19 @@
 			continue
 		}
 		r.lost(err)
-		sleep(ctx, retryPause+rand.N(retryPause))
+		failures++
+		length := r.retryPause(failures)
+		sleep(ctx, length+rand.N(length))
+	}
+}
+
+// retryPause is the time before the next try of the store after a number of failures in a row.
+func (r *Replica) retryPause(failures int) time.Duration {
+	select {
+	case <-r.loaded:
+		return min(retryPause<<min(failures-1, 8), maxRetryPause)
+	default:
+		return firstRetryPause
 	}
 }
 
@@ -92,12 +109,13 @@
 		return err
 	}
 	r.regained()
-	r.replaceAll(entries, revision, began)
+	r.replaceAll(entries, revision, began, time.Time{})
 	return nil
 }
 
-// replaceAll takes a whole state that holds at revision.
-func (r *Replica) replaceAll(entries []port.Entry, revision int64, confirmed time.Time) {
+// replaceAll takes a whole state that holds at revision. Entries that are missing in it may come
+// back until settled, if that is not zero.
+func (r *Replica) replaceAll(entries []port.Entry, revision int64, confirmed, settled time.Time) {
 	present := make(map[string]bool, len(entries))
 	changes := make([]Change, 0, len(entries))
 	for _, entry := range entries {
@@ -107,7 +125,7 @@
 	r.mu.Lock()
 	for key, entry := range r.entries {
 		if !present[key] && entry.Revision <= revision {
-			changes = append(changes, Change{Entry: port.Entry{Key: key, Revision: revision}, Deleted: true})
+			changes = append(changes, Change{Entry: port.Entry{Key: key, Revision: revision}, Deleted: true, Settled: settled})
 		}
 	}
 	r.mu.Unlock()
--- a/node/replica/pull.go
+++ b/node/replica/pull.go
@@ -36,6 +36,8 @@
 	AgeMs int64 `msgpack:"age_ms"`
 	// DesiredAgeMs is the same for the desired state alone.
 	DesiredAgeMs int64 `msgpack:"desired_age_ms"`
+	// SettleMs is for how long entries that lapsed during an outage may still come back.
+	SettleMs int64 `msgpack:"settle_ms,omitempty"`
 }
 
 // pullWhileStale asks other routers while the store brings nothing.
@@ -77,19 +79,27 @@
 	// The age counts from before the question, so that the copy is never taken for newer.
 	confirmed := began.Add(-time.Duration(response.AgeMs) * time.Millisecond)
 	defer r.takeDesiredAge(began.Add(-time.Duration(response.DesiredAgeMs) * time.Millisecond))
+	var settled time.Time
+	if response.SettleMs > 0 {
+		settled = time.Now().Add(time.Duration(response.SettleMs) * time.Millisecond)
+	}
 	if response.Complete {
 		entries := make([]port.Entry, 0, len(response.Entries))
 		for _, entry := range response.Entries {
 			entries = append(entries, port.Entry{Key: entry.Key, Value: entry.Value, Revision: entry.Revision})
 		}
-		r.replaceAll(entries, response.AsOf, confirmed)
+		r.replaceAll(entries, response.AsOf, confirmed, settled)
 		return
 	}
 	changes := make([]Change, 0, len(response.Entries))
 	for _, entry := range response.Entries {
-		changes = append(changes, Change{
+		change := Change{
 			Entry: port.Entry{Key: entry.Key, Value: entry.Value, Revision: entry.Revision}, Deleted: entry.Deleted,
-		})
+		}
+		if change.Deleted {
+			change.Settled = settled
+		}
+		changes = append(changes, change)
 	}
 	r.apply(changes, response.AsOf, confirmed)
 }
@@ -118,6 +128,9 @@
 	response := pullResponse{
 		AsOf: r.asOf, AgeMs: time.Since(r.confirmed).Milliseconds(), DesiredAgeMs: desiredAge.Milliseconds(),
 	}
+	if left := time.Until(r.returned.Add(settleTime)); left > 0 {
+		response.SettleMs = left.Milliseconds()
+	}
 	if request.After <= r.forgotten {
 		response.Complete, request.After = true, 0
 	}
--- a/node/replica/replica.go
+++ b/node/replica/replica.go
@@ -17,8 +17,11 @@
 
 // Times of a replica.
 const (
-	// retryPause is the time between two tries of the store, with as much again at random.
-	retryPause = 150 * time.Millisecond
+	// firstRetryPause is the time between two tries of the store, with as much again at random,
+	// before a router has any state. With one it doubles from retryPause to maxRetryPause.
+	firstRetryPause = 50 * time.Millisecond
+	retryPause      = 150 * time.Millisecond
+	maxRetryPause   = 500 * time.Millisecond
 	// staleAfter is the age of a replica at which it asks other routers. Engines' heartbeats
 	// come several times a second, and the store's watch brings them after its pause.
 	staleAfter = time.Second
@@ -34,6 +37,8 @@
 	watchTime  = 3 * time.Second
 	// confirmTimeout bounds the read that makes sure nothing newer exists.
 	confirmTimeout = 300 * time.Millisecond
+	// readPause is how long the store is not asked again to confirm after it failed to.
+	readPause = 250 * time.Millisecond
 	// confirmAge is the age at which a copy counts as the newest state. A change has to be in
 	// force 2 s after it was acknowledged; half of that is left for other delays.
 	confirmAge = time.Second
@@ -94,6 +99,8 @@
 	confirming   sync.Mutex
 	confirmBegan time.Time
 	confirmError error
+	// readFailed is when the store last failed to confirm.
+	readFailed time.Time
 }
 
 // tombstone remembers a deletion.
--- a/node/versionmove/versionmove.go
+++ b/node/versionmove/versionmove.go
@@ -79,10 +79,10 @@
 	detector *rollout.Detector
 	// evidence waits to be told.
 	evidence rollout.Evidence
-	// requests and exposed count what this router has sent since the order, fresh what all
-	// routers have finished on the new version.
+	// requests and exposed count what this router has sent since the order, finished and failed
+	// what ended on the new version, on all routers.
 	requests, exposed int
-	finished          uint32
+	finished, failed  uint32
 	// due is when the move's end was first seen to be due.
 	due time.Time
 }
@@ -233,6 +233,7 @@
 	m.detector.Add(time.Now(), pairs)
 	for _, pair := range pairs {
 		m.finished += pair.New.Requests
+		m.failed += pair.New.Failures
 	}
 }
 
@@ -242,7 +243,7 @@
 		return
 	}
 	phase := rollout.PhaseAt(time.Since(m.began), m.order.Duration)
-	state, reason := rollout.EndOfShort(phase, m.detector.Verdict(true), m.finished)
+	state, reason := rollout.EndOfShort(phase, m.detector.Verdict(true), m.finished, m.failed)
 	if state == rollout.StatusRunning {
 		return
 	}
