--- a/settings/gateway.go
+++ b/settings/gateway.go
@@ -28,7 +28,7 @@
 	Retries         RetryLimits `json:"retries"`
 	// Exposure bounds what a version gets before it has shown that it is good.
 	Exposure Exposure `json:"exposure"`
-	Log             Log         `json:"log"`
+	Log      Log      `json:"log"`
 }
 
 // GatewayListen holds the ip:port addresses that the router serves on.
