--- a/cmd/agateswitch/gateway_process_test.go
+++ b/cmd/agateswitch/gateway_process_test.go
@@ -132,6 +132,14 @@
 	}
 	serves(first)
 	serves(second)
+	metrics, err := http.Get("http://" + strings.Replace(first.callers, ":7001", ":7005", 1) + "/metrics")
+	must.NoError(t, err)
+	counted, err := io.ReadAll(metrics.Body)
+	must.NoError(t, err)
+	must.NoError(t, metrics.Body.Close())
+	for _, name := range []string{"agateswitch_answers_total", "agateswitch_first_byte_seconds_bucket", "agateswitch_log_lines_dropped_total"} {
+		must.StrContains(t, string(counted), name)
+	}
 
 	text, err := os.ReadFile(first.settings)
 	must.NoError(t, err)
@@ -151,6 +159,7 @@
 	}()
 	for len(f.stream.Runs()) == 0 {
 		must.NoError(t, ctx.Err())
+		// Waits for another process over a real socket, which no channel tells of.
 		time.Sleep(time.Millisecond)
 	}
 	must.NoError(t, first.command.Process.Signal(syscall.SIGTERM))
