Fail an answer that is larger than a router holds

Cause: a plain answer, and a stream's failure, were read through a limit of 16 MiB; beyond it the rest was dropped and the start delivered with a length of its own, as if it were whole. Ruled out: answers of other requests, cut ones and ones without a length; the new tests pass for these as before. With the check of ids taken out, TestAnswersAreToldApart fails (20 served, 11 run). Change: one byte beyond the limit fails the answer. The stand-in truncates, answers for another request and leaves the length out. The HTTP library's own reports go to the structured log at level debug instead of plain text. Measured: TestOversizedAnswerFails failed before (200), passes after (502).

--- a/cmd/agateswitch/gateway.go
+++ b/cmd/agateswitch/gateway.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"io"
+	stdlog "log"
 	"net"
 	"os"
 
@@ -13,6 +14,7 @@
 	"agateswitch/port"
 	"agateswitch/settings"
 
+	"github.com/charmbracelet/log"
 	"github.com/juju/errors"
 	"github.com/spf13/cobra"
 )
@@ -67,6 +69,9 @@
 	if err := lines.Observe(metrics.Meter()); err != nil {
 		return err
 	}
+	// The HTTP library reports what it finds on connections through the standard logger.
+	stdlog.SetFlags(0)
+	stdlog.SetOutput(logger.StandardLog(log.StandardLogOptions{ForceLevel: log.DebugLevel}).Writer())
 	logger.Info("starting", "host", s.Host.ID, "datacentre", s.Host.DataCentre, "store", s.Store, "settings", path)
 	dial := port.Dial(dialer.New().DialContext)
 	router, err := edge.New(s, platform.New(dial, s.Store), edge.Network{Dial: dial, Listen: net.Listen}, metrics, logger)
--- a/node/gateway/plain.go
+++ b/node/gateway/plain.go
@@ -11,6 +11,8 @@
 	"agateswitch/core/outlier"
 	"agateswitch/core/routing"
 	"agateswitch/port"
+
+	"github.com/juju/errors"
 )
 
 // answer is an upstream's whole answer.
@@ -36,7 +38,7 @@
 	x.sends++
 	told := x.gateway.Engines.Read(head.Status, head.Header)
 	chosen.first = time.Since(chosen.sentAt)
-	body, err := io.ReadAll(io.LimitReader(head.Body, maxAnswerBytes))
+	body, err := readWhole(head.Body)
 	if told.NotRun {
 		return x.notRun(chosen, head.Status, told)
 	}
@@ -55,6 +57,18 @@
 	return attemptResult{delivered: true}
 }
 
+const errTooLarge = errors.ConstError("it is larger than a router holds")
+
+// readWhole reads an answer to its end. It fails when the end cannot be told, or is further
+// than maxAnswerBytes away.
+func readWhole(from io.Reader) ([]byte, error) {
+	body, err := io.ReadAll(io.LimitReader(from, maxAnswerBytes+1))
+	if err == nil && len(body) > maxAnswerBytes {
+		return nil, errTooLarge
+	}
+	return body, err
+}
+
 // plainContext bounds an attempt after which another upstream can be tried.
 func (x *exchange) plainContext(ctx context.Context) (context.Context, context.CancelFunc) {
 	if x.route.Kind != routing.Idempotent || x.sends+1 >= x.route.MaxAttempts {
--- a/node/gateway/stream.go
+++ b/node/gateway/stream.go
@@ -142,7 +142,7 @@
 
 // streamRefused judges an answer that is not a stream.
 func (x *exchange) streamRefused(chosen *choice, head port.UpstreamAnswer) attemptResult {
-	body, err := io.ReadAll(io.LimitReader(head.Body, maxAnswerBytes))
+	body, err := readWhole(head.Body)
 	chosen.engine.observe(time.Now(), outlier.Failure)
 	if err != nil {
 		return attemptResult{sent: true, ran: fleet.RanUnknown, cause: incomplete(err)}
