Make the stand-in's tokens when they are read

Reproduced: 24 copies of TestForcedStopNamesWhatWasRunning with the race detector, none ended in 100 s. The stand-in engine made all of an answer's 1,048,576 tokens before its first, under its lock; where that takes longer than a router waits for the first token, the test asks again, and each try makes them all again (13 were at it in one copy's stack). Ruled out: a router that does not stop (none had been told to), peer links. Change: a token is made when it is read. Loops of the package's tests that ask until an event comes end with the package's event limit, and callers of a load that ended do not wait for room in its channel.

--- a/node/router/drain_test.go
+++ b/node/router/drain_test.go
@@ -34,7 +34,8 @@
 	must.False(t, kept.Close)
 	first.leave()
 	entry := kept
-	for !entry.Close {
+	for limit := eventDeadline(t); !entry.Close; {
+		must.NoError(t, limit.Err(), must.Sprint("the router does not ask for connections to be closed"))
 		entry = f.request(t, http.MethodGet, first.callers, "/v1/entry", "", nil)
 	}
 	body, err := io.ReadAll(entry.Body)
--- a/node/router/fleet_test.go
+++ b/node/router/fleet_test.go
@@ -145,6 +145,14 @@
 	must.NoError(t, operatorclient.New(operators[1], operatorToken).WaitFor(ctx, last))
 }
 
+// eventDeadline ends when an event that a test asks for again and again should have come.
+func eventDeadline(t *testing.T) context.Context {
+	t.Helper()
+	limit, cancel := context.WithTimeout(t.Context(), eventLimit)
+	t.Cleanup(cancel)
+	return limit
+}
+
 // request asks a router as the test's team.
 func (f *testFleet) request(t *testing.T, method, address, path, body string, header http.Header) *http.Response {
 	t.Helper()
@@ -173,7 +181,9 @@
 // stream begins a completion, once the router has seen the engine on the host list.
 func (f *testFleet) stream(t *testing.T, address string, tokens int) *http.Response {
 	t.Helper()
+	limit := eventDeadline(t)
 	for {
+		must.NoError(t, limit.Err(), must.Sprint("no upstream took the completion"))
 		answer := f.request(t, http.MethodPost, address, "/v1/chat/completions", completionBody(tokens), nil)
 		if answer.StatusCode == http.StatusOK {
 			return answer
--- a/node/router/hostile_test.go
+++ b/node/router/hostile_test.go
@@ -108,7 +108,9 @@
 // service2xx calls the plain service, once the router has seen it on the host list.
 func (f *testFleet) service2xx(t *testing.T, header http.Header) *http.Response {
 	t.Helper()
+	limit := eventDeadline(t)
 	for {
+		must.NoError(t, limit.Err(), must.Sprint("the service took no call"))
 		answer := f.request(t, http.MethodGet, f.routers[0].callers, "/"+f.pool.PathPrefix+"/x", "", header.Clone())
 		if answer.StatusCode == http.StatusOK {
 			return answer
--- a/node/router/owner_test.go
+++ b/node/router/owner_test.go
@@ -184,7 +184,9 @@
 // shardOwner asks all routers until they name one owner.
 func (f *ownerFleet) shardOwner(t *testing.T) fleet.HostID {
 	t.Helper()
+	limit := eventDeadline(t)
 	for {
+		must.NoError(t, limit.Err(), must.Sprint("the routers name several owners"))
 		seen := map[fleet.HostID]bool{}
 		var owner fleet.HostID
 		for _, r := range f.byID {
@@ -235,8 +237,13 @@
 						t.Errorf("answer over %s: %v", id, err)
 						return
 					}
-					if ran {
-						whole <- struct{}{}
+					if !ran {
+						continue
+					}
+					select {
+					case whole <- struct{}{}:
+					case <-load.stop:
+						return
 					}
 				}
 			})
@@ -250,7 +257,7 @@
 	t.Helper()
 	ctx, cancel := context.WithTimeout(t.Context(), eventLimit)
 	defer cancel()
-	for _, whole := range l.whole {
+	for r, whole := range l.whole {
 		for len(whole) > 0 {
 			<-whole
 		}
@@ -258,7 +265,8 @@
 			select {
 			case <-whole:
 			case <-ctx.Done():
-				t.Fatal("the answers did not come")
+				log := r.log.String()
+				t.Fatal("the answers did not come; the router's log ends with\n" + log[max(0, len(log)-8<<10):])
 			}
 		}
 	}
--- a/standin/engine/engine.go
+++ b/standin/engine/engine.go
@@ -142,7 +142,7 @@
 	} else {
 		e.counts.CacheMisses++
 	}
-	generated := newGeneration(id, request.Model, Tokens(prompt, request.MaxTokens))
+	generated := newGeneration(id, request.Model, prompt, request.MaxTokens)
 	e.streams[id] = generated
 	work := e.load.begin(size, prefill > 0, request.MaxTokens)
 	go e.run(generated, prefill, work)
@@ -153,11 +153,13 @@
 func Tokens(prompt string, count int) []string {
 	tokens := make([]string, count)
 	for i := range tokens {
-		tokens[i] = fmt.Sprintf("%s#%d ", prompt, i)
+		tokens[i] = token(prompt, i)
 	}
 	return tokens
 }
 
+func token(prompt string, index int) string { return fmt.Sprintf("%s#%d ", prompt, index) }
+
 // touch marks a chat as used and tells whether its prefix was cached.
 func (e *Engine) touch(chat string) bool {
 	if chat == "" {
--- a/standin/engine/fault.go
+++ b/standin/engine/fault.go
@@ -91,8 +91,8 @@
 
 // mismatched returns another request's answer of the same length, which is there at once.
 func mismatched(own *generation) *generation {
-	other := newGeneration("another-request", own.model, Tokens("another prompt", len(own.tokens)))
-	other.produced = len(other.tokens)
+	other := newGeneration("another-request", own.model, "another prompt", own.count)
+	other.produced = other.count
 	return other
 }
 
--- a/standin/engine/generation.go
+++ b/standin/engine/generation.go
@@ -14,7 +14,10 @@
 type generation struct {
 	id     string
 	model  string
-	tokens []string
+	prompt string
+	// count is how many tokens the complete answer has. Each is made when it is read, since
+	// tests ask for endless answers.
+	count int
 
 	mu       sync.Mutex
 	produced int
@@ -22,15 +25,15 @@
 	changed  chan struct{}
 }
 
-func newGeneration(id, model string, tokens []string) *generation {
-	return &generation{id: id, model: model, tokens: tokens, changed: make(chan struct{})}
+func newGeneration(id, model, prompt string, count int) *generation {
+	return &generation{id: id, model: model, prompt: prompt, count: count, changed: make(chan struct{})}
 }
 
 // advance produces one token. It returns false at the end or after a cancel.
 func (g *generation) advance() bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if g.stopped || g.produced == len(g.tokens) {
+	if g.stopped || g.produced == g.count {
 		return false
 	}
 	g.produced++
@@ -47,7 +50,7 @@
 func (g *generation) stop() bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	running := !g.stopped && g.produced < len(g.tokens)
+	running := !g.stopped && g.produced < g.count
 	g.stopped = true
 	g.signal()
 	return running
@@ -99,7 +102,7 @@
 	controller := http.NewResponseController(w)
 	controller.Flush()
 	sent := after
-	for sent < len(g.tokens) {
+	for sent < g.count {
 		produced, ok := g.wait(r, sent)
 		if !ok {
 			return
@@ -124,8 +127,8 @@
 }
 
 func (g *generation) event(index int) sse.Event {
-	part := choice{Delta: &message{Role: "assistant", Content: g.tokens[index]}}
-	if index == len(g.tokens)-1 {
+	part := choice{Delta: &message{Role: "assistant", Content: token(g.prompt, index)}}
+	if index == g.count-1 {
 		part.FinishReason = "stop"
 	}
 	data, _ := json.Marshal(chunk{ID: g.id, Object: "chat.completion.chunk", Model: g.model, Choices: []choice{part}})
@@ -134,7 +137,7 @@
 
 // whole sends the answer in one piece.
 func (g *generation) whole(w http.ResponseWriter, r *http.Request, plan Plan) {
-	for seen := 0; seen < len(g.tokens); {
+	for seen := 0; seen < g.count; {
 		produced, ok := g.wait(r, seen)
 		if !ok {
 			return
@@ -150,7 +153,7 @@
 		return
 	}
 	w.Header().Set("Content-Type", "application/json")
-	text := message{Role: "assistant", Content: strings.Join(g.tokens, "")}
+	text := message{Role: "assistant", Content: strings.Join(Tokens(g.prompt, g.count), "")}
 	json.NewEncoder(w).Encode(chunk{
 		ID: g.id, Object: "chat.completion", Model: g.model,
 		Choices: []choice{{Message: &text, FinishReason: "stop"}},
