Keep the desired state's limits of time for headers, bodies and unused connections

Cause: header_timeout_ms and idle_timeout_ms were read and not used (5 s and 2 min were fixed), and a body that does not come held its request for ever: neither the route's timeout nor any other limit ended it. Ruled out: the sizes, which TestLimitsOfTheDesiredState covers. Change: node/edge closes connections by their state's limit in force, which is read again when it acts, so that a raised one holds for open connections; a body has until the request's deadline, and then 503, as nothing ran. Beside it: a frozen gateway process wakes (TestFrozenGatewayWakes): an address that another upstream has got runs nothing, a revoked key stays refused. Measured: TestConnectionsAreLimitedInTime, TestIdleLimitIsRaised and TestSlowBodyIsAnsweredInTime did not end before and pass now.

--- a/cmd/agateswitch/gateway_process_test.go
+++ b/cmd/agateswitch/gateway_process_test.go
@@ -10,6 +10,7 @@
 	"os"
 	"path/filepath"
 	"strings"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -30,6 +31,9 @@
 	store   *standin.Store
 	plain   *standin.Engine
 	stream  *standin.Engine
+	// plainAddress is where plain serves, and plainAnswers what serves there now.
+	plainAddress string
+	plainAnswers atomic.Pointer[standin.Engine]
 }
 
 func newGatewayFleet(t *testing.T) *gatewayFleet {
@@ -38,23 +42,34 @@
 		program: buildProgram(t), store: standin.NewStore(), plain: &standin.Engine{ID: "app-0"},
 		stream: &standin.Engine{ID: "lm-0", Stream: true, Events: 100, Interval: 10 * time.Millisecond},
 	}
+	f.plainAnswers.Store(f.plain)
+	f.plainAddress = listenOn(t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { f.plainAnswers.Load().ServeHTTP(w, r) }))
+	f.configure(1, gatewayKey)
+	f.register("app", f.plain.ID, f.plainAddress)
+	f.register("lm", f.stream.ID, listenOn(t, f.stream))
+	return f
+}
+
+// configure writes a desired state in which a key is allowed.
+func (f *gatewayFleet) configure(version int, key string) {
 	route := func(name, service, kind string) map[string]any {
 		return map[string]any{"name": name, "host": gatewayHost, "path_prefix": "/" + name + "/", "kind": kind,
 			"timeout_ms": 60000, "service": service, "max_attempts": 1}
 	}
 	f.store.Put("op/config", map[string]any{
-		"version":  1,
+		"version":  version,
 		"routes":   []any{route("book", "app", "non_idempotent"), route("plan", "lm", "streaming")},
 		"services": []any{map[string]any{"name": "app"}, map[string]any{"name": "lm", "engine": map[string]any{"slots": 8}}},
 		"limits":   map[string]any{"max_header_bytes": 16384, "max_body_bytes": 1 << 20},
-		"tenants":  []any{map[string]any{"name": "team-one", "api_keys": []string{gatewayKey}}},
+		"tenants":  []any{map[string]any{"name": "team-one", "api_keys": []string{key}}},
+	})
+}
+
+// register writes an upstream's entry.
+func (f *gatewayFleet) register(pool, id, address string) {
+	f.store.Put("servers/"+id, map[string]any{
+		"service": pool, "address": address, "zone": "arima", "version": "v1", "state": "ready", "born": 1,
 	})
-	for pool, e := range map[string]*standin.Engine{"app": f.plain, "lm": f.stream} {
-		f.store.Put("servers/"+e.ID, map[string]any{
-			"service": pool, "address": listenOn(t, e), "zone": "arima", "version": "v1", "state": "ready", "born": 1,
-		})
-	}
-	return f
 }
 
 func listenOn(t *testing.T, handler http.Handler) string {
@@ -100,13 +115,18 @@
 
 // ask sends a request and returns its status and body; an answer that is cut is an error.
 func (p gatewayProcess) ask(ctx context.Context, path string) (int, string, error) {
+	return p.askWith(ctx, path, gatewayKey)
+}
+
+// askWith does so with a key.
+func (p gatewayProcess) askWith(ctx context.Context, path, key string) (int, string, error) {
 	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+p.callers+path, strings.NewReader("body"))
 	if err != nil {
 		return 0, "", err
 	}
 	request.Host = gatewayHost
 	request.Header.Set("Attempt-Id", fmt.Sprint(time.Now().UnixNano()))
-	request.Header.Set("X-Api-Key", gatewayKey)
+	request.Header.Set("X-Api-Key", key)
 	response, err := http.DefaultClient.Do(request)
 	if err != nil {
 		return 0, "", err
@@ -176,3 +196,45 @@
 	must.NoError(t, second.command.Process.Kill())
 	serves(third)
 }
+
+// A router that was frozen wakes with what it knew. An address that went to another upstream
+// meanwhile gets nothing from it, a revoked key is refused once it has heard, and stays refused.
+func TestFrozenGatewayWakes(t *testing.T) {
+	const newKey = "key-after-the-freeze"
+	ctx, cancel := context.WithTimeout(t.Context(), processLimit)
+	defer cancel()
+	f := newGatewayFleet(t)
+	frozen, other := f.start(ctx, t, 4), f.start(ctx, t, 5)
+	status, _, err := frozen.ask(ctx, "/book/1")
+	must.NoError(t, err)
+	must.Eq(t, http.StatusOK, status)
+
+	must.NoError(t, frozen.command.Process.Signal(syscall.SIGSTOP))
+	stranger, successor := &standin.Engine{ID: "stranger"}, &standin.Engine{ID: "app-1"}
+	f.store.Delete("servers/" + f.plain.ID)
+	f.plainAnswers.Store(stranger)
+	f.register("other", stranger.ID, f.plainAddress)
+	f.register("app", successor.ID, listenOn(t, successor))
+	f.configure(2, newKey)
+	for status = 0; status != http.StatusUnauthorized; status, _, err = other.ask(ctx, "/book/2") {
+		must.NoError(t, ctx.Err())
+		must.NoError(t, err)
+	}
+	must.NoError(t, frozen.command.Process.Signal(syscall.SIGCONT))
+
+	for status = 0; status != http.StatusUnauthorized; status, _, err = frozen.ask(ctx, "/book/3") {
+		must.NoError(t, ctx.Err())
+		must.NoError(t, err)
+		must.SliceContains(t, []int{0, http.StatusOK, http.StatusServiceUnavailable}, status)
+	}
+	for range 20 {
+		status, _, err = frozen.ask(ctx, "/book/4")
+		must.NoError(t, err)
+		must.Eq(t, http.StatusUnauthorized, status)
+		status, body, err := frozen.askWith(ctx, "/book/5", newKey)
+		must.NoError(t, err)
+		must.Eq(t, http.StatusOK, status)
+		must.Eq(t, "answer of app-1", body)
+	}
+	must.Len(t, 0, stranger.Runs())
+}
--- a/node/edge/server.go
+++ b/node/edge/server.go
@@ -15,12 +15,12 @@
 
 // Times of the servers.
 const (
-	// idleTimeout is how long a caller's connection may be unused. It is far above the limit
-	// of the desired state, which may be raised while connections are open.
-	idleTimeout = 2 * time.Minute
-	// headerTimeout is the time that a caller has for a header, and maxHeaderBytes the most of
-	// it that is read. The limits of the desired state are tighter.
-	headerTimeout  = 5 * time.Second
+	// idleTimeout is how long a caller's connection may be unused, and headerTimeout the time
+	// for a header, whatever the desired state says: its limits are tighter, but there is none
+	// at the start, and they may be raised while connections are open.
+	idleTimeout   = 2 * time.Minute
+	headerTimeout = 30 * time.Second
+	// maxHeaderBytes is the most of a header that is read.
 	maxHeaderBytes = 64 << 10
 	// lingerTime is how long a leaving router goes on taking connections: callers keep the
 	// entry answers for a while.
@@ -73,7 +73,8 @@
 	server := &http.Server{
 		Addr: s.callers, Handler: s.gateway, IdleTimeout: idleTimeout,
 		ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes,
-		ErrorLog: s.log.StandardLog(log.StandardLogOptions{ForceLevel: log.DebugLevel}),
+		ConnState: newConnections(s.gateway.Limits, s.log).change,
+		ErrorLog:  s.log.StandardLog(log.StandardLogOptions{ForceLevel: log.DebugLevel}),
 	}
 	failed := make(chan error, 1)
 	go func() { failed <- s.serve(server) }()
--- a/node/gateway/authorise.go
+++ b/node/gateway/authorise.go
@@ -5,6 +5,7 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"os"
 	"strings"
 	"time"
 
@@ -32,6 +33,7 @@
 	if refusal != nil {
 		return refusal
 	}
+	x.setDeadline()
 	if refusal := x.readBody(); refusal != nil {
 		return refusal
 	}
@@ -97,26 +99,44 @@
 }
 
 func (x *exchange) readBody() *fleet.Refusal {
+	if x.request.ContentLength == 0 {
+		return nil
+	}
+	connection := http.NewResponseController(x.writer)
+	if err := connection.SetReadDeadline(x.deadline); err != nil {
+		return fleet.Refuse(fleet.CodeInternal, "the time for the body could not be set: "+err.Error(), 0)
+	}
 	limit := x.current.table.State.Limits.BodyBytes
 	body, err := io.ReadAll(http.MaxBytesReader(x.writer, x.request.Body, limit))
 	var tooLarge *http.MaxBytesError
 	if errors.As(err, &tooLarge) {
 		return fleet.Refuse(fleet.CodeTooLarge, "the body is too large", 0)
 	}
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		return fleet.Refuse(fleet.CodeDeadline, "the body did not come in time", 0)
+	}
 	if err != nil {
 		return fleet.Refuse(fleet.CodeBadRequest, "the body could not be read: "+err.Error(), 0)
 	}
 	x.body = body
+	if err := connection.SetReadDeadline(time.Time{}); err != nil {
+		return fleet.Refuse(fleet.CodeInternal, "the time for the body could not be ended: "+err.Error(), 0)
+	}
 	return nil
 }
 
-// findPool picks the pool and sets the deadline.
-func (x *exchange) findPool() *fleet.Refusal {
+// setDeadline finds when the request must have its final answer.
+func (x *exchange) setDeadline() {
 	limit := x.route.Timeout
 	if x.call.Timeout > 0 && x.call.Timeout < limit {
 		limit = x.call.Timeout
 	}
 	x.deadline = x.began.Add(limit)
+}
+
+// findPool picks the pool.
+func (x *exchange) findPool() *fleet.Refusal {
+	x.setDeadline()
 	id, found := x.route.Pick(rand.Float64())
 	if !found {
 		return fleet.Refuse(fleet.CodeNoUpstream, "the route has no pool", jitter(busyRetry))
--- a/node/gateway/gateway.go
+++ b/node/gateway/gateway.go
@@ -12,6 +12,7 @@
 
 	"agateswitch/core/fleet"
 	"agateswitch/core/pace"
+	"agateswitch/core/routing"
 	"agateswitch/node/replica"
 	"agateswitch/node/versionmove"
 	"agateswitch/node/workload"
@@ -100,6 +101,16 @@
 // Wait returns when no request runs.
 func (g *Gateway) Wait() { g.running.Wait() }
 
+// Limits returns what callers may send and how long they may take; false before the first
+// desired state.
+func (g *Gateway) Limits() (routing.Limits, bool) {
+	current := g.view.current.Load()
+	if current == nil {
+		return routing.Limits{}, false
+	}
+	return current.table.State.Limits, true
+}
+
 // ServeHTTP implements http.Handler.
 func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	g.running.Add(1)
