Gather the workload by relays in each data centre in large fleets

An answer to each of 88 routers held every use of every part, at 360 requests a second some 4 MB/s, where the machine's link carries 1.25 MB/s; what was not read was sent again. Change: routers of large fleets turn to a relay in their data centre each 125 ms; relays tell each other their groups' sums. Messages are bounded, a relay that does not answer is left alone for 2 s, uses of a part are told once in 20 s. In small fleets every router is a relay and tells each use, as before.

--- a/node/presence/routers.go
+++ b/node/presence/routers.go
@@ -5,6 +5,7 @@
 	"sort"
 	"time"
 
+	"agateswitch/core/dissemination"
 	"agateswitch/core/fleet"
 	"agateswitch/core/rendezvous"
 )
@@ -96,6 +97,11 @@
 	return watchers, false
 }
 
+// Relays returns this router's place among those that pass figures on.
+func (p *Presence) Relays() dissemination.Relays {
+	return dissemination.PlanRelays(p.Routers(), p.self)
+}
+
 // Count returns how many routers may send to upstreams: those listed and those heard, leaving
 // ones included, so that a share of a limit is never too large.
 func (p *Presence) Count() int {
--- a/node/workload/learn.go
+++ b/node/workload/learn.go
@@ -45,8 +45,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	for _, part := range parts {
-		w.warm.Note(part, upstream, time.Now())
-		w.placed = append(w.placed, warmth.Placement{Part: part, Engine: upstream})
+		w.use(part, upstream, time.Now())
 	}
 }
 
--- a/node/workload/workload.go
+++ b/node/workload/workload.go
@@ -2,17 +2,19 @@
 // prompts have been read. A router sends its figures as they stand, not their changes, so that a
 // lost message is made good by the next; a router that falls silent stops counting.
 //
-// In a small fleet every router tells all others at once. In a large one that would cost a number
-// of messages that grows with the square of the fleet: there each router exchanges its figures
-// for the sum of all with one collector, the first router by rendezvous. Nothing depends on the
-// collector but how fresh the sum is, so that no agreement is needed on who it is.
+// In a small fleet every router tells all others at once. In a large one some routers are relays
+// (core/dissemination): each gathers the figures of routers near it, tells the other relays their
+// sum, and gives its routers the sum of all. Nothing depends on a relay but how fresh that sum is,
+// so that no agreement is needed on who is one.
 package workload
 
 import (
 	"context"
+	"maps"
 	"sync"
 	"time"
 
+	"agateswitch/core/dissemination"
 	"agateswitch/core/fleet"
 	"agateswitch/core/warmth"
 	"agateswitch/port"
@@ -24,10 +26,6 @@
 const (
 	// flushPause gathers what changes within it into one message.
 	flushPause = 3 * time.Millisecond
-	// directFleet is the largest fleet whose routers tell each other directly.
-	directFleet = 16
-	// collectInterval is the time between two exchanges with the collector.
-	collectInterval = 250 * time.Millisecond
 	// fullInterval is the time between two messages with all figures.
 	fullInterval = 500 * time.Millisecond
 	// silentAfter is how long the figures of a silent router count.
@@ -38,16 +36,17 @@
 
 // Methods between routers.
 const (
-	methodTell    = "workload.tell"
-	methodWarm    = "workload.warm"
-	methodCollect = "workload.collect"
+	methodTell   = "workload.tell"
+	methodWarm   = "workload.warm"
+	methodGather = "workload.gather"
 )
 
 // Load is what one or more routers run on an upstream.
 type Load struct {
-	Running int `msgpack:"r"`
+	_msgpack struct{} `msgpack:",as_array"`
+	Running  int
 	// PendingPrefill is the number of prompt tokens that the upstream has still to read.
-	PendingPrefill int `msgpack:"u,omitempty"`
+	PendingPrefill int
 }
 
 func (l Load) plus(other Load) Load {
@@ -67,9 +66,11 @@
 	Warm []warmth.Placement `msgpack:"w,omitempty"`
 }
 
-// Peers are the routers that are told.
+// Peers are the other routers.
 type Peers interface {
 	Others() []fleet.HostID
+	// Relays is this router's place among the relays.
+	Relays() dissemination.Relays
 }
 
 // Workload is one router's part. It is safe for concurrent use.
@@ -83,26 +84,34 @@
 	mu sync.Mutex
 	// own is what this router runs.
 	own map[fleet.UpstreamID]Load
-	// others holds the figures of each other router, and total their sum.
-	others map[fleet.HostID]*figures
-	total  map[fleet.UpstreamID]Load
-	warm   *warmth.Map
+	// others holds the figures that other routers have told, and total their sum, or what the
+	// relay has told in its place. gatheredSum is the sum of those that this router is a relay of.
+	others      map[fleet.HostID]*figures
+	total       map[fleet.UpstreamID]Load
+	gatheredSum map[fleet.UpstreamID]Load
+	warm        *warmth.Map
 	// learned is true once the map holds what the fleet knew before this router started.
 	learned bool
 	// changed and placed wait for the next message.
 	changed map[fleet.UpstreamID]bool
 	placed  []warmth.Placement
-	// collected is the placements that other routers have told this one as their collector.
-	collected journal
-	// cursor is how far this router has read the journal of its collector.
-	cursor    uint64
-	collector fleet.HostID
+	// heard holds what a relay passes on to its routers.
+	heard journal
+	// relay is the one that this router turns to, cursor how far it has read its journal, and
+	// avoided until when those are left alone that did not answer.
+	relay   fleet.HostID
+	cursor  uint64
+	avoided map[fleet.HostID]time.Time
+	// isRelay and isDirect are this router's place when it last looked.
+	isRelay, isDirect bool
 }
 
 // figures is what one router has told.
 type figures struct {
 	load map[fleet.UpstreamID]Load
 	at   time.Time
+	// gathered is true when this router is the other one's relay.
+	gathered bool
 }
 
 // New makes a router's part.
@@ -110,11 +119,12 @@
 	w := &Workload{
 		self: self, transport: transport, peers: peers, log: logger, dirty: make(chan struct{}, 1),
 		own: map[fleet.UpstreamID]Load{}, others: map[fleet.HostID]*figures{}, total: map[fleet.UpstreamID]Load{},
-		warm: warmth.NewMap(), changed: map[fleet.UpstreamID]bool{},
+		gatheredSum: map[fleet.UpstreamID]Load{}, avoided: map[fleet.HostID]time.Time{},
+		warm: warmth.NewMap(), changed: map[fleet.UpstreamID]bool{}, isRelay: true, isDirect: true,
 	}
-	transport.Handle(methodTell, w.heard)
+	transport.Handle(methodTell, w.told)
 	transport.Handle(methodWarm, w.tellWarm)
-	transport.Handle(methodCollect, w.collect)
+	transport.Handle(methodGather, w.gathered)
 	return w
 }
 
@@ -131,14 +141,25 @@
 	w.mu.Lock()
 	now := time.Now()
 	for _, part := range parts {
-		w.warm.Note(part.ID, upstream, now)
-		w.placed = append(w.placed, warmth.Placement{Part: part.ID, Engine: upstream})
+		w.use(part.ID, upstream, now)
 	}
 	w.mu.Unlock()
 	w.add(upstream, Load{Running: 1, PendingPrefill: pending})
 	return &Ticket{workload: w, upstream: upstream, pending: pending}
 }
 
+// use notes a part, and tells other routers. A small fleet tells each use, which makes good for
+// lost messages soon; a large one has not the bytes. Callers hold mu.
+func (w *Workload) use(part string, upstream fleet.UpstreamID, now time.Time) {
+	renewAfter := warmth.RenewAfter
+	if w.isDirect {
+		renewAfter = 0
+	}
+	if w.warm.Use(part, upstream, now, renewAfter) {
+		w.placed = append(w.placed, warmth.Placement{Part: part, Engine: upstream})
+	}
+}
+
 // Read notes that the upstream has read the prompt.
 func (t *Ticket) Read() {
 	if t.pending > 0 {
@@ -155,14 +176,14 @@
 
 func (w *Workload) add(upstream fleet.UpstreamID, change Load) {
 	w.mu.Lock()
-	sum := w.own[upstream].plus(change)
-	if sum == (Load{}) {
-		delete(w.own, upstream)
-	} else {
-		w.own[upstream] = sum
-	}
+	addTo(w.own, upstream, change)
 	w.changed[upstream] = true
 	w.mu.Unlock()
+	w.wake()
+}
+
+// wake makes Run tell what has changed.
+func (w *Workload) wake() {
 	select {
 	case w.dirty <- struct{}{}:
 	default:
@@ -177,7 +198,11 @@
 }
 
 // Direct tells whether routers tell each other directly, so that figures are milliseconds old.
-func (w *Workload) Direct() bool { return len(w.peers.Others()) <= directFleet }
+func (w *Workload) Direct() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.isDirect
+}
 
 // Cached returns how many tokens of a prompt each upstream need not read.
 func (w *Workload) Cached(prompt []warmth.Part) map[fleet.UpstreamID]int {
@@ -205,49 +230,96 @@
 	full := time.NewTicker(fullInterval)
 	defer full.Stop()
 	for {
+		plan := w.plan()
+		// A relay tells what has changed, the others ask at intervals.
+		var dirty <-chan struct{}
+		var gather <-chan time.Time
+		if plan.Near == nil {
+			dirty = w.dirty
+		} else {
+			gather = time.After(gatherInterval)
+		}
 		select {
 		case <-ctx.Done():
 			return
 		case <-full.C:
 			w.expire()
-			if !w.Direct() {
-				w.exchange(ctx)
-				continue
-			}
-			w.tell(ctx, true)
-		case <-w.dirty:
-			if !w.Direct() {
-				time.Sleep(collectInterval)
-				w.exchange(ctx)
-				continue
+			if plan.Near == nil {
+				w.tell(ctx, plan.Others, true)
 			}
-			time.Sleep(flushPause)
-			w.tell(ctx, false)
+		case <-gather:
+			w.gather(ctx, plan.Near)
+		case <-dirty:
+			time.Sleep(w.pause(plan))
+			w.tell(ctx, plan.Others, false)
 		}
 	}
 }
 
-// take makes the next message.
+// pause gathers what changes within it into one message.
+func (w *Workload) pause(plan dissemination.Relays) time.Duration {
+	if plan.Direct {
+		return flushPause
+	}
+	return relayPause * time.Duration(len(plan.Others))
+}
+
+// plan finds this router's place. What it was told in another one does not count any more.
+func (w *Workload) plan() dissemination.Relays {
+	plan := w.peers.Relays()
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.isDirect = plan.Direct
+	if isRelay := plan.Near == nil; w.isRelay != isRelay {
+		w.isRelay = isRelay
+		w.others, w.relay = map[fleet.HostID]*figures{}, ""
+		w.total, w.gatheredSum = map[fleet.UpstreamID]Load{}, map[fleet.UpstreamID]Load{}
+		w.log.Info("place among the relays of the workload", "relay", isRelay, "others", len(plan.Others), "near", plan.Near)
+	}
+	return plan
+}
+
+// takeOwn makes a router's message to its relay.
+func (w *Workload) takeOwn() message {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return message{Load: maps.Clone(w.own), Full: true, Warm: w.takePlaced()}
+}
+
+// take makes the next message of a relay, for itself and those that it gathers for.
 func (w *Workload) take(full bool) message {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	m := message{Load: map[fleet.UpstreamID]Load{}, Full: full, Warm: w.placed}
+	m := message{Load: map[fleet.UpstreamID]Load{}, Full: full, Warm: w.takePlaced()}
 	if full {
-		for upstream, load := range w.own {
-			m.Load[upstream] = load
+		for upstream := range w.own {
+			w.changed[upstream] = true
 		}
-	} else {
-		for upstream := range w.changed {
-			m.Load[upstream] = w.own[upstream]
+		for upstream := range w.gatheredSum {
+			w.changed[upstream] = true
 		}
 	}
-	w.placed, w.changed = nil, map[fleet.UpstreamID]bool{}
+	for upstream := range w.changed {
+		m.Load[upstream] = w.own[upstream].plus(w.gatheredSum[upstream])
+	}
+	w.changed = map[fleet.UpstreamID]bool{}
+	if !w.isDirect {
+		w.heard.add(m.Warm)
+	}
 	return m
 }
 
-func (w *Workload) tell(ctx context.Context, full bool) {
+// takePlaced returns the placements for the next message. Callers hold mu.
+func (w *Workload) takePlaced() []warmth.Placement {
+	count := min(len(w.placed), maxPlacements)
+	placed := w.placed[:count:count]
+	w.placed = w.placed[count:]
+	return placed
+}
+
+func (w *Workload) tell(ctx context.Context, others []fleet.HostID, full bool) {
 	m := w.take(full)
-	for _, other := range w.peers.Others() {
+	for _, other := range others {
 		go func() {
 			ctx, cancel := context.WithTimeout(ctx, tellTimeout)
 			defer cancel()
@@ -259,24 +331,31 @@
 	}
 }
 
-// heard takes the figures of another router.
-func (w *Workload) heard(_ context.Context, from fleet.HostID, decode port.Decode) (any, error) {
+// told takes the figures of another router.
+func (w *Workload) told(_ context.Context, from fleet.HostID, decode port.Decode) (any, error) {
 	var m message
 	if err := decode(&m); err != nil {
 		return nil, err
 	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.takeFrom(from, m)
+	w.takeFrom(from, m, false)
+	if !w.isDirect {
+		w.heard.add(m.Warm)
+	}
 	return struct{}{}, nil
 }
 
 // takeFrom takes the figures of another router. Callers hold mu.
-func (w *Workload) takeFrom(from fleet.HostID, m message) {
+func (w *Workload) takeFrom(from fleet.HostID, m message, gathered bool) {
 	now := time.Now()
 	known, found := w.others[from]
+	if found && known.gathered != gathered {
+		w.drop(from, known)
+		found = false
+	}
 	if !found {
-		known = &figures{load: map[fleet.UpstreamID]Load{}}
+		known = &figures{load: map[fleet.UpstreamID]Load{}, gathered: gathered}
 		w.others[from] = known
 	}
 	known.at = now
@@ -293,32 +372,43 @@
 	w.warm.Add(m.Warm, now)
 }
 
-// replace sets one figure of a router, and the total. Callers hold mu.
+// replace sets one figure of a router, and the sums. Callers hold mu.
 func (w *Workload) replace(known *figures, upstream fleet.UpstreamID, load Load) {
-	sum := w.total[upstream].plus(load).minus(known.load[upstream])
-	if load == (Load{}) {
-		delete(known.load, upstream)
-	} else {
-		known.load[upstream] = load
+	change := load.minus(known.load[upstream])
+	if change == (Load{}) {
+		return
 	}
-	if sum == (Load{}) {
-		delete(w.total, upstream)
-	} else {
-		w.total[upstream] = sum
+	addTo(known.load, upstream, change)
+	addTo(w.total, upstream, change)
+	if known.gathered {
+		addTo(w.gatheredSum, upstream, change)
+		w.changed[upstream] = true
 	}
 }
 
+func addTo(sums map[fleet.UpstreamID]Load, upstream fleet.UpstreamID, change Load) {
+	if sum := sums[upstream].plus(change); sum != (Load{}) {
+		sums[upstream] = sum
+		return
+	}
+	delete(sums, upstream)
+}
+
 // expire drops the figures of silent routers.
 func (w *Workload) expire() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	for from, known := range w.others {
-		if time.Since(known.at) <= silentAfter {
-			continue
+		if time.Since(known.at) > silentAfter {
+			w.drop(from, known)
 		}
-		for upstream := range known.load {
-			w.replace(known, upstream, Load{})
-		}
-		delete(w.others, from)
 	}
 }
+
+// drop forgets what a router has told. Callers hold mu.
+func (w *Workload) drop(from fleet.HostID, known *figures) {
+	for upstream := range known.load {
+		w.replace(known, upstream, Load{})
+	}
+	delete(w.others, from)
+}
