--- a/node/workload/relay.go
+++ b/node/workload/relay.go
@@ -24,6 +24,9 @@
 	maxJournal = 50000
 	// maxPlacements bounds the placements of one message, at about 25 bytes each.
 	maxPlacements = 500
+	// maxUntold is how many placements wait for a message. Those of a router that reaches no
+	// relay would else pile up.
+	maxUntold = 10 * maxPlacements
 )
 
 // journal is a bounded sequence of placements. The number of the next one only grows.
@@ -79,7 +82,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.avoided[relay] = time.Now().Add(avoidTime)
-	w.placed = append(m.Warm, w.placed...)
+	w.place(m.Warm...)
 }
 
 // pickRelay returns the first relay that has answered lately or may be tried again.
@@ -128,7 +131,7 @@
 	}
 	w.mu.Lock()
 	w.takeFrom(from, request.Message, true)
-	w.placed = append(w.placed, request.Message.Warm...)
+	w.place(request.Message.Warm...)
 	answer := gatherAnswer{Total: map[fleet.UpstreamID]Load{}}
 	asking := w.others[from].load
 	for upstream, load := range w.total {
--- a/node/workload/workload.go
+++ b/node/workload/workload.go
@@ -11,6 +11,7 @@
 import (
 	"context"
 	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -157,7 +158,15 @@
 		renewAfter = 0
 	}
 	if w.warm.Use(part, upstream, now, renewAfter) {
-		w.placed = append(w.placed, warmth.Placement{Part: part, Engine: upstream})
+		w.place(warmth.Placement{Part: part, Engine: upstream})
+	}
+}
+
+// place keeps placements for the next messages. Callers hold mu.
+func (w *Workload) place(placements ...warmth.Placement) {
+	w.placed = append(w.placed, placements...)
+	if excess := len(w.placed) - maxUntold; excess > 0 {
+		w.placed = slices.Clone(w.placed[excess:])
 	}
 }
 
--- a/node/workload/workload_test.go
+++ b/node/workload/workload_test.go
@@ -292,3 +292,12 @@
 		must.Eq(t, 60000, next)
 	}
 }
+
+// What a router can tell nobody does not pile up.
+func TestUntoldPlacementsAreBounded(t *testing.T) {
+	w := newWire(1).node(0)
+	for i := range 3 * maxUntold {
+		w.Start("e1", 0, []warmth.Part{{ID: fmt.Sprint(i)}}).End()
+	}
+	must.LessEq(t, maxUntold, len(w.placed))
+}
