Read large values from the store, and ask few routers for what is warm

Cause: two floods over routers' links, found on the grown installations. Ruled out: pulls of stale routers (3 MB between data centres), the relays. Change: a started router asks four, near ones first. A watcher leaves values above 32 kB out, and the router reads them from the store. TestLearningIsBounded fails without.

--- a/internal/pipenet/pipenet.go
+++ b/internal/pipenet/pipenet.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"net"
+	"strings"
 	"sync"
 	"time"
 
@@ -23,6 +24,30 @@
 	listeners map[string]*listener
 	open      []*connection
 	dials     int
+	links     map[string]*link
+}
+
+// link is what a host's listeners send over, one write at a time.
+type link struct {
+	// free has room for the one write that is on its way.
+	free           chan struct{}
+	bytesPerSecond int
+}
+
+// Throttle limits what new connections to a host's listeners bring back together.
+func (n *Network) Throttle(host string, bytesPerSecond int) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.links == nil {
+		n.links = map[string]*link{}
+	}
+	n.links[host] = &link{free: make(chan struct{}, 1), bytesPerSecond: bytesPerSecond}
+}
+
+func (l *link) carry(bytes int) {
+	l.free <- struct{}{}
+	time.Sleep(time.Duration(bytes) * time.Second / time.Duration(l.bytesPerSecond))
+	<-l.free
 }
 
 // Listen opens an address.
@@ -42,12 +67,15 @@
 	n.mu.Lock()
 	target, found := n.listeners[address]
 	n.dials++
+	host, _, _ := strings.Cut(address, ":")
+	over := n.links[host]
 	n.mu.Unlock()
 	if !found {
 		return nil, errors.Trace(ErrRefused)
 	}
 	near, far := net.Pipe()
 	nearEnd, farEnd := newConnection(near), newConnection(far)
+	farEnd.link = over
 	select {
 	case target.accepted <- farEnd:
 	case <-target.closed:
@@ -120,6 +148,9 @@
 // connection is one end of a pipe.
 type connection struct {
 	net.Conn
+	// link is nil on an end that is not throttled.
+	link *link
+
 	mu     sync.Mutex
 	silent bool
 }
@@ -143,6 +174,9 @@
 	if c.isSilent() {
 		return len(buffer), nil
 	}
+	if c.link != nil {
+		c.link.carry(len(buffer))
+	}
 	return c.Conn.Write(buffer)
 }
 
--- a/node/presence/routers.go
+++ b/node/presence/routers.go
@@ -1,6 +1,7 @@
 package presence
 
 import (
+	"math/rand/v2"
 	"sort"
 	"time"
 
@@ -69,6 +70,23 @@
 	return others
 }
 
+// Nearest returns the other routers in random order, those of this one's data centre first.
+func (p *Presence) Nearest() []fleet.HostID {
+	var near, far []fleet.HostID
+	for _, host := range p.Routers() {
+		switch {
+		case host.ID == p.self.ID:
+		case host.DataCentre == p.self.DataCentre:
+			near = append(near, host.ID)
+		default:
+			far = append(far, host.ID)
+		}
+	}
+	rand.Shuffle(len(near), func(i, j int) { near[i], near[j] = near[j], near[i] })
+	rand.Shuffle(len(far), func(i, j int) { far[i], far[j] = far[j], far[i] })
+	return append(near, far...)
+}
+
 const (
 	// watchersKey names the duty of watching the store in the routers' rendezvous order.
 	watchersKey = "store watcher"
--- a/node/replica/follow.go
+++ b/node/replica/follow.go
@@ -59,7 +59,7 @@
 		return false
 	}
 	sleep(ctx, pullInterval)
-	r.pullFrom(ctx, watchers[rand.N(len(watchers))], false)
+	r.pullFrom(ctx, watchers[rand.N(len(watchers))], pullRequest{Withhold: true})
 	return true
 }
 
--- a/node/replica/pull.go
+++ b/node/replica/pull.go
@@ -8,6 +8,8 @@
 
 	"agateswitch/core/fleet"
 	"agateswitch/port"
+
+	"github.com/juju/errors"
 )
 
 // pullRequest asks for what is newer than a revision.
@@ -15,6 +17,8 @@
 	After int64 `msgpack:"after"`
 	// Newest asks the router to make sure first that its desired state is the newest.
 	Newest bool `msgpack:"newest,omitempty"`
+	// Withhold asks for large values to be left out: this router reads them from the store.
+	Withhold bool `msgpack:"withhold,omitempty"`
 }
 
 // pulledEntry is an entry or a deletion.
@@ -23,6 +27,8 @@
 	Value    []byte `msgpack:"v,omitempty"`
 	Revision int64  `msgpack:"r"`
 	Deleted  bool   `msgpack:"d,omitempty"`
+	// Withheld is true when Value was left out.
+	Withheld bool `msgpack:"w,omitempty"`
 }
 
 // pullResponse is what a router knows.
@@ -56,26 +62,28 @@
 	rand.Shuffle(len(others), func(i, j int) { others[i], others[j] = others[j], others[i] })
 	var asked sync.WaitGroup
 	for _, other := range others[:min(len(others), pullFanout)] {
-		asked.Go(func() { r.pullFrom(ctx, other, newest) })
+		asked.Go(func() { r.pullFrom(ctx, other, pullRequest{Newest: newest}) })
 	}
 	asked.Wait()
 }
 
-func (r *Replica) pullFrom(ctx context.Context, other fleet.HostID, newest bool) {
-	ctx, cancel := context.WithTimeout(ctx, pullTimeout)
-	defer cancel()
+func (r *Replica) pullFrom(ctx context.Context, other fleet.HostID, request pullRequest) {
 	r.mu.Lock()
-	after := r.asOf
+	request.After = r.asOf
 	r.mu.Unlock()
-	began := time.Now()
+	after, began := request.After, time.Now()
 	var response pullResponse
-	if err := r.transport.Call(ctx, other, methodPull, pullRequest{After: after, Newest: newest}, &response); err != nil {
+	if err := r.callPull(ctx, other, request, &response); err != nil {
 		r.log.Debug("router did not tell its state", "peer", other, "err", err)
 		return
 	}
 	if response.AsOf == 0 || response.AsOf < after {
 		return
 	}
+	if err := r.readWithheld(ctx, response.Entries); err != nil {
+		r.log.Info("large values not read from the store", "peer", other, "err", err)
+		return
+	}
 	// The age counts from before the question, so that the copy is never taken for newer.
 	confirmed := began.Add(-time.Duration(response.AgeMs) * time.Millisecond)
 	defer r.takeDesiredAge(began.Add(-time.Duration(response.DesiredAgeMs) * time.Millisecond))
@@ -104,6 +112,33 @@
 	r.apply(changes, response.AsOf, confirmed)
 }
 
+func (r *Replica) callPull(ctx context.Context, other fleet.HostID, request pullRequest, response *pullResponse) error {
+	ctx, cancel := context.WithTimeout(ctx, pullTimeout)
+	defer cancel()
+	return r.transport.Call(ctx, other, methodPull, request, response)
+}
+
+// readWithheld gets the values that a router left out of its answer.
+func (r *Replica) readWithheld(ctx context.Context, entries []pulledEntry) error {
+	ctx, cancel := context.WithTimeout(ctx, largeTimeout)
+	defer cancel()
+	for i, entry := range entries {
+		if !entry.Withheld {
+			continue
+		}
+		read, err := r.store.Get(ctx, entry.Key)
+		if err != nil {
+			return err
+		}
+		if read.Revision < entry.Revision {
+			// It is gone, which the next answer tells.
+			return errors.Errorf("%s is at revision %d, not %d", entry.Key, read.Revision, entry.Revision)
+		}
+		entries[i].Value, entries[i].Revision = read.Value, read.Revision
+	}
+	return nil
+}
+
 func (r *Replica) takeDesiredAge(confirmed time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -136,7 +171,11 @@
 	}
 	for key, entry := range r.entries {
 		if entry.Revision > request.After {
-			response.Entries = append(response.Entries, pulledEntry{Key: key, Value: entry.Value, Revision: entry.Revision})
+			told := pulledEntry{Key: key, Value: entry.Value, Revision: entry.Revision}
+			if request.Withhold && len(entry.Value) > largeBytes {
+				told.Value, told.Withheld = nil, true
+			}
+			response.Entries = append(response.Entries, told)
 		}
 	}
 	for key, gone := range r.tombstones {
--- a/node/replica/replica.go
+++ b/node/replica/replica.go
@@ -29,6 +29,9 @@
 	pullInterval = 250 * time.Millisecond
 	// pullTimeout bounds one question.
 	pullTimeout = 400 * time.Millisecond
+	// largeTimeout bounds the reading of a large value: 1 MiB, the store's limit, on a link of
+	// 10 Mbit/s, twice.
+	largeTimeout = 1600 * time.Millisecond
 	// pullFanout is how many routers are asked at once.
 	pullFanout = 2
 	// watcherAge is the age of the watchers' copies at which a router watches the store itself,
@@ -48,6 +51,10 @@
 	tombstoneTime = 60 * time.Second
 )
 
+// largeBytes is the size above which a watcher does not pass a value on: a dozen routers at once
+// would wait for its link, and the store's is faster.
+const largeBytes = 32 << 10
+
 // methodPull asks another router for what it knows beyond a revision.
 const methodPull = "replica.pull"
 
--- a/node/workload/learn.go
+++ b/node/workload/learn.go
@@ -16,10 +16,15 @@
 	Placements []warmth.Placement `msgpack:"placements"`
 }
 
-// Learn asks other routers for all that is warm, which a started router does not know. It
+// learnAsked is how many routers a started one asks. An answer has some 100 kB; where all have
+// started at once, none knows.
+const learnAsked = 4
+
+// Learn asks routers near this one for all that is warm, which a started router does not know. It
 // returns false when no router that knows has answered.
 func (w *Workload) Learn(ctx context.Context) bool {
-	for _, other := range w.peers.Others() {
+	nearest := w.peers.Nearest()
+	for _, other := range nearest[:min(learnAsked, len(nearest))] {
 		ctx, cancel := context.WithTimeout(ctx, tellTimeout)
 		var answer warmAnswer
 		err := w.transport.Call(ctx, other, methodWarm, struct{}{}, &answer)
--- a/node/workload/workload.go
+++ b/node/workload/workload.go
@@ -71,6 +71,8 @@
 // Peers are the other routers.
 type Peers interface {
 	Others() []fleet.HostID
+	// Nearest returns them in the order in which to ask them for something large.
+	Nearest() []fleet.HostID
 	// Relays is this router's place among the relays.
 	Relays() dissemination.Relays
 }
--- a/node/workload/workload_test.go
+++ b/node/workload/workload_test.go
@@ -87,6 +87,8 @@
 	return others
 }
 
+func (n *node) Nearest() []fleet.HostID { return n.Others() }
+
 func (n *node) Relays() dissemination.Relays {
 	hosts := []fleet.Host{n.host()}
 	for _, id := range n.Others() {
@@ -301,3 +303,19 @@
 	}
 	must.LessEq(t, maxUntold, len(w.placed))
 }
+
+// Where all routers have started at once, none reads what every other knows.
+func TestLearningIsBounded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWire(88)
+		w.node(0).Start("e1", 10, prompt)
+		must.False(t, w.node(1).Learn(t.Context()))
+		must.LessEq(t, learnAsked, w.calls)
+
+		w = newWire(learnAsked)
+		w.node(0).Start("e1", 10, prompt)
+		w.node(0).SetLearned()
+		must.True(t, w.node(1).Learn(t.Context()))
+		must.Eq(t, map[fleet.UpstreamID]int{"e1": 100}, w.node(1).Cached(prompt))
+	})
+}
