Remind a router to ask its relay by a timer's function

The stack is the runtime's. Ruled out: the race detector's limit of goroutines, memory (neither in the output). Change: the timer calls a function that sends on a channel of our own. Measured: go test and go test -race ./node/workload pass (24 s).

--- a/node/workload/workload.go
+++ b/node/workload/workload.go
@@ -84,6 +84,8 @@
 	peers     Peers
 	log       *log.Logger
 	dirty     chan struct{}
+	// due tells that the relay is to be asked.
+	due chan struct{}
 
 	mu sync.Mutex
 	// own is what this router runs.
@@ -121,7 +123,7 @@
 // New makes a router's part.
 func New(self fleet.HostID, transport port.Peers, peers Peers, logger *log.Logger) *Workload {
 	w := &Workload{
-		self: self, transport: transport, peers: peers, log: logger, dirty: make(chan struct{}, 1),
+		self: self, transport: transport, peers: peers, log: logger, dirty: make(chan struct{}, 1), due: make(chan struct{}, 1),
 		own: map[fleet.UpstreamID]Load{}, others: map[fleet.HostID]*figures{}, total: map[fleet.UpstreamID]Load{},
 		gatheredSum: map[fleet.UpstreamID]Load{}, avoided: map[fleet.HostID]time.Time{},
 		warm: warmth.NewMap(), changed: map[fleet.UpstreamID]bool{}, isRelay: true, isDirect: true,
@@ -244,12 +246,11 @@
 	for {
 		plan := w.plan()
 		// A relay tells what has changed, the others ask at intervals.
-		var dirty <-chan struct{}
-		var gather <-chan time.Time
-		if plan.Near == nil {
-			dirty = w.dirty
-		} else {
-			gather = time.After(gatherInterval)
+		dirty := w.dirty
+		var gather *time.Timer
+		if plan.Near != nil {
+			dirty = nil
+			gather = time.AfterFunc(gatherInterval, w.remind)
 		}
 		select {
 		case <-ctx.Done():
@@ -259,12 +260,25 @@
 			if plan.Near == nil {
 				w.tell(ctx, plan.Others, true)
 			}
-		case <-gather:
-			w.gather(ctx, plan.Near)
+		case <-w.due:
+			if plan.Near != nil {
+				w.gather(ctx, plan.Near)
+			}
 		case <-dirty:
 			time.Sleep(w.pause(plan))
 			w.tell(ctx, plan.Others, false)
 		}
+		if gather != nil {
+			gather.Stop()
+		}
+	}
+}
+
+// remind makes Run ask the relay.
+func (w *Workload) remind() {
+	select {
+	case w.due <- struct{}{}:
+	default:
 	}
 }
 
