Tell all figures by a timer's function, too

Ruled out: the new timer's channel, which was gone by then. Change: the ticker gives way to a function that sends on a channel of our own.

--- a/node/workload/workload.go
+++ b/node/workload/workload.go
@@ -86,6 +86,8 @@
 	dirty     chan struct{}
 	// due tells that the relay is to be asked.
 	due chan struct{}
+	// fullDue tells that all figures are to be told.
+	fullDue chan struct{}
 
 	mu sync.Mutex
 	// own is what this router runs.
@@ -123,7 +125,7 @@
 // New makes a router's part.
 func New(self fleet.HostID, transport port.Peers, peers Peers, logger *log.Logger) *Workload {
 	w := &Workload{
-		self: self, transport: transport, peers: peers, log: logger, dirty: make(chan struct{}, 1), due: make(chan struct{}, 1),
+		self: self, transport: transport, peers: peers, log: logger, dirty: make(chan struct{}, 1), due: make(chan struct{}, 1), fullDue: make(chan struct{}, 1),
 		own: map[fleet.UpstreamID]Load{}, others: map[fleet.HostID]*figures{}, total: map[fleet.UpstreamID]Load{},
 		gatheredSum: map[fleet.UpstreamID]Load{}, avoided: map[fleet.HostID]time.Time{},
 		warm: warmth.NewMap(), changed: map[fleet.UpstreamID]bool{}, isRelay: true, isDirect: true,
@@ -241,7 +243,7 @@
 
 // Run tells the other routers until ctx ends.
 func (w *Workload) Run(ctx context.Context) {
-	full := time.NewTicker(fullInterval)
+	full := time.AfterFunc(fullInterval, func() { signal(w.fullDue) })
 	defer full.Stop()
 	for {
 		plan := w.plan()
@@ -250,12 +252,13 @@
 		var gather *time.Timer
 		if plan.Near != nil {
 			dirty = nil
-			gather = time.AfterFunc(gatherInterval, w.remind)
+			gather = time.AfterFunc(gatherInterval, func() { signal(w.due) })
 		}
 		select {
 		case <-ctx.Done():
 			return
-		case <-full.C:
+		case <-w.fullDue:
+			full.Reset(fullInterval)
 			w.expire()
 			if plan.Near == nil {
 				w.tell(ctx, plan.Others, true)
@@ -274,10 +277,10 @@
 	}
 }
 
-// remind makes Run ask the relay.
-func (w *Workload) remind() {
+// signal wakes whoever waits on a channel with room for one.
+func signal(waiting chan struct{}) {
 	select {
-	case w.due <- struct{}{}:
+	case waiting <- struct{}{}:
 	default:
 	}
 }
