Print what a package that died has written

Ruled out: tests that fail, whose output was printed before. Change: when a package fails without a failed test, all that it wrote is printed. No verdict changes.

--- a/.ci/knownred/main.go
+++ b/.ci/knownred/main.go
@@ -87,7 +87,7 @@
 		// A package also fails when one of its tests did, which counts by itself.
 		if !r.testFail[e.Package] {
 			r.failed = append(r.failed, key)
-			fmt.Print(strings.Join(r.output[key], ""))
+			r.printPackage(e.Package)
 		}
 		return
 	}
@@ -101,6 +101,16 @@
 	r.failed = append(r.failed, key)
 }
 
+// printPackage prints what a package that died has written: its last words stand in the output
+// of a test that has neither passed nor failed.
+func (r *run) printPackage(name string) {
+	for key, lines := range r.output {
+		if strings.HasPrefix(key, name+" ") {
+			fmt.Print(strings.Join(lines, ""))
+		}
+	}
+}
+
 func (r *run) report() int {
 	for _, key := range r.red {
 		fmt.Println("known red:", key)
