Name a relay's place, and signal channels in one way

Ruled out: a change of behaviour; none is meant. Change: Relays.IsRelay; wake uses signal. Measured: go test ./node/workload ./core/dissemination pass.

--- a/core/dissemination/relay.go
+++ b/core/dissemination/relay.go
@@ -30,6 +30,9 @@
 	Near []fleet.HostID
 }
 
+// IsRelay tells whether the router is a relay itself.
+func (r Relays) IsRelay() bool { return r.Near == nil }
+
 // PlanRelays finds the place of a router. Every router of a small fleet is a relay. Nothing but the
 // freshness of figures depends on it, so that routers need not agree on the list.
 func PlanRelays(routers []fleet.Host, self fleet.Host) Relays {
--- a/core/dissemination/relay_test.go
+++ b/core/dissemination/relay_test.go
@@ -29,7 +29,7 @@
 		relays, members := map[fleet.HostID]int{}, map[fleet.HostID]int{}
 		for _, router := range routers {
 			plan := PlanRelays(routers, router)
-			if plan.Near == nil {
+			if plan.IsRelay() {
 				relays[router.ID] = len(plan.Others)
 				continue
 			}
@@ -50,7 +50,7 @@
 	for _, router := range routers {
 		plan := PlanRelays(routers, router)
 		must.Len(t, DirectFleet-1, plan.Others)
-		must.Nil(t, plan.Near)
+		must.True(t, plan.IsRelay())
 	}
 }
 
--- a/node/workload/workload.go
+++ b/node/workload/workload.go
@@ -199,12 +199,7 @@
 }
 
 // wake makes Run tell what has changed.
-func (w *Workload) wake() {
-	select {
-	case w.dirty <- struct{}{}:
-	default:
-	}
-}
+func (w *Workload) wake() { signal(w.dirty) }
 
 // Load returns what all routers run on an upstream.
 func (w *Workload) Load(upstream fleet.UpstreamID) Load {
@@ -250,7 +245,7 @@
 		// A relay tells what has changed, the others ask at intervals.
 		dirty := w.dirty
 		var gather *time.Timer
-		if plan.Near != nil {
+		if !plan.IsRelay() {
 			dirty = nil
 			gather = time.AfterFunc(gatherInterval, func() { signal(w.due) })
 		}
@@ -260,11 +255,11 @@
 		case <-w.fullDue:
 			full.Reset(fullInterval)
 			w.expire()
-			if plan.Near == nil {
+			if plan.IsRelay() {
 				w.tell(ctx, plan.Others, true)
 			}
 		case <-w.due:
-			if plan.Near != nil {
+			if !plan.IsRelay() {
 				w.gather(ctx, plan.Near)
 			}
 		case <-dirty:
@@ -299,7 +294,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.isDirect = plan.Direct
-	if isRelay := plan.Near == nil; w.isRelay != isRelay {
+	if isRelay := plan.IsRelay(); w.isRelay != isRelay {
 		w.isRelay = isRelay
 		w.others, w.relay = map[fleet.HostID]*figures{}, ""
 		w.total, w.gatheredSum = map[fleet.UpstreamID]Load{}, map[fleet.UpstreamID]Load{}
--- a/node/workload/workload_test.go
+++ b/node/workload/workload_test.go
@@ -188,9 +188,9 @@
 		time.Sleep(time.Second)
 		var first *node
 		for _, n := range w.nodes {
-			if near := n.Relays().Near; near != nil {
+			if plan := n.Relays(); !plan.IsRelay() {
 				first = n
-				w.silence(w.nodes[near[0]])
+				w.silence(w.nodes[plan.Near[0]])
 				break
 			}
 		}
