--- a/cmd/agateswitch/gateway.go
+++ b/cmd/agateswitch/gateway.go
@@ -75,8 +75,11 @@
 	stdlog.SetFlags(0)
 	stdlog.SetOutput(logger.StandardLog(log.StandardLogOptions{ForceLevel: log.DebugLevel}).Writer())
 	logger.Info("starting the gateway", "host", s.Host.ID, "datacentre", s.Host.DataCentre, "store", s.Store, "settings", path)
-	dial := port.Dial(dialer.New().DialContext)
-	router, err := edge.New(s, platform.New(dial, s.Store), edge.Network{Dial: dial, Listen: net.Listen}, metrics, logger)
+	dial := dialer.New().DialContext
+	var storeTraffic dialer.Counter
+	external := platform.New(port.Dial(storeTraffic.Wrap(dial)), s.Store)
+	network := edge.Network{Dial: dial, Listen: net.Listen, StoreTraffic: storeTraffic.Traffic}
+	router, err := edge.New(s, external, network, metrics, logger)
 	if err != nil {
 		return err
 	}
--- a/node/edge/edge.go
+++ b/node/edge/edge.go
@@ -28,6 +28,8 @@
 type Network struct {
 	Dial   port.Dial
 	Listen Listen
+	// StoreTraffic counts the traffic with the store. It is optional.
+	StoreTraffic Traffic
 }
 
 // Router is one router process.
@@ -41,6 +43,7 @@
 	workload *workload.Workload
 	moves    *versionmove.Service
 	mesh     *peer.Mesh
+	traffic  trafficReport
 	servers  *servers
 }
 
@@ -58,6 +61,13 @@
 	r.replica = replica.New(external.Store, r.mesh, r.presence, external.Codec.DesiredKey(), logger)
 	r.workload = workload.New(self.ID, r.mesh, r.presence, logger)
 	r.moves = versionmove.New(external.Codec, external.Store, r.mesh, r.presence, exposure(s), logger)
+	r.traffic = trafficReport{store: network.StoreTraffic, routers: r.mesh.Traffic, log: logger}
+	if r.traffic.store == nil {
+		r.traffic.store = func() (sent, received int64) { return 0, 0 }
+	}
+	if err := r.traffic.observe(metrics.Meter()); err != nil {
+		return nil, err
+	}
 	instruments, err := gateway.NewInstruments(metrics.Meter())
 	if err != nil {
 		return nil, err
@@ -133,7 +143,7 @@
 	}
 	runContext, stop := context.WithCancel(forced)
 	var services sync.WaitGroup
-	for _, run := range []func(context.Context){r.replica.Run, r.presence.Run, r.workload.Run, r.moves.Run, r.bootstrap} {
+	for _, run := range []func(context.Context){r.replica.Run, r.presence.Run, r.workload.Run, r.moves.Run, r.traffic.run, r.bootstrap} {
 		services.Go(func() { run(runContext) })
 	}
 	services.Go(func() {
