--- /dev/null
+++ b/node/replica/replica_test.go
@@ -0,0 +1,253 @@
+package replica
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand"
+	"runtime"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"agateswitch/core/fleet"
+	"agateswitch/port"
+
+	"github.com/charmbracelet/log"
+	"github.com/shoenig/test/must"
+)
+
+// Limits within which a change has to reach every router.
+const (
+	// leaveLimit is the time after which an upstream that has said that it leaves may get no request.
+	leaveLimit = 2 * time.Second
+	// applyLimit is the time after which a desired state must be in force.
+	applyLimit = 3 * time.Second
+)
+
+const (
+	desiredKey  = "desired"
+	upstreamKey = "upstream/"
+)
+
+// largeState returns a desired state of about 0.6 MB, the size of one with 1,600 routes.
+func largeState(version int) []byte {
+	random := rand.New(rand.NewSource(int64(version)))
+	type route struct {
+		Name, Host, Prefix, Kind, Pool      string
+		Timeout, Target, Attempts, Priority int
+		Public, Sticky, Resumable           bool
+		Description                         string
+	}
+	routes := make([]route, 1600)
+	for i := range routes {
+		routes[i] = route{
+			Name: fmt.Sprintf("r-%07x", random.Int31()), Host: "farms.example", Prefix: fmt.Sprintf("/%06x/%04x/", random.Int31(), random.Int31n(1<<16)),
+			Kind: "non_idempotent", Pool: "ledger", Timeout: 3000, Target: 300, Attempts: 2, Priority: i % 4,
+			Description: "a route of the fleet whose requests are forwarded to the engines of the ledger, which post what they say once; it has a retry budget",
+		}
+	}
+	value, err := json.Marshal(map[string]any{"version": version, "routes": routes})
+	if err != nil {
+		panic(err)
+	}
+	return value
+}
+
+// testRouter is a router of a test fleet, and when it applied which revision of a key.
+type testRouter struct {
+	*host
+	replica *Replica
+	// blocksPulls is true once a desired state was applied while the lock was held that answers to
+	// pulls need.
+	blocksPulls atomic.Bool
+
+	mu      sync.Mutex
+	applied map[string]int64
+}
+
+func (r *testRouter) appliedRevision(key string) int64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.applied[key]
+}
+
+// lockIsFree reports whether others can take the replica's lock. A goroutine that has it for a moment
+// does not count.
+func (r *testRouter) lockIsFree() bool {
+	for range 10_000 {
+		if r.replica.mu.TryLock() {
+			r.replica.mu.Unlock()
+			return true
+		}
+		runtime.Gosched()
+	}
+	return false
+}
+
+// observe records a change.
+func (r *testRouter) observe(key string, revision int64) {
+	if key == desiredKey && !r.lockIsFree() {
+		r.blocksPulls.Store(true)
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.applied[key] = max(r.applied[key], revision)
+}
+
+// startRouter starts the replica of a host.
+func startRouter(ctx context.Context, h *host) *testRouter {
+	router := &testRouter{host: h, applied: map[string]int64{}}
+	router.replica = New(storeOf{store: h.fleet.store, host: h}, h, memberOf{fleet: h.fleet, self: h.id}, desiredKey, log.New(io.Discard))
+	router.replica.Subscribe(func(changes []Change) {
+		for _, change := range changes {
+			router.observe(change.Entry.Key, change.Entry.Revision)
+		}
+	})
+	go router.replica.Run(ctx)
+	return router
+}
+
+// testFleet is a fleet whose routers have read the store.
+type testFleet struct {
+	store   *fakeStore
+	routers []*testRouter
+	// stopUpstreams ends the writes of the upstreams' entries.
+	stopUpstreams context.CancelFunc
+}
+
+// runFleet runs a test on a fleet of slow hosts that are busy with callers' requests, in virtual
+// time. Upstreams write their entries several times a second.
+func runFleet(t *testing.T, size int, test func(t *testing.T, f testFleet)) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(context.Background())
+		defer func() {
+			cancel()
+			// Calls and transfers in progress end.
+			time.Sleep(10 * time.Second)
+		}()
+		f := &fakeFleet{store: newFakeStore()}
+		for i := range size {
+			f.hosts = append(f.hosts, &host{
+				id: fleet.HostID(fmt.Sprintf("router-%02d", i)), up: newLink(slowLinkBytesPerSecond), down: newLink(slowLinkBytesPerSecond),
+				cores: slowCores, computing: make(chan struct{}, 1), handlers: map[string]port.PeerHandler{}, fleet: f,
+			})
+		}
+		f.watchers = []fleet.HostID{f.hosts[0].id, f.hosts[1].id}
+		f.store.put(desiredKey, largeState(0))
+		started := testFleet{store: f.store}
+		for _, h := range f.hosts {
+			started.routers = append(started.routers, startRouter(ctx, h))
+			go h.keepBusy(ctx, 0.6)
+		}
+		writing, stop := context.WithCancel(ctx)
+		started.stopUpstreams = stop
+		go writeUpstreams(writing, f.store)
+		time.Sleep(10 * time.Second)
+		test(t, started)
+	})
+}
+
+// writeUpstreams writes the entries of 60 upstreams, each about every second.
+func writeUpstreams(ctx context.Context, store *fakeStore) {
+	for i := 0; ctx.Err() == nil; i++ {
+		store.put(fmt.Sprintf("%s%d", upstreamKey, i%60), []byte(`{"pool": "lm", "address": "10.1.0.1:80", "state": "ready", "more": "`+fmt.Sprint(i)+`"}`))
+		sleep(ctx, 20*time.Millisecond)
+	}
+}
+
+// refuseUnknownKeys makes each router confirm its desired state again and again, as it does before it
+// refuses a request whose key it does not know.
+func (f testFleet) refuseUnknownKeys(ctx context.Context) {
+	for _, r := range f.routers {
+		go func() {
+			for ctx.Err() == nil {
+				confirming, cancel := context.WithTimeout(ctx, applyLimit)
+				_ = r.replica.Confirm(confirming)
+				cancel()
+				sleep(ctx, 300*time.Millisecond)
+			}
+		}()
+	}
+}
+
+// writeStorm writes versions of a large desired state in quick succession and returns the last
+// revision.
+func (f testFleet) writeStorm() int64 {
+	const versions, gap = 25, 60 * time.Millisecond
+	var revision int64
+	for version := range versions {
+		revision = f.store.put(desiredKey, largeState(version+1))
+		time.Sleep(gap)
+	}
+	return revision
+}
+
+// applyTime returns how long it takes until the last router has applied a revision of a key, or a
+// longer time than the limit if that does not happen.
+func (f testFleet) applyTime(key string, revision int64, limit time.Duration) (time.Duration, fleet.HostID) {
+	began := time.Now()
+	for {
+		var late fleet.HostID
+		for _, r := range f.routers {
+			if r.appliedRevision(key) < revision {
+				late = r.id
+			}
+		}
+		if took := time.Since(began); late == "" || took > 2*limit {
+			return took, late
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+}
+
+func TestLeaveMarkWaitsForNoLargeState(t *testing.T) {
+	runFleet(t, 20, func(t *testing.T, f testFleet) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		f.refuseUnknownKeys(ctx)
+		f.writeStorm()
+		mark := f.store.put(upstreamKey+"leaving", []byte(`{"state": "draining"}`))
+		took, late := f.applyTime(upstreamKey+"leaving", mark, leaveLimit)
+		must.LessEq(t, leaveLimit, took, must.Sprintf("last: %s", late))
+	})
+}
+
+func TestLastLargeStateIsAppliedInTime(t *testing.T) {
+	runFleet(t, 20, func(t *testing.T, f testFleet) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		f.refuseUnknownKeys(ctx)
+		last := f.writeStorm()
+		took, late := f.applyTime(desiredKey, last, applyLimit)
+		must.LessEq(t, applyLimit, took, must.Sprintf("last: %s", late))
+	})
+}
+
+// A transfer of the state takes longer than a confirmation may.
+func TestConfirmationTransfersNoUnchangedState(t *testing.T) {
+	runFleet(t, 20, func(t *testing.T, f testFleet) {
+		f.stopUpstreams()
+		slow := f.routers[len(f.routers)-1]
+		for range 10 {
+			time.Sleep(maxConfirmedAge / 2)
+			before := slow.down.total()
+			must.NoError(t, slow.replica.Confirm(t.Context()))
+			must.Less(t, 64<<10, slow.down.total()-before)
+		}
+	})
+}
+
+func TestPullIsAnsweredWhileALargeStateIsApplied(t *testing.T) {
+	runFleet(t, 2, func(t *testing.T, f testFleet) {
+		last := f.store.put(desiredKey, largeState(1))
+		time.Sleep(applyLimit)
+		for _, r := range f.routers {
+			must.Eq(t, last, r.appliedRevision(desiredKey))
+			must.False(t, r.blocksPulls.Load())
+		}
+	})
+}
