Confirm the desired state without reading it

What callers saw: requests with a revoked key were let through for seconds (CONFIG), and refusals with 503 while a router could not confirm its state. Cause: a confirmation read the whole desired state, within 300 ms. On a link of 10 Mbit/s that is impossible above some 0.3 MB, so each try failed, was begun again, and took the link from the watch and from pulls. Now a transaction without writes, with the held revision as its condition, answers in a few bytes while the state is unchanged, and with the newest state otherwise.

--- a/node/replica/confirm.go
+++ b/node/replica/confirm.go
@@ -50,17 +50,23 @@
 	return errors.Trace(ErrUnconfirmed)
 }
 
-// readDesired reads only the desired state from the store.
+// readDesired confirms the desired state with the store, and reads a newer one if there is one. The
+// store sends no value as long as the replica has the newest.
 func (r *Replica) readDesired(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, confirmTimeout)
 	defer cancel()
+	r.mu.Lock()
+	condition := port.Condition{Key: r.desiredKey, Revision: r.entries[r.desiredKey].Revision}
+	r.mu.Unlock()
 	startedAt := time.Now()
-	entry, err := r.store.Get(ctx, r.desiredKey)
+	result, err := r.store.Commit(ctx, port.Transaction{Conditions: []port.Condition{condition}, ReadConflicts: true})
 	if err != nil {
 		return err
 	}
-	if entry.Revision > 0 {
-		r.applyEntry(entry)
+	for _, entry := range result.Found {
+		if entry.Revision > 0 {
+			r.applyEntry(entry)
+		}
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
