Answer pulls while a desired state is being applied

Cause: subscribers decoded and compiled a desired state while the replica's lock was held that answers to pulls, Age and Confirm need; pulls end after 400 ms. Changes are now ordered by a semaphore of their own. The copy's age and revision advance once subscribers have applied a change, so that a router does not claim to have what its requests don't see yet.

--- a/node/replica/confirm.go
+++ b/node/replica/confirm.go
@@ -76,12 +76,7 @@
 
 // applyEntry applies one entry that was read on its own.
 func (r *Replica) applyEntry(entry port.Entry) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	change := Change{Entry: entry}
-	if r.applyChange(change, time.Now()) {
-		for _, observe := range r.subscribers {
-			observe([]Change{change})
-		}
-	}
+	r.applying <- struct{}{}
+	defer func() { <-r.applying }()
+	r.notify(r.record([]Change{{Entry: entry}}))
 }
--- a/node/replica/replica.go
+++ b/node/replica/replica.go
@@ -95,7 +95,10 @@
 	log        *log.Logger
 	loaded     chan struct{}
 
-	// mu orders changes: subscribers receive them in the order in which they are applied.
+	// applying admits one batch of changes: subscribers receive them in the order in which they are
+	// applied. It is not mu, which answers to other routers need while a subscriber works.
+	applying chan struct{}
+
 	mu         sync.Mutex
 	entries    map[string]port.Entry
 	tombstones map[string]tombstone
@@ -135,7 +138,7 @@
 func New(store port.Store, transport port.Peers, peers Peers, desiredKey string, logger *log.Logger) *Replica {
 	r := &Replica{
 		store: store, transport: transport, peers: peers, desiredKey: desiredKey, log: logger,
-		loaded: make(chan struct{}), entries: map[string]port.Entry{}, tombstones: map[string]tombstone{},
+		loaded: make(chan struct{}), applying: make(chan struct{}, 1), entries: map[string]port.Entry{}, tombstones: map[string]tombstone{},
 	}
 	transport.Handle(methodPull, r.handlePull)
 	return r
@@ -156,8 +159,26 @@
 }
 
 // apply applies changes that are complete up to a revision, which was confirmed to be the newest at
-// confirmedAt.
+// confirmedAt. The copy counts as that new once the subscribers have applied the changes.
 func (r *Replica) apply(changes []Change, revision int64, confirmedAt time.Time) {
+	r.applying <- struct{}{}
+	defer func() { <-r.applying }()
+	r.notify(r.record(changes))
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.asOf = max(r.asOf, revision)
+	if confirmedAt.After(r.confirmedAt) {
+		r.confirmedAt = confirmedAt
+	}
+	select {
+	case <-r.loaded:
+	default:
+		close(r.loaded)
+	}
+}
+
+// record records changes in the copy and returns those that subscribers have to apply.
+func (r *Replica) record(changes []Change) []Change {
 	now := time.Now()
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -170,19 +191,16 @@
 			applied = append(applied, change)
 		}
 	}
-	r.asOf = max(r.asOf, revision)
-	if confirmedAt.After(r.confirmedAt) {
-		r.confirmedAt = confirmedAt
-	}
-	if len(applied) > 0 {
-		for _, observe := range r.subscribers {
-			observe(applied)
-		}
+	return applied
+}
+
+// notify passes changes to the subscribers. The caller is admitted by applying.
+func (r *Replica) notify(changes []Change) {
+	if len(changes) == 0 {
+		return
 	}
-	select {
-	case <-r.loaded:
-	default:
-		close(r.loaded)
+	for _, observe := range r.subscribers {
+		observe(changes)
 	}
 }
 
