Transfer the desired state apart from all other entries

Cause: one watch brought each version of the desired state whole, and all other entries queued behind it; a pull waited for withheld values, and was dropped whole when one could not be read; pulls from routers other than watchers brought the state uncompressed. Each of these calls is given up by time and begun again, so that small links stayed full when the last version was long in force elsewhere.

Each prefix now has a watch, and a revision in pulls, of its own. A pull only names the revision of the desired state; a router that is behind fetches the newest one, compressed, from a router that holds it, one transfer at a time, and reads it from the store if no router provides it for a second. A read of the store that has begun is shared and runs to its end. A watcher that sees a change reads the newest state until it is unchanged, and so skips the versions that were overtaken. The desired state is decoded before the gateway's lock is taken, and no longer by components that don't use it.

--- a/node/edge/edge.go
+++ b/node/edge/edge.go
@@ -58,7 +58,10 @@
 	r.presence = presence.New(self, external.Store, logger)
 	r.mesh = peer.NewWithDial(peer.Dial(network.Dial), self.ID, r.presence, s.PeerKey, logger)
 	r.presence.Join(r.mesh)
-	r.replica = replica.New(external.Store, r.mesh, r.presence, external.Codec.DesiredKey(), logger)
+	keys := replica.Keys{
+		Desired: external.Codec.DesiredKey(), Prefixes: append(external.Codec.Prefixes(), presence.RouterKeyPrefix),
+	}
+	r.replica = replica.New(external.Store, r.mesh, r.presence, keys, logger)
 	r.workload = workload.New(self.ID, r.mesh, r.presence, logger)
 	r.moves = versionmove.New(external.Codec, external.Store, r.mesh, r.presence, exposure(s), logger)
 	r.traffic = trafficReport{store: network.StoreTraffic, routers: r.mesh.Traffic, log: logger}
@@ -79,6 +82,7 @@
 	r.replica.Subscribe(r.presence.Observe)
 	r.replica.Subscribe(r.moves.Observe)
 	r.replica.Subscribe(r.gateway.Observe)
+	r.replica.SubscribeDesired(r.gateway.ObserveDesired)
 	directory, readiness := external.Entries(port.EntryList{Addresses: r.addresses, TTL: r.ttl, Ready: r.ready})
 	r.servers = &servers{
 		gateway: r.gateway, listen: network.Listen, callers: s.Listen.Callers, leave: r.presence.Leave,
--- a/node/gateway/gateway.go
+++ b/node/gateway/gateway.go
@@ -33,8 +33,8 @@
 type Freshness interface {
 	// Confirm returns nil once the desired state in force is known to be the newest.
 	Confirm(ctx context.Context) error
-	// Age returns the maximum age of the state.
-	Age() time.Duration
+	// DesiredAge returns the time since that was last known.
+	DesiredAge() time.Duration
 }
 
 // RetryLimits limits the retries of the whole fleet for each pool: within Window, their number may
@@ -90,9 +90,12 @@
 	}
 }
 
-// Observe applies changes of the store.
+// Observe applies changes of the store apart from the desired state.
 func (g *Gateway) Observe(changes []replica.Change) { g.view.applyChanges(changes) }
 
+// ObserveDesired puts a desired state in force.
+func (g *Gateway) ObserveDesired(entry port.Entry) { g.view.applyDesired(entry) }
+
 // Ready is closed once a desired state is in force.
 func (g *Gateway) Ready() <-chan struct{} { return g.view.ready }
 
--- a/node/gateway/view.go
+++ b/node/gateway/view.go
@@ -72,8 +72,6 @@
 		v.log.Warn("failed to decode a store entry; ignoring it", "key", entry.Key, "revision", entry.Revision, "err", decoded.Problem)
 		// An upstream whose entry can't be decoded may not be fit for use.
 		v.removeEngine(entry.Key)
-	case decoded.Desired != nil:
-		v.applyDesired(decoded.Desired, entry.Revision)
 	case decoded.Engine != nil:
 		v.applyEngine(entry.Key, *decoded.Engine, now)
 	case decoded.DataCentreOut != "":
@@ -82,16 +80,26 @@
 	}
 }
 
-// applyDesired puts a desired state in force unless it is older than the current one. The caller
-// holds mu.
-func (v *view) applyDesired(state *routing.State, revision int64) {
-	if v.table != nil && state.Version < v.table.State.Version {
-		v.log.Warn("ignored a desired state older than the one in force", "version", state.Version, "in_force", v.table.State.Version)
+// applyDesired puts a desired state in force unless it is older than the current one. The entry is
+// decoded before the lock is taken, so that other changes do not wait for that.
+func (v *view) applyDesired(entry port.Entry) {
+	decoded := v.codec.Decode(entry.Key, entry.Value)
+	if decoded.Desired == nil {
+		v.log.Warn("failed to decode a desired state; ignoring it", "key", entry.Key, "revision", entry.Revision, "err", decoded.Problem)
+		return
+	}
+	table := routing.Compile(*decoded.Desired)
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	version := table.State.Version
+	if v.table != nil && version < v.table.State.Version {
+		v.log.Warn("ignored a desired state older than the one in force", "version", version, "in_force", v.table.State.Version)
 		return
 	}
-	v.table = routing.Compile(*state)
-	v.log.Info("desired state in force", "version", state.Version, "revision", revision,
-		"routes", len(state.Routes), "teams", len(state.Teams))
+	v.table = table
+	v.log.Info("desired state in force", "version", version, "revision", entry.Revision,
+		"routes", len(table.State.Routes), "teams", len(table.State.Teams))
+	v.publishSnapshot()
 }
 
 // applyEngine applies an upstream's entry. An upstream with a new incarnation or address replaces
--- a/node/presence/lease.go
+++ b/node/presence/lease.go
@@ -39,7 +39,7 @@
 	if err != nil {
 		panic("encode router entry: " + err.Error())
 	}
-	write := port.Write{Key: routerKeyPrefix + string(p.self.ID), Value: value, Lease: lease}
+	write := port.Write{Key: RouterKeyPrefix + string(p.self.ID), Value: value, Lease: lease}
 	if _, err := p.store.Commit(ctx, port.Transaction{Writes: []port.Write{write}}); err != nil {
 		p.log.Warn("failed to write the router entry", "lease", lease, "err", err)
 		return
--- a/node/presence/presence.go
+++ b/node/presence/presence.go
@@ -38,8 +38,8 @@
 	heartbeatNeighbours = 4
 )
 
-// routerKeyPrefix is the prefix of the routers' keys in the store.
-const routerKeyPrefix = "agateswitch/router/"
+// RouterKeyPrefix is the prefix of the routers' keys in the store.
+const RouterKeyPrefix = "agateswitch/router/"
 
 // methodHeartbeat exchanges heartbeats with another router.
 const methodHeartbeat = "presence.heartbeat"
@@ -84,7 +84,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for _, change := range changes {
-		id, isRouter := strings.CutPrefix(change.Entry.Key, routerKeyPrefix)
+		id, isRouter := strings.CutPrefix(change.Entry.Key, RouterKeyPrefix)
 		if !isRouter {
 			continue
 		}
--- a/node/replica/confirm.go
+++ b/node/replica/confirm.go
@@ -2,81 +2,86 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"time"
 
-	"agateswitch/port"
-
 	"github.com/juju/errors"
 )
 
-// desiredAge returns the time since the desired state was last confirmed to be the newest.
-func (r *Replica) desiredAge() time.Duration {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return min(time.Since(r.confirmedAt), time.Since(r.desiredConfirmedAt))
-}
+// Limits of a confirmation.
+const (
+	// confirmLimit bounds a confirmation.
+	confirmLimit = 1500 * time.Millisecond
+	// newerStateTimeout is how long a confirmation waits for a newer desired state that exists.
+	newerStateTimeout = time.Second
+)
 
-// Confirm ensures that the desired state is the newest. Concurrent calls share the result of a
-// confirmation that started after they were made.
+// Confirm ensures that the desired state in force is the newest. Concurrent calls share the result of
+// a confirmation that started after they were made.
 func (r *Replica) Confirm(ctx context.Context) error {
-	if r.desiredAge() <= maxConfirmedAge {
+	if r.DesiredAge() <= maxConfirmedAge {
 		return nil
 	}
 	requestedAt := time.Now()
-	r.confirming.Lock()
-	defer r.confirming.Unlock()
+	select {
+	case r.confirming <- struct{}{}:
+	case <-ctx.Done():
+		return errors.Trace(ErrUnconfirmed)
+	}
+	defer func() { <-r.confirming }()
 	if r.confirmStartedAt.After(requestedAt) {
 		return r.confirmErr
 	}
 	r.confirmStartedAt = time.Now()
+	// Other calls share the result, so it must not depend on this one's caller.
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), confirmLimit)
+	defer cancel()
 	r.confirmErr = r.confirm(ctx)
 	return r.confirmErr
 }
 
-// confirm reads the desired state from the store, or pulls it from routers that may have read it.
+// confirm asks a watcher, the store, and then routers that may reach the store.
 func (r *Replica) confirm(ctx context.Context) error {
+	if watchers, self := r.watchers(); !self {
+		r.pullFrom(ctx, watchers[rand.N(len(watchers))], pullRequest{Newest: true})
+		if r.awaitConfirmed(ctx) {
+			return nil
+		}
+	}
 	if time.Since(r.readFailedAt) > readRetryDelay {
-		err := r.readDesired(ctx)
-		if err == nil {
+		_, err := r.readDesired(ctx, confirmTimeout)
+		if r.awaitConfirmed(ctx) {
 			return nil
 		}
-		r.readFailedAt = time.Now()
-		r.log.Warn("failed to confirm the newest state with the store; pulling it from routers", "err", err)
+		if err != nil {
+			r.readFailedAt = time.Now()
+			r.log.Warn("failed to confirm the newest state with the store; pulling it from routers", "err", err)
+		}
 	}
 	r.pull(ctx, true)
-	if r.desiredAge() <= maxConfirmedAge {
+	if r.awaitConfirmed(ctx) {
 		return nil
 	}
 	return errors.Trace(ErrUnconfirmed)
 }
 
-// readDesired confirms the desired state with the store, and reads a newer one if there is one. The
-// store sends no value as long as the replica has the newest.
-func (r *Replica) readDesired(ctx context.Context) error {
-	ctx, cancel := context.WithTimeout(ctx, confirmTimeout)
+// awaitConfirmed reports whether the desired state in force is confirmed. If a newer one exists, it
+// waits until that is in force.
+func (r *Replica) awaitConfirmed(ctx context.Context) bool {
+	ctx, cancel := context.WithTimeout(ctx, newerStateTimeout)
 	defer cancel()
-	r.mu.Lock()
-	condition := port.Condition{Key: r.desiredKey, Revision: r.entries[r.desiredKey].Revision}
-	r.mu.Unlock()
-	startedAt := time.Now()
-	result, err := r.store.Commit(ctx, port.Transaction{Conditions: []port.Condition{condition}, ReadConflicts: true})
-	if err != nil {
-		return err
-	}
-	for _, entry := range result.Found {
-		if entry.Revision > 0 {
-			r.applyEntry(entry)
+	for {
+		r.mu.Lock()
+		isConfirmed := time.Since(r.desired.confirmedAt) <= maxConfirmedAge
+		isCurrent, changed := r.desired.known <= r.desired.applied, r.desired.changed
+		r.mu.Unlock()
+		if isConfirmed || isCurrent {
+			return isConfirmed
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return false
 		}
 	}
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.desiredConfirmedAt = startedAt
-	return nil
-}
-
-// applyEntry applies one entry that was read on its own.
-func (r *Replica) applyEntry(entry port.Entry) {
-	r.applying <- struct{}{}
-	defer func() { <-r.applying }()
-	r.notify(r.record([]Change{{Entry: entry}}))
 }
--- /dev/null
+++ b/node/replica/desired.go
@@ -0,0 +1,275 @@
+package replica
+
+import (
+	"context"
+	"time"
+
+	"agateswitch/core/fleet"
+	"agateswitch/port"
+
+	"github.com/juju/errors"
+)
+
+// Intervals and timeouts of the desired state.
+const (
+	// desiredReadInterval is the time between two reads while the desired state changes, so that
+	// versions that are overtaken in the meantime are not read.
+	desiredReadInterval = 250 * time.Millisecond
+	// desiredReadTimeout bounds a read of the desired state from the store.
+	desiredReadTimeout = 5 * time.Second
+	// maxHolders is the number of routers remembered to fetch a newer desired state from.
+	maxHolders = 4
+)
+
+// desiredCopy is the copy of the desired state. Replica.mu guards its fields.
+type desiredCopy struct {
+	contact
+	key string
+	// held is the newest entry that this router has, and applied the revision of the newest one that
+	// its subscribers have applied.
+	held    port.Entry
+	applied int64
+	// wasRead is true once the entry has been read, or found to be absent.
+	wasRead bool
+	// packed is held in the form that other routers fetch. It is nil until one does.
+	packed []byte
+	// known is the newest revision that the router has heard of, and behindSince when it first heard
+	// of one that it does not hold. behindSince is zero while it holds the newest.
+	known       int64
+	behindSince time.Time
+	// behind has an element when the router has heard of a revision that it does not hold.
+	behind chan struct{}
+	// holders are routers that hold a newer revision than this one, the last one to say so last.
+	holders []holder
+	// confirmedAt is when applied was last confirmed to be the newest revision.
+	confirmedAt time.Time
+	// changed is closed and replaced when applied or confirmedAt changes.
+	changed chan struct{}
+}
+
+// holder is a router that holds a revision of the desired state.
+type holder struct {
+	router   fleet.HostID
+	revision int64
+	// bytes is the size of the state.
+	bytes int
+}
+
+func newDesiredCopy(key string) desiredCopy {
+	return desiredCopy{key: key, behind: make(chan struct{}, 1), changed: make(chan struct{})}
+}
+
+// pulled returns what other routers learn about the desired state with a pull.
+func (d *desiredCopy) pulled() pulledDesired {
+	return pulledDesired{
+		Revision: d.held.Revision, Known: d.known, Bytes: len(d.held.Value), AgeMs: time.Since(d.confirmedAt).Milliseconds(),
+	}
+}
+
+// hold stores an entry for other routers to fetch. It reports whether it is newer than the one held.
+func (d *desiredCopy) hold(entry port.Entry) bool {
+	if entry.Revision <= d.held.Revision {
+		return false
+	}
+	d.held, d.packed = entry, nil
+	d.learn(entry.Revision)
+	return true
+}
+
+// learn records that a revision exists.
+func (d *desiredCopy) learn(revision int64) {
+	d.known = max(d.known, revision)
+	switch {
+	case d.known == d.held.Revision:
+		d.behindSince = time.Time{}
+		return
+	case d.behindSince.IsZero():
+		d.behindSince = time.Now()
+	}
+	select {
+	case d.behind <- struct{}{}:
+	default:
+	}
+}
+
+// confirm records that no revision above the given one existed at a time.
+func (d *desiredCopy) confirm(revision int64, at time.Time) {
+	if revision == d.applied && at.After(d.confirmedAt) {
+		d.confirmedAt = at
+		d.notify()
+	}
+}
+
+func (d *desiredCopy) notify() {
+	close(d.changed)
+	d.changed = make(chan struct{})
+}
+
+// addHolder remembers a router that holds a newer revision.
+func (d *desiredCopy) addHolder(added holder) {
+	kept := []holder{}
+	for _, h := range d.holders {
+		if h.router != added.router && h.revision > d.held.Revision {
+			kept = append(kept, h)
+		}
+	}
+	kept = append(kept, added)
+	d.holders = kept[max(0, len(kept)-maxHolders):]
+}
+
+// takeHolder removes and returns the router that was last to hold a newer revision.
+func (d *desiredCopy) takeHolder() (holder, bool) {
+	for len(d.holders) > 0 {
+		last := d.holders[len(d.holders)-1]
+		d.holders = d.holders[:len(d.holders)-1]
+		if last.revision > d.held.Revision {
+			return last, true
+		}
+	}
+	return holder{}, false
+}
+
+// DesiredAge returns the time since the desired state in force was last confirmed to be the newest.
+func (r *Replica) DesiredAge() time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return time.Since(r.desired.confirmedAt)
+}
+
+// applyDesired applies a desired state that was the newest at confirmedAt, unless the router has a
+// newer one.
+func (r *Replica) applyDesired(entry port.Entry, confirmedAt time.Time) {
+	r.applyingDesired <- struct{}{}
+	defer func() { <-r.applyingDesired }()
+	r.mu.Lock()
+	isNewer := r.desired.hold(entry)
+	r.mu.Unlock()
+	if isNewer {
+		for _, observe := range r.desiredSubscribers {
+			observe(entry)
+		}
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.desired.applied = r.desired.held.Revision
+	r.desired.notify()
+	r.desired.confirm(entry.Revision, confirmedAt)
+	r.desired.wasRead = true
+	r.updateLoaded()
+}
+
+// confirmDesired records that no revision above the given one existed at a time.
+func (r *Replica) confirmDesired(revision int64, at time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.desired.confirm(revision, at)
+	r.desired.wasRead = true
+	r.updateLoaded()
+}
+
+// heldRevision returns the revision of the desired state that the router holds; zero means none.
+func (r *Replica) heldRevision() int64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.desired.held.Revision
+}
+
+// learnDesired applies what a router told about its desired state in the answer to a pull that began
+// at startedAt.
+func (r *Replica) learnDesired(from fleet.HostID, pulled pulledDesired, startedAt time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.desired.confirm(pulled.Revision, startedAt.Add(-time.Duration(pulled.AgeMs)*time.Millisecond))
+	if pulled.Revision > r.desired.held.Revision {
+		r.desired.addHolder(holder{router: from, revision: pulled.Revision, bytes: pulled.Bytes})
+	}
+	r.desired.learn(max(pulled.Known, pulled.Revision))
+}
+
+// desiredRead is the result of a read of the desired state.
+type desiredRead struct {
+	// changed is true when the read brought a newer one.
+	changed bool
+	// asOf is the store's revision at which there was no newer one.
+	asOf int64
+}
+
+// readDesired reads the desired state from the store and applies it. The store sends no value as long
+// as the router holds the newest. Concurrent calls share a read. It goes on after wait has elapsed,
+// so that the part that has been transferred is not wasted.
+func (r *Replica) readDesired(ctx context.Context, wait time.Duration) (desiredRead, error) {
+	ctx, cancel := context.WithTimeout(ctx, wait)
+	defer cancel()
+	shared := r.reads.DoChan(r.desired.key, func() (any, error) {
+		reading, cancel := context.WithTimeout(context.WithoutCancel(ctx), desiredReadTimeout)
+		defer cancel()
+		return r.readNewest(reading)
+	})
+	select {
+	case result := <-shared:
+		return result.Val.(desiredRead), result.Err
+	case <-ctx.Done():
+		return desiredRead{}, errors.Trace(ctx.Err())
+	}
+}
+
+func (r *Replica) readNewest(ctx context.Context) (desiredRead, error) {
+	condition := port.Condition{Key: r.desired.key, Revision: r.heldRevision()}
+	startedAt := time.Now()
+	result, err := r.store.Commit(ctx, port.Transaction{Conditions: []port.Condition{condition}, ReadConflicts: true})
+	if err != nil {
+		return desiredRead{}, err
+	}
+	for _, entry := range result.Found {
+		if entry.Key == r.desired.key && entry.Revision > condition.Revision {
+			r.applyDesired(entry, startedAt)
+			r.log.Info("desired state read from the store", "revision", entry.Revision, "bytes", len(entry.Value), "took", time.Since(startedAt))
+			return desiredRead{changed: true}, nil
+		}
+	}
+	r.confirmDesired(condition.Revision, startedAt)
+	return desiredRead{asOf: max(result.Revision, condition.Revision)}, nil
+}
+
+// watchDesired follows the newest desired state until the store fails to answer. While it changes,
+// the newest revision is read again and again: a watch would deliver all of them.
+func (r *Replica) watchDesired(ctx context.Context) error {
+	for {
+		read, err := r.readDesired(ctx, desiredReadTimeout)
+		if err != nil {
+			return err
+		}
+		r.markReachable(r.desired.key, &r.desired.contact)
+		if !read.changed {
+			if err := r.awaitDesiredChange(ctx, read.asOf); err != nil {
+				return err
+			}
+		}
+		sleep(ctx, desiredReadInterval)
+	}
+}
+
+// awaitDesiredChange waits until the desired state has changed after a revision, and applies it.
+func (r *Replica) awaitDesiredChange(ctx context.Context, after int64) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	var newest port.Entry
+	for event := range r.store.Watch(ctx, r.desired.key, after) {
+		switch {
+		case errors.Is(event.Err, port.ErrCompacted):
+			return nil
+		case event.Err != nil:
+			return event.Err
+		case event.Progress == 0:
+			if event.Entry.Key == r.desired.key && !event.Deleted {
+				newest = event.Entry
+			}
+		case newest.Revision > 0:
+			r.applyDesired(newest, time.Now())
+			return nil
+		default:
+			r.confirmDesired(r.heldRevision(), time.Now())
+		}
+	}
+	return errors.New("watch of the desired state ended without an error")
+}
--- a/node/replica/pull.go
+++ b/node/replica/pull.go
@@ -8,17 +8,17 @@
 
 	"agateswitch/core/fleet"
 	"agateswitch/port"
-
-	"github.com/juju/errors"
 )
 
-// pullRequest requests the changes after a revision.
+// methodPull requests another router's changes after the given revisions.
+const methodPull = "replica.pull"
+
+// pullRequest requests the changes after a revision of each tree.
 type pullRequest struct {
-	After int64 `msgpack:"after"`
+	// After holds the revisions by the prefix of the tree.
+	After map[string]int64 `msgpack:"after"`
 	// Newest requests that the router first confirms its desired state.
 	Newest bool `msgpack:"newest,omitempty"`
-	// Withhold requests that large values are omitted: this router reads them from the store.
-	Withhold bool `msgpack:"withhold,omitempty"`
 }
 
 // pulledEntry is an entry or a deletion.
@@ -27,35 +27,69 @@
 	Value    []byte `msgpack:"v,omitempty"`
 	Revision int64  `msgpack:"r"`
 	Deleted  bool   `msgpack:"d,omitempty"`
-	// Withheld is true when Value was omitted.
-	Withheld bool `msgpack:"w,omitempty"`
 }
 
-// pullResponse holds a router's changes after the requested revision.
-type pullResponse struct {
-	// AsOf is the revision up to which the router's state is complete. Zero means that it has none.
+// pulledTree holds a router's changes of a tree after the requested revision.
+type pulledTree struct {
+	Prefix string `msgpack:"prefix"`
+	// AsOf is the revision up to which the router's copy is complete. Zero means that it has none.
 	AsOf    int64         `msgpack:"as_of"`
-	Entries []pulledEntry `msgpack:"entries"`
-	// Complete is true when Entries is the complete state.
+	Entries []pulledEntry `msgpack:"entries,omitempty"`
+	// Complete is true when Entries is the complete tree.
 	Complete bool `msgpack:"complete,omitempty"`
 	// AgeMs is how long ago the router confirmed that AsOf is the newest revision.
 	AgeMs int64 `msgpack:"age_ms"`
-	// DesiredAgeMs is the same for the desired state alone.
-	DesiredAgeMs int64 `msgpack:"desired_age_ms"`
 	// SettleMs is for how long entries that expired during an outage may still be written again.
 	SettleMs int64 `msgpack:"settle_ms,omitempty"`
 }
 
-// pullWhileStale pulls from other routers while the replica is stale.
+// pulledDesired states which desired state a router has. The state itself is fetched with methodFetch.
+type pulledDesired struct {
+	// Revision is the revision that the router has, and Known the newest of which it has heard.
+	Revision int64 `msgpack:"revision"`
+	Known    int64 `msgpack:"known"`
+	// Bytes is the size of the state.
+	Bytes int `msgpack:"bytes"`
+	// AgeMs is how long ago the router confirmed that Revision is the newest.
+	AgeMs int64 `msgpack:"age_ms"`
+}
+
+// pullResponse is the answer to a pull.
+type pullResponse struct {
+	Trees   []pulledTree  `msgpack:"trees"`
+	Desired pulledDesired `msgpack:"desired"`
+}
+
+// pullWhileStale pulls from other routers while the replica is stale or the store does not answer it.
 func (r *Replica) pullWhileStale(ctx context.Context) {
 	for ctx.Err() == nil {
 		sleep(ctx, pullInterval)
-		if r.Age() > staleTimeout {
+		if r.isStale() {
 			r.pull(ctx, false)
 		}
 	}
 }
 
+// isStale reports whether a copy is older than watches and pulls from watchers leave it.
+func (r *Replica) isStale() bool {
+	if _, self := r.watchers(); self && r.lostStore() {
+		return true
+	}
+	return r.Age() > staleTimeout || r.DesiredAge() > staleTimeout
+}
+
+// lostStore reports whether a watch of this router fails.
+func (r *Replica) lostStore() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, t := range r.trees {
+		if !t.reachable {
+			return true
+		}
+	}
+	return !r.desired.reachable
+}
+
 // pull pulls from pullFanout routers chosen at random, and returns when all have answered or timed
 // out.
 func (r *Replica) pull(ctx context.Context, newest bool) {
@@ -70,39 +104,53 @@
 
 // pullFrom pulls from one router and applies its response.
 func (r *Replica) pullFrom(ctx context.Context, other fleet.HostID, request pullRequest) {
+	request.After = map[string]int64{}
 	r.mu.Lock()
-	request.After = r.asOf
+	for _, t := range r.trees {
+		request.After[t.prefix] = t.asOf
+	}
 	r.mu.Unlock()
-	after, startedAt := request.After, time.Now()
+	// The ages count from before the request, so that the copy is never considered newer than it is.
+	startedAt := time.Now()
 	var response pullResponse
-	if err := r.callPull(ctx, other, request, &response); err != nil {
+	if err := r.call(ctx, pullTimeout, other, methodPull, request, &response); err != nil {
 		r.log.Debug("failed to pull the state from a router", "peer", other, "err", err)
 		return
 	}
-	if response.AsOf == 0 || response.AsOf < after {
-		return
-	}
-	if err := r.readWithheld(ctx, response.Entries); err != nil {
-		r.log.Info("failed to read a router's withheld large values from the store", "peer", other, "err", err)
-		return
+	r.learnDesired(other, response.Desired, startedAt)
+	for _, pulled := range response.Trees {
+		for _, t := range r.trees {
+			if t.prefix == pulled.Prefix && pulled.AsOf >= max(request.After[t.prefix], 1) {
+				r.applyPulled(t, pulled, startedAt)
+			}
+		}
 	}
-	// The age counts from before the request, so that the copy is never considered newer than it is.
-	confirmedAt := startedAt.Add(-time.Duration(response.AgeMs) * time.Millisecond)
-	defer r.setDesiredConfirmed(startedAt.Add(-time.Duration(response.DesiredAgeMs) * time.Millisecond))
+}
+
+// call calls a router with a timeout.
+func (r *Replica) call(ctx context.Context, timeout time.Duration, other fleet.HostID, method string, request, response any) error {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	return r.transport.Call(ctx, other, method, request, response)
+}
+
+// applyPulled applies a router's changes of a tree.
+func (r *Replica) applyPulled(t *tree, pulled pulledTree, startedAt time.Time) {
+	confirmedAt := startedAt.Add(-time.Duration(pulled.AgeMs) * time.Millisecond)
 	var settledAt time.Time
-	if response.SettleMs > 0 {
-		settledAt = time.Now().Add(time.Duration(response.SettleMs) * time.Millisecond)
+	if pulled.SettleMs > 0 {
+		settledAt = time.Now().Add(time.Duration(pulled.SettleMs) * time.Millisecond)
 	}
-	if response.Complete {
-		entries := make([]port.Entry, 0, len(response.Entries))
-		for _, entry := range response.Entries {
+	if pulled.Complete {
+		entries := make([]port.Entry, 0, len(pulled.Entries))
+		for _, entry := range pulled.Entries {
 			entries = append(entries, port.Entry{Key: entry.Key, Value: entry.Value, Revision: entry.Revision})
 		}
-		r.replaceAll(entries, response.AsOf, confirmedAt, settledAt)
+		r.replace(t, entries, pulled.AsOf, confirmedAt, settledAt)
 		return
 	}
-	changes := make([]Change, 0, len(response.Entries))
-	for _, entry := range response.Entries {
+	changes := make([]Change, 0, len(pulled.Entries))
+	for _, entry := range pulled.Entries {
 		change := Change{
 			Entry: port.Entry{Key: entry.Key, Value: entry.Value, Revision: entry.Revision}, Deleted: entry.Deleted,
 		}
@@ -111,43 +159,7 @@
 		}
 		changes = append(changes, change)
 	}
-	r.apply(changes, response.AsOf, confirmedAt)
-}
-
-func (r *Replica) callPull(ctx context.Context, other fleet.HostID, request pullRequest, response *pullResponse) error {
-	ctx, cancel := context.WithTimeout(ctx, pullTimeout)
-	defer cancel()
-	return r.transport.Call(ctx, other, methodPull, request, response)
-}
-
-// readWithheld reads from the store the values that a router omitted from its response.
-func (r *Replica) readWithheld(ctx context.Context, entries []pulledEntry) error {
-	ctx, cancel := context.WithTimeout(ctx, largeValueTimeout)
-	defer cancel()
-	for i, entry := range entries {
-		if !entry.Withheld {
-			continue
-		}
-		read, err := r.store.Get(ctx, entry.Key)
-		if err != nil {
-			return err
-		}
-		if read.Revision < entry.Revision {
-			// The entry was deleted. The next response contains the deletion.
-			return errors.Errorf("%s is at revision %d, not %d", entry.Key, read.Revision, entry.Revision)
-		}
-		entries[i].Value, entries[i].Revision = read.Value, read.Revision
-	}
-	return nil
-}
-
-// setDesiredConfirmed sets the confirmation time of the desired state, unless a later one is known.
-func (r *Replica) setDesiredConfirmed(confirmedAt time.Time) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if confirmedAt.After(r.desiredConfirmedAt) {
-		r.desiredConfirmedAt = confirmedAt
-	}
+	r.apply(t, changes, pulled.AsOf, confirmedAt)
 }
 
 // handlePull answers a pull of another router.
@@ -156,36 +168,38 @@
 	if err := decode(&request); err != nil {
 		return nil, err
 	}
-	if request.Newest && r.desiredAge() > maxConfirmedAge/2 {
-		if err := r.readDesired(ctx); err != nil {
+	if request.Newest && r.DesiredAge() > maxConfirmedAge/2 {
+		if _, err := r.readDesired(ctx, confirmTimeout); err != nil {
 			r.log.Debug("failed to read the newest state from the store for a router's pull", "err", err)
 		}
 	}
-	desiredAge := r.desiredAge()
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	response := pullResponse{
-		AsOf: r.asOf, AgeMs: time.Since(r.confirmedAt).Milliseconds(), DesiredAgeMs: desiredAge.Milliseconds(),
-	}
-	if remaining := time.Until(r.storeRegainedAt.Add(settlePeriod)); remaining > 0 {
-		response.SettleMs = remaining.Milliseconds()
+	response := pullResponse{Desired: r.desired.pulled()}
+	for _, t := range r.trees {
+		response.Trees = append(response.Trees, t.pulled(request.After[t.prefix]))
 	}
-	if request.After <= r.prunedRevision {
-		response.Complete, request.After = true, 0
-	}
-	for key, entry := range r.entries {
-		if entry.Revision > request.After {
-			pulled := pulledEntry{Key: key, Value: entry.Value, Revision: entry.Revision}
-			if request.Withhold && len(entry.Value) > maxPulledValueBytes {
-				pulled.Value, pulled.Withheld = nil, true
-			}
-			response.Entries = append(response.Entries, pulled)
+	return response, nil
+}
+
+// pulled returns the changes after a revision.
+func (t *tree) pulled(after int64) pulledTree {
+	pulled := pulledTree{Prefix: t.prefix, AsOf: t.asOf, AgeMs: time.Since(t.confirmedAt).Milliseconds()}
+	if remaining := time.Until(t.settledAt()); remaining > 0 {
+		pulled.SettleMs = remaining.Milliseconds()
+	}
+	if after <= t.prunedRevision {
+		pulled.Complete, after = true, 0
+	}
+	for key, entry := range t.entries {
+		if entry.Revision > after {
+			pulled.Entries = append(pulled.Entries, pulledEntry{Key: key, Value: entry.Value, Revision: entry.Revision})
 		}
 	}
-	for key, deleted := range r.tombstones {
-		if deleted.revision > request.After && !response.Complete {
-			response.Entries = append(response.Entries, pulledEntry{Key: key, Revision: deleted.revision, Deleted: true})
+	for key, deleted := range t.tombstones {
+		if deleted.revision > after && !pulled.Complete {
+			pulled.Entries = append(pulled.Entries, pulledEntry{Key: key, Revision: deleted.revision, Deleted: true})
 		}
 	}
-	return response, nil
+	return pulled
 }
--- a/node/replica/replica.go
+++ b/node/replica/replica.go
@@ -1,7 +1,11 @@
-// Package replica keeps a copy of the platform's store on each router. One watch updates it; in a
-// large fleet only a few routers watch, and the others pull the changes from them. While the store
-// does not answer this router, the replica pulls from any other routers. An entry never reverts to
-// an older revision, whatever the source.
+// Package replica keeps a copy of the platform's store on each router. Watches of the store update
+// it; in a large fleet only a few routers watch, and the others pull the changes from them. While the
+// store does not answer this router, the replica pulls from any other routers. An entry never reverts
+// to an older revision, whatever the source.
+//
+// The desired state may be large. It is transferred apart from all other entries, so that none of
+// them waits for it: a pull names only its revision, and a router that is behind fetches the newest
+// one.
 package replica
 
 import (
@@ -14,6 +18,7 @@
 
 	"github.com/charmbracelet/log"
 	"github.com/juju/errors"
+	"golang.org/x/sync/singleflight"
 )
 
 // Intervals, timeouts and age limits of a replica.
@@ -24,25 +29,21 @@
 	unloadedRetryDelay = 50 * time.Millisecond
 	minRetryDelay      = 150 * time.Millisecond
 	maxRetryDelay      = 500 * time.Millisecond
-	// staleTimeout is the age above which a replica pulls from other routers. Engines' heartbeats
-	// arrive several times a second, and the store's watch delivers them with a short delay.
-	staleTimeout = time.Second
+	// staleTimeout is the age above which a replica pulls from other routers. An idle watch confirms
+	// a copy every 2 s.
+	staleTimeout = 2500 * time.Millisecond
 	// pullInterval is the time between two pulls while the store delivers nothing, and between two
 	// pulls from a watcher.
 	pullInterval = 250 * time.Millisecond
 	// pullTimeout bounds one pull.
 	pullTimeout = 400 * time.Millisecond
-	// largeValueTimeout bounds reading a large value: twice the time that 1 MiB, the store's
-	// limit, takes on a link of 10 Mbit/s.
-	largeValueTimeout = 1600 * time.Millisecond
 	// pullFanout is how many routers are queried at once.
 	pullFanout = 2
 	// maxWatcherCopyAge is the age of the watchers' copies above which a router watches the store
-	// itself, for at least minWatchTime. An idle watch confirms a copy every 2 s, and a router
-	// pulls from its watchers every pullInterval.
-	maxWatcherCopyAge = 2500 * time.Millisecond
+	// itself, for at least minWatchTime.
+	maxWatcherCopyAge = 3 * time.Second
 	minWatchTime      = 3 * time.Second
-	// confirmTimeout bounds the read that confirms the desired state.
+	// confirmTimeout bounds the wait for the store's confirmation of the desired state.
 	confirmTimeout = 300 * time.Millisecond
 	// readRetryDelay is the time after a failed confirming read before the next one.
 	readRetryDelay = 250 * time.Millisecond
@@ -54,19 +55,17 @@
 	tombstoneTTL = 60 * time.Second
 )
 
-// maxPulledValueBytes is the size above which a watcher does not forward a value: a dozen routers
-// at once would wait for its link, and the store's link is faster.
-const maxPulledValueBytes = 32 << 10
-
-// methodPull requests another router's changes after a revision.
-const methodPull = "replica.pull"
-
 // ErrUnconfirmed is returned when neither the store nor a router could confirm that no newer
 // state exists.
 const ErrUnconfirmed = errors.ConstError("neither the store nor a router confirmed the newest state")
 
-// errWatchedByOthers ends a router's watch once its watchers watch the store for it.
-const errWatchedByOthers = errors.ConstError("other routers watch the store")
+// Keys states which entries of the store a replica keeps.
+type Keys struct {
+	// Desired is the key of the desired state.
+	Desired string
+	// Prefixes are the prefixes of all other entries. No key begins with two of them.
+	Prefixes []string
+}
 
 // Change is the write or deletion of one entry.
 type Change struct {
@@ -88,105 +87,126 @@
 
 // Replica is a router's copy of the store. It is safe for concurrent use.
 type Replica struct {
-	store      port.Store
-	transport  port.Peers
-	peers      Peers
-	desiredKey string
-	log        *log.Logger
-	loaded     chan struct{}
-
-	// applying admits one batch of changes: subscribers receive them in the order in which they are
-	// applied. It is not mu, which answers to other routers need while a subscriber works.
-	applying chan struct{}
-
-	mu         sync.Mutex
-	entries    map[string]port.Entry
-	tombstones map[string]tombstone
-	// prunedRevision is the revision of the newest deletion whose tombstone has been removed.
-	prunedRevision int64
-	// asOf is the revision up to which the replica is complete, and confirmedAt when it was last
-	// confirmed to be the newest one.
-	asOf        int64
-	confirmedAt time.Time
-	// desiredConfirmedAt is when the desired state alone was last confirmed to be the newest.
-	desiredConfirmedAt time.Time
-	// storeReachable is true while the store answers this router. storeRegainedAt is when it last
-	// answered again after an outage.
-	storeReachable  bool
-	storeRegainedAt time.Time
-	subscribers     []func([]Change)
-
-	// confirming serialises confirmations. Calls that wait for one share its result.
-	confirming       sync.Mutex
+	store     port.Store
+	transport port.Peers
+	peers     Peers
+	log       *log.Logger
+	loaded    chan struct{}
+
+	subscribers        []func([]Change)
+	desiredSubscribers []func(port.Entry)
+	// applying admits one batch of changes of a tree, and applyingDesired one desired state:
+	// subscribers receive them in the order in which they are applied. They are not mu, which answers
+	// to other routers need while a subscriber works.
+	applying        chan struct{}
+	applyingDesired chan struct{}
+
+	mu      sync.Mutex
+	trees   []*tree
+	desired desiredCopy
+
+	// packing admits one compression of the desired state.
+	packing sync.Mutex
+	// reads shares a read of the desired state between the calls that need one.
+	reads singleflight.Group
+	// confirming admits one confirmation. Calls that wait for one share its result.
+	confirming       chan struct{}
 	confirmStartedAt time.Time
 	confirmErr       error
 	// readFailedAt is the time of the last failed confirming read.
 	readFailedAt time.Time
 }
 
-// tombstone records a deletion.
-type tombstone struct {
-	revision  int64
-	deletedAt time.Time
-}
-
-// settlePeriod is how long after an outage of the store it may take until expired entries are
-// written again.
-const settlePeriod = 2300 * time.Millisecond
-
 // New returns an empty replica. Subscribers must be added before Run.
-func New(store port.Store, transport port.Peers, peers Peers, desiredKey string, logger *log.Logger) *Replica {
+func New(store port.Store, transport port.Peers, peers Peers, keys Keys, logger *log.Logger) *Replica {
 	r := &Replica{
-		store: store, transport: transport, peers: peers, desiredKey: desiredKey, log: logger,
-		loaded: make(chan struct{}), applying: make(chan struct{}, 1), entries: map[string]port.Entry{}, tombstones: map[string]tombstone{},
+		store: store, transport: transport, peers: peers, log: logger, loaded: make(chan struct{}),
+		applying: make(chan struct{}, 1), applyingDesired: make(chan struct{}, 1), confirming: make(chan struct{}, 1),
+		desired: newDesiredCopy(keys.Desired),
+	}
+	for _, prefix := range keys.Prefixes {
+		r.trees = append(r.trees, newTree(prefix))
 	}
 	transport.Handle(methodPull, r.handlePull)
+	transport.Handle(methodFetch, r.handleFetch)
 	return r
 }
 
-// Subscribe registers observe, which is called with each batch of changes. It must not block or
-// call the replica.
+// Subscribe registers observe, which is called with each batch of changes of entries other than the
+// desired state. It must not block or call the replica.
 func (r *Replica) Subscribe(observe func([]Change)) { r.subscribers = append(r.subscribers, observe) }
 
+// SubscribeDesired registers observe, which is called with each desired state that is applied. It
+// may be called at the same time as other subscribers. It must not block or call the replica.
+func (r *Replica) SubscribeDesired(observe func(port.Entry)) {
+	r.desiredSubscribers = append(r.desiredSubscribers, observe)
+}
+
 // Loaded returns a channel that is closed once the complete state has been read.
 func (r *Replica) Loaded() <-chan struct{} { return r.loaded }
 
-// Age returns the time since the replica was last confirmed to be the newest state.
+func (r *Replica) isLoaded() bool {
+	select {
+	case <-r.loaded:
+		return true
+	default:
+		return false
+	}
+}
+
+// updateLoaded closes loaded once everything has been read. The caller holds mu.
+func (r *Replica) updateLoaded() {
+	for _, t := range r.trees {
+		if t.asOf == 0 {
+			return
+		}
+	}
+	if r.desired.wasRead && !r.isLoaded() {
+		close(r.loaded)
+	}
+}
+
+// Age returns the time since all entries other than the desired state were last confirmed to be the
+// newest.
 func (r *Replica) Age() time.Duration {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return time.Since(r.confirmedAt)
+	var age time.Duration
+	for _, t := range r.trees {
+		age = max(age, time.Since(t.confirmedAt))
+	}
+	return age
 }
 
-// apply applies changes that are complete up to a revision, which was confirmed to be the newest at
-// confirmedAt. The copy counts as that new once the subscribers have applied the changes.
-func (r *Replica) apply(changes []Change, revision int64, confirmedAt time.Time) {
+// apply applies changes of a tree that are complete up to a revision, which was confirmed to be the
+// newest at confirmedAt. The copy counts as that new once the subscribers have applied the changes.
+func (r *Replica) apply(t *tree, changes []Change, revision int64, confirmedAt time.Time) {
 	r.applying <- struct{}{}
 	defer func() { <-r.applying }()
-	r.notify(r.record(changes))
+	if applied := r.record(t, changes); len(applied) > 0 {
+		for _, observe := range r.subscribers {
+			observe(applied)
+		}
+	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.asOf = max(r.asOf, revision)
-	if confirmedAt.After(r.confirmedAt) {
-		r.confirmedAt = confirmedAt
-	}
-	select {
-	case <-r.loaded:
-	default:
-		close(r.loaded)
+	t.asOf = max(t.asOf, revision)
+	if confirmedAt.After(t.confirmedAt) {
+		t.confirmedAt = confirmedAt
 	}
+	r.updateLoaded()
 }
 
 // record records changes in the copy and returns those that subscribers have to apply.
-func (r *Replica) record(changes []Change) []Change {
+func (r *Replica) record(t *tree, changes []Change) []Change {
 	now := time.Now()
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	var applied []Change
 	for _, change := range changes {
-		if r.applyChange(change, now) {
-			if change.Deleted && now.Before(r.storeRegainedAt.Add(settlePeriod)) {
-				change.Settled = r.storeRegainedAt.Add(settlePeriod)
+		if t.record(change, now) {
+			if change.Deleted && now.Before(t.settledAt()) {
+				change.Settled = t.settledAt()
 			}
 			applied = append(applied, change)
 		}
@@ -194,43 +214,6 @@
 	return applied
 }
 
-// notify passes changes to the subscribers. The caller is admitted by applying.
-func (r *Replica) notify(changes []Change) {
-	if len(changes) == 0 {
-		return
-	}
-	for _, observe := range r.subscribers {
-		observe(changes)
-	}
-}
-
-// applyChange applies one change, unless the replica has the entry at this revision or a later one.
-// It reports whether the change is passed to subscribers. Callers hold mu.
-func (r *Replica) applyChange(change Change, now time.Time) bool {
-	key, revision := change.Entry.Key, change.Entry.Revision
-	current, found := r.entries[key]
-	if found && current.Revision >= revision && !(change.Deleted && current.Revision == revision) {
-		return false
-	}
-	if deleted, isDeleted := r.tombstones[key]; isDeleted && deleted.revision >= revision {
-		return false
-	}
-	if !change.Deleted {
-		r.entries[key] = change.Entry
-		delete(r.tombstones, key)
-		return true
-	}
-	delete(r.entries, key)
-	r.tombstones[key] = tombstone{revision: revision, deletedAt: now}
-	for other, old := range r.tombstones {
-		if now.Sub(old.deletedAt) > tombstoneTTL {
-			r.prunedRevision = max(r.prunedRevision, old.revision)
-			delete(r.tombstones, other)
-		}
-	}
-	return found
-}
-
 // sleep waits for a duration or until ctx ends.
 func sleep(ctx context.Context, duration time.Duration) {
 	timer := time.NewTimer(duration)
--- a/node/replica/replica_test.go
+++ b/node/replica/replica_test.go
@@ -101,7 +101,9 @@
 // startRouter starts the replica of a host.
 func startRouter(ctx context.Context, h *host) *testRouter {
 	router := &testRouter{host: h, applied: map[string]int64{}}
-	router.replica = New(storeOf{store: h.fleet.store, host: h}, h, memberOf{fleet: h.fleet, self: h.id}, desiredKey, log.New(io.Discard))
+	router.replica = New(storeOf{store: h.fleet.store, host: h}, h, memberOf{fleet: h.fleet, self: h.id},
+		Keys{Desired: desiredKey, Prefixes: []string{upstreamKey}}, log.New(io.Discard))
+	router.replica.SubscribeDesired(func(entry port.Entry) { router.observe(entry.Key, entry.Revision) })
 	router.replica.Subscribe(func(changes []Change) {
 		for _, change := range changes {
 			router.observe(change.Entry.Key, change.Entry.Revision)
--- /dev/null
+++ b/node/replica/watch.go
@@ -0,0 +1,172 @@
+package replica
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"agateswitch/core/fleet"
+	"agateswitch/port"
+
+	"github.com/juju/errors"
+)
+
+// Run keeps the replica up to date until ctx ends.
+func (r *Replica) Run(ctx context.Context) {
+	var loops sync.WaitGroup
+	loops.Go(func() { r.pullWhileStale(ctx) })
+	loops.Go(func() { r.fetchWhileBehind(ctx) })
+	for ctx.Err() == nil {
+		if watchers, self := r.watchers(); !self {
+			sleep(ctx, pullInterval)
+			r.pullFrom(ctx, watchers[rand.N(len(watchers))], pullRequest{})
+			continue
+		}
+		r.watchStore(ctx)
+	}
+	loops.Wait()
+}
+
+// watchers returns the routers that watch the store for this one. self is true when it has to watch
+// the store itself: because it has no state yet, is a watcher, or the watchers' copies are stale.
+func (r *Replica) watchers() (watchers []fleet.HostID, self bool) {
+	watchers, self = r.peers.Watchers()
+	return watchers, self || !r.isLoaded() || r.Age() > maxWatcherCopyAge || len(watchers) == 0
+}
+
+// watchStore watches the store until ctx ends, or until another router watches for this one. Each
+// tree and the desired state have a watch of their own, so that none waits for another's entries.
+func (r *Replica) watchStore(ctx context.Context) {
+	ctx, cancel := context.WithCancel(ctx)
+	var watches sync.WaitGroup
+	for _, t := range r.trees {
+		watches.Go(func() {
+			r.keepWatching(ctx, t.prefix, &t.contact, func() error { return r.watchTree(ctx, t) })
+		})
+	}
+	watches.Go(func() {
+		r.keepWatching(ctx, r.desired.key, &r.desired.contact, func() error { return r.watchDesired(ctx) })
+	})
+	startedAt := time.Now()
+	for ctx.Err() == nil {
+		sleep(ctx, pullInterval)
+		if _, self := r.watchers(); !self && time.Since(startedAt) > minWatchTime {
+			r.log.Info("other routers watch the store for this one")
+			break
+		}
+	}
+	cancel()
+	watches.Wait()
+}
+
+// keepWatching calls watch again after each failure until ctx ends.
+func (r *Replica) keepWatching(ctx context.Context, what string, c *contact, watch func() error) {
+	failures := 0
+	for ctx.Err() == nil {
+		startedAt := time.Now()
+		err := watch()
+		if err == nil || ctx.Err() != nil {
+			continue
+		}
+		if time.Since(startedAt) > maxRetryDelay {
+			failures = 0
+		}
+		r.markUnreachable(what, c, err)
+		failures++
+		delay := r.retryDelay(failures)
+		sleep(ctx, delay+rand.N(delay))
+	}
+}
+
+// retryDelay returns the delay after a number of consecutive failures to reach the store.
+func (r *Replica) retryDelay(failures int) time.Duration {
+	if !r.isLoaded() {
+		return unloadedRetryDelay
+	}
+	return min(minRetryDelay<<min(failures-1, 8), maxRetryDelay)
+}
+
+// watchTree watches a tree until the watch fails.
+func (r *Replica) watchTree(ctx context.Context, t *tree) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	after := r.asOf(t)
+	if after == 0 {
+		if err := r.list(ctx, t); err != nil {
+			return err
+		}
+		after = r.asOf(t)
+	}
+	var batch []Change
+	for event := range r.store.Watch(ctx, t.prefix, after) {
+		switch {
+		case errors.Is(event.Err, port.ErrCompacted):
+			r.log.Warn("store has compacted the history after the last revision; reading all entries", "prefix", t.prefix, "after", after)
+			return r.list(ctx, t)
+		case event.Err != nil:
+			return event.Err
+		case event.Progress > 0:
+			r.markReachable(t.prefix, &t.contact)
+			r.apply(t, batch, event.Progress, time.Now())
+			batch = nil
+		default:
+			batch = append(batch, Change{Entry: event.Entry, Deleted: event.Deleted})
+		}
+	}
+	return errors.New("watch of the store ended without an error")
+}
+
+func (r *Replica) asOf(t *tree) int64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return t.asOf
+}
+
+// list reads all entries of a tree, and deletes those that the store no longer has.
+func (r *Replica) list(ctx context.Context, t *tree) error {
+	startedAt := time.Now()
+	entries, revision, err := r.store.List(ctx, t.prefix)
+	if err != nil {
+		return err
+	}
+	r.markReachable(t.prefix, &t.contact)
+	r.replace(t, entries, revision, startedAt, time.Time{})
+	return nil
+}
+
+// replace applies the complete tree at a revision. Entries that are missing in it may be written
+// again until settledAt, if that is not zero.
+func (r *Replica) replace(t *tree, entries []port.Entry, revision int64, confirmedAt, settledAt time.Time) {
+	r.mu.Lock()
+	changes := t.missing(entries, revision, settledAt)
+	r.mu.Unlock()
+	for _, entry := range entries {
+		changes = append(changes, Change{Entry: entry})
+	}
+	r.apply(t, changes, revision, confirmedAt)
+}
+
+// markReachable records that the store answers a watch.
+func (r *Replica) markReachable(what string, c *contact) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if c.reachable {
+		return
+	}
+	if r.isLoaded() {
+		c.regainedAt = time.Now()
+	}
+	c.reachable = true
+	r.log.Info("store dependency regained", "watch", what)
+}
+
+// markUnreachable records that a watch of the store failed.
+func (r *Replica) markUnreachable(what string, c *contact, err error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if c.reachable {
+		r.log.Warn("store dependency lost", "watch", what, "err", err)
+	}
+	c.reachable = false
+}
--- a/port/edge.go
+++ b/port/edge.go
@@ -131,6 +131,8 @@
 	Decode(key string, value []byte) DecodedEntry
 	// DesiredKey returns the key of the desired state.
 	DesiredKey() string
+	// Prefixes returns the prefixes of the keys of all other entries that Decode knows.
+	Prefixes() []string
 	// MoveStatus returns the entry that reports the state of a move to operators.
 	MoveStatus(order MoveOrder, state MoveState) (key string, value []byte, err error)
 }
