Let hosts with fast links watch the store for the others

Cause: watchers were chosen by rendezvous alone, so that a host of 10 Mbit/s and 0.192 cores could read the store for 15 others while hosts of 200 Mbit/s stood by. TestSmallHostWatchesOnlyWithoutLargeOnes failed to compile without a host's capacity, which its entry now holds. Watchers are the hosts with the fastest links and then the most cores; equal hosts keep the rendezvous order, so that a fleet of equal hosts spreads as before.

--- a/core/fleet/identity.go
+++ b/core/fleet/identity.go
@@ -51,6 +51,15 @@
 	// PeerAddress is the ip:port for other routers.
 	PeerAddress string
 	State       LifeState
+	Capacity    Capacity
+}
+
+// Capacity is what a host can bear. A zero value means that it is not known.
+type Capacity struct {
+	// Cores is the host's share of processor time, in cores.
+	Cores float64
+	// LinkMbps is the bandwidth of the host's network link, in Mbit/s.
+	LinkMbps float64
 }
 
 // Upstream is one back end as listed in the host list.
--- a/node/presence/routers.go
+++ b/node/presence/routers.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"sort"
 	"time"
 
@@ -100,24 +101,18 @@
 
 // Watchers returns the routers of this one's data centre that watch the store for it, or reports
 // that it is a watcher itself. In a small fleet all routers watch. In a large one a few of each
-// data centre do, which limits both the calls to the store and the traffic of a watcher.
+// data centre do, those with the fastest links, which limits both the calls to the store and the
+// traffic of a watcher.
 func (p *Presence) Watchers() (watchers []fleet.HostID, self bool) {
 	routers := p.Routers()
 	if len(routers) <= maxDirectFleetSize {
 		return nil, true
 	}
-	var near []string
-	for _, router := range routers {
-		if router.DataCentre == p.self.DataCentre {
-			near = append(near, string(router.ID))
-		}
-	}
-	order := rendezvous.Order(watchersKey, near)
-	for _, id := range order[:(len(order)+watcherGroupSize-1)/watcherGroupSize] {
-		if fleet.HostID(id) == p.self.ID {
-			return nil, true
-		}
-		watchers = append(watchers, fleet.HostID(id))
+	near := slices.DeleteFunc(routers, func(router fleet.Host) bool { return router.DataCentre != p.self.DataCentre })
+	order := dissemination.ByCapacity(watchersKey, near)
+	watchers = order[:(len(order)+watcherGroupSize-1)/watcherGroupSize]
+	if slices.Contains(watchers, p.self.ID) {
+		return nil, true
 	}
 	return watchers, false
 }
--- /dev/null
+++ b/node/presence/routers_test.go
@@ -0,0 +1,67 @@
+package presence
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"testing"
+
+	"agateswitch/core/fleet"
+	"agateswitch/node/replica"
+	"agateswitch/port"
+
+	"github.com/charmbracelet/log"
+	"github.com/shoenig/test/must"
+)
+
+var (
+	small = fleet.Capacity{Cores: 0.192, LinkMbps: 10}
+	large = fleet.Capacity{Cores: 0.8, LinkMbps: 200}
+)
+
+// newFleet returns the presences of routers in one data centre, all of which list all others.
+func newFleet(t *testing.T, capacities []fleet.Capacity) []*Presence {
+	t.Helper()
+	var listed []replica.Change
+	var presences []*Presence
+	for i, capacity := range capacities {
+		host := fleet.Host{
+			ID: fleet.HostID(fmt.Sprintf("router-%02d", i)), DataCentre: "north", State: fleet.Live, Capacity: capacity,
+		}
+		value, err := json.Marshal(host)
+		must.NoError(t, err)
+		listed = append(listed, replica.Change{Entry: port.Entry{Key: RouterKeyPrefix + string(host.ID), Value: value, Revision: 1}})
+		presences = append(presences, New(host, nil, log.New(io.Discard)))
+	}
+	for _, p := range presences {
+		p.Observe(listed)
+	}
+	return presences
+}
+
+func TestSmallHostWatchesOnlyWithoutLargeOnes(t *testing.T) {
+	const routers = 30
+	for larges := range 4 {
+		capacities := make([]fleet.Capacity, routers)
+		for i := range capacities {
+			capacities[i] = small
+			if i >= routers-larges {
+				capacities[i] = large
+			}
+		}
+		watching, largesWatching := 0, 0
+		for _, p := range newFleet(t, capacities) {
+			watchers, self := p.Watchers()
+			must.Eq(t, self, len(watchers) == 0)
+			if !self {
+				continue
+			}
+			watching++
+			if p.self.Capacity == large {
+				largesWatching++
+			}
+		}
+		must.Eq(t, routers/watcherGroupSize, watching)
+		must.Eq(t, min(larges, watching), largesWatching)
+	}
+}
--- a/settings/gateway.go
+++ b/settings/gateway.go
@@ -9,8 +9,9 @@
 
 // Gateway is the settings file of a router that routes by host and path.
 type Gateway struct {
-	Host   Host          `json:"host"`
-	Listen GatewayListen `json:"listen"`
+	Host     Host          `json:"host"`
+	Capacity Capacity      `json:"capacity"`
+	Listen   GatewayListen `json:"listen"`
 	// Store is the ip:port of the platform's key-value service.
 	Store string `json:"store"`
 	// PeerKey authenticates the routers of the fleet to each other. At least 32 characters, the
@@ -31,6 +32,15 @@
 	Log      Log      `json:"log"`
 }
 
+// Capacity is what the host can bear. Routers with more do work for others first. 0, the default, means
+// that it is not known.
+type Capacity struct {
+	// Cores is the process's share of processor time, in cores.
+	Cores float64 `json:"cores"`
+	// LinkMbps is the bandwidth of the host's link, in Mbit/s.
+	LinkMbps float64 `json:"link_mbps"`
+}
+
 // GatewayListen holds the ip:port addresses that the router listens on.
 type GatewayListen struct {
 	Callers string `json:"callers"`
@@ -96,6 +106,8 @@
 func (d *decoder) checkGateway(g Gateway) {
 	d.require(g.Host.ID != "", "host.id", "is missing")
 	d.require(g.Host.DataCentre != "", "host.datacentre", "is missing")
+	d.require(g.Capacity.Cores >= 0, "capacity.cores", "must be 0 or more")
+	d.require(g.Capacity.LinkMbps >= 0, "capacity.link_mbps", "must be 0 or more")
 	d.address("listen.callers", g.Listen.Callers)
 	d.address("listen.readiness", g.Listen.Readiness)
 	d.address("listen.directory", g.Listen.Directory)
