Read the whole store at the start in one listing

Nothing can be served before the desired state is there, so that one listing brings everything. A router leaves watching to others after 1 s. A failure before the first answer counts as a loss of the store, which delays the removal of entries that lapse meanwhile.

--- a/node/replica/desired.go
+++ b/node/replica/desired.go
@@ -41,8 +41,10 @@
 	behind chan struct{}
 	// holders are routers that hold a newer revision than this one, the last one to say so last.
 	holders []holder
-	// confirmedAt is when applied was last confirmed to be the newest revision.
+	// confirmedAt is when applied was last confirmed to be the newest revision, and asOf a revision of
+	// the store at which it was.
 	confirmedAt time.Time
+	asOf        int64
 	// changed is closed and replaced when applied or confirmedAt changes.
 	changed chan struct{}
 }
@@ -158,11 +160,13 @@
 	r.updateLoaded()
 }
 
-// confirmDesired records that no revision above the given one existed at a time.
-func (r *Replica) confirmDesired(revision int64, at time.Time) {
+// confirmDesired records that no revision above the given one existed at a time, when the store had
+// the revision asOf.
+func (r *Replica) confirmDesired(revision int64, at time.Time, asOf int64) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.desired.confirm(revision, at)
+	r.desired.asOf = max(r.desired.asOf, asOf)
 	r.desired.wasRead = true
 	r.updateLoaded()
 }
@@ -186,18 +190,11 @@
 	r.desired.learn(max(pulled.Known, pulled.Revision))
 }
 
-// desiredRead is the result of a read of the desired state.
-type desiredRead struct {
-	// changed is true when the read brought a newer one.
-	changed bool
-	// asOf is the store's revision at which there was no newer one.
-	asOf int64
-}
-
-// readDesired reads the desired state from the store and applies it. The store sends no value as long
-// as the router holds the newest. Concurrent calls share a read. It goes on after wait has elapsed,
-// so that the part that has been transferred is not wasted.
-func (r *Replica) readDesired(ctx context.Context, wait time.Duration) (desiredRead, error) {
+// readDesired reads the desired state from the store and applies it. It reports whether the router did
+// not have it before: the store sends no value as long as the router holds the newest. Concurrent
+// calls share a read. It goes on after wait has elapsed, so that the part that has been transferred is
+// not wasted.
+func (r *Replica) readDesired(ctx context.Context, wait time.Duration) (isNew bool, err error) {
 	ctx, cancel := context.WithTimeout(ctx, wait)
 	defer cancel()
 	shared := r.reads.DoChan(r.desired.key, func() (any, error) {
@@ -207,52 +204,72 @@
 	})
 	select {
 	case result := <-shared:
-		return result.Val.(desiredRead), result.Err
+		return result.Val.(bool), result.Err
 	case <-ctx.Done():
-		return desiredRead{}, errors.Trace(ctx.Err())
+		return false, errors.Trace(ctx.Err())
 	}
 }
 
-func (r *Replica) readNewest(ctx context.Context) (desiredRead, error) {
+func (r *Replica) readNewest(ctx context.Context) (isNew bool, err error) {
 	condition := port.Condition{Key: r.desired.key, Revision: r.heldRevision()}
 	startedAt := time.Now()
 	result, err := r.store.Commit(ctx, port.Transaction{Conditions: []port.Condition{condition}, ReadConflicts: true})
 	if err != nil {
-		return desiredRead{}, err
+		return false, err
 	}
 	for _, entry := range result.Found {
 		if entry.Key == r.desired.key && entry.Revision > condition.Revision {
 			r.applyDesired(entry, startedAt)
 			r.log.Info("desired state read from the store", "revision", entry.Revision, "bytes", len(entry.Value), "took", time.Since(startedAt))
-			return desiredRead{changed: true}, nil
+			return true, nil
 		}
 	}
-	r.confirmDesired(condition.Revision, startedAt)
-	return desiredRead{asOf: max(result.Revision, condition.Revision)}, nil
+	r.confirmDesired(condition.Revision, startedAt, result.Revision)
+	return false, nil
 }
 
 // watchDesired follows the newest desired state until the store fails to answer. While it changes,
-// the newest revision is read again and again: a watch would deliver all of them.
+// the newest one is read again and again: a watch would deliver all.
 func (r *Replica) watchDesired(ctx context.Context) error {
 	for {
-		read, err := r.readDesired(ctx, desiredReadTimeout)
+		if r.DesiredAge() > maxConfirmedAge {
+			if err := r.readUntilUnchanged(ctx); err != nil {
+				return err
+			}
+		}
+		if err := r.awaitDesiredChange(ctx); err != nil {
+			return err
+		}
+		sleep(ctx, desiredReadInterval)
+		if err := r.readUntilUnchanged(ctx); err != nil {
+			return err
+		}
+	}
+}
+
+// readUntilUnchanged reads the desired state until a read brings no newer one.
+func (r *Replica) readUntilUnchanged(ctx context.Context) error {
+	for {
+		isNew, err := r.readDesired(ctx, desiredReadTimeout)
 		if err != nil {
 			return err
 		}
 		r.markReachable(r.desired.key, &r.desired.contact)
-		if !read.changed {
-			if err := r.awaitDesiredChange(ctx, read.asOf); err != nil {
-				return err
-			}
+		if !isNew {
+			return nil
 		}
 		sleep(ctx, desiredReadInterval)
 	}
 }
 
-// awaitDesiredChange waits until the desired state has changed after a revision, and applies it.
-func (r *Replica) awaitDesiredChange(ctx context.Context, after int64) error {
+// awaitDesiredChange waits until the desired state has changed, and applies it. It also returns when
+// the store no longer knows whether it has.
+func (r *Replica) awaitDesiredChange(ctx context.Context) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
+	r.mu.Lock()
+	after := max(r.desired.asOf, r.desired.held.Revision)
+	r.mu.Unlock()
 	var newest port.Entry
 	for event := range r.store.Watch(ctx, r.desired.key, after) {
 		switch {
@@ -264,12 +281,14 @@
 			if event.Entry.Key == r.desired.key && !event.Deleted {
 				newest = event.Entry
 			}
+			continue
 		case newest.Revision > 0:
 			r.applyDesired(newest, time.Now())
 			return nil
 		default:
-			r.confirmDesired(r.heldRevision(), time.Now())
+			r.confirmDesired(r.heldRevision(), time.Now(), event.Progress)
 		}
+		r.markReachable(r.desired.key, &r.desired.contact)
 	}
 	return errors.New("watch of the desired state ended without an error")
 }
--- a/node/replica/replica.go
+++ b/node/replica/replica.go
@@ -23,8 +23,8 @@
 
 // Intervals, timeouts and age limits of a replica.
 const (
-	// unloadedRetryDelay is the delay before the next attempt to reach the store while a router has
-	// no state yet. Later the delay doubles from minRetryDelay to maxRetryDelay. A random delay of
+	// unloadedRetryDelay is the delay before the next attempt to read the store while a router has no
+	// state yet. For watches the delay doubles from minRetryDelay to maxRetryDelay. A random delay of
 	// up to the same length is added.
 	unloadedRetryDelay = 50 * time.Millisecond
 	minRetryDelay      = 150 * time.Millisecond
@@ -42,7 +42,7 @@
 	// maxWatcherCopyAge is the age of the watchers' copies above which a router watches the store
 	// itself, for at least minWatchTime.
 	maxWatcherCopyAge = 3 * time.Second
-	minWatchTime      = 3 * time.Second
+	minWatchTime      = time.Second
 	// confirmTimeout bounds the wait for the store's confirmation of the desired state.
 	confirmTimeout = 300 * time.Millisecond
 	// readRetryDelay is the time after a failed confirming read before the next one.
--- a/node/replica/tree.go
+++ b/node/replica/tree.go
@@ -12,10 +12,10 @@
 
 // contact is the state of one watch of the store.
 type contact struct {
-	// reachable is true while the store answers. regainedAt is when it last answered again after an
-	// outage.
-	reachable  bool
-	regainedAt time.Time
+	// reachable is true after an answer of the store, and wasLost after a failure. Both are false
+	// before the first call. regainedAt is when the store last answered again after a failure.
+	reachable, wasLost bool
+	regainedAt         time.Time
 }
 
 // tree is the copy of the entries under one prefix. Replica.mu guards its fields.
--- a/node/replica/watch.go
+++ b/node/replica/watch.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"strings"
 	"sync"
 	"time"
 
@@ -17,6 +18,7 @@
 	var loops sync.WaitGroup
 	loops.Go(func() { r.pullWhileStale(ctx) })
 	loops.Go(func() { r.fetchWhileBehind(ctx) })
+	r.loadUntilDone(ctx)
 	for ctx.Err() == nil {
 		if watchers, self := r.watchers(); !self {
 			sleep(ctx, pullInterval)
@@ -29,10 +31,48 @@
 }
 
 // watchers returns the routers that watch the store for this one. self is true when it has to watch
-// the store itself: because it has no state yet, is a watcher, or the watchers' copies are stale.
+// the store itself: because it is a watcher, or the watchers' copies are stale.
 func (r *Replica) watchers() (watchers []fleet.HostID, self bool) {
 	watchers, self = r.peers.Watchers()
-	return watchers, self || !r.isLoaded() || r.Age() > maxWatcherCopyAge || len(watchers) == 0
+	return watchers, self || r.Age() > maxWatcherCopyAge || len(watchers) == 0
+}
+
+// load reads all entries at once, the desired state included.
+func (r *Replica) load(ctx context.Context) error {
+	startedAt := time.Now()
+	entries, revision, err := r.store.List(ctx, "")
+	if err != nil {
+		return err
+	}
+	desired := port.Entry{Key: r.desired.key}
+	byTree := map[*tree][]port.Entry{}
+	for _, entry := range entries {
+		if entry.Key == r.desired.key {
+			desired = entry
+			continue
+		}
+		for _, t := range r.trees {
+			if strings.HasPrefix(entry.Key, t.prefix) {
+				byTree[t] = append(byTree[t], entry)
+			}
+		}
+	}
+	r.applyDesired(desired, startedAt)
+	r.confirmDesired(desired.Revision, startedAt, revision)
+	for _, t := range r.trees {
+		r.replace(t, byTree[t], revision, startedAt, time.Time{})
+	}
+	return nil
+}
+
+// loadUntilDone loads the store until that succeeds or ctx ends.
+func (r *Replica) loadUntilDone(ctx context.Context) {
+	for ctx.Err() == nil && !r.isLoaded() {
+		if err := r.load(ctx); err != nil {
+			r.log.Warn("failed to read the store at the start", "err", err)
+			sleep(ctx, unloadedRetryDelay+rand.N(unloadedRetryDelay))
+		}
+	}
 }
 
 // watchStore watches the store until ctx ends, or until another router watches for this one. Each
@@ -74,30 +114,18 @@
 		}
 		r.markUnreachable(what, c, err)
 		failures++
-		delay := r.retryDelay(failures)
+		delay := min(minRetryDelay<<min(failures-1, 8), maxRetryDelay)
 		sleep(ctx, delay+rand.N(delay))
 	}
 }
 
-// retryDelay returns the delay after a number of consecutive failures to reach the store.
-func (r *Replica) retryDelay(failures int) time.Duration {
-	if !r.isLoaded() {
-		return unloadedRetryDelay
-	}
-	return min(minRetryDelay<<min(failures-1, 8), maxRetryDelay)
-}
-
 // watchTree watches a tree until the watch fails.
 func (r *Replica) watchTree(ctx context.Context, t *tree) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	after := r.asOf(t)
-	if after == 0 {
-		if err := r.list(ctx, t); err != nil {
-			return err
-		}
-		after = r.asOf(t)
-	}
+	r.mu.Lock()
+	after := t.asOf
+	r.mu.Unlock()
 	var batch []Change
 	for event := range r.store.Watch(ctx, t.prefix, after) {
 		switch {
@@ -117,12 +145,6 @@
 	return errors.New("watch of the store ended without an error")
 }
 
-func (r *Replica) asOf(t *tree) int64 {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return t.asOf
-}
-
 // list reads all entries of a tree, and deletes those that the store no longer has.
 func (r *Replica) list(ctx context.Context, t *tree) error {
 	startedAt := time.Now()
@@ -154,19 +176,19 @@
 	if c.reachable {
 		return
 	}
-	if r.isLoaded() {
+	if c.wasLost {
 		c.regainedAt = time.Now()
+		r.log.Info("store dependency regained", "watch", what)
 	}
-	c.reachable = true
-	r.log.Info("store dependency regained", "watch", what)
+	c.reachable, c.wasLost = true, false
 }
 
 // markUnreachable records that a watch of the store failed.
 func (r *Replica) markUnreachable(what string, c *contact, err error) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if c.reachable {
+	if !c.wasLost {
 		r.log.Warn("store dependency lost", "watch", what, "err", err)
 	}
-	c.reachable = false
+	c.reachable, c.wasLost = false, true
 }
