Watch the store when the watchers of a data centre fall silent

Cause: a router noticed that its watchers were gone only by the age of its copy, after 3 s, the whole time within which a leave mark has to be respected. A router now watches the store itself once pulls from its watchers have failed for 1 s. Failed pulls return their error to the caller.

--- a/node/replica/desired.go
+++ b/node/replica/desired.go
@@ -274,6 +274,7 @@
 	for event := range r.store.Watch(ctx, r.desired.key, after) {
 		switch {
 		case errors.Is(event.Err, port.ErrCompacted):
+			r.log.Warn("store has compacted the history after the last revision; reading the desired state", "after", after)
 			return nil
 		case event.Err != nil:
 			return event.Err
--- a/node/replica/fakes_test.go
+++ b/node/replica/fakes_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"agateswitch/core/fleet"
@@ -74,6 +75,8 @@
 	computing chan struct{}
 	handlers  map[string]port.PeerHandler
 	fleet     *fakeFleet
+	// silent is true while the host answers no calls, like one behind a partition.
+	silent atomic.Bool
 }
 
 // compute uses the processor for a time that is given for a whole core.
@@ -143,6 +146,10 @@
 }
 
 func (h *host) callHost(ctx context.Context, other *host, method string, request, response any) error {
+	if other.silent.Load() {
+		<-ctx.Done()
+		return errors.Trace(port.ErrPeerUnreachable)
+	}
 	body, err := msgpack.Marshal(request)
 	if err != nil {
 		return err
--- a/node/replica/pull.go
+++ b/node/replica/pull.go
@@ -97,13 +97,14 @@
 	rand.Shuffle(len(others), func(i, j int) { others[i], others[j] = others[j], others[i] })
 	var calls sync.WaitGroup
 	for _, other := range others[:min(len(others), pullFanout)] {
-		calls.Go(func() { r.pullFrom(ctx, other, pullRequest{Newest: newest}) })
+		// Each failure is logged, and no answer is needed from every router.
+		calls.Go(func() { _ = r.pullFrom(ctx, other, pullRequest{Newest: newest}) })
 	}
 	calls.Wait()
 }
 
 // pullFrom pulls from one router and applies its response.
-func (r *Replica) pullFrom(ctx context.Context, other fleet.HostID, request pullRequest) {
+func (r *Replica) pullFrom(ctx context.Context, other fleet.HostID, request pullRequest) error {
 	request.After = map[string]int64{}
 	r.mu.Lock()
 	for _, t := range r.trees {
@@ -115,7 +116,7 @@
 	var response pullResponse
 	if err := r.call(ctx, pullTimeout, other, methodPull, request, &response); err != nil {
 		r.log.Debug("failed to pull the state from a router", "peer", other, "err", err)
-		return
+		return err
 	}
 	r.learnDesired(other, response.Desired, startedAt)
 	for _, pulled := range response.Trees {
@@ -125,6 +126,7 @@
 			}
 		}
 	}
+	return nil
 }
 
 // call calls a router with a timeout.
--- a/node/replica/replica.go
+++ b/node/replica/replica.go
@@ -43,6 +43,9 @@
 	// itself, for at least minWatchTime.
 	maxWatcherCopyAge = 3 * time.Second
 	minWatchTime      = time.Second
+	// silentWatchersTimeout is how long pulls from watchers may fail before a router watches the store
+	// itself.
+	silentWatchersTimeout = time.Second
 	// confirmTimeout bounds the wait for the store's confirmation of the desired state.
 	confirmTimeout = 300 * time.Millisecond
 	// readRetryDelay is the time after a failed confirming read before the next one.
@@ -104,6 +107,9 @@
 	mu      sync.Mutex
 	trees   []*tree
 	desired desiredCopy
+	// watchersSilentSince is when the first of the last pulls from watchers began, all of which have
+	// failed; zero if the last one has succeeded.
+	watchersSilentSince time.Time
 
 	// packing admits one compression of the desired state.
 	packing sync.Mutex
--- a/node/replica/replica_test.go
+++ b/node/replica/replica_test.go
@@ -253,3 +253,13 @@
 		}
 	})
 }
+
+func TestLeaveMarkReachesRoutersWhoseWatchersAreSilent(t *testing.T) {
+	runFleet(t, 20, func(t *testing.T, f testFleet) {
+		f.routers[0].silent.Store(true)
+		f.routers[1].silent.Store(true)
+		mark := f.store.put(upstreamKey+"leaving", []byte(`{"state": "draining"}`))
+		took, late := f.applyTime(upstreamKey+"leaving", mark, leaveLimit)
+		must.LessEq(t, leaveLimit, took, must.Sprintf("last: %s", late))
+	})
+}
--- a/node/replica/watch.go
+++ b/node/replica/watch.go
@@ -22,19 +22,42 @@
 	for ctx.Err() == nil {
 		if watchers, self := r.watchers(); !self {
 			sleep(ctx, pullInterval)
-			r.pullFrom(ctx, watchers[rand.N(len(watchers))], pullRequest{})
+			r.pullFromWatchers(ctx, watchers)
 			continue
 		}
 		r.watchStore(ctx)
+		r.setWatchersSilent(false, time.Time{})
 	}
 	loops.Wait()
 }
 
+// pullFromWatchers pulls from one of the watchers, and records since when they have not answered.
+func (r *Replica) pullFromWatchers(ctx context.Context, watchers []fleet.HostID) {
+	startedAt := time.Now()
+	err := r.pullFrom(ctx, watchers[rand.N(len(watchers))], pullRequest{})
+	r.setWatchersSilent(err != nil, startedAt)
+}
+
+// setWatchersSilent records that watchers did or did not answer a pull that began at a time.
+func (r *Replica) setWatchersSilent(silent bool, at time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	switch {
+	case !silent:
+		r.watchersSilentSince = time.Time{}
+	case r.watchersSilentSince.IsZero():
+		r.watchersSilentSince = at
+	}
+}
+
 // watchers returns the routers that watch the store for this one. self is true when it has to watch
-// the store itself: because it is a watcher, or the watchers' copies are stale.
+// the store itself: because it is a watcher, or the watchers do not answer or have stale copies.
 func (r *Replica) watchers() (watchers []fleet.HostID, self bool) {
 	watchers, self = r.peers.Watchers()
-	return watchers, self || r.Age() > maxWatcherCopyAge || len(watchers) == 0
+	r.mu.Lock()
+	silent := !r.watchersSilentSince.IsZero() && time.Since(r.watchersSilentSince) > silentWatchersTimeout
+	r.mu.Unlock()
+	return watchers, self || silent || r.Age() > maxWatcherCopyAge || len(watchers) == 0
 }
 
 // load reads all entries at once, the desired state included.
