Let hosts with fast links relay loads for the others

Cause: the same as for watchers: relays were chosen by rendezvous alone. Evidence: TestSmallHostRelaysOnlyWithoutLargeOnes failed. Relays are the hosts with the fastest links and then the most cores. Equal hosts keep the rendezvous order.

--- a/core/dissemination/relay.go
+++ b/core/dissemination/relay.go
@@ -4,7 +4,6 @@
 	"slices"
 
 	"agateswitch/core/fleet"
-	"agateswitch/core/rendezvous"
 )
 
 // Sizes for the publication of load values, which change with each request.
@@ -17,7 +16,7 @@
 	RelayGroupSize = 10
 )
 
-// relayKey is the rendezvous key by which relays are chosen.
+// relayKey is the rendezvous key by which relays are chosen among hosts of equal capacity.
 const relayKey = "relay"
 
 // RelayPlan states whether a router is a relay, and which relays it sends to.
@@ -38,28 +37,27 @@
 // the freshness of load values depends on the plan, so the routers' lists may differ.
 func PlanRelays(routers []fleet.Host, self fleet.Host) RelayPlan {
 	small := len(routers) <= MaxDirectFleetSize
-	inDataCentre := map[fleet.DataCentre][]string{}
+	inDataCentre := map[fleet.DataCentre][]fleet.Host{}
 	for _, router := range routers {
-		inDataCentre[router.DataCentre] = append(inDataCentre[router.DataCentre], string(router.ID))
+		inDataCentre[router.DataCentre] = append(inDataCentre[router.DataCentre], router)
 	}
 	var others, near []fleet.HostID
 	isRelay := small
-	for dataCentre, members := range inDataCentre {
-		relays := len(members)
+	for dataCentre, hosts := range inDataCentre {
+		members, relays := ByCapacity(relayKey, hosts), len(hosts)
 		if !small {
-			members = rendezvous.Order(relayKey, members)
 			relays = (len(members) + RelayGroupSize - 1) / RelayGroupSize
 		}
-		ownIndex := max(0, slices.Index(members, string(self.ID)))
+		ownIndex := max(0, slices.Index(members, self.ID))
 		for i, relay := range members[:relays] {
-			if relay == string(self.ID) {
+			if relay == self.ID {
 				isRelay = true
 				continue
 			}
-			others = append(others, fleet.HostID(relay))
+			others = append(others, relay)
 			if dataCentre == self.DataCentre {
 				// Relays are assigned to members in turn, so that the groups have equal sizes.
-				near = append(near, fleet.HostID(members[(ownIndex+i)%relays]))
+				near = append(near, members[(ownIndex+i)%relays])
 			}
 		}
 	}
--- a/core/dissemination/relay_test.go
+++ b/core/dissemination/relay_test.go
@@ -59,3 +59,14 @@
 	plan := PlanRelays(routersOf(88), fleet.Host{ID: "new", DataCentre: "dc1"})
 	must.SliceNotEmpty(t, plan.Near)
 }
+
+func TestSmallHostRelaysOnlyWithoutLargeOnes(t *testing.T) {
+	const larges = 6
+	routers := routersOf(60)
+	for i := range larges {
+		routers[i].Capacity = fleet.Capacity{Cores: 0.8, LinkMbps: 200}
+	}
+	for _, router := range routers {
+		must.Eq(t, router.Capacity.LinkMbps > 0, PlanRelays(routers, router).IsRelay())
+	}
+}
