Watch everything in one call while the desired state is small

Where the desired state is small, nothing waits for it. One watch of all entries then confirms the desired state as well, so that refusals ask the store for nothing. Once a version has more than 32 KB the watches are kept apart. A watch that brings the first large version delays other entries by that one page (TestLeaveMarkWaitsForNoGrowingState).

--- a/node/replica/desired.go
+++ b/node/replica/desired.go
@@ -17,6 +17,9 @@
 	desiredReadInterval = 250 * time.Millisecond
 	// desiredReadTimeout bounds a read of the desired state from the store.
 	desiredReadTimeout = 5 * time.Second
+	// largeStateBytes is the size from which a desired state is watched apart from all other entries:
+	// some 30 ms on a link of 10 Mbit/s.
+	largeStateBytes = 32 << 10
 	// maxHolders is the number of routers remembered to fetch a newer desired state from.
 	maxHolders = 4
 )
@@ -178,6 +181,13 @@
 	return r.desired.held.Revision
 }
 
+// desiredIsLarge reports whether other entries would wait for a transfer of the desired state.
+func (r *Replica) desiredIsLarge() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return len(r.desired.held.Value) > largeStateBytes
+}
+
 // learnDesired applies what a router told about its desired state in the answer to a pull that began
 // at startedAt.
 func (r *Replica) learnDesired(from fleet.HostID, pulled pulledDesired, startedAt time.Time) {
--- a/node/replica/replica_test.go
+++ b/node/replica/replica_test.go
@@ -124,6 +124,12 @@
 // runFleet runs a test on a fleet of slow hosts that are busy with callers' requests, in virtual
 // time. Upstreams write their entries several times a second.
 func runFleet(t *testing.T, size int, test func(t *testing.T, f testFleet)) {
+	runFleetWithState(t, size, largeState(0), test)
+}
+
+// runFleetWithState is runFleet with another desired state at the start.
+func runFleetWithState(t *testing.T, size int, desired []byte, test func(t *testing.T, f testFleet)) {
+	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(context.Background())
 		defer func() {
@@ -139,7 +145,7 @@
 			})
 		}
 		f.watchers = []fleet.HostID{f.hosts[0].id, f.hosts[1].id}
-		f.store.put(desiredKey, largeState(0))
+		f.store.put(desiredKey, desired)
 		started := testFleet{store: f.store}
 		for _, h := range f.hosts {
 			started.routers = append(started.routers, startRouter(ctx, h))
@@ -263,3 +269,14 @@
 		must.LessEq(t, leaveLimit, took, must.Sprintf("last: %s", late))
 	})
 }
+
+func TestLeaveMarkWaitsForNoGrowingState(t *testing.T) {
+	runFleetWithState(t, 20, []byte(`{"routes": []}`), func(t *testing.T, f testFleet) {
+		last := f.writeStorm()
+		mark := f.store.put(upstreamKey+"leaving", []byte(`{"state": "draining"}`))
+		took, late := f.applyTime(upstreamKey+"leaving", mark, leaveLimit)
+		must.LessEq(t, leaveLimit, took, must.Sprintf("last: %s", late))
+		rest, late := f.applyTime(desiredKey, last, applyLimit)
+		must.LessEq(t, applyLimit, took+rest, must.Sprintf("last: %s", late))
+	})
+}
--- a/node/replica/watch.go
+++ b/node/replica/watch.go
@@ -67,17 +67,14 @@
 	if err != nil {
 		return err
 	}
+	r.markReachable("", r.contacts()...)
 	desired := port.Entry{Key: r.desired.key}
 	byTree := map[*tree][]port.Entry{}
 	for _, entry := range entries {
 		if entry.Key == r.desired.key {
 			desired = entry
-			continue
-		}
-		for _, t := range r.trees {
-			if strings.HasPrefix(entry.Key, t.prefix) {
-				byTree[t] = append(byTree[t], entry)
-			}
+		} else if t := r.treeOf(entry.Key); t != nil {
+			byTree[t] = append(byTree[t], entry)
 		}
 	}
 	r.applyDesired(desired, startedAt)
@@ -88,6 +85,16 @@
 	return nil
 }
 
+// treeOf returns the tree of a key, or nil.
+func (r *Replica) treeOf(key string) *tree {
+	for _, t := range r.trees {
+		if strings.HasPrefix(key, t.prefix) {
+			return t
+		}
+	}
+	return nil
+}
+
 // loadUntilDone loads the store until that succeeds or ctx ends.
 func (r *Replica) loadUntilDone(ctx context.Context) {
 	for ctx.Err() == nil && !r.isLoaded() {
@@ -98,33 +105,62 @@
 	}
 }
 
-// watchStore watches the store until ctx ends, or until another router watches for this one. Each
-// tree and the desired state have a watch of their own, so that none waits for another's entries.
+// watchStore watches the store until ctx ends, or until another router watches for this one. One watch
+// covers all entries while the desired state is small. Otherwise each tree and the desired state have
+// a watch of their own, so that no other entry waits for it.
 func (r *Replica) watchStore(ctx context.Context) {
+	startedAt := time.Now()
+	for ctx.Err() == nil {
+		apart := r.desiredIsLarge()
+		stop := r.startWatches(ctx, apart)
+		for ctx.Err() == nil && r.desiredIsLarge() == apart {
+			sleep(ctx, pullInterval)
+			if _, self := r.watchers(); !self && time.Since(startedAt) > minWatchTime {
+				stop()
+				r.log.Info("other routers watch the store for this one")
+				return
+			}
+		}
+		stop()
+	}
+}
+
+// startWatches starts one watch of all entries, or watches of the trees and the desired state apart.
+// The returned function ends them.
+func (r *Replica) startWatches(ctx context.Context, apart bool) (stop func()) {
 	ctx, cancel := context.WithCancel(ctx)
 	var watches sync.WaitGroup
-	for _, t := range r.trees {
+	if apart {
+		for _, t := range r.trees {
+			watches.Go(func() {
+				r.keepWatching(ctx, t.prefix, []*contact{&t.contact}, func() error { return r.watchTree(ctx, t) })
+			})
+		}
 		watches.Go(func() {
-			r.keepWatching(ctx, t.prefix, &t.contact, func() error { return r.watchTree(ctx, t) })
+			r.keepWatching(ctx, r.desired.key, []*contact{&r.desired.contact}, func() error { return r.watchDesired(ctx) })
+		})
+	} else {
+		watches.Go(func() {
+			r.keepWatching(ctx, "", r.contacts(), func() error { return r.watchTogether(ctx) })
 		})
 	}
-	watches.Go(func() {
-		r.keepWatching(ctx, r.desired.key, &r.desired.contact, func() error { return r.watchDesired(ctx) })
-	})
-	startedAt := time.Now()
-	for ctx.Err() == nil {
-		sleep(ctx, pullInterval)
-		if _, self := r.watchers(); !self && time.Since(startedAt) > minWatchTime {
-			r.log.Info("other routers watch the store for this one")
-			break
-		}
+	return func() {
+		cancel()
+		watches.Wait()
+	}
+}
+
+// contacts returns the contacts of all trees and of the desired state.
+func (r *Replica) contacts() []*contact {
+	contacts := []*contact{&r.desired.contact}
+	for _, t := range r.trees {
+		contacts = append(contacts, &t.contact)
 	}
-	cancel()
-	watches.Wait()
+	return contacts
 }
 
 // keepWatching calls watch again after each failure until ctx ends.
-func (r *Replica) keepWatching(ctx context.Context, what string, c *contact, watch func() error) {
+func (r *Replica) keepWatching(ctx context.Context, prefix string, contacts []*contact, watch func() error) {
 	failures := 0
 	for ctx.Err() == nil {
 		startedAt := time.Now()
@@ -135,13 +171,69 @@
 		if time.Since(startedAt) > maxRetryDelay {
 			failures = 0
 		}
-		r.markUnreachable(what, c, err)
+		r.markUnreachable(prefix, contacts, err)
 		failures++
 		delay := min(minRetryDelay<<min(failures-1, 8), maxRetryDelay)
 		sleep(ctx, delay+rand.N(delay))
 	}
 }
 
+// watchTogether watches all entries until the watch fails, or until ctx ends once the desired state is
+// large.
+func (r *Replica) watchTogether(ctx context.Context) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	after := r.commonRevision()
+	batches := map[*tree][]Change{}
+	var desired port.Entry
+	for event := range r.store.Watch(ctx, "", after) {
+		switch {
+		case errors.Is(event.Err, port.ErrCompacted):
+			r.log.Warn("store has compacted the history after the last revision; reading all entries", "after", after)
+			return r.load(ctx)
+		case event.Err != nil:
+			return event.Err
+		case event.Progress > 0:
+			now := time.Now()
+			r.markReachable("", r.contacts()...)
+			for _, t := range r.trees {
+				r.apply(t, batches[t], event.Progress, now)
+			}
+			if desired.Revision > 0 {
+				r.applyDesired(desired, now)
+			}
+			r.confirmDesired(r.heldRevision(), now, event.Progress)
+			clear(batches)
+			desired = port.Entry{}
+			if r.desiredIsLarge() {
+				// The caller is about to watch the desired state apart.
+				<-ctx.Done()
+				return nil
+			}
+		case event.Entry.Key == r.desired.key:
+			if !event.Deleted {
+				desired = event.Entry
+			}
+		default:
+			if t := r.treeOf(event.Entry.Key); t != nil {
+				batches[t] = append(batches[t], Change{Entry: event.Entry, Deleted: event.Deleted})
+			}
+		}
+	}
+	return errors.New("watch of the store ended without an error")
+}
+
+// commonRevision returns a revision up to which all copies are complete.
+func (r *Replica) commonRevision() int64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	revision := max(r.desired.asOf, r.desired.held.Revision)
+	for _, t := range r.trees {
+		revision = min(revision, t.asOf)
+	}
+	return revision
+}
+
 // watchTree watches a tree until the watch fails.
 func (r *Replica) watchTree(ctx context.Context, t *tree) error {
 	ctx, cancel := context.WithCancel(ctx)
@@ -192,26 +284,32 @@
 	r.apply(t, changes, revision, confirmedAt)
 }
 
-// markReachable records that the store answers a watch.
-func (r *Replica) markReachable(what string, c *contact) {
+// markReachable records that the store answers the watch of a prefix.
+func (r *Replica) markReachable(prefix string, contacts ...*contact) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if c.reachable {
-		return
+	regained := false
+	for _, c := range contacts {
+		if c.wasLost {
+			c.regainedAt, regained = time.Now(), true
+		}
+		c.reachable, c.wasLost = true, false
 	}
-	if c.wasLost {
-		c.regainedAt = time.Now()
-		r.log.Info("store dependency regained", "watch", what)
+	if regained {
+		r.log.Info("store dependency regained", "prefix", prefix)
 	}
-	c.reachable, c.wasLost = true, false
 }
 
-// markUnreachable records that a watch of the store failed.
-func (r *Replica) markUnreachable(what string, c *contact, err error) {
+// markUnreachable records that the watch of a prefix failed.
+func (r *Replica) markUnreachable(prefix string, contacts []*contact, err error) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if !c.wasLost {
-		r.log.Warn("store dependency lost", "watch", what, "err", err)
+	lost := false
+	for _, c := range contacts {
+		lost = lost || !c.wasLost
+		c.reachable, c.wasLost = false, true
+	}
+	if lost {
+		r.log.Warn("store dependency lost", "prefix", prefix, "err", err)
 	}
-	c.reachable, c.wasLost = false, true
 }
