Check an upstream again when its connection is there

Cause: whether an upstream may get a request was decided when it was chosen, and the connection was made afterwards, within up to 1.2 s. Evidence: TestLeavingEngineGetsNoRequestThatWaitedForItsConnection failed for an engine that leaves, one whose entry is removed and one whose data centre is taken out. The check now also runs once the connection is there, before the first byte. A call that is withdrawn then has not run, does not count against the upstream, and goes to another one.

--- a/adapter/upstreamhttp/client.go
+++ b/adapter/upstreamhttp/client.go
@@ -161,7 +161,7 @@
 	if call.Fresh {
 		client = c.fresh
 	}
-	return c.do(ctx, client, request, call.Request)
+	return c.do(ctx, client, request, call.Request, call.MaySend)
 }
 
 // clientFor returns the client with pooled connections, unless the upstream's pool is bypassed
@@ -189,8 +189,8 @@
 
 // do sends a request. It returns the answer only if it carries the request's id and its end can be
 // detected.
-func (c *Client) do(ctx context.Context, client *http.Client, request *http.Request, id fleet.RequestID) (port.UpstreamAnswer, *port.UpstreamError) {
-	var tracker callTracker
+func (c *Client) do(ctx context.Context, client *http.Client, request *http.Request, id fleet.RequestID, maySend func() bool) (port.UpstreamAnswer, *port.UpstreamError) {
+	tracker := callTracker{maySend: maySend}
 	request.Header.Set(c.idHeader, string(id))
 	answer, err := client.Do(request.WithContext(httptrace.WithClientTrace(ctx, tracker.trace())))
 	if err != nil {
@@ -220,8 +220,11 @@
 // its bytes can have been sent.
 func newSendError(ctx context.Context, tracker *callTracker, err error) *port.UpstreamError {
 	failure := &port.UpstreamError{Cause: errors.Trace(err), Ran: fleet.NotRun, Fault: exchange.FaultLost}
-	if !tracker.hadConnection() {
+	switch {
+	case !tracker.hadConnection():
 		failure.Fault = exchange.FaultUnreachable
+	case tracker.wasWithdrawn():
+		failure.Fault = exchange.FaultWithdrawn
 	}
 	if tracker.abort() {
 		failure.Ran = fleet.RanUnknown
@@ -271,7 +274,7 @@
 			Cause: errors.Trace(err), Ran: fleet.RanUnknown, Fault: exchange.FaultMalformed,
 		}
 	}
-	answer, failure := c.do(ctx, c.fresh, request, id)
+	answer, failure := c.do(ctx, c.fresh, request, id, nil)
 	if failure != nil {
 		// This call only reads the completion. The request itself was sent earlier and may have run.
 		failure.Ran = fleet.RanUnknown
--- a/adapter/upstreamhttp/connection.go
+++ b/adapter/upstreamhttp/connection.go
@@ -55,8 +55,12 @@
 
 // callTracker records the connections that the transport uses for one call.
 type callTracker struct {
+	// maySend is port.UpstreamCall.MaySend. It may be nil.
+	maySend func() bool
+
 	mu          sync.Mutex
 	connections []*trackedConn
+	withdrawn   bool
 }
 
 // trace returns the hook that adds each connection of the call to the tracker.
@@ -67,9 +71,14 @@
 			panic("upstreamhttp: the transport used a connection that the client's dialer did not create")
 		}
 		connection.begin()
+		withdrawn := t.maySend != nil && !t.maySend()
+		if withdrawn {
+			connection.seal()
+		}
 		t.mu.Lock()
 		defer t.mu.Unlock()
 		t.connections = append(t.connections, connection)
+		t.withdrawn = t.withdrawn || withdrawn
 	}}
 }
 
@@ -86,6 +95,13 @@
 	return sent
 }
 
+// wasWithdrawn reports whether the call was withdrawn.
+func (t *callTracker) wasWithdrawn() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.withdrawn
+}
+
 // hadConnection reports whether the call was assigned a connection at any time.
 func (t *callTracker) hadConnection() bool {
 	t.mu.Lock()
--- a/core/exchange/failure.go
+++ b/core/exchange/failure.go
@@ -36,6 +36,8 @@
 	FaultRequestUnknown Fault = "forgotten"
 	// FaultRejected means that the upstream responded with an error.
 	FaultRejected Fault = "rejected"
+	// FaultWithdrawn means that the call was withdrawn before any byte of it was sent.
+	FaultWithdrawn Fault = "withdrawn"
 	// FaultCancelled means that the caller disconnected.
 	FaultCancelled Fault = "cancelled"
 )
--- a/node/gateway/request.go
+++ b/node/gateway/request.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"agateswitch/core/admission"
+	"agateswitch/core/exchange"
 	"agateswitch/core/fleet"
 	"agateswitch/core/outlier"
 	"agateswitch/core/routing"
@@ -186,6 +187,7 @@
 		Upstream: chosen.upstream, Request: c.call.ID, Method: c.request.Method, Path: c.request.RequestURI,
 		Host: c.request.Host, Header: c.gateway.Engines.Header(c.request.Header, call),
 		Body: bytes.NewReader(c.body), ContentLength: int64(len(c.body)),
+		MaySend: func() bool { return c.gateway.view.current.Load().acceptsWork(c.pool.ID, chosen.engine) },
 	})
 }
 
@@ -223,7 +225,7 @@
 	if result.sent {
 		c.sentCount++
 	}
-	if ctx.Err() == nil || time.Now().After(c.deadline) {
+	if failure.Fault != exchange.FaultWithdrawn && (ctx.Err() == nil || time.Now().After(c.deadline)) {
 		verdict := outlier.Failure
 		if !result.sent {
 			verdict = outlier.Unreachable
--- a/node/gateway/view.go
+++ b/node/gateway/view.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -23,6 +24,13 @@
 	dataCentresOut map[fleet.DataCentre]bool
 }
 
+// acceptsWork reports whether an upstream of a pool may get requests: it has an entry, does not leave,
+// and its data centre is not taken out.
+func (s *snapshot) acceptsWork(pool fleet.PoolID, e *engine) bool {
+	upstream := e.upstream()
+	return upstream.State == fleet.Live && !s.dataCentresOut[upstream.DataCentre] && slices.Contains(s.engines[pool], e)
+}
+
 // view builds a snapshot after each change of the replica.
 type view struct {
 	codec port.EntryCodec
--- a/port/upstream.go
+++ b/port/upstream.go
@@ -27,6 +27,9 @@
 	ContentLength int64
 	// Fresh requests a new connection instead of a pooled one.
 	Fresh bool
+	// MaySend, if set, is called when a connection is available, before the first byte is sent. The
+	// call is withdrawn if it returns false: it fails with exchange.FaultWithdrawn and has not run.
+	MaySend func() bool
 }
 
 // UpstreamAnswer is an upstream's answer with its body still unread. The caller must close Body.
