--- a/node/replica/watch.go
+++ b/node/replica/watch.go
@@ -110,6 +110,7 @@
 // a watch of their own, so that no other entry waits for it.
 func (r *Replica) watchStore(ctx context.Context) {
 	startedAt := time.Now()
+	r.log.Info("watching the store")
 	for ctx.Err() == nil {
 		apart := r.desiredIsLarge()
 		stop := r.startWatches(ctx, apart)
