--- a/node/workload/learn.go
+++ b/node/workload/learn.go
@@ -25,7 +25,7 @@
 func (w *Workload) Bootstrap(ctx context.Context) bool {
 	nearest := w.peers.Nearest()
 	for _, other := range nearest[:min(maxBootstrapPeers, len(nearest))] {
-		ctx, cancel := context.WithTimeout(ctx, messageTimeout)
+		ctx, cancel := context.WithTimeout(ctx, bootstrapTimeout)
 		var response bootstrapResponse
 		err := w.transport.Call(ctx, other, methodBootstrap, struct{}{}, &response)
 		cancel()
--- a/node/workload/workload.go
+++ b/node/workload/workload.go
@@ -32,8 +32,10 @@
 	fullPublishInterval = 500 * time.Millisecond
 	// staleTimeout is how long the load of an unresponsive router counts.
 	staleTimeout = 1600 * time.Millisecond
-	// messageTimeout bounds one message to a router, and one bootstrap request.
+	// messageTimeout bounds one message to a router.
 	messageTimeout = 300 * time.Millisecond
+	// bootstrapTimeout bounds one bootstrap request, whose response has some 100 kB.
+	bootstrapTimeout = 1500 * time.Millisecond
 )
 
 // Methods of the peer protocol.
--- a/node/workload/workload_test.go
+++ b/node/workload/workload_test.go
@@ -29,6 +29,8 @@
 	mu    sync.Mutex
 	nodes map[fleet.HostID]*node
 	calls int
+	// bytesPerSecond is the rate at which answers are transferred; zero means at once.
+	bytesPerSecond int
 }
 
 // node is one router.
@@ -139,7 +141,14 @@
 	n.network.mu.Lock()
 	n.bytes += len(sent)
 	other.bytes += len(received)
+	rate := n.network.bytesPerSecond
 	n.network.mu.Unlock()
+	if rate > 0 {
+		time.Sleep(time.Duration(len(received)) * time.Second / time.Duration(rate))
+	}
+	if ctx.Err() != nil {
+		return errors.Trace(ctx.Err())
+	}
 	return msgpack.Unmarshal(received, response)
 }
 
@@ -330,3 +339,17 @@
 		must.Eq(t, map[fleet.UpstreamID]int{"e1": 100}, w.node(1).CachedTokens(prompt))
 	})
 }
+
+// The router that answers has a quarter of a link of 10 Mbit/s to spare.
+func TestWarmPromptsAreLearntOverASlowLink(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newNetwork(2)
+		w.bytesPerSecond = 10e6 / 8 / 4
+		for i := range 4000 {
+			w.node(0).AddCached(fleet.UpstreamID(fmt.Sprint("i-", i%60)), []string{fmt.Sprintf("%08x", i)})
+		}
+		w.node(0).SetBootstrapped()
+		must.True(t, w.node(1).Bootstrap(t.Context()))
+		must.Eq(t, map[fleet.UpstreamID]int{"i-7": 100}, w.node(1).CachedTokens([]warmth.Part{{ID: fmt.Sprintf("%08x", 7), Tokens: 100}}))
+	})
+}
