--- a/node/replica/fakes_test.go
+++ b/node/replica/fakes_test.go
@@ -77,6 +77,8 @@
 	fleet     *fakeFleet
 	// silent is true while the host answers no calls, like one behind a partition.
 	silent atomic.Bool
+	// watches is the number of watches of the store in progress.
+	watches atomic.Int32
 }
 
 // compute uses the processor for a time that is given for a whole core.
@@ -288,8 +290,10 @@
 
 func (s storeOf) Watch(ctx context.Context, prefix string, after int64) <-chan port.WatchEvent {
 	events := make(chan port.WatchEvent)
+	s.host.watches.Add(1)
 	go func() {
 		defer close(events)
+		defer s.host.watches.Add(-1)
 		send := func(event port.WatchEvent) {
 			select {
 			case events <- event:
--- a/node/replica/replica_test.go
+++ b/node/replica/replica_test.go
@@ -280,3 +280,16 @@
 		must.LessEq(t, applyLimit, took+rest, must.Sprintf("last: %s", late))
 	})
 }
+
+func TestRoutersReturnToWatchersThatWereSilent(t *testing.T) {
+	runFleet(t, 20, func(t *testing.T, f testFleet) {
+		for _, silent := range []bool{true, false} {
+			f.routers[0].silent.Store(silent)
+			f.routers[1].silent.Store(silent)
+			time.Sleep(5 * time.Second)
+		}
+		for i, r := range f.routers {
+			must.Eq(t, i < 2, r.watches.Load() > 0, must.Sprint(r.id))
+		}
+	})
+}
--- a/node/replica/watch.go
+++ b/node/replica/watch.go
@@ -25,8 +25,9 @@
 			r.pullFromWatchers(ctx, watchers)
 			continue
 		}
-		r.watchStore(ctx)
+		// The watchers are asked again after minWatchTime.
 		r.setWatchersSilent(false, time.Time{})
+		r.watchStore(ctx)
 	}
 	loops.Wait()
 }
