Claim no age for a desired state that may have been overtaken

Cause: each response of a watch confirmed the copy as of its arrival, also one that was cut at the store's limit of a page. Ages between routers were rounded down. Evidence: TestConfirmedStateWasTheNewest failed: a copy counted as confirmed 818 ms after a newer version had been written, and 7 us after it by rounding. A response that brings a large desired state confirms nothing; the read that follows does. Ages are rounded up, and bounded, since that of a copy that was never confirmed overflowed when a router added to it.

--- a/node/replica/desired.go
+++ b/node/replica/desired.go
@@ -67,7 +67,7 @@
 // pulled returns what other routers learn about the desired state with a pull.
 func (d *desiredCopy) pulled() pulledDesired {
 	return pulledDesired{
-		Revision: d.held.Revision, Known: d.known, Bytes: len(d.held.Value), AgeMs: time.Since(d.confirmedAt).Milliseconds(),
+		Revision: d.held.Revision, Known: d.known, Bytes: len(d.held.Value), AgeMs: ageMs(d.confirmedAt),
 	}
 }
 
@@ -294,7 +294,8 @@
 			}
 			continue
 		case newest.Revision > 0:
-			r.applyDesired(newest, time.Now())
+			// The response may have ended before the newest revision.
+			r.applyDesired(newest, time.Time{})
 			return nil
 		default:
 			r.confirmDesired(r.heldRevision(), time.Now(), event.Progress)
--- a/node/replica/fakes_test.go
+++ b/node/replica/fakes_test.go
@@ -183,7 +183,9 @@
 	revision int64
 	entries  map[string]port.Entry
 	history  []port.WatchEvent
-	changed  chan struct{}
+	// writtenAt holds the times of the changes in history.
+	writtenAt []time.Time
+	changed   chan struct{}
 }
 
 func newFakeStore() *fakeStore {
@@ -197,11 +199,24 @@
 	s.revision++
 	s.entries[key] = port.Entry{Key: key, Value: value, Revision: s.revision}
 	s.history = append(s.history, port.WatchEvent{Entry: s.entries[key]})
+	s.writtenAt = append(s.writtenAt, time.Now())
 	close(s.changed)
 	s.changed = make(chan struct{})
 	return s.revision
 }
 
+// nextWrite returns when a key was first written after a revision.
+func (s *fakeStore) nextWrite(key string, after int64) (at time.Time, found bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for i, event := range s.history {
+		if event.Entry.Key == key && event.Entry.Revision > after {
+			return s.writtenAt[i], true
+		}
+	}
+	return time.Time{}, false
+}
+
 // Sizes and intervals of the store's responses.
 const (
 	pageBytes     = 1 << 20
--- a/node/replica/fetch.go
+++ b/node/replica/fetch.go
@@ -117,7 +117,7 @@
 	r.mu.Lock()
 	held, packed := r.desired.held, r.desired.packed
 	response := fetchResponse{
-		Revision: held.Revision, Bytes: len(held.Value), AgeMs: time.Since(r.desired.confirmedAt).Milliseconds(),
+		Revision: held.Revision, Bytes: len(held.Value), AgeMs: ageMs(r.desired.confirmedAt),
 	}
 	r.mu.Unlock()
 	if held.Revision <= request.After {
--- a/node/replica/pull.go
+++ b/node/replica/pull.go
@@ -184,9 +184,17 @@
 	return response, nil
 }
 
+// maxAge is the largest age that routers tell each other. It stands for a copy that was never confirmed.
+const maxAge = 24 * time.Hour
+
+// ageMs returns the time since a confirmation in milliseconds, rounded up.
+func ageMs(confirmedAt time.Time) int64 {
+	return min(time.Since(confirmedAt), maxAge).Milliseconds() + 1
+}
+
 // pulled returns the changes after a revision.
 func (t *tree) pulled(after int64) pulledTree {
-	pulled := pulledTree{Prefix: t.prefix, AsOf: t.asOf, AgeMs: time.Since(t.confirmedAt).Milliseconds()}
+	pulled := pulledTree{Prefix: t.prefix, AsOf: t.asOf, AgeMs: ageMs(t.confirmedAt)}
 	if remaining := time.Until(t.settledAt()); remaining > 0 {
 		pulled.SettleMs = remaining.Milliseconds()
 	}
--- a/node/replica/replica_test.go
+++ b/node/replica/replica_test.go
@@ -293,3 +293,26 @@
 		}
 	})
 }
+
+// A router never claims that a desired state was the newest at a time when a newer one existed.
+func TestConfirmedStateWasTheNewest(t *testing.T) {
+	for name, initial := range map[string][]byte{"large": largeState(0), "small": []byte(`{"routes": []}`)} {
+		t.Run(name, func(t *testing.T) {
+			runFleetWithState(t, 20, initial, func(t *testing.T, f testFleet) {
+				ctx, cancel := context.WithCancel(t.Context())
+				defer cancel()
+				f.refuseUnknownKeys(ctx)
+				go f.writeStorm()
+				for range 600 {
+					time.Sleep(10 * time.Millisecond)
+					for _, r := range f.routers {
+						confirmedAt := time.Now().Add(-r.replica.DesiredAge())
+						if newer, found := f.store.nextWrite(desiredKey, r.appliedRevision(desiredKey)); found {
+							must.False(t, confirmedAt.After(newer), must.Sprintf("%s: %s later", r.id, confirmedAt.Sub(newer)))
+						}
+					}
+				}
+			})
+		})
+	}
+}
--- a/node/replica/watch.go
+++ b/node/replica/watch.go
@@ -196,22 +196,27 @@
 		case event.Err != nil:
 			return event.Err
 		case event.Progress > 0:
-			now := time.Now()
 			r.markReachable("", r.contacts()...)
+			confirmedAt := time.Now()
+			isLarge := len(desired.Value) > largeStateBytes
+			if isLarge {
+				// The response may have ended before the newest change.
+				confirmedAt = time.Time{}
+			}
 			for _, t := range r.trees {
-				r.apply(t, batches[t], event.Progress, now)
+				r.apply(t, batches[t], event.Progress, confirmedAt)
 			}
 			if desired.Revision > 0 {
-				r.applyDesired(desired, now)
+				r.applyDesired(desired, confirmedAt)
 			}
-			r.confirmDesired(r.heldRevision(), now, event.Progress)
-			clear(batches)
-			desired = port.Entry{}
-			if r.desiredIsLarge() {
+			if isLarge {
 				// The caller is about to watch the desired state apart.
 				<-ctx.Done()
 				return nil
 			}
+			r.confirmDesired(r.heldRevision(), confirmedAt, event.Progress)
+			clear(batches)
+			desired = port.Entry{}
 		case event.Entry.Key == r.desired.key:
 			if !event.Deleted {
 				desired = event.Entry
