Take a watch that was cut for no outage of the store

Cause: after any failure of a watch, deletions counted for 2.3 s as those of entries that could not be renewed during an outage, so that a removed engine got requests for that much longer. Evidence: TestRemovalAfterACutWatchIsFinal failed. Entries lapse only in an outage of 2.4 s or longer, counted from the last answer.

--- a/node/replica/fakes_test.go
+++ b/node/replica/fakes_test.go
@@ -186,10 +186,40 @@
 	// writtenAt holds the times of the changes in history.
 	writtenAt []time.Time
 	changed   chan struct{}
+	// cut ends waiting watches when it is closed.
+	cut chan struct{}
 }
 
 func newFakeStore() *fakeStore {
-	return &fakeStore{revision: 1, entries: map[string]port.Entry{}, changed: make(chan struct{})}
+	return &fakeStore{
+		revision: 1, entries: map[string]port.Entry{}, changed: make(chan struct{}), cut: make(chan struct{}),
+	}
+}
+
+// remove removes a key.
+func (s *fakeStore) remove(key string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.revision++
+	delete(s.entries, key)
+	s.history = append(s.history, port.WatchEvent{Entry: port.Entry{Key: key, Revision: s.revision}, Deleted: true})
+	s.writtenAt = append(s.writtenAt, time.Now())
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// cutWatches ends all waiting watches with an error.
+func (s *fakeStore) cutWatches() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	close(s.cut)
+	s.cut = make(chan struct{})
+}
+
+func (s *fakeStore) cutSignal() chan struct{} {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.cut
 }
 
 // put writes a key and returns the store's revision.
@@ -343,6 +373,8 @@
 		}
 		select {
 		case <-changed:
+		case <-s.store.cutSignal():
+			return nil, 0, errors.Trace(port.ErrUnavailable)
 		case <-timeout.C:
 			return nil, revision, s.receive(ctx, size)
 		case <-ctx.Done():
--- a/node/replica/replica_test.go
+++ b/node/replica/replica_test.go
@@ -67,6 +67,8 @@
 
 	mu      sync.Mutex
 	applied map[string]int64
+	// settled holds the last value of Change.Settled of each deleted key.
+	settled map[string]time.Time
 }
 
 func (r *testRouter) appliedRevision(key string) int64 {
@@ -100,13 +102,18 @@
 
 // startRouter starts the replica of a host.
 func startRouter(ctx context.Context, h *host) *testRouter {
-	router := &testRouter{host: h, applied: map[string]int64{}}
+	router := &testRouter{host: h, applied: map[string]int64{}, settled: map[string]time.Time{}}
 	router.replica = New(storeOf{store: h.fleet.store, host: h}, h, memberOf{fleet: h.fleet, self: h.id},
 		Keys{Desired: desiredKey, Prefixes: []string{upstreamKey}}, log.New(io.Discard))
 	router.replica.SubscribeDesired(func(entry port.Entry) { router.observe(entry.Key, entry.Revision) })
 	router.replica.Subscribe(func(changes []Change) {
 		for _, change := range changes {
 			router.observe(change.Entry.Key, change.Entry.Revision)
+			if change.Deleted {
+				router.mu.Lock()
+				router.settled[change.Entry.Key] = change.Settled
+				router.mu.Unlock()
+			}
 		}
 	})
 	go router.replica.Run(ctx)
@@ -316,3 +323,21 @@
 		})
 	}
 }
+
+// A deletion right after an outage may be that of an entry which its upstream could not renew.
+func TestRemovalAfterACutWatchIsFinal(t *testing.T) {
+	runFleet(t, 2, func(t *testing.T, f testFleet) {
+		f.stopUpstreams()
+		f.store.put(upstreamKey+"removed", []byte("{}"))
+		time.Sleep(2 * watchWait)
+		f.store.cutWatches()
+		time.Sleep(maxRetryDelay)
+		f.store.remove(upstreamKey + "removed")
+		time.Sleep(leaveLimit)
+		for _, r := range f.routers {
+			settled, deleted := r.settled[upstreamKey+"removed"]
+			must.True(t, deleted)
+			must.True(t, settled.IsZero())
+		}
+	})
+}
--- a/node/replica/tree.go
+++ b/node/replica/tree.go
@@ -10,12 +10,28 @@
 // written again.
 const settlePeriod = 2300 * time.Millisecond
 
+// minLapseOutage is the shortest outage of the store in which entries lapse. An entry lapses when it
+// has not been renewed for three intervals of 1.2 s, and was renewed within one of them before.
+const minLapseOutage = 2400 * time.Millisecond
+
 // contact is the state of one watch of the store.
 type contact struct {
 	// reachable is true after an answer of the store, and wasLost after a failure. Both are false
-	// before the first call. regainedAt is when the store last answered again after a failure.
+	// before the first call.
 	reachable, wasLost bool
-	regainedAt         time.Time
+	// answeredAt is when the store last answered, and regainedAt when it last answered again after an
+	// outage of at least minLapseOutage.
+	answeredAt, regainedAt time.Time
+}
+
+// answer records an answer of the store. It reports whether the store had failed before.
+func (c *contact) answer(now time.Time) (regained bool) {
+	regained = c.wasLost
+	if regained && now.Sub(c.answeredAt) >= minLapseOutage {
+		c.regainedAt = now
+	}
+	c.reachable, c.wasLost, c.answeredAt = true, false, now
+	return regained
 }
 
 // tree is the copy of the entries under one prefix. Replica.mu guards its fields.
--- a/node/replica/watch.go
+++ b/node/replica/watch.go
@@ -297,10 +297,7 @@
 	defer r.mu.Unlock()
 	regained := false
 	for _, c := range contacts {
-		if c.wasLost {
-			c.regainedAt, regained = time.Now(), true
-		}
-		c.reachable, c.wasLost = true, false
+		regained = c.answer(time.Now()) || regained
 	}
 	if regained {
 		r.log.Info("store dependency regained", "prefix", prefix)
