--- a/node/replica/replica_test.go
+++ b/node/replica/replica_test.go
@@ -335,7 +335,9 @@
 		f.store.remove(upstreamKey + "removed")
 		time.Sleep(leaveLimit)
 		for _, r := range f.routers {
+			r.mu.Lock()
 			settled, deleted := r.settled[upstreamKey+"removed"]
+			r.mu.Unlock()
 			must.True(t, deleted)
 			must.True(t, settled.IsZero())
 		}
