Know the upstreams before the first desired state

What callers saw: 503 'no upstream can take the request now' right after a router had started. Where the store is read at the start, the desired state was applied before the upstreams, and callers are served from the first desired state on. The desired state now comes last, at the start and in a pull.

--- a/node/replica/pull.go
+++ b/node/replica/pull.go
@@ -118,7 +118,6 @@
 		r.log.Debug("failed to pull the state from a router", "peer", other, "err", err)
 		return err
 	}
-	r.learnDesired(other, response.Desired, startedAt)
 	for _, pulled := range response.Trees {
 		for _, t := range r.trees {
 			if t.prefix == pulled.Prefix && pulled.AsOf >= max(request.After[t.prefix], 1) {
@@ -126,6 +125,7 @@
 			}
 		}
 	}
+	r.learnDesired(other, response.Desired, startedAt)
 	return nil
 }
 
--- a/node/replica/replica_test.go
+++ b/node/replica/replica_test.go
@@ -65,8 +65,10 @@
 	// pulls need.
 	blocksPulls atomic.Bool
 
-	mu      sync.Mutex
-	applied map[string]int64
+	mu sync.Mutex
+	// firstKey is the key of the first entry that was applied.
+	firstKey string
+	applied  map[string]int64
 	// settled holds the last value of Change.Settled of each deleted key.
 	settled map[string]time.Time
 }
@@ -97,6 +99,9 @@
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if r.firstKey == "" {
+		r.firstKey = key
+	}
 	r.applied[key] = max(r.applied[key], revision)
 }
 
@@ -153,6 +158,7 @@
 		}
 		f.watchers = []fleet.HostID{f.hosts[0].id, f.hosts[1].id}
 		f.store.put(desiredKey, desired)
+		f.store.put(upstreamKey+"0", []byte("{}"))
 		started := testFleet{store: f.store}
 		for _, h := range f.hosts {
 			started.routers = append(started.routers, startRouter(ctx, h))
@@ -343,3 +349,13 @@
 		}
 	})
 }
+
+// A router serves callers from its first desired state on, and refuses them as long as it knows no
+// upstream.
+func TestUpstreamsAreKnownBeforeTheFirstDesiredState(t *testing.T) {
+	runFleet(t, 20, func(t *testing.T, f testFleet) {
+		for _, r := range f.routers {
+			must.StrHasPrefix(t, upstreamKey, r.firstKey)
+		}
+	})
+}
--- a/node/replica/watch.go
+++ b/node/replica/watch.go
@@ -78,11 +78,12 @@
 			byTree[t] = append(byTree[t], entry)
 		}
 	}
-	r.applyDesired(desired, startedAt)
-	r.confirmDesired(desired.Revision, startedAt, revision)
+	// Callers are served from the first desired state on, which is why it comes last.
 	for _, t := range r.trees {
 		r.replace(t, byTree[t], revision, startedAt, time.Time{})
 	}
+	r.applyDesired(desired, startedAt)
+	r.confirmDesired(desired.Revision, startedAt, revision)
 	return nil
 }
 
