Close an expired claim before its outcome is reported unknown

Cause: a resend that found an open record older than openLimit was told that the outcome is unknown, while the record stayed open. Its holder, paused meanwhile, could still release it, and the next resend ran: TestAtMostOnce ('sent after a caller received an unknown outcome'). Ruled out by the trace: a delayed or repeated transaction; all were answered once. Change: the record is closed with an unknown answer, on the condition of its revision, before the caller is told. A holder's later release then fails its condition.

--- a/core/claim/operation.go
+++ b/core/claim/operation.go
@@ -66,6 +66,9 @@
 	key    string
 	// revision is the revision that the key must have for the write to apply.
 	revision int64
+	// expired is the open record of a call whose outcome can no longer be learnt. The operation closes
+	// it before a caller is told so; otherwise its holder could still release it for another call.
+	expired *record
 	// readFirst is true while the key must be read before it is written.
 	readFirst bool
 	// abandoned is true for an operation that gets no reply from HandleOutcome and is not
@@ -76,6 +79,11 @@
 func (o *operation) condition() Condition { return Condition{Key: o.key, Revision: o.revision} }
 
 func (o *operation) write(now time.Time) Write {
+	if o.expired != nil {
+		closed := *o.expired
+		closed.Phase, closed.Answer = phaseEnded, &fleet.ClaimAnswer{Unknown: true}
+		return Write{Key: o.key, Value: closed.encode()}
+	}
 	r := record{
 		Phase: phaseOpen, BodyDigest: o.claim.BodyDigest, Holder: o.claim.Holder, Host: o.claim.Host, Begun: now,
 	}
@@ -91,8 +99,11 @@
 
 // appliedReply returns the reply to an operation whose write has taken effect.
 func (o *operation) appliedReply(revision int64) Reply {
-	if o.answer != nil {
+	switch {
+	case o.answer != nil:
 		return Reply{Operation: o.id, Recorded: true}
+	case o.expired != nil:
+		return o.unknownOutcome("the call may have run; the router that sent it was lost before it recorded an answer")
 	}
 	return Reply{Operation: o.id, Result: fleet.ClaimResult{State: fleet.ClaimGranted, Revision: revision}}
 }
@@ -107,7 +118,11 @@
 	if err != nil {
 		return o.unknownOutcome(err.Error()), true
 	}
-	o.revision = found.Revision
+	o.revision, o.expired = found.Revision, nil
+	if o.answer == nil && r.isExpired(now, o.claim) {
+		o.expired = &r
+		return Reply{}, false
+	}
 	if o.answer == nil {
 		result := evaluate(now, o.claim, r, found.Revision)
 		return Reply{Operation: o.id, Result: result}, result.State != ""
--- a/core/claim/record.go
+++ b/core/claim/record.go
@@ -68,8 +68,8 @@
 	return r, nil
 }
 
-// evaluate returns the result of a claim whose key already has a record. The result's state is
-// empty when the claim may replace the record.
+// evaluate returns the result of a claim whose key already has a record that is not expired. The
+// result's state is empty when the claim may replace the record.
 func evaluate(now time.Time, claim fleet.Claim, found record, revision int64) fleet.ClaimResult {
 	switch {
 	case found.BodyDigest != claim.BodyDigest:
@@ -82,17 +82,21 @@
 		return evaluateAnswer(*found.Answer)
 	case found.Holder == claim.Holder:
 		return fleet.ClaimResult{State: fleet.ClaimGranted, Revision: revision}
-	case now.Before(found.Begun.Add(openLimit)):
+	default:
 		return refused(&fleet.Refusal{
 			Code: fleet.CodeInProgress, Message: "the same call is in progress",
 			Ran: fleet.RanUnknown, RetryAfter: inProgressRetryAfter,
 		})
-	default:
-		return refused(fleet.RefuseUnknown(fleet.CodeOutcomeUnknown,
-			"the call may have run; the router that sent it was lost before it recorded an answer"))
 	}
 }
 
+// isExpired reports whether a claim found the open record of another holder that has had the time to
+// send its call and to record the answer.
+func (r record) isExpired(now time.Time, claim fleet.Claim) bool {
+	return r.Phase == phaseOpen && r.Holder != claim.Holder && r.BodyDigest == claim.BodyDigest &&
+		!now.Before(r.Begun.Add(openLimit))
+}
+
 // evaluateAnswer returns the result of a claim whose call has already ended.
 func evaluateAnswer(answer fleet.ClaimAnswer) fleet.ClaimResult {
 	switch {
