Keep the work of a stream that is resumed at the same router

Change: a resumption marks the earlier part itself, before it registers; a process ignores its own notices; the end of a stream removes only its own registration. Before: TestResumptionAtTheSameRouterKeepsTheWork fails. After: passes three times, as does the check that work is still cancelled once the caller leaves for good.

--- a/node/chat/chat.go
+++ b/node/chat/chat.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -58,6 +59,8 @@
 	retries   *retry.Budgets
 	peers     port.Peers
 	handovers handovers
+	// instance identifies this process to other routers.
+	instance uint64
 	// background tracks cancel requests and take-over notifications that run in the background.
 	background sync.WaitGroup
 }
@@ -66,7 +69,7 @@
 func New(placer port.Placer, upstreams Upstreams, versions port.Versions, telemetry port.Telemetry) *Service {
 	return &Service{
 		placer: placer, upstreams: upstreams, versions: versions, telemetry: telemetry,
-		metrics: newMetrics(telemetry.Meter), retries: retry.New(),
+		metrics: newMetrics(telemetry.Meter), retries: retry.New(), instance: rand.Uint64(),
 	}
 }
 
--- a/node/chat/failures_test.go
+++ b/node/chat/failures_test.go
@@ -201,6 +201,57 @@
 
 func (callOnlyPeers) Handle(string, port.PeerHandler) {}
 
+// A caller that resumed a stream at the router that it had just left used to lose it 2 s later, when
+// that router cancelled the engine's work.
+func TestResumptionAtTheSameRouterKeepsTheWork(t *testing.T) {
+	for _, resumesAfter := range []time.Duration{-time.Second, 0, time.Second} {
+		synctest.Test(t, func(t *testing.T) {
+			b := newTestbed(t)
+			b.service.Join(loopbackPeers{handlers: map[string]port.PeerHandler{}})
+			long := withTokens(call("r1", true), longStreamTokens)
+			first, rest := newCaller(), newCaller()
+			ctx, disconnect := context.WithCancel(t.Context())
+			time.AfterFunc(2*time.Second, disconnect)
+			var both sync.WaitGroup
+			both.Go(func() { b.service.Run(ctx, long, first) })
+			<-time.After(2*time.Second + resumesAfter)
+			b.service.Resume(t.Context(), chat.Resumption{
+				Request: "r1", Upstream: b.placer.upstreams[0], Host: "first", Silence: silence,
+			}, rest)
+			both.Wait()
+			b.service.Wait()
+			must.True(t, rest.done)
+			must.Eq(t, longStreamTokens, len(rest.ids))
+			must.Zero(t, b.engines["e1"].Counts().Cancelled)
+			<-time.After(longStreamTokens * interval)
+		})
+	}
+}
+
+// The work of a stream that was resumed at the same router is still cancelled when the caller leaves
+// for good.
+func TestWorkIsCancelledAfterAResumptionAtTheSameRouter(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newTestbed(t)
+		b.service.Join(loopbackPeers{handlers: map[string]port.PeerHandler{}})
+		for _, stay := range []time.Duration{2 * time.Second, time.Second} {
+			ctx, disconnect := context.WithTimeout(t.Context(), stay)
+			if stay == 2*time.Second {
+				b.service.Run(ctx, withTokens(call("r1", true), longStreamTokens), newCaller())
+			} else {
+				b.service.Resume(ctx, chat.Resumption{
+					Request: "r1", Upstream: b.placer.upstreams[0], Host: "first", Silence: silence,
+				}, newCaller())
+			}
+			disconnect()
+		}
+		b.service.Wait()
+		must.Eq(t, 1, b.engines["e1"].Counts().Cancelled)
+		<-time.After(longStreamTokens * interval)
+	})
+}
+
+
 // An engine's work is not cancelled if the caller resumes the stream at another router, whether the
 // caller disconnects from the first router before or after that.
 func TestResumptionElsewhereKeepsTheWork(t *testing.T) {
--- a/node/chat/handover.go
+++ b/node/chat/handover.go
@@ -23,6 +23,8 @@
 
 type takeOverRequest struct {
 	Request fleet.RequestID
+	// Sender identifies the process that now serves the stream.
+	Sender uint64
 }
 
 type takeOverResponse struct {
@@ -52,10 +54,13 @@
 	return takenOver
 }
 
-func (h *handovers) remove(id fleet.RequestID) {
+// remove removes the registration that returned takenOver. A later one of the same stream stays.
+func (h *handovers) remove(id fleet.RequestID, takenOver <-chan struct{}) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	delete(h.takenOver, id)
+	if h.takenOver[id] == takenOver {
+		delete(h.takenOver, id)
+	}
 }
 
 // markTakenOver marks a stream as taken over, and reports whether the stream is registered.
@@ -82,7 +87,8 @@
 		if err := decode(&request); err != nil {
 			return nil, err
 		}
-		known := s.handovers.markTakenOver(request.Request)
+		// This router has marked its own earlier part of the stream, and serves the one that is registered.
+		known := request.Sender != s.instance && s.handovers.markTakenOver(request.Request)
 		s.telemetry.Log.Info("another router took over a stream", "request", request.Request, "by", from, "known", known)
 		return takeOverResponse{Known: known}, nil
 	})
@@ -99,7 +105,7 @@
 		ctx, stop := context.WithTimeout(context.Background(), takeOverTimeout)
 		defer stop()
 		var response takeOverResponse
-		err := s.peers.Call(ctx, resumption.Host, methodTakeOver, takeOverRequest{Request: resumption.Request}, &response)
+		err := s.peers.Call(ctx, resumption.Host, methodTakeOver, takeOverRequest{Request: resumption.Request, Sender: s.instance}, &response)
 		if err != nil {
 			s.telemetry.Log.Info("failed to notify a stream's previous router of its take-over",
 				"request", resumption.Request, "peer", resumption.Host, "err", err)
@@ -107,16 +113,16 @@
 	})
 }
 
-// cancelAfterGrace cancels the work on a stream whose caller disconnected, unless another router takes
-// the stream over within resumeGrace. It runs in the background.
+// cancelAfterGrace cancels the work on a stream whose caller disconnected, unless a router takes the
+// stream over within resumeGrace. It runs in the background.
 func (s *Service) cancelAfterGrace(upstream fleet.Upstream, id fleet.RequestID, takenOver <-chan struct{}) {
 	s.background.Go(func() {
-		defer s.handovers.remove(id)
+		defer s.handovers.remove(id, takenOver)
 		grace := time.NewTimer(resumeGrace)
 		defer grace.Stop()
 		select {
 		case <-takenOver:
-			s.telemetry.Log.Info("caller resumed its stream at another router; engine's work not cancelled", "request", id, "upstream", upstream.ID)
+			s.telemetry.Log.Info("caller resumed its stream; engine's work not cancelled", "request", id, "upstream", upstream.ID)
 		case <-grace.C:
 			s.cancel(upstream, id)
 		}
@@ -129,11 +135,11 @@
 func (s *Service) finishStream(r *relay, ended result, takenOver <-chan struct{}) {
 	switch {
 	case ended.failure == nil || !ended.failure.Sent || ended.rejection != nil:
-		s.handovers.remove(r.id)
+		s.handovers.remove(r.id, takenOver)
 	case r.begun && ended.isCancelled():
 		s.cancelAfterGrace(r.grant.Upstream, r.id, takenOver)
 	default:
-		s.handovers.remove(r.id)
+		s.handovers.remove(r.id, takenOver)
 		s.cancel(r.grant.Upstream, r.id)
 	}
 }
--- a/node/chat/resume.go
+++ b/node/chat/resume.go
@@ -25,6 +25,7 @@
 	grant := fleet.Grant{Upstream: resumption.Upstream}
 	relay := s.newRelay(resumption.Request, resumption.Silence, grant, resumption.After, sink)
 	relay.resumes, relay.sent = true, true
+	s.handovers.markTakenOver(resumption.Request)
 	s.notifyTakeOver(resumption)
 	takenOver := s.handovers.register(resumption.Request)
 	ended := relay.run(ctx, relay.resume)
