--- a/node/chat/failures_test.go
+++ b/node/chat/failures_test.go
@@ -251,7 +251,6 @@
 	})
 }
 
-
 // An engine's work is not cancelled if the caller resumes the stream at another router, whether the
 // caller disconnects from the first router before or after that.
 func TestResumptionElsewhereKeepsTheWork(t *testing.T) {
