Apply what upstreams say in their answers: that they leave, and for how long they pause

Cause: Server-Leaving and the Retry-After of a refusal were passed on without effect. A router went on sending until the store had the leave mark (47 requests in the test), and sent 41 requests within a pause of 3 s.

--- a/node/gateway/bootstrap.go
+++ b/node/gateway/bootstrap.go
@@ -62,6 +62,9 @@
 			continue
 		}
 		for _, e := range upstreams {
+			if _, isPaused := e.pausedUntil(time.Now()); isPaused {
+				continue
+			}
 			engines = append(engines, e.upstream())
 		}
 	}
--- a/node/gateway/buffered.go
+++ b/node/gateway/buffered.go
@@ -38,6 +38,7 @@
 	defer head.Body.Close()
 	c.sentCount++
 	engineAnswer := c.gateway.Engines.Read(head.Status, head.Header)
+	c.applySignals(chosen, engineAnswer)
 	chosen.firstByteTime = time.Since(chosen.sentAt)
 	body, err := readComplete(head.Body)
 	if engineAnswer.NotRun {
@@ -97,7 +98,9 @@
 		chosen.engine.recordResult(time.Now(), outlier.Unreachable)
 		return attemptResult{ran: fleet.NotRun, cause: "another upstream has the address"}
 	}
-	chosen.engine.recordResult(time.Now(), outlier.Failure)
+	if engineAnswer.Pause == 0 {
+		chosen.engine.recordResult(time.Now(), outlier.Failure)
+	}
 	return attemptResult{sent: true, ran: fleet.NotRun, cause: "the upstream refused with " + strconv.Itoa(status)}
 }
 
--- a/node/gateway/choose.go
+++ b/node/gateway/choose.go
@@ -57,7 +57,7 @@
 	versions := g.Moves.Choose(pool.ID, countLiveVersions(current, pool.ID))
 	for _, e := range current.engines[pool.ID] {
 		s := e.status(now)
-		if tried[e] || s.upstream.State != fleet.Live || current.dataCentresOut[s.upstream.DataCentre] ||
+		if tried[e] || s.paused || s.upstream.State != fleet.Live || current.dataCentresOut[s.upstream.DataCentre] ||
 			versions.Avoid != "" && s.upstream.Version == versions.Avoid {
 			continue
 		}
--- a/node/gateway/engine.go
+++ b/node/gateway/engine.go
@@ -41,6 +41,9 @@
 	// removeAt is when the upstream is removed because its entry has expired; zero while it has an
 	// entry.
 	removeAt time.Time
+	// leaving is true once the upstream, or another router, has said that it leaves.
+	leaving bool
+	pause   pace.Pause
 }
 
 func newEngine(entry port.EngineEntry) *engine {
@@ -74,7 +77,38 @@
 func (e *engine) upstream() fleet.Upstream {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return e.entry.Upstream
+	return e.upstreamLocked()
+}
+
+// upstreamLocked returns the upstream. The caller holds mu.
+func (e *engine) upstreamLocked() fleet.Upstream {
+	upstream := e.entry.Upstream
+	if e.leaving {
+		upstream.State = fleet.Leaving
+	}
+	return upstream
+}
+
+// markLeaving records that the upstream leaves.
+func (e *engine) markLeaving() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.leaving = true
+}
+
+// askPause records that the upstream wants no requests for some time.
+func (e *engine) askPause(now time.Time, length time.Duration) (until time.Time, reason pace.PauseReason) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	reason = e.pause.Ask(now, length)
+	return e.pause.Until(), reason
+}
+
+// pausedUntil returns until when the upstream wants no requests. It reports false if it wants some.
+func (e *engine) pausedUntil(now time.Time) (time.Time, bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.pause.Until(), e.pause.Active(now)
 }
 
 // recordResult records the result of a call.
@@ -96,14 +130,16 @@
 	// rateLimited upstreams get requests at a limited rate, because they are cold or assumed to be,
 	// or were unreachable.
 	rateLimited bool
+	// paused upstreams have asked for a pause that is not over.
+	paused bool
 }
 
 func (e *engine) status(now time.Time) engineStatus {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	return engineStatus{
-		upstream: e.entry.Upstream, failureRate: e.tracker.FailureRate(now), ejected: e.tracker.Ejected(now),
-		rateLimited: e.isRateLimited(now),
+		upstream: e.upstreamLocked(), failureRate: e.tracker.FailureRate(now), ejected: e.tracker.Ejected(now),
+		rateLimited: e.isRateLimited(now), paused: e.pause.Active(now),
 	}
 }
 
--- a/node/gateway/gateway.go
+++ b/node/gateway/gateway.go
@@ -73,8 +73,10 @@
 // New returns a gateway. Its Observe method must be subscribed to the replica.
 func New(dependencies Dependencies, limits RetryLimits) *Gateway {
 	g := &Gateway{
-		Dependencies: dependencies, view: newView(dependencies.Codec, dependencies.Workload.RemoveCached, dependencies.Log), retryBudgets: map[fleet.PoolID]*pace.WindowedRetryBudget{},
+		Dependencies: dependencies, retryBudgets: map[fleet.PoolID]*pace.WindowedRetryBudget{},
+		view: newView(dependencies.Codec, dependencies.Workload.RemoveCached, dependencies.Workload.Leaves, dependencies.Log),
 	}
+	dependencies.Workload.OnLeaving(g.view.markLeaving)
 	g.SetRetryLimits(limits)
 	return g
 }
--- a/node/gateway/instruments.go
+++ b/node/gateway/instruments.go
@@ -14,6 +14,7 @@
 	answers        metric.Int64Counter
 	refusals       metric.Int64Counter
 	failedAttempts metric.Int64Counter
+	signals        metric.Int64Counter
 	firstByte      metric.Float64Histogram
 }
 
@@ -33,6 +34,10 @@
 		metric.WithDescription("Attempts that brought no answer, by route")); err != nil {
 		return i, errors.Trace(err)
 	}
+	if i.signals, err = meter.Int64Counter("agateswitch_upstream_signals",
+		metric.WithDescription("Answers in which an upstream said that it leaves, or asked for a pause, by signal")); err != nil {
+		return i, errors.Trace(err)
+	}
 	i.firstByte, err = meter.Float64Histogram("agateswitch_first_byte_seconds", metric.WithUnit("s"),
 		metric.WithDescription("Time from a request to its answer's first byte, by route"),
 		metric.WithExplicitBucketBoundaries(0.025, 0.05, 0.1, 0.2, 0.3, 0.5, 1, 2, 5))
@@ -49,6 +54,11 @@
 	i.refusals.Add(context.Background(), 1, metric.WithAttributes(attribute.String("route", route), attribute.String("code", code)))
 }
 
+// recordSignal counts what an upstream said of itself: "leaving" or "pause".
+func (i Instruments) recordSignal(signal string) {
+	i.signals.Add(context.Background(), 1, metric.WithAttributes(attribute.String("signal", signal)))
+}
+
 func (i Instruments) recordFailedAttempt(route string) {
 	i.failedAttempts.Add(context.Background(), 1, metric.WithAttributes(attribute.String("route", route)))
 }
--- a/node/gateway/request.go
+++ b/node/gateway/request.go
@@ -159,7 +159,7 @@
 			c.refuse(fleet.Refuse(code, why, 0))
 			return
 		}
-		c.refuse(fleet.Refuse(code, why, jitter(busyRetryAfter)))
+		c.refuse(fleet.Refuse(code, why, c.retryAfter()))
 		return
 	}
 	c.refuse(fleet.RefuseUnknown(code, why))
--- a/node/gateway/stream.go
+++ b/node/gateway/stream.go
@@ -45,6 +45,7 @@
 	defer head.Body.Close()
 	c.sentCount++
 	engineAnswer := c.gateway.Engines.Read(head.Status, head.Header)
+	c.applySignals(chosen, engineAnswer)
 	if engineAnswer.NotRun {
 		return c.handleNotRun(chosen, head.Status, engineAnswer)
 	}
--- a/node/gateway/view.go
+++ b/node/gateway/view.go
@@ -6,6 +6,7 @@
 	"sync/atomic"
 	"time"
 
+	"agateswitch/core/departure"
 	"agateswitch/core/fleet"
 	"agateswitch/core/routing"
 	"agateswitch/node/replica"
@@ -25,10 +26,11 @@
 }
 
 // acceptsWork reports whether an upstream of a pool may get requests: it has an entry, does not leave,
-// and its data centre is not taken out.
+// its data centre is not taken out, and it has not asked for a pause.
 func (s *snapshot) acceptsWork(pool fleet.PoolID, e *engine) bool {
 	upstream := e.upstream()
-	return upstream.State == fleet.Live && !s.dataCentresOut[upstream.DataCentre] && slices.Contains(s.engines[pool], e)
+	_, isPaused := e.pausedUntil(time.Now())
+	return !isPaused && upstream.State == fleet.Live && !s.dataCentresOut[upstream.DataCentre] && slices.Contains(s.engines[pool], e)
 }
 
 // view builds a snapshot after each change of the replica.
@@ -37,8 +39,10 @@
 	// onCacheReset is called for an upstream whose cache is assumed to be empty, because the upstream
 	// was added, has restarted or was removed.
 	onCacheReset func(fleet.UpstreamID)
-	log          *log.Logger
-	current      atomic.Pointer[snapshot]
+	// leaves reports whether an incarnation of an upstream has said that it leaves.
+	leaves  func(fleet.UpstreamID, int64) bool
+	log     *log.Logger
+	current atomic.Pointer[snapshot]
 	// ready is closed once current is set for the first time.
 	ready chan struct{}
 
@@ -50,9 +54,9 @@
 	dataCentresOut map[string]fleet.DataCentre
 }
 
-func newView(codec port.EntryCodec, onCacheReset func(fleet.UpstreamID), logger *log.Logger) *view {
+func newView(codec port.EntryCodec, onCacheReset func(fleet.UpstreamID), leaves func(fleet.UpstreamID, int64) bool, logger *log.Logger) *view {
 	return &view{
-		codec: codec, onCacheReset: onCacheReset, log: logger, ready: make(chan struct{}), engines: map[string]*engine{},
+		codec: codec, onCacheReset: onCacheReset, leaves: leaves, log: logger, ready: make(chan struct{}), engines: map[string]*engine{},
 		dataCentresOut: map[string]fleet.DataCentre{},
 	}
 }
@@ -117,6 +121,9 @@
 	if !found || e.incarnation != entry.Incarnation || e.upstream().Address != entry.Upstream.Address {
 		v.onCacheReset(entry.Upstream.ID)
 		e = newEngine(entry)
+		if v.leaves(entry.Upstream.ID, entry.Incarnation) {
+			e.markLeaving()
+		}
 		v.engines[key] = e
 		v.log.Info("upstream registered", "upstream", entry.Upstream.ID, "pool", entry.Upstream.Pool,
 			"datacentre", entry.Upstream.DataCentre, "version", entry.Upstream.Version, "cold", entry.Cold)
@@ -126,6 +133,18 @@
 	e.applyEntry(entry, now)
 }
 
+// markLeaving marks the upstream that another router has said to leave, if it is registered here.
+func (v *view) markLeaving(mark departure.Mark) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	for _, e := range v.engines {
+		if e.id == mark.Upstream && e.incarnation <= mark.Incarnation {
+			e.markLeaving()
+			v.log.Info("upstream leaves according to another router", "upstream", e.id, "incarnation", mark.Incarnation, "age_ms", mark.AgeMs)
+		}
+	}
+}
+
 // applyDeletion applies the deletion of an entry. The caller holds mu.
 func (v *view) applyDeletion(change replica.Change, now time.Time) {
 	key := change.Entry.Key
--- a/node/gateway/view_test.go
+++ b/node/gateway/view_test.go
@@ -32,7 +32,7 @@
 }
 
 func newTestView(codec port.EntryCodec) *view {
-	return newView(codec, func(fleet.UpstreamID) {}, log.New(io.Discard))
+	return newView(codec, func(fleet.UpstreamID) {}, func(fleet.UpstreamID, int64) bool { return false }, log.New(io.Discard))
 }
 
 func TestLeaveMarkIsAppliedWhileADesiredStateIsDecoded(t *testing.T) {
--- a/node/workload/relay.go
+++ b/node/workload/relay.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"agateswitch/core/departure"
 	"agateswitch/core/fleet"
 	"agateswitch/core/warmth"
 	"agateswitch/port"
@@ -70,6 +71,8 @@
 	Total       map[fleet.UpstreamID]Load `msgpack:"t"`
 	CachedParts []warmth.CachedPart       `msgpack:"w,omitempty"`
 	Cursor      uint64                    `msgpack:"c"`
+	// Leaving lists the upstreams that have said lately that they leave.
+	Leaving []departure.Mark `msgpack:"d,omitempty"`
 }
 
 // exchangeWithRelay sends this router's load and cached parts to a relay, and gets the load of all
@@ -117,6 +120,7 @@
 		w.log.Info("workload relay did not answer; not using it for a while", "peer", relay, "left_alone", relayRetryDelay, "err", err)
 		return false
 	}
+	w.learnLeaving(response.Leaving)
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.total = response.Total
@@ -134,6 +138,7 @@
 	if err := decode(&request); err != nil {
 		return nil, err
 	}
+	w.learnLeaving(request.Message.Leaving)
 	w.mu.Lock()
 	w.applyMessage(from, request.Message, true)
 	w.enqueueParts(request.Message.CachedParts...)
@@ -150,6 +155,7 @@
 		}
 	}
 	response.CachedParts, response.Cursor = w.recentParts.since(request.Cursor)
+	response.Leaving = w.leaving.Told(time.Now())
 	w.mu.Unlock()
 	w.notifyChange()
 	return response, nil
--- a/node/workload/workload.go
+++ b/node/workload/workload.go
@@ -16,6 +16,7 @@
 	"sync"
 	"time"
 
+	"agateswitch/core/departure"
 	"agateswitch/core/dissemination"
 	"agateswitch/core/fleet"
 	"agateswitch/core/warmth"
@@ -69,6 +70,8 @@
 	Full bool `msgpack:"f,omitempty"`
 	// CachedParts lists the parts of prompts that upstreams have read since the last message.
 	CachedParts []warmth.CachedPart `msgpack:"w,omitempty"`
+	// Leaving lists the upstreams that have said lately that they leave.
+	Leaving []departure.Mark `msgpack:"d,omitempty"`
 }
 
 // Peers provides the other routers.
@@ -105,6 +108,10 @@
 	warm         *warmth.Map
 	// bootstrapped is true once warm contains what the fleet knew before this router started.
 	bootstrapped bool
+	// leaving holds the upstreams that leave according to their answers to any router, and onLeaving
+	// receives those that another router has told.
+	leaving   departure.Marks
+	onLeaving func(departure.Mark)
 	// changed and pendingParts hold what the next message is to contain.
 	changed      map[fleet.UpstreamID]bool
 	pendingParts []warmth.CachedPart
@@ -134,7 +141,7 @@
 		self: self, transport: transport, peers: peers, log: logger, dirty: make(chan struct{}, 1), relayExchangeDue: make(chan struct{}, 1), fullPublishDue: make(chan struct{}, 1),
 		own: map[fleet.UpstreamID]Load{}, peerLoads: map[fleet.HostID]*peerLoad{}, total: map[fleet.UpstreamID]Load{},
 		relayedTotal: map[fleet.UpstreamID]Load{}, relayRetryAt: map[fleet.HostID]time.Time{},
-		warm: warmth.NewMap(), changed: map[fleet.UpstreamID]bool{}, isRelay: true, isDirect: true,
+		onLeaving: func(departure.Mark) {}, warm: warmth.NewMap(), changed: map[fleet.UpstreamID]bool{}, isRelay: true, isDirect: true,
 	}
 	transport.Handle(methodPublish, w.handlePublish)
 	transport.Handle(methodBootstrap, w.handleBootstrap)
@@ -316,7 +323,7 @@
 func (w *Workload) messageToRelay() message {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	return message{Load: maps.Clone(w.own), Full: true, CachedParts: w.takePendingParts()}
+	return message{Load: maps.Clone(w.own), Full: true, CachedParts: w.takePendingParts(), Leaving: w.leaving.Told(time.Now())}
 }
 
 // nextMessage returns the next message of a relay, for itself and the routers for which it is the
@@ -324,7 +331,7 @@
 func (w *Workload) nextMessage(full bool) message {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	m := message{Load: map[fleet.UpstreamID]Load{}, Full: full, CachedParts: w.takePendingParts()}
+	m := message{Load: map[fleet.UpstreamID]Load{}, Full: full, CachedParts: w.takePendingParts(), Leaving: w.leaving.Told(time.Now())}
 	if full {
 		for upstream := range w.own {
 			w.changed[upstream] = true
@@ -372,6 +379,7 @@
 	if err := decode(&m); err != nil {
 		return nil, err
 	}
+	w.learnLeaving(m.Leaving)
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.applyMessage(from, m, false)
--- a/port/edge.go
+++ b/port/edge.go
@@ -63,6 +63,11 @@
 	NotRun bool
 	// Misdirected is true when the address belongs to another upstream.
 	Misdirected bool
+	// Leaving is true when the upstream says that it leaves: it wants no new requests.
+	Leaving bool
+	// Pause is for how long the upstream, which refused the request, wants no requests from this
+	// router. Zero means that it asks for no pause.
+	Pause time.Duration
 	// Signed is true when the answer was written by an upstream and not by an intermediary.
 	Signed bool
 }
