--- a/adapter/kv/client.go
+++ b/adapter/kv/client.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"time"
 
+	"agateswitch/core/revision"
 	"agateswitch/port"
 
 	"github.com/dghubble/sling"
@@ -128,24 +129,24 @@
 }
 
 func entry(kv KeyValue) port.Entry {
-	return port.Entry{Key: string(kv.Key), Value: kv.Value, Revision: kv.ModRevision}
+	return port.Entry{Key: string(kv.Key), Value: kv.Value, Revision: revision.Revision{Number: kv.ModRevision}}
 }
 
 // List implements port.Store.
-func (c *Client) List(ctx context.Context, prefix string) ([]port.Entry, int64, error) {
+func (c *Client) List(ctx context.Context, prefix string) ([]port.Entry, revision.Revision, error) {
 	request := RangeRequest{Key: []byte(prefix), RangeEnd: PrefixEnd(prefix)}
 	var response RangeResponse
 	if err := c.read(ctx, PathRange, request, &response); err != nil {
-		return nil, 0, err
+		return nil, revision.Revision{}, err
 	}
 	if err := response.Header.validate(); err != nil {
-		return nil, 0, unavailable(PathRange, err)
+		return nil, revision.Revision{}, unavailable(PathRange, err)
 	}
 	entries := make([]port.Entry, 0, len(response.KVs))
 	for _, kv := range response.KVs {
 		entries = append(entries, entry(kv))
 	}
-	return entries, response.Header.Revision, nil
+	return entries, revision.Revision{Number: response.Header.Revision}, nil
 }
 
 // GrantLease implements port.Store. ttl is rounded up to whole seconds.
@@ -153,15 +154,15 @@
 	seconds := int64((ttl + time.Second - 1) / time.Second)
 	var response LeaseResponse
 	if err := c.write(ctx, PathLeaseGrant, LeaseGrantRequest{TTL: seconds}, &response); err != nil {
-		return 0, err
+		return port.LeaseID{}, err
 	}
-	return port.LeaseID(response.ID), nil
+	return port.LeaseID{Number: response.ID}, nil
 }
 
 // KeepAlive implements port.Store.
 func (c *Client) KeepAlive(ctx context.Context, lease port.LeaseID) (time.Duration, error) {
 	var response LeaseKeepAliveEnvelope
-	if err := c.write(ctx, PathLeaseKeepAlive, LeaseRequest{ID: int64(lease)}, &response); err != nil {
+	if err := c.write(ctx, PathLeaseKeepAlive, LeaseRequest{ID: lease.Number}, &response); err != nil {
 		return 0, err
 	}
 	return time.Duration(response.Result.TTL) * time.Second, nil
@@ -170,5 +171,5 @@
 // RevokeLease implements port.Store.
 func (c *Client) RevokeLease(ctx context.Context, lease port.LeaseID) error {
 	var response LeaseResponse
-	return c.write(ctx, PathLeaseRevoke, LeaseRequest{ID: int64(lease)}, &response)
+	return c.write(ctx, PathLeaseRevoke, LeaseRequest{ID: lease.Number}, &response)
 }
--- a/adapter/kv/client_test.go
+++ b/adapter/kv/client_test.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"agateswitch/adapter/kv"
+	"agateswitch/core/revision"
 	"agateswitch/port"
 	"agateswitch/standin/store"
 
@@ -72,7 +73,7 @@
 	must.NoError(t, err)
 	ctx, cancel := context.WithCancel(t.Context())
 	defer cancel()
-	events := client.Watch(ctx, "p/", result.Revision-1)
+	events := client.Watch(ctx, "p/", revision.Revision{Number: result.Revision.Number - 1})
 	must.Eq(t, "p/1", (<-events).Entry.Key)
 	service.SilenceConnections()
 	for range 2 {
@@ -90,7 +91,7 @@
 	service := store.New()
 	client := serve(t, service)
 	ctx, cancel := context.WithCancel(t.Context())
-	events := client.Watch(ctx, "p/", 0)
+	events := client.Watch(ctx, "p/", revision.Revision{})
 	for service.Calls().Reads < 3 {
 		// Wait for three checks of the idle watch.
 		client.Commit(ctx, put("other", "x"))
@@ -100,12 +101,12 @@
 			client.Commit(ctx, put("p/"+strconv.Itoa(i%7), strconv.Itoa(i)))
 		}
 	}()
-	last := int64(0)
+	last := revision.Revision{}
 	for i := range 50 {
 		event := <-events
 		must.NoError(t, event.Err)
 		must.Eq(t, strconv.Itoa(i), string(event.Entry.Value))
-		must.Greater(t, last, event.Entry.Revision)
+		must.True(t, event.Entry.Revision.After(last))
 		last = event.Entry.Revision
 	}
 	cancel()
@@ -152,10 +153,10 @@
 		must.ErrorIs(t, err, port.ErrUnavailable, must.Sprint(body))
 		if body == "" {
 			// An empty response must not be read as an expired lease.
-			_, err = client.KeepAlive(t.Context(), 1)
+			_, err = client.KeepAlive(t.Context(), port.LeaseID{Number: 1})
 			must.ErrorIs(t, err, port.ErrUnavailable)
 		}
-		for event := range client.Watch(t.Context(), "k", 0) {
+		for event := range client.Watch(t.Context(), "k", revision.Revision{}) {
 			must.ErrorIs(t, event.Err, port.ErrUnavailable, must.Sprint(body))
 		}
 	}
--- a/adapter/kv/txn.go
+++ b/adapter/kv/txn.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 
+	"agateswitch/core/revision"
 	"agateswitch/port"
 
 	"github.com/juju/errors"
@@ -32,7 +33,7 @@
 	for _, condition := range transaction.Conditions {
 		key := []byte(condition.Key)
 		request.Compare = append(request.Compare, Compare{
-			Result: "EQUAL", Target: "MOD", Key: key, ModRevision: condition.Revision,
+			Result: "EQUAL", Target: "MOD", Key: key, ModRevision: condition.Revision.Number,
 		})
 		if transaction.ReadConflicts {
 			request.Failure = append(request.Failure, RequestOp{RequestRange: &RangeRequest{Key: key}})
@@ -55,7 +56,7 @@
 		}}
 	}
 	return RequestOp{RequestPut: &PutRequest{
-		Key: []byte(write.Key), Value: write.Value, Lease: int64(write.Lease),
+		Key: []byte(write.Key), Value: write.Value, Lease: write.Lease.Number,
 	}}
 }
 
@@ -65,7 +66,7 @@
 	if err := response.Header.validate(); err != nil {
 		return port.CommitResult{}, err
 	}
-	result := port.CommitResult{Applied: response.Succeeded, Revision: response.Header.Revision}
+	result := port.CommitResult{Applied: response.Succeeded, Revision: revision.Revision{Number: response.Header.Revision}}
 	if response.Succeeded || !transaction.ReadConflicts {
 		return result, nil
 	}
--- a/adapter/kv/watch.go
+++ b/adapter/kv/watch.go
@@ -8,6 +8,7 @@
 	"sync/atomic"
 	"time"
 
+	"agateswitch/core/revision"
 	"agateswitch/port"
 
 	"github.com/juju/errors"
@@ -27,11 +28,11 @@
 
 // Watch implements port.Store. A stalled watch ends with an error: an idle watch is compared with
 // a read at every check interval. The comparison detects changed keys, but not deleted ones.
-func (c *Client) Watch(ctx context.Context, prefix string, after int64) <-chan port.WatchEvent {
+func (c *Client) Watch(ctx context.Context, prefix string, after revision.Revision) <-chan port.WatchEvent {
 	events := make(chan port.WatchEvent)
 	go func() {
 		defer close(events)
-		err := c.watch(ctx, prefix, after, events)
+		err := c.watch(ctx, prefix, after.Number, events)
 		select {
 		case events <- port.WatchEvent{Err: err}:
 		case <-ctx.Done():
--- a/node/claims/worker.go
+++ b/node/claims/worker.go
@@ -7,6 +7,7 @@
 
 	coreclaim "agateswitch/core/claim"
 	"agateswitch/core/fleet"
+	"agateswitch/core/revision"
 	"agateswitch/port"
 )
 
@@ -196,9 +197,9 @@
 	}
 	s.telemetry.Log.Debug("claims committed", "operations", len(transaction.Conditions),
 		"writes", len(transaction.Writes), "applied", result.Applied)
-	outcome := coreclaim.Outcome{Applied: result.Applied, Revision: result.Revision}
+	outcome := coreclaim.Outcome{Applied: result.Applied, Revision: result.Revision.Number}
 	for _, entry := range result.Found {
-		outcome.Found = append(outcome.Found, coreclaim.Entry{Value: entry.Value, Revision: entry.Revision})
+		outcome.Found = append(outcome.Found, coreclaim.Entry{Value: entry.Value, Revision: entry.Revision.Number})
 	}
 	if !outcome.Applied && len(outcome.Found) != len(transaction.Conditions) {
 		return coreclaim.Outcome{Lost: true}
@@ -210,7 +211,7 @@
 func storeTransaction(transaction coreclaim.Transaction) port.Transaction {
 	converted := port.Transaction{ReadConflicts: true}
 	for _, condition := range transaction.Conditions {
-		converted.Conditions = append(converted.Conditions, port.Condition{Key: condition.Key, Revision: condition.Revision})
+		converted.Conditions = append(converted.Conditions, port.Condition{Key: condition.Key, Revision: revision.Revision{Number: condition.Revision}})
 	}
 	for _, write := range transaction.Writes {
 		converted.Writes = append(converted.Writes, port.Write{Key: write.Key, Value: write.Value})
--- a/node/configsync/fakes_test.go
+++ b/node/configsync/fakes_test.go
@@ -10,6 +10,7 @@
 
 	"agateswitch/core/configuration"
 	"agateswitch/core/fleet"
+	"agateswitch/core/revision"
 	"agateswitch/port"
 
 	"github.com/charmbracelet/log"
@@ -73,9 +74,9 @@
 	return entry, nil
 }
 
-func (l *storeLink) List(ctx context.Context, prefix string) ([]port.Entry, int64, error) {
+func (l *storeLink) List(ctx context.Context, prefix string) ([]port.Entry, revision.Revision, error) {
 	if err := l.reach(ctx); err != nil {
-		return nil, 0, err
+		return nil, revision.Revision{}, err
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -86,7 +87,7 @@
 			entries = append(entries, entry)
 		}
 	}
-	return entries, l.revision, nil
+	return entries, revision.Revision{Number: l.revision}, nil
 }
 
 func (l *storeLink) Commit(ctx context.Context, transaction port.Transaction) (port.CommitResult, error) {
@@ -107,7 +108,7 @@
 		time.AfterFunc(l.commitDelay, func() { l.write(transaction) })
 		return port.CommitResult{}, port.ErrUnavailable
 	}
-	return port.CommitResult{Applied: l.writeLocked(transaction), Revision: l.revision}, nil
+	return port.CommitResult{Applied: l.writeLocked(transaction), Revision: revision.Revision{Number: l.revision}}, nil
 }
 
 func (s *fakeStore) write(transaction port.Transaction) {
@@ -125,7 +126,7 @@
 	}
 	s.revision++
 	for _, write := range transaction.Writes {
-		entry := port.Entry{Key: write.Key, Value: write.Value, Revision: s.revision}
+		entry := port.Entry{Key: write.Key, Value: write.Value, Revision: revision.Revision{Number: s.revision}}
 		s.keys[write.Key] = entry
 		if write.Delete {
 			delete(s.keys, write.Key)
@@ -137,14 +138,14 @@
 	return true
 }
 
-func (l *storeLink) Watch(ctx context.Context, prefix string, after int64) <-chan port.WatchEvent {
+func (l *storeLink) Watch(ctx context.Context, prefix string, after revision.Revision) <-chan port.WatchEvent {
 	events := make(chan port.WatchEvent)
 	go l.stream(ctx, events, prefix, after)
 	return events
 }
 
 // stream sends the events of a watch.
-func (l *storeLink) stream(ctx context.Context, events chan<- port.WatchEvent, prefix string, after int64) {
+func (l *storeLink) stream(ctx context.Context, events chan<- port.WatchEvent, prefix string, after revision.Revision) {
 	defer close(events)
 	l.countWatch(1)
 	defer l.countWatch(-1)
@@ -155,7 +156,7 @@
 		position = len(l.history)
 		l.mu.Unlock()
 		for _, event := range unsent {
-			if event.Entry.Revision <= after || !strings.HasPrefix(event.Entry.Key, prefix) || stalled {
+			if !event.Entry.Revision.After(after) || !strings.HasPrefix(event.Entry.Key, prefix) || stalled {
 				continue
 			}
 			select {
--- a/node/configsync/watch.go
+++ b/node/configsync/watch.go
@@ -8,6 +8,7 @@
 
 	"agateswitch/core/configuration"
 	"agateswitch/core/dissemination"
+	"agateswitch/core/revision"
 	"agateswitch/port"
 
 	"github.com/juju/errors"
@@ -76,7 +77,7 @@
 // follow reads the complete configuration and then applies the changes that a watch delivers. It
 // returns nil when this router is no longer one of the watchers.
 func (s *Service) follow(ctx context.Context) error {
-	revision, err := s.readAll(ctx)
+	listed, err := s.readAll(ctx)
 	if err != nil {
 		return err
 	}
@@ -86,7 +87,7 @@
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	events := s.store.Watch(ctx, configPrefix, revision)
+	events := s.store.Watch(ctx, configPrefix, listed)
 	ticker := time.NewTicker(dissemination.HeadReadInterval)
 	defer ticker.Stop()
 	var pending []configuration.Item
@@ -197,19 +198,19 @@
 
 // readAll reads and applies the complete configuration. It returns the key-value service's
 // revision, from which a watch continues.
-func (s *Service) readAll(ctx context.Context) (int64, error) {
-	entries, revision, err := s.store.List(ctx, configPrefix)
+func (s *Service) readAll(ctx context.Context) (revision.Revision, error) {
+	entries, listed, err := s.store.List(ctx, configPrefix)
 	if err != nil {
-		return 0, err
+		return revision.Revision{}, err
 	}
 	state, err := decodeState(entries)
 	if err != nil {
-		return 0, err
+		return revision.Revision{}, err
 	}
 	if s.refuseLowerHead(head{Revision: state.To}) {
-		return revision, nil
+		return listed, nil
 	}
 	s.apply(state, "read")
 	s.confirm(time.Now())
-	return revision, nil
+	return listed, nil
 }
--- a/node/gateway/engine.go
+++ b/node/gateway/engine.go
@@ -38,9 +38,6 @@
 	assumedColdUntil time.Time
 	// unreachableAt is when a connection to it last failed; zero once it has reported since then.
 	unreachableAt time.Time
-	// removeAt is when the upstream is removed because its entry has expired; zero while it has an
-	// entry.
-	removeAt time.Time
 	// leaving is true once the upstream, or another router, has said that it leaves.
 	leaving bool
 	pause   pace.Pause
@@ -60,7 +57,6 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.entry = entry
-	e.removeAt = time.Time{}
 	e.coldUntil = now.Add(entry.Cold)
 	if now.Sub(e.unreachableAt) > maxEntryLag && !e.tracker.ConnectionsFailing() {
 		e.unreachableAt = time.Time{}
--- a/node/gateway/view.go
+++ b/node/gateway/view.go
@@ -67,9 +67,10 @@
 	defer v.mu.Unlock()
 	now := time.Now()
 	for _, change := range changes {
-		if change.Deleted {
-			v.applyDeletion(change, now)
-		} else {
+		switch {
+		case change.Deleted:
+			v.applyDeletion(change.Entry.Key, now)
+		case !change.Replayed:
 			v.applyEntry(change.Entry, now)
 		}
 	}
@@ -146,26 +147,13 @@
 }
 
 // applyDeletion applies the deletion of an entry. The caller holds mu.
-func (v *view) applyDeletion(change replica.Change, now time.Time) {
-	key := change.Entry.Key
+func (v *view) applyDeletion(key string, now time.Time) {
 	if dataCentre, found := v.dataCentresOut[key]; found {
 		delete(v.dataCentresOut, key)
 		v.returnDataCentre(dataCentre, now)
 		return
 	}
-	e, found := v.engines[key]
-	if !found {
-		return
-	}
-	if change.Settled.IsZero() {
-		v.removeEngine(key)
-		return
-	}
-	// The entry expired during an outage of the store. A live upstream writes it again soon.
-	e.mu.Lock()
-	e.removeAt = change.Settled
-	e.mu.Unlock()
-	time.AfterFunc(time.Until(change.Settled), func() { v.removeExpired(key, e) })
+	v.removeEngine(key)
 }
 
 // returnDataCentre returns a data centre to service. Its upstreams are assumed to be cold, because
@@ -192,20 +180,6 @@
 	}
 }
 
-// removeExpired removes an upstream whose entry expired during an outage of the store, unless it has
-// written its entry again.
-func (v *view) removeExpired(key string, expired *engine) {
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	expired.mu.Lock()
-	entryMissing := !expired.removeAt.IsZero()
-	expired.mu.Unlock()
-	if entryMissing && v.engines[key] == expired {
-		v.removeEngine(key)
-		v.publishSnapshot()
-	}
-}
-
 // publishSnapshot builds a snapshot of the current state and puts it in force. The caller holds mu.
 func (v *view) publishSnapshot() {
 	if v.table == nil {
--- a/node/gateway/view_test.go
+++ b/node/gateway/view_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"agateswitch/core/fleet"
+	"agateswitch/core/revision"
 	"agateswitch/core/routing"
 	"agateswitch/node/replica"
 	"agateswitch/port"
@@ -39,15 +40,15 @@
 	synctest.Test(t, func(t *testing.T) {
 		codec := slowCodec{release: make(chan struct{})}
 		v := newTestView(codec)
-		write := func(state fleet.LifeState, revision int64) {
-			v.applyChanges([]replica.Change{{Entry: port.Entry{Key: "e1", Value: []byte(state), Revision: revision}}})
+		write := func(state fleet.LifeState, number int64) {
+			v.applyChanges([]replica.Change{{Entry: port.Entry{Key: "e1", Value: []byte(state), Revision: revision.Revision{Number: number}}}})
 		}
 		v.table = routing.Compile(routing.State{Version: 1})
 		write(fleet.Live, 1)
 		applied := make(chan struct{})
 		go func() {
 			defer close(applied)
-			v.applyDesired(port.Entry{Key: "desired", Value: []byte("12"), Revision: 2})
+			v.applyDesired(port.Entry{Key: "desired", Value: []byte("12"), Revision: revision.Revision{Number: 2}})
 		}()
 		time.Sleep(time.Second)
 		write(fleet.Leaving, 3)
@@ -66,7 +67,7 @@
 	codec := slowCodec{release: make(chan struct{})}
 	close(codec.release)
 	v := newTestView(codec)
-	v.applyDesired(port.Entry{Key: "desired", Value: []byte("123"), Revision: 2})
-	v.applyDesired(port.Entry{Key: "desired", Value: []byte("12"), Revision: 3})
+	v.applyDesired(port.Entry{Key: "desired", Value: []byte("123"), Revision: revision.Revision{Number: 2}})
+	v.applyDesired(port.Entry{Key: "desired", Value: []byte("12"), Revision: revision.Revision{Number: 3}})
 	must.Eq(t, 3, v.current.Load().table.State.Version)
 }
--- a/node/lease/lease.go
+++ b/node/lease/lease.go
@@ -52,8 +52,9 @@
 
 // holder is the value of a lease's key.
 type holder struct {
-	Host  fleet.HostID `json:"host"`
-	Lease port.LeaseID `json:"lease"`
+	Host fleet.HostID `json:"host"`
+	// Lease is the number of the lease.
+	Lease int64 `json:"lease"`
 }
 
 // Acquire acquires the lease of a name and renews it until ctx ends, Release is called, or the lease
@@ -69,7 +70,7 @@
 	if err != nil {
 		return nil, errors.Annotatef(err, "granting the lease of %s", name)
 	}
-	fence, err := acquireKey(ctx, store, keyPrefix+name, holder{Host: self, Lease: id})
+	fence, err := acquireKey(ctx, store, keyPrefix+name, holder{Host: self, Lease: id.Number})
 	if err != nil {
 		// A write whose answer was lost may still take effect; its key is removed with the lease.
 		revoke(ctx, store, id)
@@ -93,17 +94,17 @@
 	}
 	result, err := store.Commit(ctx, port.Transaction{
 		Conditions: []port.Condition{{Key: key}},
-		Writes:     []port.Write{{Key: key, Value: value, Lease: wanted.Lease}},
+		Writes:     []port.Write{{Key: key, Value: value, Lease: port.LeaseID{Number: wanted.Lease}}},
 	})
 	if err == nil && result.Applied {
-		return result.Revision, nil
+		return result.Revision.Number, nil
 	}
 	// After a lost answer, reading the key back shows whether the write took effect.
 	entry, readErr := store.Get(ctx, key)
 	if readErr != nil {
 		return 0, readErr
 	}
-	if entry.Revision == 0 {
+	if entry.Revision.IsAbsent() {
 		return 0, errors.WithType(errors.New("the write took no effect"), port.ErrUnavailable)
 	}
 	var found holder
@@ -113,7 +114,7 @@
 	if found != wanted {
 		return 0, errors.WithType(errors.Errorf("held by %s", found.Host), ErrHeld)
 	}
-	return entry.Revision, nil
+	return entry.Revision.Number, nil
 }
 
 // usableDuration returns how long a holder may act under a lease of the given TTL.
--- a/node/orders/slot.go
+++ b/node/orders/slot.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"agateswitch/core/order"
+	"agateswitch/core/revision"
 	"agateswitch/port"
 
 	"github.com/juju/errors"
@@ -18,7 +19,7 @@
 // service, so that the rate limit applies across successive lease holders.
 type slot struct {
 	Next     time.Time `json:"next"`
-	revision int64
+	revision revision.Revision
 }
 
 // readSlot reads the slot from the store; a missing slot is free.
--- a/node/presence/lease.go
+++ b/node/presence/lease.go
@@ -14,7 +14,7 @@
 		p.withdraw(ctx)
 		return
 	}
-	if p.lease != 0 {
+	if !p.lease.IsNone() {
 		remaining, err := p.store.KeepAlive(ctx, p.lease)
 		if err != nil {
 			p.log.Warn("failed to renew the router lease", "lease", p.lease, "err", err)
@@ -50,7 +50,7 @@
 
 // withdraw revokes the lease, which removes the router's entry.
 func (p *Presence) withdraw(ctx context.Context) {
-	if p.lease == 0 {
+	if p.lease.IsNone() {
 		return
 	}
 	if err := p.store.RevokeLease(ctx, p.lease); err != nil {
@@ -58,5 +58,5 @@
 		return
 	}
 	p.log.Info("router withdrawn", "lease", p.lease)
-	p.lease = 0
+	p.lease = port.LeaseID{}
 }
--- a/node/presence/routers_test.go
+++ b/node/presence/routers_test.go
@@ -7,6 +7,7 @@
 	"testing"
 
 	"agateswitch/core/fleet"
+	"agateswitch/core/revision"
 	"agateswitch/node/replica"
 	"agateswitch/port"
 
@@ -30,7 +31,7 @@
 		}
 		value, err := json.Marshal(host)
 		must.NoError(t, err)
-		listed = append(listed, replica.Change{Entry: port.Entry{Key: RouterKeyPrefix + string(host.ID), Value: value, Revision: 1}})
+		listed = append(listed, replica.Change{Entry: port.Entry{Key: RouterKeyPrefix + string(host.ID), Value: value, Revision: revision.Revision{Number: 1}}})
 		presences = append(presences, New(host, nil, log.New(io.Discard)))
 	}
 	for _, p := range presences {
--- a/node/replica/confirm.go
+++ b/node/replica/confirm.go
@@ -73,7 +73,7 @@
 	for {
 		r.mu.Lock()
 		isConfirmed := time.Since(r.desired.confirmedAt) <= maxConfirmedAge
-		isCurrent, changed := r.desired.known <= r.desired.applied, r.desired.changed
+		isCurrent, changed := !r.desired.known.After(r.desired.applied), r.desired.changed
 		r.mu.Unlock()
 		if isConfirmed || isCurrent {
 			return isConfirmed
--- a/node/replica/desired.go
+++ b/node/replica/desired.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"agateswitch/core/fleet"
+	"agateswitch/core/revision"
 	"agateswitch/port"
 
 	"github.com/juju/errors"
@@ -28,17 +29,19 @@
 type desiredCopy struct {
 	contact
 	key string
+	// isOutdated is port.EntryCodec.IsOutdated.
+	isOutdated func(key string, known, found []byte) bool
 	// held is the newest entry that this router has, and applied the revision of the newest one that
 	// its subscribers have applied.
 	held    port.Entry
-	applied int64
+	applied revision.Revision
 	// wasRead is true once the entry has been read, or found to be absent.
 	wasRead bool
 	// packed is held in the form that other routers fetch. It is nil until one does.
 	packed []byte
 	// known is the newest revision that the router has heard of, and behindSince when it first heard
 	// of one that it does not hold. behindSince is zero while it holds the newest.
-	known       int64
+	known       revision.Revision
 	behindSince time.Time
 	// behind has an element when the router has heard of a revision that it does not hold.
 	behind chan struct{}
@@ -47,7 +50,7 @@
 	// confirmedAt is when applied was last confirmed to be the newest revision, and asOf a revision of
 	// the store at which it was.
 	confirmedAt time.Time
-	asOf        int64
+	asOf        revision.Revision
 	// changed is closed and replaced when applied or confirmedAt changes.
 	changed chan struct{}
 }
@@ -55,13 +58,13 @@
 // holder is a router that holds a revision of the desired state.
 type holder struct {
 	router   fleet.HostID
-	revision int64
+	revision revision.Revision
 	// bytes is the size of the state.
 	bytes int
 }
 
-func newDesiredCopy(key string) desiredCopy {
-	return desiredCopy{key: key, behind: make(chan struct{}, 1), changed: make(chan struct{})}
+func newDesiredCopy(key string, isOutdated func(key string, known, found []byte) bool) desiredCopy {
+	return desiredCopy{key: key, isOutdated: isOutdated, behind: make(chan struct{}, 1), changed: make(chan struct{})}
 }
 
 // pulled returns what other routers learn about the desired state with a pull.
@@ -71,9 +74,17 @@
 	}
 }
 
-// hold stores an entry for other routers to fetch. It reports whether it is newer than the one held.
+// hold stores an entry for other routers to fetch. It reports whether it is newer than the one held. An
+// older version at a later place is not, which a restored store has again or its writer writes again:
+// the held one is kept at that place.
 func (d *desiredCopy) hold(entry port.Entry) bool {
-	if entry.Revision <= d.held.Revision {
+	held := d.held.Revision
+	if !entry.Revision.After(held) {
+		return false
+	}
+	if !held.IsAbsent() && d.isOutdated(d.key, d.held.Value, entry.Value) {
+		d.held.Revision = entry.Revision.Carry(held)
+		d.learn(d.held.Revision)
 		return false
 	}
 	d.held, d.packed = entry, nil
@@ -82,8 +93,8 @@
 }
 
 // learn records that a revision exists.
-func (d *desiredCopy) learn(revision int64) {
-	d.known = max(d.known, revision)
+func (d *desiredCopy) learn(at revision.Revision) {
+	d.known = revision.Latest(d.known, at)
 	switch {
 	case d.known == d.held.Revision:
 		d.behindSince = time.Time{}
@@ -97,9 +108,10 @@
 	}
 }
 
-// confirm records that no revision above the given one existed at a time.
-func (d *desiredCopy) confirm(revision int64, at time.Time) {
-	if revision == d.applied && at.After(d.confirmedAt) {
+// confirm records that the store had no revision above the given one at a time.
+func (d *desiredCopy) confirm(newest revision.Revision, at time.Time) {
+	isApplied := newest.Stored() == d.applied.Stored() && !newest.After(d.applied)
+	if isApplied && at.After(d.confirmedAt) {
 		d.confirmedAt = at
 		d.notify()
 	}
@@ -114,7 +126,7 @@
 func (d *desiredCopy) addHolder(added holder) {
 	kept := []holder{}
 	for _, h := range d.holders {
-		if h.router != added.router && h.revision > d.held.Revision {
+		if h.router != added.router && h.revision.After(d.held.Revision) {
 			kept = append(kept, h)
 		}
 	}
@@ -127,7 +139,7 @@
 	for len(d.holders) > 0 {
 		last := d.holders[len(d.holders)-1]
 		d.holders = d.holders[:len(d.holders)-1]
-		if last.revision > d.held.Revision {
+		if last.revision.After(d.held.Revision) {
 			return last, true
 		}
 	}
@@ -165,17 +177,17 @@
 
 // confirmDesired records that no revision above the given one existed at a time, when the store had
 // the revision asOf.
-func (r *Replica) confirmDesired(revision int64, at time.Time, asOf int64) {
+func (r *Replica) confirmDesired(newest revision.Revision, at time.Time, asOf revision.Revision) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.desired.confirm(revision, at)
-	r.desired.asOf = max(r.desired.asOf, asOf)
+	r.desired.confirm(newest, at)
+	r.desired.asOf = revision.Latest(r.desired.asOf, asOf)
 	r.desired.wasRead = true
 	r.updateLoaded()
 }
 
 // heldRevision returns the revision of the desired state that the router holds; zero means none.
-func (r *Replica) heldRevision() int64 {
+func (r *Replica) heldRevision() revision.Revision {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	return r.desired.held.Revision
@@ -194,10 +206,10 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.desired.confirm(pulled.Revision, startedAt.Add(-time.Duration(pulled.AgeMs)*time.Millisecond))
-	if pulled.Revision > r.desired.held.Revision {
+	if pulled.Revision.After(r.desired.held.Revision) {
 		r.desired.addHolder(holder{router: from, revision: pulled.Revision, bytes: pulled.Bytes})
 	}
-	r.desired.learn(max(pulled.Known, pulled.Revision))
+	r.desired.learn(revision.Latest(pulled.Known, pulled.Revision))
 }
 
 // readDesired reads the desired state from the store and applies it. It reports whether the router did
@@ -228,7 +240,7 @@
 		return false, err
 	}
 	for _, entry := range result.Found {
-		if entry.Key == r.desired.key && entry.Revision > condition.Revision {
+		if entry.Key == r.desired.key && entry.Revision.After(condition.Revision) {
 			r.applyDesired(entry, startedAt)
 			r.log.Info("desired state read from the store", "revision", entry.Revision, "bytes", len(entry.Value), "took", time.Since(startedAt))
 			return true, nil
@@ -278,22 +290,22 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	r.mu.Lock()
-	after := max(r.desired.asOf, r.desired.held.Revision)
+	after := revision.Latest(r.desired.asOf, r.desired.held.Revision.Stored())
 	r.mu.Unlock()
 	var newest port.Entry
 	for event := range r.store.Watch(ctx, r.desired.key, after) {
 		switch {
-		case errors.Is(event.Err, port.ErrCompacted):
-			r.log.Warn("store has compacted the history after the last revision; reading the desired state", "after", after)
+		case historyIsGone(event.Err):
+			r.log.Warn("store does not have the history after the last revision; reading the desired state", "after", after, "err", event.Err)
 			return nil
 		case event.Err != nil:
 			return event.Err
-		case event.Progress == 0:
+		case event.Progress.IsZero():
 			if event.Entry.Key == r.desired.key && !event.Deleted {
 				newest = event.Entry
 			}
 			continue
-		case newest.Revision > 0:
+		case !newest.Revision.IsAbsent():
 			// The response may have ended before the newest revision.
 			r.applyDesired(newest, time.Time{})
 			return nil
--- a/node/replica/fakes_test.go
+++ b/node/replica/fakes_test.go
@@ -2,12 +2,14 @@
 
 import (
 	"context"
+	"fmt"
 	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"agateswitch/core/fleet"
+	"agateswitch/core/revision"
 	"agateswitch/port"
 
 	"github.com/juju/errors"
@@ -77,6 +79,10 @@
 	fleet     *fakeFleet
 	// silent is true while the host answers no calls, like one behind a partition.
 	silent atomic.Bool
+	// isolated is true while the host does not reach the store.
+	isolated atomic.Bool
+	// era is the highest era of the store that the host has seen.
+	era atomic.Int64
 	// watches is the number of watches of the store in progress.
 	watches atomic.Int32
 }
@@ -88,6 +94,18 @@
 	<-h.computing
 }
 
+// add returns a further host of the fleet.
+func (f *fakeFleet) add() *host {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	h := &host{
+		id: fleet.HostID(fmt.Sprintf("router-%02d", len(f.hosts))), up: newLink(f.bytesPerSecond), down: newLink(f.bytesPerSecond),
+		cores: f.cores, computing: make(chan struct{}, 1), handlers: map[string]port.PeerHandler{}, fleet: f,
+	}
+	f.hosts = append(f.hosts, h)
+	return h
+}
+
 func (h *host) computeCall(bytes int) {
 	h.compute(callWork + time.Duration(float64(bytes)/bytesPerWorkSecond*float64(time.Second)))
 }
@@ -105,8 +123,19 @@
 // fakeFleet is a fleet in one data centre, whose first routers watch the store.
 type fakeFleet struct {
 	store    *fakeStore
-	hosts    []*host
 	watchers []fleet.HostID
+	// bytesPerSecond and wholeCores are what each host can bear.
+	bytesPerSecond, cores float64
+
+	mu    sync.Mutex
+	hosts []*host
+}
+
+// all returns the hosts.
+func (f *fakeFleet) all() []*host {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.hosts
 }
 
 // memberOf is a router's view of the fleet.
@@ -117,7 +146,7 @@
 
 func (m memberOf) Others() []fleet.HostID {
 	var others []fleet.HostID
-	for _, h := range m.fleet.hosts {
+	for _, h := range m.fleet.all() {
 		if h.id != m.self {
 			others = append(others, h.id)
 		}
@@ -139,7 +168,7 @@
 
 // Call implements port.Peers.
 func (h *host) Call(ctx context.Context, to fleet.HostID, method string, request, response any) error {
-	for _, other := range h.fleet.hosts {
+	for _, other := range h.fleet.all() {
 		if other.id == to {
 			return h.callHost(ctx, other, method, request, response)
 		}
@@ -180,27 +209,69 @@
 // fakeStore is the store. Its own link is fast; those of the hosts limit its responses.
 type fakeStore struct {
 	mu       sync.Mutex
-	revision int64
+	revision revision.Revision
 	entries  map[string]port.Entry
 	history  []port.WatchEvent
 	// writtenAt holds the times of the changes in history.
 	writtenAt []time.Time
 	changed   chan struct{}
+	// firstNumber is the number before which the store is not restored.
+	firstNumber int64
 	// cut ends waiting watches when it is closed.
 	cut chan struct{}
 }
 
 func newFakeStore() *fakeStore {
 	return &fakeStore{
-		revision: 1, entries: map[string]port.Entry{}, changed: make(chan struct{}), cut: make(chan struct{}),
+		revision: revision.Revision{Number: 1}, entries: map[string]port.Entry{}, changed: make(chan struct{}), cut: make(chan struct{}),
+	}
+}
+
+// restore takes the store back to its state at a number, in the next era.
+func (s *fakeStore) restore(number int64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.entries = map[string]port.Entry{}
+	kept := 0
+	for kept < len(s.history) && s.history[kept].Entry.Revision.Number <= number {
+		event := s.history[kept]
+		s.entries[event.Entry.Key] = event.Entry
+		if event.Deleted {
+			delete(s.entries, event.Entry.Key)
+		}
+		kept++
 	}
+	s.history, s.writtenAt = s.history[:kept:kept], s.writtenAt[:kept:kept]
+	s.revision = revision.Revision{Era: s.revision.Era + 1, Number: number}
+	// The copy has the same numbers, in its own era.
+	for i := range s.history {
+		s.history[i].Entry.Revision.Era = s.revision.Era
+	}
+	for key, entry := range s.entries {
+		entry.Revision.Era = s.revision.Era
+		s.entries[key] = entry
+	}
+	close(s.cut)
+	s.cut = make(chan struct{})
+}
+
+// restoreQuietly is restore without an outage: watches go on waiting.
+func (s *fakeStore) restoreQuietly(number int64) {
+	waiting := s.cutSignal()
+	s.mu.Lock()
+	s.cut = make(chan struct{})
+	s.mu.Unlock()
+	s.restore(number)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.cut = waiting
 }
 
 // remove removes a key.
 func (s *fakeStore) remove(key string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.revision++
+	s.revision.Number++
 	delete(s.entries, key)
 	s.history = append(s.history, port.WatchEvent{Entry: port.Entry{Key: key, Revision: s.revision}, Deleted: true})
 	s.writtenAt = append(s.writtenAt, time.Now())
@@ -223,10 +294,10 @@
 }
 
 // put writes a key and returns the store's revision.
-func (s *fakeStore) put(key string, value []byte) int64 {
+func (s *fakeStore) put(key string, value []byte) revision.Revision {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.revision++
+	s.revision.Number++
 	s.entries[key] = port.Entry{Key: key, Value: value, Revision: s.revision}
 	s.history = append(s.history, port.WatchEvent{Entry: s.entries[key]})
 	s.writtenAt = append(s.writtenAt, time.Now())
@@ -236,11 +307,11 @@
 }
 
 // nextWrite returns when a key was first written after a revision.
-func (s *fakeStore) nextWrite(key string, after int64) (at time.Time, found bool) {
+func (s *fakeStore) nextWrite(key string, after revision.Revision) (at time.Time, found bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for i, event := range s.history {
-		if event.Entry.Key == key && event.Entry.Revision > after {
+		if event.Entry.Key == key && event.Entry.Revision.After(after) {
 			return s.writtenAt[i], true
 		}
 	}
@@ -261,13 +332,13 @@
 
 // page returns the first changes under a prefix after a revision that fit into a response, and the
 // revision up to which they are complete.
-func (s *fakeStore) page(prefix string, after int64) ([]port.WatchEvent, int64, int, chan struct{}) {
+func (s *fakeStore) page(prefix string, after revision.Revision) ([]port.WatchEvent, revision.Revision, int, chan struct{}) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	var events []port.WatchEvent
 	size := messageBytes
 	for _, event := range s.history {
-		if event.Entry.Revision <= after || !strings.HasPrefix(event.Entry.Key, prefix) {
+		if !event.Entry.Revision.After(after) || !strings.HasPrefix(event.Entry.Key, prefix) {
 			continue
 		}
 		if next := size + wireSize(event.Entry); len(events) > 0 && next > pageBytes {
@@ -285,8 +356,22 @@
 	host  *host
 }
 
+// Era implements port.Eras.
+func (s storeOf) Era() int64 { return s.host.era.Load() }
+
+// LearnEra implements port.Eras.
+func (s storeOf) LearnEra(era int64) {
+	if era > s.host.era.Load() {
+		s.host.era.Store(era)
+		s.store.cutWatches()
+	}
+}
+
 // receive carries a response to the host.
 func (s storeOf) receive(ctx context.Context, size int) error {
+	if s.host.isolated.Load() {
+		return errors.Trace(port.ErrUnavailable)
+	}
 	if err := s.host.down.carry(ctx, size); err != nil {
 		return errors.WithType(err, port.ErrUnavailable)
 	}
@@ -301,17 +386,18 @@
 	return entry, s.receive(ctx, messageBytes+wireSize(entry))
 }
 
-func (s storeOf) List(ctx context.Context, prefix string) ([]port.Entry, int64, error) {
+func (s storeOf) List(ctx context.Context, prefix string) ([]port.Entry, revision.Revision, error) {
 	s.store.mu.Lock()
 	var entries []port.Entry
-	size, revision := messageBytes, s.store.revision
+	size, listedAt := messageBytes, s.store.revision
+	s.host.era.Store(max(listedAt.Era, s.host.era.Load()))
 	for key, entry := range s.store.entries {
 		if strings.HasPrefix(key, prefix) {
 			entries, size = append(entries, entry), size+wireSize(entry)
 		}
 	}
 	s.store.mu.Unlock()
-	return entries, revision, s.receive(ctx, size)
+	return entries, listedAt, s.receive(ctx, size)
 }
 
 // Commit supports transactions without writes.
@@ -320,7 +406,7 @@
 	result, size := port.CommitResult{Applied: true, Revision: s.store.revision}, messageBytes
 	for _, condition := range transaction.Conditions {
 		entry := s.store.entries[condition.Key]
-		result.Applied = result.Applied && entry.Revision == condition.Revision
+		result.Applied = result.Applied && entry.Revision == condition.Revision.Stored()
 		result.Found = append(result.Found, entry)
 	}
 	s.store.mu.Unlock()
@@ -333,29 +419,35 @@
 	return result, s.receive(ctx, size)
 }
 
-func (s storeOf) Watch(ctx context.Context, prefix string, after int64) <-chan port.WatchEvent {
+func (s storeOf) Watch(ctx context.Context, prefix string, after revision.Revision) <-chan port.WatchEvent {
 	events := make(chan port.WatchEvent)
 	s.host.watches.Add(1)
 	go func() {
 		defer close(events)
 		defer s.host.watches.Add(-1)
-		send := func(event port.WatchEvent) {
+		send := func(event port.WatchEvent) bool {
 			select {
 			case events <- event:
+				return true
 			case <-ctx.Done():
+				return false
 			}
 		}
 		for ctx.Err() == nil {
-			page, revision, err := s.nextPage(ctx, prefix, after)
+			page, asOf, err := s.nextPage(ctx, prefix, after)
 			if err != nil {
 				send(port.WatchEvent{Err: err})
 				return
 			}
 			for _, event := range page {
-				send(event)
+				if !send(event) {
+					return
+				}
+			}
+			after = revision.Latest(after, asOf)
+			if !send(port.WatchEvent{Progress: after}) {
+				return
 			}
-			after = max(after, revision)
-			send(port.WatchEvent{Progress: after})
 			sleep(ctx, watchPause)
 		}
 	}()
@@ -363,22 +455,29 @@
 }
 
 // nextPage waits for a change, for at most watchWait.
-func (s storeOf) nextPage(ctx context.Context, prefix string, after int64) ([]port.WatchEvent, int64, error) {
+func (s storeOf) nextPage(ctx context.Context, prefix string, after revision.Revision) ([]port.WatchEvent, revision.Revision, error) {
 	timeout := time.NewTimer(watchWait)
 	defer timeout.Stop()
 	for {
-		page, revision, size, changed := s.store.page(prefix, after)
+		page, asOf, size, changed := s.store.page(prefix, after)
+		if s.host.isolated.Load() {
+			return nil, revision.Revision{}, errors.Trace(port.ErrUnavailable)
+		}
+		if era := max(asOf.Era, s.host.era.Load()); era > after.Era {
+			s.host.era.Store(era)
+			return nil, revision.Revision{}, errors.Trace(port.ErrRestored)
+		}
 		if len(page) > 0 {
-			return page, revision, s.receive(ctx, size)
+			return page, asOf, s.receive(ctx, size)
 		}
 		select {
 		case <-changed:
 		case <-s.store.cutSignal():
-			return nil, 0, errors.Trace(port.ErrUnavailable)
+			return nil, revision.Revision{}, errors.Trace(port.ErrUnavailable)
 		case <-timeout.C:
-			return nil, revision, s.receive(ctx, size)
+			return nil, asOf, s.receive(ctx, size)
 		case <-ctx.Done():
-			return nil, 0, ctx.Err()
+			return nil, revision.Revision{}, ctx.Err()
 		}
 	}
 }
--- a/node/replica/fetch.go
+++ b/node/replica/fetch.go
@@ -8,13 +8,14 @@
 	"time"
 
 	"agateswitch/core/fleet"
+	"agateswitch/core/revision"
 	"agateswitch/port"
 
 	"github.com/juju/errors"
 )
 
 // methodFetch requests a router's desired state.
-const methodFetch = "replica.fetch"
+const methodFetch = "replica.desired"
 
 // Limits of fetching the desired state from another router.
 const (
@@ -32,12 +33,12 @@
 
 // fetchRequest requests a desired state that is newer than a revision.
 type fetchRequest struct {
-	After int64 `msgpack:"after"`
+	After revision.Revision `msgpack:"after"`
 }
 
 // fetchResponse holds a desired state.
 type fetchResponse struct {
-	Revision int64 `msgpack:"revision"`
+	Revision revision.Revision `msgpack:"revision"`
 	// Packed is the value, compressed (RFC 1951). It is empty if the router has no newer one.
 	Packed []byte `msgpack:"packed,omitempty"`
 	// Bytes is the size of the value.
@@ -92,7 +93,7 @@
 		return err
 	}
 	if len(response.Packed) == 0 {
-		return errors.Errorf("the router holds only revision %d", response.Revision)
+		return errors.Errorf("the router holds only revision %s", response.Revision)
 	}
 	value, err := unpack(response.Packed, response.Bytes)
 	if err != nil {
@@ -120,7 +121,7 @@
 		Revision: held.Revision, Bytes: len(held.Value), AgeMs: ageMs(r.desired.confirmedAt),
 	}
 	r.mu.Unlock()
-	if held.Revision <= request.After {
+	if !held.Revision.After(request.After) {
 		return response, nil
 	}
 	if packed == nil {
--- a/node/replica/pull.go
+++ b/node/replica/pull.go
@@ -7,47 +7,52 @@
 	"time"
 
 	"agateswitch/core/fleet"
+	"agateswitch/core/revision"
 	"agateswitch/port"
 )
 
 // methodPull requests another router's changes after the given revisions.
-const methodPull = "replica.pull"
+const methodPull = "replica.changes"
 
 // pullRequest requests the changes after a revision of each tree.
 type pullRequest struct {
 	// After holds the revisions by the prefix of the tree.
-	After map[string]int64 `msgpack:"after"`
+	After map[string]revision.Revision `msgpack:"after"`
+	// Era is the highest era of the store that the router knows.
+	Era int64 `msgpack:"era,omitempty"`
 	// Newest requests that the router first confirms its desired state.
 	Newest bool `msgpack:"newest,omitempty"`
 }
 
 // pulledEntry is an entry or a deletion.
 type pulledEntry struct {
-	Key      string `msgpack:"k"`
-	Value    []byte `msgpack:"v,omitempty"`
-	Revision int64  `msgpack:"r"`
-	Deleted  bool   `msgpack:"d,omitempty"`
+	Key      string            `msgpack:"k"`
+	Value    []byte            `msgpack:"v,omitempty"`
+	Revision revision.Revision `msgpack:"r"`
+	Deleted  bool              `msgpack:"d,omitempty"`
 }
 
 // pulledTree holds a router's changes of a tree after the requested revision.
 type pulledTree struct {
 	Prefix string `msgpack:"prefix"`
 	// AsOf is the revision up to which the router's copy is complete. Zero means that it has none.
-	AsOf    int64         `msgpack:"as_of"`
-	Entries []pulledEntry `msgpack:"entries,omitempty"`
-	// Complete is true when Entries is the complete tree.
+	AsOf    revision.Revision `msgpack:"as_of"`
+	Entries []pulledEntry     `msgpack:"entries,omitempty"`
+	// Complete is true when Entries holds the complete tree.
 	Complete bool `msgpack:"complete,omitempty"`
 	// AgeMs is how long ago the router confirmed that AsOf is the newest revision.
 	AgeMs int64 `msgpack:"age_ms"`
 	// SettleMs is for how long entries that expired during an outage may still be written again.
 	SettleMs int64 `msgpack:"settle_ms,omitempty"`
+	// RestoreSettleMs is for how long entries that a restore has lost may still be written again.
+	RestoreSettleMs int64 `msgpack:"restore_settle_ms,omitempty"`
 }
 
 // pulledDesired states which desired state a router has. The state itself is fetched with methodFetch.
 type pulledDesired struct {
 	// Revision is the revision that the router has, and Known the newest of which it has heard.
-	Revision int64 `msgpack:"revision"`
-	Known    int64 `msgpack:"known"`
+	Revision revision.Revision `msgpack:"revision"`
+	Known    revision.Revision `msgpack:"known"`
 	// Bytes is the size of the state.
 	Bytes int `msgpack:"bytes"`
 	// AgeMs is how long ago the router confirmed that Revision is the newest.
@@ -58,6 +63,8 @@
 type pullResponse struct {
 	Trees   []pulledTree  `msgpack:"trees"`
 	Desired pulledDesired `msgpack:"desired"`
+	// Era is the highest era of the store that the router knows.
+	Era int64 `msgpack:"era,omitempty"`
 }
 
 // pullWhileStale pulls from other routers while the replica is stale or the store does not answer it.
@@ -105,7 +112,7 @@
 
 // pullFrom pulls from one router and applies its response.
 func (r *Replica) pullFrom(ctx context.Context, other fleet.HostID, request pullRequest) error {
-	request.After = map[string]int64{}
+	request.After, request.Era = map[string]revision.Revision{}, r.era()
 	r.mu.Lock()
 	for _, t := range r.trees {
 		request.After[t.prefix] = t.asOf
@@ -118,9 +125,10 @@
 		r.log.Debug("failed to pull the state from a router", "peer", other, "err", err)
 		return err
 	}
+	r.learnEra(response.Era, other)
 	for _, pulled := range response.Trees {
 		for _, t := range r.trees {
-			if t.prefix == pulled.Prefix && pulled.AsOf >= max(request.After[t.prefix], 1) {
+			if t.prefix == pulled.Prefix && !pulled.AsOf.IsZero() && !request.After[t.prefix].After(pulled.AsOf) {
 				r.applyPulled(t, pulled, startedAt)
 			}
 		}
@@ -139,18 +147,7 @@
 // applyPulled applies a router's changes of a tree.
 func (r *Replica) applyPulled(t *tree, pulled pulledTree, startedAt time.Time) {
 	confirmedAt := startedAt.Add(-time.Duration(pulled.AgeMs) * time.Millisecond)
-	var settledAt time.Time
-	if pulled.SettleMs > 0 {
-		settledAt = time.Now().Add(time.Duration(pulled.SettleMs) * time.Millisecond)
-	}
-	if pulled.Complete {
-		entries := make([]port.Entry, 0, len(pulled.Entries))
-		for _, entry := range pulled.Entries {
-			entries = append(entries, port.Entry{Key: entry.Key, Value: entry.Value, Revision: entry.Revision})
-		}
-		r.replace(t, entries, pulled.AsOf, confirmedAt, settledAt)
-		return
-	}
+	settledAt := settleTime(pulled.SettleMs)
 	changes := make([]Change, 0, len(pulled.Entries))
 	for _, entry := range pulled.Entries {
 		change := Change{
@@ -161,15 +158,31 @@
 		}
 		changes = append(changes, change)
 	}
+	if pulled.Complete {
+		if restored := settleTime(pulled.RestoreSettleMs); restored.After(settledAt) {
+			settledAt = restored
+		}
+		r.replace(t, changes, pulled.AsOf, confirmedAt, settledAt)
+		return
+	}
 	r.apply(t, changes, pulled.AsOf, confirmedAt)
 }
 
+// settleTime returns the time until which entries may be written again; zero if there is none.
+func settleTime(remainingMs int64) time.Time {
+	if remainingMs <= 0 {
+		return time.Time{}
+	}
+	return time.Now().Add(time.Duration(remainingMs) * time.Millisecond)
+}
+
 // handlePull answers a pull of another router.
-func (r *Replica) handlePull(ctx context.Context, _ fleet.HostID, decode port.Decode) (any, error) {
+func (r *Replica) handlePull(ctx context.Context, from fleet.HostID, decode port.Decode) (any, error) {
 	var request pullRequest
 	if err := decode(&request); err != nil {
 		return nil, err
 	}
+	r.learnEra(request.Era, from)
 	if request.Newest && r.DesiredAge() > maxConfirmedAge/2 {
 		if _, err := r.readDesired(ctx, confirmTimeout); err != nil {
 			r.log.Debug("failed to read the newest state from the store for a router's pull", "err", err)
@@ -177,7 +190,7 @@
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	response := pullResponse{Desired: r.desired.pulled()}
+	response := pullResponse{Desired: r.desired.pulled(), Era: r.era()}
 	for _, t := range r.trees {
 		response.Trees = append(response.Trees, t.pulled(request.After[t.prefix]))
 	}
@@ -192,22 +205,23 @@
 	return min(time.Since(confirmedAt), maxAge).Milliseconds() + 1
 }
 
-// pulled returns the changes after a revision.
-func (t *tree) pulled(after int64) pulledTree {
-	pulled := pulledTree{Prefix: t.prefix, AsOf: t.asOf, AgeMs: ageMs(t.confirmedAt)}
-	if remaining := time.Until(t.settledAt()); remaining > 0 {
-		pulled.SettleMs = remaining.Milliseconds()
+// pulled returns the changes after a revision, and all states that the copy keeps although a restored
+// store has earlier ones: a router that has read those from the store has a later revision.
+func (t *tree) pulled(after revision.Revision) pulledTree {
+	pulled := pulledTree{
+		Prefix: t.prefix, AsOf: t.asOf, AgeMs: ageMs(t.confirmedAt),
+		SettleMs: max(0, time.Until(t.settledAt()).Milliseconds()), RestoreSettleMs: max(0, time.Until(t.restoreSettledAt()).Milliseconds()),
 	}
-	if after <= t.prunedRevision {
-		pulled.Complete, after = true, 0
+	if after.Era != t.asOf.Era || !after.After(t.prunedRevision) {
+		pulled.Complete, after = true, revision.Revision{}
 	}
 	for key, entry := range t.entries {
-		if entry.Revision > after {
+		if entry.Revision.After(after) || entry.Revision.IsCarried() {
 			pulled.Entries = append(pulled.Entries, pulledEntry{Key: key, Value: entry.Value, Revision: entry.Revision})
 		}
 	}
 	for key, deleted := range t.tombstones {
-		if deleted.revision > after && !pulled.Complete {
+		if deleted.revision.After(after) && !pulled.Complete || deleted.revision.IsCarried() {
 			pulled.Entries = append(pulled.Entries, pulledEntry{Key: key, Revision: deleted.revision, Deleted: true})
 		}
 	}
--- a/node/replica/replica.go
+++ b/node/replica/replica.go
@@ -1,7 +1,8 @@
 // Package replica keeps a copy of the platform's store on each router. Watches of the store update
 // it; in a large fleet only a few routers watch, and the others pull the changes from them. While the
 // store does not answer this router, the replica pulls from any other routers. An entry never reverts
-// to an older revision, whatever the source.
+// to an older revision, whatever the source. When the store comes back from an older copy, entries that
+// it has lost stay in force until they are written again, or should have been.
 //
 // The desired state may be large. It is transferred apart from all other entries, so that none of
 // them waits for it: a pull names only its revision, and a router that is behind fetches the newest
@@ -9,11 +10,13 @@
 package replica
 
 import (
+	"bytes"
 	"context"
 	"sync"
 	"time"
 
 	"agateswitch/core/fleet"
+	"agateswitch/core/revision"
 	"agateswitch/port"
 
 	"github.com/charmbracelet/log"
@@ -68,15 +71,22 @@
 	Desired string
 	// Prefixes are the prefixes of all other entries. No key begins with two of them.
 	Prefixes []string
+	// Reports is the one of Prefixes whose entries only routers write, to report to operators.
+	Reports string
+	// IsOutdated is port.EntryCodec.IsOutdated.
+	IsOutdated func(key string, known, found []byte) bool
 }
 
 // Change is the write or deletion of one entry.
 type Change struct {
 	Entry   port.Entry
 	Deleted bool
-	// Settled is the time by which entries that expired during an outage of the store should be
-	// written again. It is zero for a deletion without an outage.
+	// Settled is the time by which an entry that may have been lost by the store should be written
+	// again: it expired during an outage, or the store was restored from an older copy. Subscribers
+	// receive the deletion then, unless it is. It is zero for any other deletion.
 	Settled time.Time
+	// Replayed is true for a write after the store was restored whose value subscribers have already.
+	Replayed bool
 }
 
 // Peers provides the routers to pull from.
@@ -91,6 +101,7 @@
 // Replica is a router's copy of the store. It is safe for concurrent use.
 type Replica struct {
 	store     port.Store
+	eras      port.Eras
 	transport port.Peers
 	peers     Peers
 	log       *log.Logger
@@ -107,6 +118,8 @@
 	mu      sync.Mutex
 	trees   []*tree
 	desired desiredCopy
+	// postponed holds the deletions that subscribers receive at their Settled time, by key.
+	postponed map[string]Change
 	// watchersSilentSince is when the first of the last pulls from watchers began, all of which have
 	// failed; zero if the last one has succeeded.
 	watchersSilentSince time.Time
@@ -128,10 +141,11 @@
 	r := &Replica{
 		store: store, transport: transport, peers: peers, log: logger, loaded: make(chan struct{}),
 		applying: make(chan struct{}, 1), applyingDesired: make(chan struct{}, 1), confirming: make(chan struct{}, 1),
-		desired: newDesiredCopy(keys.Desired),
+		desired: newDesiredCopy(keys.Desired, keys.IsOutdated), postponed: map[string]Change{},
 	}
+	r.eras, _ = store.(port.Eras)
 	for _, prefix := range keys.Prefixes {
-		r.trees = append(r.trees, newTree(prefix))
+		r.trees = append(r.trees, newTree(prefix, prefix == keys.Reports, keys.IsOutdated))
 	}
 	transport.Handle(methodPull, r.handlePull)
 	transport.Handle(methodFetch, r.handleFetch)
@@ -163,7 +177,7 @@
 // updateLoaded closes loaded once everything has been read. The caller holds mu.
 func (r *Replica) updateLoaded() {
 	for _, t := range r.trees {
-		if t.asOf == 0 {
+		if t.asOf.IsZero() {
 			return
 		}
 	}
@@ -186,17 +200,24 @@
 
 // apply applies changes of a tree that are complete up to a revision, which was confirmed to be the
 // newest at confirmedAt. The copy counts as that new once the subscribers have applied the changes.
-func (r *Replica) apply(t *tree, changes []Change, revision int64, confirmedAt time.Time) {
+// Changes from before the last restore of the store that arrive after it are dropped: the copy that
+// was restored may lack them, and no later change would correct them.
+func (r *Replica) apply(t *tree, changes []Change, at revision.Revision, confirmedAt time.Time) {
 	r.applying <- struct{}{}
 	defer func() { <-r.applying }()
-	if applied := r.record(t, changes); len(applied) > 0 {
-		for _, observe := range r.subscribers {
-			observe(applied)
-		}
+	if r.isBeforeRestore(t, at) {
+		r.log.Info("dropped changes from before the store was restored", "prefix", t.prefix, "revision", at, "changes", len(changes))
+		return
 	}
+	r.deliver(r.postpone(r.record(t, changes)))
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	t.asOf = max(t.asOf, revision)
+	if at.Era > t.asOf.Era && !t.asOf.IsZero() {
+		t.restoredAt = time.Now()
+		r.log.Warn("store was restored from an older copy", "prefix", t.prefix, "era", at.Era, "revision", at,
+			"before", t.asOf, "kept", t.carried(), "postponed_deletions", len(r.postponed))
+	}
+	t.asOf = revision.Latest(t.asOf, at)
 	if confirmedAt.After(t.confirmedAt) {
 		t.confirmedAt = confirmedAt
 	}
@@ -210,16 +231,100 @@
 	defer r.mu.Unlock()
 	var applied []Change
 	for _, change := range changes {
-		if t.record(change, now) {
-			if change.Deleted && now.Before(t.settledAt()) {
-				change.Settled = t.settledAt()
-			}
-			applied = append(applied, change)
+		change.Replayed = r.isReplayed(t, change)
+		if !t.record(change, now) {
+			continue
+		}
+		if change.Deleted && now.Before(t.settledAt()) && t.settledAt().After(change.Settled) {
+			change.Settled = t.settledAt()
 		}
+		applied = append(applied, change)
 	}
 	return applied
 }
 
+// isReplayed reports whether a write has the value that subscribers have from before the store was
+// restored. The caller holds mu.
+func (r *Replica) isReplayed(t *tree, change Change) bool {
+	key := change.Entry.Key
+	if _, isWaiting := r.postponed[key]; isWaiting && !change.Deleted {
+		return bytes.Equal(t.tombstones[key].last, change.Entry.Value)
+	}
+	current, found := t.entries[key]
+	return found && !change.Deleted && mayBeReplay(current.Revision, change.Entry.Revision) && bytes.Equal(current.Value, change.Entry.Value)
+}
+
+// isBeforeRestore reports whether a revision is of an era before that of the copy.
+func (r *Replica) isBeforeRestore(t *tree, at revision.Revision) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return at.Era < t.asOf.Era
+}
+
+// deliver passes changes to the subscribers.
+func (r *Replica) deliver(changes []Change) {
+	if len(changes) == 0 {
+		return
+	}
+	for _, observe := range r.subscribers {
+		observe(changes)
+	}
+}
+
+// postpone returns the changes that subscribers receive now. Deletions of entries that may be written
+// again are delivered later, unless they are.
+func (r *Replica) postpone(changes []Change) []Change {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	due := make([]Change, 0, len(changes))
+	for _, change := range changes {
+		key := change.Entry.Key
+		if remaining := time.Until(change.Settled); change.Deleted && remaining > 0 {
+			r.postponed[key] = change
+			time.AfterFunc(remaining, func() { r.deliverPostponed(change) })
+			continue
+		}
+		delete(r.postponed, key)
+		change.Settled = time.Time{}
+		due = append(due, change)
+	}
+	return due
+}
+
+// deliverPostponed delivers a deletion unless the entry has been written or deleted again since.
+func (r *Replica) deliverPostponed(change Change) {
+	r.applying <- struct{}{}
+	defer func() { <-r.applying }()
+	r.mu.Lock()
+	waiting, found := r.postponed[change.Entry.Key]
+	isDue := found && waiting.Entry.Revision == change.Entry.Revision
+	if isDue {
+		delete(r.postponed, change.Entry.Key)
+	}
+	r.mu.Unlock()
+	if isDue {
+		change.Settled = time.Time{}
+		r.deliver([]Change{change})
+	}
+}
+
+// learnEra records an era of the store that another router has seen.
+func (r *Replica) learnEra(era int64, from fleet.HostID) {
+	if r.eras == nil || era <= r.eras.Era() {
+		return
+	}
+	r.log.Warn("another router has seen that the store was restored", "peer", from, "era", era, "before", r.eras.Era())
+	r.eras.LearnEra(era)
+}
+
+// era returns the highest era of the store that this router knows.
+func (r *Replica) era() int64 {
+	if r.eras == nil {
+		return 0
+	}
+	return r.eras.Era()
+}
+
 // sleep waits for a duration or until ctx ends.
 func sleep(ctx context.Context, duration time.Duration) {
 	timer := time.NewTimer(duration)
--- a/node/replica/replica_test.go
+++ b/node/replica/replica_test.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"agateswitch/core/fleet"
+	"agateswitch/core/revision"
 	"agateswitch/port"
 
 	"github.com/charmbracelet/log"
@@ -68,12 +69,14 @@
 	mu sync.Mutex
 	// firstKey is the key of the first entry that was applied.
 	firstKey string
-	applied  map[string]int64
+	applied  map[string]revision.Revision
+	// values holds the value of each key.
+	values map[string][]byte
 	// settled holds the last value of Change.Settled of each deleted key.
 	settled map[string]time.Time
 }
 
-func (r *testRouter) appliedRevision(key string) int64 {
+func (r *testRouter) appliedRevision(key string) revision.Revision {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	return r.applied[key]
@@ -93,7 +96,7 @@
 }
 
 // observe records a change.
-func (r *testRouter) observe(key string, revision int64) {
+func (r *testRouter) observe(key string, at revision.Revision) {
 	if key == desiredKey && !r.lockIsFree() {
 		r.blocksPulls.Store(true)
 	}
@@ -102,18 +105,29 @@
 	if r.firstKey == "" {
 		r.firstKey = key
 	}
-	r.applied[key] = max(r.applied[key], revision)
+	r.applied[key] = revision.Latest(r.applied[key], at)
+}
+
+// setValue records the value of a key; nil means that it was deleted.
+func (r *testRouter) setValue(key string, value []byte) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.values[key] = value
 }
 
 // startRouter starts the replica of a host.
 func startRouter(ctx context.Context, h *host) *testRouter {
-	router := &testRouter{host: h, applied: map[string]int64{}, settled: map[string]time.Time{}}
+	router := &testRouter{host: h, applied: map[string]revision.Revision{}, values: map[string][]byte{}, settled: map[string]time.Time{}}
 	router.replica = New(storeOf{store: h.fleet.store, host: h}, h, memberOf{fleet: h.fleet, self: h.id},
-		Keys{Desired: desiredKey, Prefixes: []string{upstreamKey}}, log.New(io.Discard))
-	router.replica.SubscribeDesired(func(entry port.Entry) { router.observe(entry.Key, entry.Revision) })
+		Keys{Desired: desiredKey, Prefixes: []string{upstreamKey}, IsOutdated: isOutdated}, log.New(io.Discard))
+	router.replica.SubscribeDesired(func(entry port.Entry) {
+		router.observe(entry.Key, entry.Revision)
+		router.setValue(entry.Key, entry.Value)
+	})
 	router.replica.Subscribe(func(changes []Change) {
 		for _, change := range changes {
 			router.observe(change.Entry.Key, change.Entry.Revision)
+			router.setValue(change.Entry.Key, change.Entry.Value)
 			if change.Deleted {
 				router.mu.Lock()
 				router.settled[change.Entry.Key] = change.Settled
@@ -131,6 +145,8 @@
 	routers []*testRouter
 	// stopUpstreams ends the writes of the upstreams' entries.
 	stopUpstreams context.CancelFunc
+	// start starts a further router.
+	start func() *testRouter
 }
 
 // runFleet runs a test on a fleet of slow hosts that are busy with callers' requests, in virtual
@@ -149,18 +165,15 @@
 			// Calls and transfers in progress end.
 			time.Sleep(10 * time.Second)
 		}()
-		f := &fakeFleet{store: newFakeStore()}
-		for i := range size {
-			f.hosts = append(f.hosts, &host{
-				id: fleet.HostID(fmt.Sprintf("router-%02d", i)), up: newLink(slowLinkBytesPerSecond), down: newLink(slowLinkBytesPerSecond),
-				cores: slowCores, computing: make(chan struct{}, 1), handlers: map[string]port.PeerHandler{}, fleet: f,
-			})
+		f := &fakeFleet{store: newFakeStore(), bytesPerSecond: slowLinkBytesPerSecond, cores: slowCores}
+		for range size {
+			f.add()
 		}
-		f.watchers = []fleet.HostID{f.hosts[0].id, f.hosts[1].id}
+		f.watchers = []fleet.HostID{f.all()[0].id, f.all()[1].id}
 		f.store.put(desiredKey, desired)
 		f.store.put(upstreamKey+"0", []byte("{}"))
-		started := testFleet{store: f.store}
-		for _, h := range f.hosts {
+		started := testFleet{store: f.store, start: func() *testRouter { return startRouter(ctx, f.add()) }}
+		for _, h := range f.all() {
 			started.routers = append(started.routers, startRouter(ctx, h))
 			go h.keepBusy(ctx, 0.6)
 		}
@@ -197,24 +210,24 @@
 
 // writeStorm writes versions of a large desired state in quick succession and returns the last
 // revision.
-func (f testFleet) writeStorm() int64 {
+func (f testFleet) writeStorm() revision.Revision {
 	const versions, gap = 25, 60 * time.Millisecond
-	var revision int64
+	var last revision.Revision
 	for version := range versions {
-		revision = f.store.put(desiredKey, largeState(version+1))
+		last = f.store.put(desiredKey, largeState(version+1))
 		time.Sleep(gap)
 	}
-	return revision
+	return last
 }
 
 // applyTime returns how long it takes until the last router has applied a revision of a key, or a
 // longer time than the limit if that does not happen.
-func (f testFleet) applyTime(key string, revision int64, limit time.Duration) (time.Duration, fleet.HostID) {
+func (f testFleet) applyTime(key string, at revision.Revision, limit time.Duration) (time.Duration, fleet.HostID) {
 	began := time.Now()
 	for {
 		var late fleet.HostID
 		for _, r := range f.routers {
-			if r.appliedRevision(key) < revision {
+			if at.After(r.appliedRevision(key)) {
 				late = r.id
 			}
 		}
--- a/node/replica/tree.go
+++ b/node/replica/tree.go
@@ -1,18 +1,24 @@
 package replica
 
 import (
+	"bytes"
 	"time"
 
+	"agateswitch/core/revision"
 	"agateswitch/port"
 )
 
-// settlePeriod is how long after an outage of the store it may take until expired entries are
-// written again.
-const settlePeriod = 2300 * time.Millisecond
-
-// minLapseOutage is the shortest outage of the store in which entries lapse. An entry lapses when it
-// has not been renewed for three intervals of 1.2 s, and was renewed within one of them before.
-const minLapseOutage = 2400 * time.Millisecond
+const (
+	// settlePeriod is how long after an outage of the store it may take until expired entries are
+	// written again.
+	settlePeriod = 2300 * time.Millisecond
+	// minLapseOutage is the shortest outage of the store in which entries lapse. An entry lapses when
+	// it has not been renewed for three intervals of 1.2 s, and was renewed within one of them before.
+	minLapseOutage = 2400 * time.Millisecond
+	// maxEarlierStates is how many states of a key that have been replaced are remembered, to recognise
+	// them in a store that was restored from an older copy.
+	maxEarlierStates = 4
+)
 
 // contact is the state of one watch of the store.
 type contact struct {
@@ -37,69 +43,180 @@
 // tree is the copy of the entries under one prefix. Replica.mu guards its fields.
 type tree struct {
 	contact
-	prefix     string
+	prefix string
+	// isReport is true for what the routers report to operators. The copy then has what the store has,
+	// so that the routers write again what a restore has lost.
+	isReport bool
+	// isOutdated is port.EntryCodec.IsOutdated.
+	isOutdated func(key string, known, found []byte) bool
 	entries    map[string]port.Entry
 	tombstones map[string]tombstone
+	// earlier holds the states of a key that have been replaced or deleted, oldest first.
+	earlier map[string][]earlierState
 	// prunedRevision is the revision of the newest deletion whose tombstone has been removed.
-	prunedRevision int64
+	prunedRevision revision.Revision
 	// asOf is the revision up to which the copy is complete, and confirmedAt when it was last
-	// confirmed to be the newest one.
-	asOf        int64
+	// confirmed to be the newest one. restoredAt is when the copy changed to the era of asOf.
+	asOf        revision.Revision
 	confirmedAt time.Time
+	restoredAt  time.Time
 }
 
 // tombstone records a deletion.
 type tombstone struct {
-	revision  int64
+	revision  revision.Revision
 	deletedAt time.Time
+	// last is the last value that the key had here.
+	last []byte
 }
 
-func newTree(prefix string) *tree {
-	return &tree{prefix: prefix, entries: map[string]port.Entry{}, tombstones: map[string]tombstone{}}
+// earlierState is a state of a key that has been replaced.
+type earlierState struct {
+	revision   revision.Revision
+	value      []byte
+	replacedAt time.Time
+}
+
+func newTree(prefix string, isReport bool, isOutdated func(key string, known, found []byte) bool) *tree {
+	return &tree{
+		prefix: prefix, isReport: isReport, isOutdated: isOutdated,
+		entries: map[string]port.Entry{}, tombstones: map[string]tombstone{}, earlier: map[string][]earlierState{},
+	}
 }
 
 // settledAt returns the time by which entries that expired during the last outage should be written
 // again.
 func (t *tree) settledAt() time.Time { return t.regainedAt.Add(settlePeriod) }
 
-// record records one change, unless the copy has the entry at this revision or a later one. It
-// reports whether the change is passed to subscribers.
+// restoreSettledAt returns the time by which entries that the store lost when it was last restored
+// should be written again.
+func (t *tree) restoreSettledAt() time.Time { return t.restoredAt.Add(settlePeriod) }
+
+// record records one change, unless the copy has the entry at this revision or a later one, or the
+// change is an earlier state that a restored store has again. It reports whether the change is passed
+// to subscribers.
 func (t *tree) record(change Change, now time.Time) bool {
-	key, revision := change.Entry.Key, change.Entry.Revision
+	key, at := change.Entry.Key, change.Entry.Revision
 	current, found := t.entries[key]
-	if found && current.Revision >= revision && !(change.Deleted && current.Revision == revision) {
+	deleted, isDeleted := t.tombstones[key]
+	switch {
+	case found && !at.After(current.Revision) && !(change.Deleted && current.Revision == at):
 		return false
-	}
-	if deleted, isDeleted := t.tombstones[key]; isDeleted && deleted.revision >= revision {
+	case isDeleted && !at.After(deleted.revision):
+		return false
+	case change.Deleted:
+		t.delete(key, at, now)
+		return found
+	case t.carries(current, found, deleted, isDeleted, change.Entry):
 		return false
 	}
-	if !change.Deleted {
-		t.entries[key] = change.Entry
-		delete(t.tombstones, key)
+	t.remember(current, now)
+	t.entries[key] = change.Entry
+	delete(t.tombstones, key)
+	return true
+}
+
+// carries reports whether an entry is an earlier state of what the copy has for its key. The copy then
+// keeps what it has, at the entry's place.
+func (t *tree) carries(current port.Entry, found bool, deleted tombstone, isDeleted bool, entry port.Entry) bool {
+	switch {
+	case found && t.isReplay(current.Revision, current.Value, entry):
+		current.Revision = entry.Revision.Carry(current.Revision)
+		t.entries[entry.Key] = current
+		return true
+	case isDeleted && t.isReplay(deleted.revision, deleted.last, entry):
+		deleted.revision = entry.Revision.Carry(deleted.revision)
+		t.tombstones[entry.Key] = deleted
 		return true
 	}
+	return false
+}
+
+// isReplay reports whether an entry is an earlier state than the one that the copy has, or last had, at
+// a place: because the store was restored in between, or the copy has kept its state over that.
+func (t *tree) isReplay(held revision.Revision, value []byte, entry port.Entry) bool {
+	switch {
+	case t.isReport || !mayBeReplay(held, entry.Revision):
+		return false
+	case entry.Revision.IsCarried():
+		return held.Number > entry.Revision.Carried
+	}
+	return t.isOutdated(entry.Key, value, entry.Value) || t.isEarlier(entry)
+}
+
+// mayBeReplay reports whether an entry at a later place may be an earlier state than one that is held.
+func mayBeReplay(held, found revision.Revision) bool {
+	return held.Era < found.Era || held.IsCarried() && !found.IsCarried()
+}
+
+// isEarlier reports whether an entry is a state that was replaced before the store was restored.
+func (t *tree) isEarlier(entry port.Entry) bool {
+	for _, state := range t.earlier[entry.Key] {
+		if state.revision.Number == entry.Revision.Number && state.revision.Era < entry.Revision.Era && bytes.Equal(state.value, entry.Value) {
+			return true
+		}
+	}
+	return false
+}
+
+// remember keeps a state that is replaced or deleted.
+func (t *tree) remember(replaced port.Entry, now time.Time) {
+	if t.isReport || replaced.Revision.IsAbsent() {
+		return
+	}
+	states := append(t.earlier[replaced.Key], earlierState{revision: replaced.Revision, value: replaced.Value, replacedAt: now})
+	t.earlier[replaced.Key] = states[max(0, len(states)-maxEarlierStates):]
+}
+
+// delete replaces an entry by a tombstone, and removes what has been kept for long enough.
+func (t *tree) delete(key string, at revision.Revision, now time.Time) {
+	last := t.tombstones[key].last
+	if current, found := t.entries[key]; found {
+		last = current.Value
+		t.remember(current, now)
+	}
 	delete(t.entries, key)
-	t.tombstones[key] = tombstone{revision: revision, deletedAt: now}
+	t.tombstones[key] = tombstone{revision: at, deletedAt: now, last: last}
 	for other, old := range t.tombstones {
 		if now.Sub(old.deletedAt) > tombstoneTTL {
-			t.prunedRevision = max(t.prunedRevision, old.revision)
+			t.prunedRevision = revision.Latest(t.prunedRevision, old.revision)
 			delete(t.tombstones, other)
 		}
 	}
-	return found
+	for other, states := range t.earlier {
+		if now.Sub(states[len(states)-1].replacedAt) > tombstoneTTL {
+			delete(t.earlier, other)
+		}
+	}
 }
 
 // missing returns the deletions of the entries that a complete list of a revision does not have.
-func (t *tree) missing(listed []port.Entry, revision int64, settledAt time.Time) []Change {
+func (t *tree) missing(listed []Change, listedAt revision.Revision, settledAt time.Time) []Change {
 	present := make(map[string]bool, len(listed))
-	for _, entry := range listed {
-		present[entry.Key] = true
+	for _, change := range listed {
+		present[change.Entry.Key] = !change.Deleted
 	}
 	var deletions []Change
 	for key, entry := range t.entries {
-		if !present[key] && entry.Revision <= revision {
-			deletions = append(deletions, Change{Entry: port.Entry{Key: key, Revision: revision}, Deleted: true, Settled: settledAt})
+		if !present[key] && !entry.Revision.After(listedAt) {
+			deletions = append(deletions, Change{Entry: port.Entry{Key: key, Revision: listedAt}, Deleted: true, Settled: settledAt})
 		}
 	}
 	return deletions
 }
+
+// carried returns how many entries and deletions the copy keeps although the store has an earlier state.
+func (t *tree) carried() int {
+	count := 0
+	for _, entry := range t.entries {
+		if entry.Revision.IsCarried() {
+			count++
+		}
+	}
+	for _, deleted := range t.tombstones {
+		if deleted.revision.IsCarried() {
+			count++
+		}
+	}
+	return count
+}
--- a/node/replica/watch.go
+++ b/node/replica/watch.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"agateswitch/core/fleet"
+	"agateswitch/core/revision"
 	"agateswitch/port"
 
 	"github.com/juju/errors"
@@ -64,26 +65,26 @@
 // load reads all entries at once, the desired state included.
 func (r *Replica) load(ctx context.Context) error {
 	startedAt := time.Now()
-	entries, revision, err := r.store.List(ctx, "")
+	entries, listedAt, err := r.store.List(ctx, "")
 	if err != nil {
 		return err
 	}
 	r.markReachable("", r.contacts()...)
 	desired := port.Entry{Key: r.desired.key}
-	byTree := map[*tree][]port.Entry{}
+	byTree := map[*tree][]Change{}
 	for _, entry := range entries {
 		if entry.Key == r.desired.key {
 			desired = entry
 		} else if t := r.treeOf(entry.Key); t != nil {
-			byTree[t] = append(byTree[t], entry)
+			byTree[t] = append(byTree[t], Change{Entry: entry})
 		}
 	}
 	// Callers are served from the first desired state on, which is why it comes last.
 	for _, t := range r.trees {
-		r.replace(t, byTree[t], revision, startedAt, time.Time{})
+		r.replace(t, byTree[t], listedAt, startedAt, time.Time{})
 	}
 	r.applyDesired(desired, startedAt)
-	r.confirmDesired(desired.Revision, startedAt, revision)
+	r.confirmDesired(desired.Revision, startedAt, listedAt)
 	return nil
 }
 
@@ -191,12 +192,12 @@
 	var desired port.Entry
 	for event := range r.store.Watch(ctx, "", after) {
 		switch {
-		case errors.Is(event.Err, port.ErrCompacted):
-			r.log.Warn("store has compacted the history after the last revision; reading all entries", "after", after)
+		case historyIsGone(event.Err):
+			r.log.Warn("store does not have the history after the last revision; reading all entries", "after", after, "err", event.Err)
 			return r.load(ctx)
 		case event.Err != nil:
 			return event.Err
-		case event.Progress > 0:
+		case !event.Progress.IsZero():
 			r.markReachable("", r.contacts()...)
 			confirmedAt := time.Now()
 			isLarge := len(desired.Value) > largeStateBytes
@@ -207,7 +208,7 @@
 			for _, t := range r.trees {
 				r.apply(t, batches[t], event.Progress, confirmedAt)
 			}
-			if desired.Revision > 0 {
+			if !desired.Revision.IsAbsent() {
 				r.applyDesired(desired, confirmedAt)
 			}
 			if isLarge {
@@ -232,14 +233,22 @@
 }
 
 // commonRevision returns a revision up to which all copies are complete.
-func (r *Replica) commonRevision() int64 {
+func (r *Replica) commonRevision() revision.Revision {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	revision := max(r.desired.asOf, r.desired.held.Revision)
+	common := revision.Latest(r.desired.asOf, r.desired.held.Revision.Stored())
 	for _, t := range r.trees {
-		revision = min(revision, t.asOf)
+		if common.After(t.asOf) {
+			common = t.asOf
+		}
 	}
-	return revision
+	return common
+}
+
+// historyIsGone reports whether a watch has failed because the store does not have the changes after its
+// revision. All entries have to be read then.
+func historyIsGone(err error) bool {
+	return errors.Is(err, port.ErrCompacted) || errors.Is(err, port.ErrRestored)
 }
 
 // watchTree watches a tree until the watch fails.
@@ -252,12 +261,12 @@
 	var batch []Change
 	for event := range r.store.Watch(ctx, t.prefix, after) {
 		switch {
-		case errors.Is(event.Err, port.ErrCompacted):
-			r.log.Warn("store has compacted the history after the last revision; reading all entries", "prefix", t.prefix, "after", after)
+		case historyIsGone(event.Err):
+			r.log.Warn("store does not have the history after the last revision; reading all entries", "prefix", t.prefix, "after", after, "err", event.Err)
 			return r.list(ctx, t)
 		case event.Err != nil:
 			return event.Err
-		case event.Progress > 0:
+		case !event.Progress.IsZero():
 			r.markReachable(t.prefix, &t.contact)
 			r.apply(t, batch, event.Progress, time.Now())
 			batch = nil
@@ -271,25 +280,30 @@
 // list reads all entries of a tree, and deletes those that the store no longer has.
 func (r *Replica) list(ctx context.Context, t *tree) error {
 	startedAt := time.Now()
-	entries, revision, err := r.store.List(ctx, t.prefix)
+	entries, listedAt, err := r.store.List(ctx, t.prefix)
 	if err != nil {
 		return err
 	}
 	r.markReachable(t.prefix, &t.contact)
-	r.replace(t, entries, revision, startedAt, time.Time{})
+	listed := make([]Change, 0, len(entries))
+	for _, entry := range entries {
+		listed = append(listed, Change{Entry: entry})
+	}
+	r.replace(t, listed, listedAt, startedAt, time.Time{})
 	return nil
 }
 
-// replace applies the complete tree at a revision. Entries that are missing in it may be written
-// again until settledAt, if that is not zero.
-func (r *Replica) replace(t *tree, entries []port.Entry, revision int64, confirmedAt, settledAt time.Time) {
+// replace applies the complete tree at a revision. Entries that are missing in it may be written again
+// until settledAt, if that is not zero; if the store was restored since the last copy, for settlePeriod
+// at least.
+func (r *Replica) replace(t *tree, listed []Change, listedAt revision.Revision, confirmedAt, settledAt time.Time) {
 	r.mu.Lock()
-	changes := t.missing(entries, revision, settledAt)
-	r.mu.Unlock()
-	for _, entry := range entries {
-		changes = append(changes, Change{Entry: entry})
+	if wasRestored := !t.asOf.IsZero() && listedAt.Era > t.asOf.Era; wasRestored && settledAt.IsZero() && !t.isReport {
+		settledAt = time.Now().Add(settlePeriod)
 	}
-	r.apply(t, changes, revision, confirmedAt)
+	changes := append(t.missing(listed, listedAt, settledAt), listed...)
+	r.mu.Unlock()
+	r.apply(t, changes, listedAt, confirmedAt)
 }
 
 // markReachable records that the store answers the watch of a prefix.
--- a/node/versionmove/report.go
+++ b/node/versionmove/report.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"agateswitch/core/revision"
 	"agateswitch/core/rollout"
 	"agateswitch/port"
 )
@@ -13,7 +14,7 @@
 	move     *move
 	order    port.MoveOrder
 	state    port.MoveState
-	revision int64
+	revision revision.Revision
 }
 
 // dueStatusWrites returns the statuses that this router has to write now.
@@ -23,7 +24,9 @@
 	var due []statusWrite
 	for pool, m := range s.moves {
 		dueAt := m.endDueAt.Add(time.Duration(s.fleet.Rank(string(m.id))) * reportTakeoverDelay)
-		running := m.state == rollout.StatusRunning && m.endDueAt.IsZero() && s.statuses[pool].revision < m.revision
+		reported := s.statuses[pool]
+		isReported := reported.Target == m.order.Target && !m.revision.After(reported.revision)
+		running := m.state == rollout.StatusRunning && m.endDueAt.IsZero() && !isReported
 		switch {
 		case m.reported:
 		case running && s.fleet.Rank(string(m.id)) == 0:
@@ -61,7 +64,7 @@
 	s.log.Info("status of a move written", "move", write.move.id, "state", write.state, "reason", write.move.reason)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.applyStatus(port.Entry{Revision: result.Revision}, port.MoveStatus{Pool: write.order.Pool, Target: write.order.Target, State: write.state})
+	s.applyStatus(port.Entry{Key: key, Revision: result.Revision}, port.MoveStatus{Pool: write.order.Pool, Target: write.order.Target, State: write.state})
 }
 
 // isRolledBack reports whether a move is rolled back on this router.
--- a/node/versionmove/versionmove.go
+++ b/node/versionmove/versionmove.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"agateswitch/core/fleet"
+	"agateswitch/core/revision"
 	"agateswitch/core/rollout"
 	"agateswitch/node/replica"
 	"agateswitch/port"
@@ -64,14 +65,15 @@
 // status is the status entry of a pool in the store.
 type status struct {
 	port.MoveStatus
-	revision int64
+	key      string
+	revision revision.Revision
 }
 
 // move is the execution of one order. Service.mu guards it.
 type move struct {
 	id       rollout.MoveID
 	order    port.MoveOrder
-	revision int64
+	revision revision.Revision
 	// from is the old version. It is empty until the first request shows it.
 	from  fleet.Version
 	began time.Time
@@ -117,10 +119,13 @@
 		if change.Deleted {
 			delete(s.moves, s.orders[change.Entry.Key])
 			delete(s.orders, change.Entry.Key)
+			s.applyLostStatus(change.Entry.Key)
 			continue
 		}
 		decoded := s.codec.Decode(change.Entry.Key, change.Entry.Value)
 		switch {
+		case decoded.Move != nil && change.Replayed:
+			s.adoptOrder(change.Entry, *decoded.Move)
 		case decoded.Move != nil:
 			s.applyOrder(change.Entry, *decoded.Move)
 		case decoded.MoveStatus != nil:
@@ -133,7 +138,7 @@
 func (s *Service) applyOrder(entry port.Entry, order port.MoveOrder) {
 	now := time.Now()
 	m := &move{
-		id: rollout.MoveID(fmt.Sprintf("%s@%d", order.Pool, entry.Revision)), order: order, revision: entry.Revision,
+		id: moveID(order, entry.Revision), order: order, revision: entry.Revision,
 		began: now, state: rollout.StatusRunning,
 	}
 	m.detector = rollout.NewDetector(rollout.Move{ID: m.id, Begun: now, Deadline: now.Add(order.Duration)})
@@ -144,26 +149,70 @@
 	}
 }
 
+// moveID returns the id of the move that an order at a revision has started.
+func moveID(order port.MoveOrder, at revision.Revision) rollout.MoveID {
+	return rollout.MoveID(fmt.Sprintf("%s@%s", order.Pool, at))
+}
+
+// adoptOrder applies an order that was written again after the store was restored: the move goes on.
+// Callers hold mu.
+func (s *Service) adoptOrder(entry port.Entry, order port.MoveOrder) {
+	m, found := s.moves[order.Pool]
+	if !found || m.order != order {
+		s.applyOrder(entry, order)
+		return
+	}
+	s.log.Info("order of a running move was written again", "move", m.id, "revision", entry.Revision, "state", m.state)
+	m.id, m.revision = moveID(order, entry.Revision), entry.Revision
+}
+
+// applyLostStatus applies the deletion of a status entry. Only a store that was restored from an older
+// copy loses one; the end of a move is then reported again. Callers hold mu.
+func (s *Service) applyLostStatus(key string) {
+	for pool, lost := range s.statuses {
+		if lost.key != key {
+			continue
+		}
+		delete(s.statuses, pool)
+		s.log.Warn("status of a move was lost by the store", "key", key, "revision", lost.revision, "state", lost.State)
+		if m, found := s.moves[pool]; found {
+			m.reportAgain()
+		}
+	}
+}
+
 // applyStatus records the status entry of a pool. Callers hold mu.
 func (s *Service) applyStatus(entry port.Entry, reported port.MoveStatus) {
-	current := status{MoveStatus: reported, revision: entry.Revision}
+	current := status{MoveStatus: reported, key: entry.Key, revision: entry.Revision}
 	s.statuses[reported.Pool] = current
 	if m, found := s.moves[reported.Pool]; found {
 		m.applyStatus(current)
 	}
 }
 
-// applyStatus applies the end that some router reported. An older status belongs to an earlier
-// order.
+// applyStatus applies the end that some router reported. An older status belongs to an earlier order. A
+// restored store may have a status from before the end.
 func (m *move) applyStatus(current status) {
-	if current.revision < m.revision || current.Target != m.order.Target {
-		return
+	end, isEnd := endStates[current.State]
+	isOfMove := current.Target == m.order.Target && current.revision.Era == m.revision.Era && !m.revision.After(current.revision)
+	switch {
+	case isEnd && isOfMove:
+		m.state, m.reported = end, true
+	case isEnd && end == m.state && current.Target == m.order.Target:
+	default:
+		m.reportAgain()
 	}
-	switch current.State {
-	case port.MoveSucceeded:
-		m.state, m.reported = rollout.StatusDone, true
-	case port.MoveRolledBack:
-		m.state, m.reported = rollout.StatusRolledBack, true
+}
+
+// endStates are the states of moves that have ended.
+var endStates = map[port.MoveState]rollout.Status{
+	port.MoveSucceeded: rollout.StatusDone, port.MoveRolledBack: rollout.StatusRolledBack,
+}
+
+// reportAgain makes the routers report the end of a move whose report the store has lost.
+func (m *move) reportAgain() {
+	if m.reported {
+		m.reported, m.endDueAt = false, time.Now()
 	}
 }
 
--- a/port/edge.go
+++ b/port/edge.go
@@ -134,10 +134,16 @@
 type EntryCodec interface {
 	// Decode decodes an entry of the store.
 	Decode(key string, value []byte) DecodedEntry
+	// IsOutdated reports whether found, the value of a key in a store that was restored from an older
+	// copy, is an earlier state of the key than known, which a router had before. It is false for
+	// values that do not tell.
+	IsOutdated(key string, known, found []byte) bool
 	// DesiredKey returns the key of the desired state.
 	DesiredKey() string
 	// Prefixes returns the prefixes of the keys of all other entries that Decode knows.
 	Prefixes() []string
+	// ReportPrefix returns the prefix of the keys that the routers themselves write with MoveStatus.
+	ReportPrefix() string
 	// MoveStatus returns the entry that reports the state of a move to operators.
 	MoveStatus(order MoveOrder, state MoveState) (key string, value []byte, err error)
 }
--- a/port/store.go
+++ b/port/store.go
@@ -6,6 +6,8 @@
 	"context"
 	"time"
 
+	"agateswitch/core/revision"
+
 	"github.com/juju/errors"
 )
 
@@ -20,18 +22,24 @@
 // ErrCompacted is returned when the changes after a watch's revision have been compacted.
 const ErrCompacted = errors.ConstError("key-value service no longer keeps these changes")
 
+// ErrRestored is returned when the store has been restored from an older copy since the revision of a
+// watch. Its history does not contain that revision.
+const ErrRestored = errors.ConstError("key-value service was restored from an older copy")
+
 // Entry is one key of the platform's key-value service, with its value.
 type Entry struct {
 	Key   string
 	Value []byte
-	// Revision is the store's revision at the last change of the key; 0 means that it is absent.
-	Revision int64
+	// Revision is the store's revision at the last change of the key. Its number is 0 if the key is
+	// absent.
+	Revision revision.Revision
 }
 
-// Condition holds when the key has the given revision; 0 means that the key is absent.
+// Condition holds when the key has the given revision; the number 0 means that the key is absent. A
+// condition on a revision of an earlier era does not hold.
 type Condition struct {
 	Key      string
-	Revision int64
+	Revision revision.Revision
 }
 
 // Write puts or deletes one key, or deletes a range of keys.
@@ -41,7 +49,7 @@
 	Delete bool
 	// DeleteTo makes Delete remove every key from Key up to but not including DeleteTo.
 	DeleteTo string
-	// Lease attaches the key to a lease, with which it expires; 0 means none.
+	// Lease attaches the key to a lease, with which it expires. The zero value means none.
 	Lease LeaseID
 }
 
@@ -59,40 +67,58 @@
 	// Applied is false when a condition did not hold.
 	Applied bool
 	// Revision is the store's revision after the transaction.
-	Revision int64
+	Revision revision.Revision
 	// Found holds one entry for each condition, in the order of the conditions, when the
 	// transaction has ReadConflicts set and a condition did not hold.
 	Found []Entry
 }
 
-// LeaseID identifies a lease of the key-value service.
-type LeaseID int64
+// LeaseID identifies a lease of the key-value service. A store that was restored from an older copy has
+// lost the newest leases, and gives their numbers to others.
+type LeaseID struct {
+	// Era is the era of the store in which the lease was granted.
+	Era    int64
+	Number int64
+}
+
+// IsNone reports whether the id stands for no lease.
+func (l LeaseID) IsNone() bool { return l.Number == 0 }
 
 // WatchEvent is a change of one key, or the end of the watch when Err is set.
 type WatchEvent struct {
 	Entry   Entry
 	Deleted bool
-	// Progress, when above zero, means that all changes up to this revision have been delivered.
+	// Progress, unless it is zero, means that all changes up to this revision have been delivered.
 	// Such an event has no entry. Not every store sends it.
-	Progress int64
+	Progress revision.Revision
 	Err      error
 }
 
+// Eras is implemented by stores that may be restored from an older copy.
+type Eras interface {
+	// Era returns the highest era that any response of the store has shown, or that LearnEra was told.
+	Era() int64
+	// LearnEra records an era that another router has seen. Responses of earlier eras that arrive
+	// later fail, and watches of earlier eras end with ErrRestored.
+	LearnEra(era int64)
+}
+
 // Store is the platform's key-value service. Each call counts against the service's rate limits;
 // a watch counts as one call. Values have at most MaxValueBytes.
 type Store interface {
 	// Get reads one key. For an absent key it returns an Entry with revision 0.
 	Get(ctx context.Context, key string) (Entry, error)
 	// List reads all keys under a prefix, in key order, and the store's revision.
-	List(ctx context.Context, prefix string) ([]Entry, int64, error)
+	List(ctx context.Context, prefix string) ([]Entry, revision.Revision, error)
 	// Commit executes a transaction. After ErrUnavailable it may have taken effect.
 	Commit(ctx context.Context, transaction Transaction) (CommitResult, error)
 	// Watch streams the changes under a prefix after a revision until ctx is done. The last
 	// event has Err set, and then the channel is closed.
-	Watch(ctx context.Context, prefix string, after int64) <-chan WatchEvent
+	Watch(ctx context.Context, prefix string, after revision.Revision) <-chan WatchEvent
 	// GrantLease creates a lease that expires after ttl without KeepAlive.
 	GrantLease(ctx context.Context, ttl time.Duration) (LeaseID, error)
-	// KeepAlive renews a lease and returns its new remaining time. Zero means that it has expired.
+	// KeepAlive renews a lease and returns its new remaining time. Zero means that it has expired, or
+	// that the store was restored since it was granted.
 	KeepAlive(ctx context.Context, lease LeaseID) (time.Duration, error)
 	// RevokeLease revokes a lease and removes its keys.
 	RevokeLease(ctx context.Context, lease LeaseID) error
--- a/standin/store/direct.go
+++ b/standin/store/direct.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"agateswitch/adapter/kv"
+	"agateswitch/core/revision"
 	"agateswitch/port"
 
 	"github.com/juju/errors"
@@ -127,20 +128,20 @@
 }
 
 func entry(value kv.KeyValue) port.Entry {
-	return port.Entry{Key: string(value.Key), Value: value.Value, Revision: value.ModRevision}
+	return port.Entry{Key: string(value.Key), Value: value.Value, Revision: revision.Revision{Number: value.ModRevision}}
 }
 
 // List implements port.Store.
-func (d *Direct) List(ctx context.Context, prefix string) ([]port.Entry, int64, error) {
+func (d *Direct) List(ctx context.Context, prefix string) ([]port.Entry, revision.Revision, error) {
 	if err := d.begin(ctx, countRead); err != nil {
-		return nil, 0, err
+		return nil, revision.Revision{}, err
 	}
 	found := d.state.read(kv.RangeRequest{Key: []byte(prefix), RangeEnd: kv.PrefixEnd(prefix)})
 	var entries []port.Entry
 	for _, value := range found.KVs {
 		entries = append(entries, entry(value))
 	}
-	return entries, found.Header.Revision, nil
+	return entries, revision.Revision{Number: found.Header.Revision}, nil
 }
 
 // Commit implements port.Store. A transaction without writes counts as a read.
@@ -189,7 +190,7 @@
 }
 
 // Watch implements port.Store. The watch fails at once, since no user of Direct watches.
-func (d *Direct) Watch(context.Context, string, int64) <-chan port.WatchEvent {
+func (d *Direct) Watch(context.Context, string, revision.Revision) <-chan port.WatchEvent {
 	events := make(chan port.WatchEvent, 1)
 	events <- port.WatchEvent{Err: errLost}
 	close(events)
@@ -199,9 +200,9 @@
 // GrantLease implements port.Store.
 func (d *Direct) GrantLease(ctx context.Context, ttl time.Duration) (port.LeaseID, error) {
 	if err := d.begin(ctx, countWrite); err != nil {
-		return 0, err
+		return port.LeaseID{}, err
 	}
-	return port.LeaseID(d.state.grantLease(ttl)), nil
+	return port.LeaseID{Number: d.state.grantLease(ttl)}, nil
 }
 
 // KeepAlive implements port.Store.
@@ -209,7 +210,7 @@
 	if err := d.begin(ctx, countWrite); err != nil {
 		return 0, err
 	}
-	ttl := d.state.keepAlive(int64(lease))
+	ttl := d.state.keepAlive(lease.Number)
 	d.mu.Lock()
 	delay := d.keepAliveDelay
 	d.mu.Unlock()
@@ -226,6 +227,6 @@
 	if err := d.begin(ctx, countWrite); err != nil {
 		return err
 	}
-	d.state.revokeLease(int64(lease))
+	d.state.revokeLease(lease.Number)
 	return nil
 }
