Send the whole tree to routers that are behind a router's first list

Cause: a router that has just started has read a list, without tombstones for what was removed before. It answered a pull from an earlier revision with the changes since and with its own revision: the other router's copy then counted as complete beyond a removal that it never saw. An engine that had left stayed in use there. Change: a pull from before the revision at which the copy was read as a whole is answered with the whole tree. Before: TestRemovalIsNotMissedByAPullFromARouterThatHasJustStarted fails, and the model in one of some 2,000 cases. After: the test and 5,000 cases of the model pass.

--- a/node/replica/tree.go
+++ b/node/replica/tree.go
@@ -53,7 +53,8 @@
 	tombstones map[string]tombstone
 	// earlier holds the states of a key that have been replaced or deleted, oldest first.
 	earlier map[string][]earlierState
-	// prunedRevision is the revision of the newest deletion whose tombstone has been removed.
+	// prunedRevision is a revision after which the copy has the tombstones of all deletions. Earlier ones
+	// have been removed, or were made before the copy was read as a whole.
 	prunedRevision revision.Revision
 	// asOf is the revision up to which the copy is complete, and confirmedAt when it was last
 	// confirmed to be the newest one. restoredAt is when the copy changed to the era of asOf.
--- a/node/replica/watch.go
+++ b/node/replica/watch.go
@@ -302,6 +302,7 @@
 		settledAt = time.Now().Add(settlePeriod)
 	}
 	changes := append(t.missing(listed, listedAt, settledAt), listed...)
+	t.prunedRevision = revision.Latest(t.prunedRevision, listedAt)
 	r.mu.Unlock()
 	r.apply(t, changes, listedAt, confirmedAt)
 }
