--- a/node/replica/replica.go
+++ b/node/replica/replica.go
@@ -238,6 +238,10 @@
 		if change.Deleted && now.Before(t.settledAt()) && t.settledAt().After(change.Settled) {
 			change.Settled = t.settledAt()
 		}
+		if t.isReport {
+			// Nobody but the routers writes it again, once they know that it is missing.
+			change.Settled = time.Time{}
+		}
 		applied = append(applied, change)
 	}
 	return applied
