Let the neighbours of a router in a large fleet remove it when it does not answer

Change: above 16 routers the lease has 10 s and is renewed every 3 s. Six neighbours in a ring by hash, so in all data centres, exchange heartbeats with a router; one that finds it silent for 1.8 s asks once more with 1 s and then removes its entry, on the condition of its revision. One that hears from nobody removes nothing; an entry that is gone is written again; the lease is left for what the neighbours miss.

--- a/node/presence/heartbeats.go
+++ b/node/presence/heartbeats.go
@@ -1,11 +1,13 @@
 package presence
 
 import (
+	"cmp"
 	"context"
 	"slices"
 	"time"
 
 	"agateswitch/core/fleet"
+	"agateswitch/core/rendezvous"
 	"agateswitch/port"
 )
 
@@ -31,8 +33,9 @@
 func (p *Presence) sendHeartbeats(ctx context.Context) {
 	heartbeat := p.heartbeat()
 	for _, id := range p.heartbeatTargets(heartbeat.Leaving) {
-		go p.exchangeHeartbeat(ctx, id, heartbeat)
+		go p.exchangeHeartbeat(ctx, id, heartbeat, heartbeatTimeout)
 	}
+	p.checkNeighbours(ctx)
 }
 
 // heartbeatTargets returns the routers to send heartbeats to, and removes heartbeats older than a
@@ -47,7 +50,7 @@
 		}
 	}
 	for id, last := range p.heartbeats {
-		if _, listed := p.listed[id]; !listed && id > p.self.ID && time.Since(last.receivedAt) < leaseTTL {
+		if _, listed := p.listed[id]; !listed && id > p.self.ID && time.Since(last.receivedAt) < heardTimeout {
 			targets = append(targets, id)
 		}
 		if time.Since(last.receivedAt) > time.Minute {
@@ -60,10 +63,14 @@
 	return ringSuccessors(targets, p.self.ID, heartbeatNeighbours)
 }
 
-// ringSuccessors returns the ids that follow self in the ring of sorted ids.
+// ringSuccessors returns the ids that follow self in a ring of all ids. The ring is in the order of a
+// hash, so that the neighbours of a router are in all data centres.
 func ringSuccessors(ids []fleet.HostID, self fleet.HostID, count int) []fleet.HostID {
-	slices.Sort(ids)
-	first, _ := slices.BinarySearch(ids, self)
+	place := func(id fleet.HostID) uint64 { return rendezvous.Hash(string(id)) }
+	slices.SortFunc(ids, func(a, b fleet.HostID) int { return cmp.Or(cmp.Compare(place(a), place(b)), cmp.Compare(a, b)) })
+	first, _ := slices.BinarySearchFunc(ids, self, func(a, b fleet.HostID) int {
+		return cmp.Or(cmp.Compare(place(a), place(b)), cmp.Compare(a, b))
+	})
 	next := make([]fleet.HostID, 0, count)
 	for i := range min(count, len(ids)) {
 		next = append(next, ids[(first+i)%len(ids)])
@@ -72,8 +79,8 @@
 }
 
 // exchangeHeartbeat sends a heartbeat to a router and records the one that it returns.
-func (p *Presence) exchangeHeartbeat(ctx context.Context, id fleet.HostID, heartbeat Heartbeat) {
-	ctx, cancel := context.WithTimeout(ctx, heartbeatTimeout)
+func (p *Presence) exchangeHeartbeat(ctx context.Context, id fleet.HostID, heartbeat Heartbeat, timeout time.Duration) {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	var answer Heartbeat
 	if err := p.transport.Call(ctx, id, methodHeartbeat, heartbeat, &answer); err != nil {
--- a/node/presence/lease.go
+++ b/node/presence/lease.go
@@ -3,38 +3,127 @@
 import (
 	"context"
 	"encoding/json"
+	"time"
 
 	"agateswitch/port"
+
+	"github.com/juju/errors"
+)
+
+// Times of leases.
+const (
+	// smallFleetTTL is how long the entry of a router that has failed remains in the store in a fleet of
+	// up to maxDirectFleetSize, and smallFleetRenewal the time between two renewals.
+	smallFleetTTL     = 2500 * time.Millisecond
+	smallFleetRenewal = leaseCheckInterval
+	// largeFleetTTL and largeFleetRenewal are the same in a larger fleet, where a router that has
+	// failed is removed by its neighbours. The calls to the store would grow with the fleet.
+	largeFleetTTL     = 10 * time.Second
+	largeFleetRenewal = 3 * time.Second
+	// sizeKnownAfter is the time after the start when the size of the fleet is known. A router
+	// registers with the TTL of a large one before.
+	sizeKnownAfter = 5 * time.Second
+	// smallAgainSize is the size up to which a fleet that was large counts as small.
+	smallAgainSize = maxDirectFleetSize * 3 / 4
 )
 
-// renewRegistration renews the lease of the router's entry, or registers the router if it has no
-// lease. It removes the entry once the router leaves.
+// registration is the state of the router's entry in the store.
+type registration struct {
+	lease     port.LeaseID
+	ttl       time.Duration
+	renewedAt time.Time
+	startedAt time.Time
+	// isLarge is the last result of wantedTTL.
+	isLarge bool
+}
+
+// wantedTTL returns the TTL of the lease for the size of the fleet.
+func (p *Presence) wantedTTL() time.Duration {
+	r := &p.registration
+	if r.startedAt.IsZero() {
+		r.startedAt, r.isLarge = time.Now(), true
+	}
+	if time.Since(r.startedAt) >= sizeKnownAfter {
+		p.mu.Lock()
+		size := len(p.listed)
+		p.mu.Unlock()
+		r.isLarge = size > maxDirectFleetSize || r.isLarge && size > smallAgainSize
+	}
+	if r.isLarge {
+		return largeFleetTTL
+	}
+	return smallFleetTTL
+}
+
+// renewInterval returns the time between two renewals of a lease. Two of them may fail.
+func renewInterval(ttl time.Duration) time.Duration {
+	if ttl == largeFleetTTL {
+		return largeFleetRenewal
+	}
+	return smallFleetRenewal
+}
+
+// renewRegistration renews the lease of the router's entry when that is due, or registers the router if
+// it has no lease or no entry. It removes the entry once the router leaves.
 func (p *Presence) renewRegistration(ctx context.Context) {
+	r := &p.registration
 	if p.leaving.Load() {
 		p.withdraw(ctx)
 		return
 	}
-	if !p.lease.IsNone() {
-		remaining, err := p.store.KeepAlive(ctx, p.lease)
-		if err != nil {
-			p.log.Warn("failed to renew the router lease", "lease", p.lease, "err", err)
-			return
-		}
-		if remaining > 0 {
+	if ttl := p.wantedTTL(); r.lease.IsNone() || r.ttl != ttl {
+		p.register(ctx, ttl)
+		return
+	}
+	if p.isEntryLost() {
+		p.log.Info("router entry is gone; writing it again", "lease", r.lease)
+		if p.writeEntry(ctx, r.lease) == nil {
 			return
 		}
-		p.log.Info("router lease expired; registering again", "lease", p.lease)
+		p.register(ctx, r.ttl)
+		return
+	}
+	if time.Since(r.renewedAt) < renewInterval(r.ttl) {
+		return
+	}
+	requestedAt := time.Now()
+	remaining, err := p.store.KeepAlive(ctx, r.lease)
+	if err != nil {
+		p.log.Warn("failed to renew the router lease", "lease", r.lease, "err", err)
+		return
+	}
+	if remaining > 0 {
+		r.renewedAt = requestedAt
+		return
 	}
-	p.register(ctx)
+	p.log.Info("router lease expired; registering again", "lease", r.lease)
+	p.register(ctx, r.ttl)
+}
+
+func (p *Presence) isEntryLost() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.entryLost
 }
 
 // register writes the router's entry under a new lease.
-func (p *Presence) register(ctx context.Context) {
-	lease, err := p.store.GrantLease(ctx, leaseTTL)
+func (p *Presence) register(ctx context.Context, ttl time.Duration) {
+	requestedAt := time.Now()
+	lease, err := p.store.GrantLease(ctx, ttl)
 	if err != nil {
 		p.log.Warn("failed to acquire a router lease", "err", err)
 		return
 	}
+	if err := p.writeEntry(ctx, lease); err != nil {
+		return
+	}
+	r := &p.registration
+	r.lease, r.ttl, r.renewedAt = lease, ttl, requestedAt
+	p.log.Info("router registered", "lease", lease, "ttl", ttl)
+}
+
+// writeEntry writes the router's entry under a lease.
+func (p *Presence) writeEntry(ctx context.Context, lease port.LeaseID) error {
 	value, err := json.Marshal(p.self)
 	if err != nil {
 		panic("encode router entry: " + err.Error())
@@ -42,21 +131,24 @@
 	write := port.Write{Key: RouterKeyPrefix + string(p.self.ID), Value: value, Lease: lease}
 	if _, err := p.store.Commit(ctx, port.Transaction{Writes: []port.Write{write}}); err != nil {
 		p.log.Warn("failed to write the router entry", "lease", lease, "err", err)
-		return
+		return errors.Trace(err)
 	}
-	p.lease = lease
-	p.log.Info("router registered", "lease", lease)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.entryLost = false
+	return nil
 }
 
 // withdraw revokes the lease, which removes the router's entry.
 func (p *Presence) withdraw(ctx context.Context) {
-	if p.lease.IsNone() {
+	r := &p.registration
+	if r.lease.IsNone() {
 		return
 	}
-	if err := p.store.RevokeLease(ctx, p.lease); err != nil {
-		p.log.Warn("failed to revoke the router lease", "lease", p.lease, "err", err)
+	if err := p.store.RevokeLease(ctx, r.lease); err != nil {
+		p.log.Warn("failed to revoke the router lease", "lease", r.lease, "err", err)
 		return
 	}
-	p.log.Info("router withdrawn", "lease", p.lease)
-	p.lease = port.LeaseID{}
+	p.log.Info("router withdrawn", "lease", r.lease)
+	r.lease = port.LeaseID{}
 }
--- a/node/presence/presence.go
+++ b/node/presence/presence.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"agateswitch/core/fleet"
+	"agateswitch/core/revision"
 	"agateswitch/node/replica"
 	"agateswitch/port"
 
@@ -19,10 +20,12 @@
 
 // Parameters of registration and heartbeats.
 const (
-	// leaseTTL is how long the entry of a router that has failed remains in the store.
-	leaseTTL = 2500 * time.Millisecond
-	// renewInterval is the time between two renewals of the lease. Two of them may fail.
-	renewInterval = 800 * time.Millisecond
+	// heardTimeout is how long a router without an entry in the store counts as a member after its
+	// last heartbeat.
+	heardTimeout = 2500 * time.Millisecond
+	// leaseCheckInterval is the time between two checks whether the lease has to be renewed, or the
+	// entry to be written again.
+	leaseCheckInterval = 800 * time.Millisecond
 	// heartbeatInterval is the time between two heartbeats to a router.
 	heartbeatInterval = 500 * time.Millisecond
 	// heartbeatTimeout bounds one exchange of heartbeats.
@@ -31,11 +34,13 @@
 	// as an entry host: three heartbeats, so that one lost packet does not move callers.
 	unresponsiveTimeout = 1800 * time.Millisecond
 	// maxDirectFleetSize is the size of the largest fleet whose routers all exchange heartbeats. In
-	// a larger one each router sends heartbeats to its next neighbours by id, and the entries in
-	// the store determine which routers are alive.
+	// a larger one each router sends heartbeats to its neighbours, and the entries in the store
+	// determine which routers are alive. Those of routers that do not answer their neighbours are
+	// removed by them.
 	maxDirectFleetSize = 16
-	// heartbeatNeighbours is how many routers a router sends heartbeats to in a large fleet.
-	heartbeatNeighbours = 4
+	// heartbeatNeighbours is how many routers a router sends heartbeats to in a large fleet. When a
+	// third of the routers fail at once, all neighbours of one in a thousand are among them.
+	heartbeatNeighbours = 6
 )
 
 // RouterKeyPrefix is the prefix of the routers' keys in the store.
@@ -60,15 +65,27 @@
 	// router.
 	listed     map[fleet.HostID]fleet.Host
 	heartbeats map[fleet.HostID]receivedHeartbeat
-
-	// lease is used by Run only.
-	lease port.LeaseID
+	// revisions holds the revisions of the entries in the store.
+	revisions map[fleet.HostID]revision.Revision
+	// monitored holds since when each neighbour has been sent heartbeats, and suspected those that
+	// are being checked because they do not answer.
+	monitored map[fleet.HostID]time.Time
+	suspected map[fleet.HostID]bool
+	// removedAt holds when this router last removed the entry of each neighbour.
+	removedAt map[fleet.HostID]time.Time
+	// entryLost is true when the store has lost this router's entry although it lives.
+	entryLost bool
+
+	// registration is used by Run only.
+	registration registration
 }
 
 // New returns the presence of a router, which doesn't know any other router yet.
 func New(self fleet.Host, store port.Store, logger *log.Logger) *Presence {
 	return &Presence{
 		self: self, store: store, log: logger, listed: map[fleet.HostID]fleet.Host{}, heartbeats: map[fleet.HostID]receivedHeartbeat{},
+		revisions: map[fleet.HostID]revision.Revision{}, monitored: map[fleet.HostID]time.Time{}, suspected: map[fleet.HostID]bool{},
+		removedAt:    map[fleet.HostID]time.Time{},
 		leaveStarted: make(chan struct{}),
 	}
 }
@@ -91,6 +108,8 @@
 		if change.Deleted {
 			p.log.Info("router no longer listed", "peer", id, "revision", change.Entry.Revision)
 			delete(p.listed, fleet.HostID(id))
+			delete(p.revisions, fleet.HostID(id))
+			p.entryLost = p.entryLost || fleet.HostID(id) == p.self.ID
 			continue
 		}
 		var host fleet.Host
@@ -101,7 +120,8 @@
 		if _, found := p.listed[host.ID]; !found {
 			p.log.Info("router listed", "peer", id, "address", host.HTTPAddress, "revision", change.Entry.Revision)
 		}
-		p.listed[host.ID] = host
+		p.listed[host.ID], p.revisions[host.ID] = host, change.Entry.Revision
+		p.entryLost = p.entryLost && host.ID != p.self.ID
 	}
 }
 
@@ -119,7 +139,7 @@
 func (p *Presence) Run(ctx context.Context) {
 	var loops sync.WaitGroup
 	loops.Go(func() { p.runEvery(ctx, heartbeatInterval, p.sendHeartbeats) })
-	loops.Go(func() { p.runEvery(ctx, renewInterval, p.renewRegistration) })
+	loops.Go(func() { p.runEvery(ctx, leaseCheckInterval, p.renewRegistration) })
 	loops.Wait()
 }
 
--- a/node/presence/routers.go
+++ b/node/presence/routers.go
@@ -19,7 +19,7 @@
 		return host, true
 	}
 	last, found := p.heartbeats[id]
-	return last.heartbeat.Host, found && time.Since(last.receivedAt) < leaseTTL
+	return last.heartbeat.Host, found && time.Since(last.receivedAt) < heardTimeout
 }
 
 // Routers returns the routers that accept callers in id order, including this one unless it is
@@ -132,7 +132,7 @@
 		known[id] = true
 	}
 	for id, last := range p.heartbeats {
-		if time.Since(last.receivedAt) < leaseTTL {
+		if time.Since(last.receivedAt) < heardTimeout {
 			known[id] = true
 		}
 	}
--- a/port/store.go
+++ b/port/store.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"strconv"
 	"time"
 
 	"agateswitch/core/revision"
@@ -84,6 +85,9 @@
 // IsNone reports whether the id stands for no lease.
 func (l LeaseID) IsNone() bool { return l.Number == 0 }
 
+// String returns the number, as logs show it.
+func (l LeaseID) String() string { return strconv.FormatInt(l.Number, 10) }
+
 // WatchEvent is a change of one key, or the end of the watch when Err is set.
 type WatchEvent struct {
 	Entry   Entry
