--- a/node/edge/edge.go
+++ b/node/edge/edge.go
@@ -72,6 +72,9 @@
 	if err := r.traffic.observe(metrics.Meter()); err != nil {
 		return nil, err
 	}
+	if err := observeRestores(metrics.Meter(), r.replica.Restores); err != nil {
+		return nil, err
+	}
 	instruments, err := gateway.NewInstruments(metrics.Meter())
 	if err != nil {
 		return nil, err
--- a/node/replica/replica.go
+++ b/node/replica/replica.go
@@ -12,6 +12,7 @@
 import (
 	"bytes"
 	"context"
+	"strings"
 	"sync"
 	"time"
 
@@ -118,6 +119,8 @@
 	mu      sync.Mutex
 	trees   []*tree
 	desired desiredCopy
+	// restores counts what restores of the store have done to this copy.
+	restores RestoreCounts
 	// postponed holds the deletions that subscribers receive at their Settled time, by key.
 	postponed map[string]Change
 	// watchersSilentSince is when the first of the last pulls from watchers began, all of which have
@@ -214,8 +217,10 @@
 	defer r.mu.Unlock()
 	if at.Era > t.asOf.Era && !t.asOf.IsZero() {
 		t.restoredAt = time.Now()
+		kept, lost := t.carried(), r.postponedUnder(t.prefix)
+		r.restores.Kept, r.restores.Lost = r.restores.Kept+kept, r.restores.Lost+lost
 		r.log.Warn("store was restored from an older copy", "prefix", t.prefix, "era", at.Era, "revision", at,
-			"before", t.asOf, "kept", t.carried(), "postponed_deletions", len(r.postponed))
+			"before", t.asOf, "kept", kept, "lost", lost)
 	}
 	t.asOf = revision.Latest(t.asOf, at)
 	if confirmedAt.After(t.confirmedAt) {
@@ -295,6 +300,17 @@
 	return due
 }
 
+// postponedUnder returns how many deletions of entries under a prefix are postponed. The caller holds mu.
+func (r *Replica) postponedUnder(prefix string) int64 {
+	count := int64(0)
+	for key := range r.postponed {
+		if strings.HasPrefix(key, prefix) {
+			count++
+		}
+	}
+	return count
+}
+
 // deliverPostponed delivers a deletion unless the entry has been written or deleted again since.
 func (r *Replica) deliverPostponed(change Change) {
 	r.applying <- struct{}{}
@@ -329,6 +345,25 @@
 	return r.eras.Era()
 }
 
+// RestoreCounts counts what restores of the store have done to a copy.
+type RestoreCounts struct {
+	// Era is the highest era of the store that the router knows.
+	Era int64
+	// Kept is how many entries and removals stayed in force although the store had earlier states, and
+	// Lost how many entries the store had lost. Entries that were lost stay in force until they are
+	// written again or should have been.
+	Kept, Lost int64
+}
+
+// Restores returns the counts since the start of the router.
+func (r *Replica) Restores() RestoreCounts {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	counts := r.restores
+	counts.Era = r.era()
+	return counts
+}
+
 // sleep waits for a duration or until ctx ends.
 func sleep(ctx context.Context, duration time.Duration) {
 	timer := time.NewTimer(duration)
--- a/node/replica/restore_test.go
+++ b/node/replica/restore_test.go
@@ -134,6 +134,9 @@
 		started := f.start()
 		time.Sleep(leaveLimit)
 		must.Nil(t, started.value(engineKey))
+		for _, r := range f.routers {
+			must.Eq(t, RestoreCounts{Era: 1, Kept: 1}, r.replica.Restores())
+		}
 		// The upstream has started again.
 		f.store.put(engineKey, []byte(`{"version": 2}`))
 		time.Sleep(leaveLimit)
@@ -148,6 +151,9 @@
 				time.Sleep(100 * time.Millisecond)
 				f.checkValues(t, engineKey, versioned(1))
 			}
+			for _, r := range f.routers {
+				must.Eq(t, RestoreCounts{Era: 1, Lost: 1}, r.replica.Restores())
+			}
 			if !isWrittenAgain {
 				time.Sleep(settlePeriod + leaveLimit)
 				f.checkValues(t, engineKey, nil)
--- a/node/replica/tree.go
+++ b/node/replica/tree.go
@@ -207,8 +207,8 @@
 }
 
 // carried returns how many entries and deletions the copy keeps although the store has an earlier state.
-func (t *tree) carried() int {
-	count := 0
+func (t *tree) carried() int64 {
+	count := int64(0)
 	for _, entry := range t.entries {
 		if entry.Revision.IsCarried() {
 			count++
