Draw upstreams of a plain service by their free slots in large fleets

Cause: above 16 routers loads are 125 ms to 500 ms old, while a request of a plain service takes 60 ms. Ruled out: a longer queue or more retries, which add to the same engine's load. Change: balance.ByFreeSlots draws engines in proportion to the slots that they have free in the mean of the last 3 s, so that one that has become slow still gets fewer.

--- a/core/balance/balance.go
+++ b/core/balance/balance.go
@@ -19,6 +19,8 @@
 	Hash uint64
 	// Running is the number of requests that the upstream is assumed to run.
 	Running float64
+	// Slots is the number of requests that it runs concurrently.
+	Slots int
 	// PendingPrefill is the number of prompt tokens that it still has to read for them.
 	PendingPrefill float64
 	// Uncached is the number of tokens of this prompt that are not in its cache.
@@ -75,6 +77,8 @@
 	ReasonCold Reason = "cold"
 	// ReasonLeastLoaded means that it has the least load.
 	ReasonLeastLoaded Reason = "least_loaded"
+	// ReasonFreeSlots means that it was drawn by its free slots.
+	ReasonFreeSlots Reason = "free_slots"
 )
 
 // Ranking is an order of candidates, best first.
@@ -193,6 +197,29 @@
 	return ranking
 }
 
+// minFreeSlots is the number of free slots that an upstream counts with at least: loads that are some
+// hundred milliseconds old say little about a slot that is held for less.
+const minFreeSlots = 0.5
+
+// ByFreeSlots draws an order of candidates, each in proportion to the slots that it has free, faulty ones
+// last. It is made for a small service behind many routers: they know loads that are older than most of
+// its requests, and would all send to the upstream that had the least. random is uniform in [0, 1).
+func ByFreeSlots(candidates []Candidate, random func() float64) Ranking {
+	ranking := newRanking(candidates)
+	ranking.Reason = ReasonFreeSlots
+	faults := findFaulty(candidates)
+	// The order of exponential variables with these rates is a draw without replacement.
+	arrivals := make([]float64, len(candidates))
+	for i, c := range candidates {
+		arrivals[i] = -math.Log(1-random()) / max(float64(c.Slots)-c.Running, minFreeSlots)
+	}
+	sort.Slice(ranking.Order, func(a, b int) bool {
+		i, j := ranking.Order[a], ranking.Order[b]
+		return rank{faulty: faults[i], cost: arrivals[i]}.before(rank{faulty: faults[j], cost: arrivals[j]})
+	})
+	return ranking
+}
+
 // newRanking returns a ranking in the candidates' order with the mean load and the load bound.
 func newRanking(candidates []Candidate) Ranking {
 	ranking := Ranking{Order: make([]int, len(candidates))}
--- a/node/gateway/choose.go
+++ b/node/gateway/choose.go
@@ -55,6 +55,8 @@
 	cached := g.Workload.CachedTokens(prompt)
 	sources := findFetchSources(current, pool.ID, cached, now)
 	versions := g.Moves.Choose(pool.ID, countLiveVersions(current, pool.ID))
+	// In a large fleet loads are older than most requests of a plain service take.
+	smooth := len(prompt) == 0 && !g.Workload.IsDirect()
 	for _, e := range current.engines[pool.ID] {
 		s := e.status(now)
 		if tried[e] || s.paused || s.upstream.State != fleet.Live || current.dataCentresOut[s.upstream.DataCentre] ||
@@ -64,7 +66,10 @@
 		load := g.Workload.Load(e.id)
 		candidate := balance.Candidate{
 			ID: e.id, Hash: e.hash, FailureRate: s.failureRate, Running: float64(load.Running),
-			PendingPrefill: float64(load.PendingPrefill), Uncached: float64(total - cached[e.id]),
+			PendingPrefill: float64(load.PendingPrefill), Uncached: float64(total - cached[e.id]), Slots: s.slots,
+		}
+		if smooth {
+			candidate.Running = e.smoothLoad(now, candidate.Running)
 		}
 		if source, found := sources.bestExcluding(e); found && source.tokens >= cached[e.id]+minCopyTokens {
 			candidate.Fetchable = float64(source.tokens - cached[e.id])
@@ -116,18 +121,21 @@
 // nil.
 func (g *Gateway) bestAdmitted(group candidates, pool *routing.Pool, prompt []warmth.Part, now time.Time) *choice {
 	var ranking balance.Ranking
-	if len(prompt) > 0 {
+	switch {
+	case len(prompt) > 0:
 		key := prompt[max(0, len(prompt)-2)].ID
 		ranking = balance.ByPrompt(balance.Prompt{
 			Key: key, IsCached: g.Workload.IsCached(key), Tokens: float64(promptTokens(prompt)),
 			CostGranularity: g.costGranularity(), RandomTie: rand.Uint64(),
 		}, group.properties)
-	} else {
+	case g.Workload.IsDirect():
 		ties := make([]uint64, len(group.properties))
 		for i := range ties {
 			ties[i] = rand.Uint64()
 		}
 		ranking = balance.ByLoad(group.properties, func(i int) uint64 { return ties[i] })
+	default:
+		ranking = balance.ByFreeSlots(group.properties, rand.Float64)
 	}
 	routers := g.Fleet.Count()
 	for _, i := range ranking.Order {
--- a/node/gateway/engine.go
+++ b/node/gateway/engine.go
@@ -4,6 +4,7 @@
 	"sync"
 	"time"
 
+	"agateswitch/core/balance"
 	"agateswitch/core/fleet"
 	"agateswitch/core/outlier"
 	"agateswitch/core/pace"
@@ -41,6 +42,8 @@
 	// leaving is true once the upstream, or another router, has said that it leaves.
 	leaving bool
 	pause   pace.Pause
+	// smoothedLoad is the mean of the load that all routers put on the upstream.
+	smoothedLoad balance.SmoothedLoad
 }
 
 func newEngine(entry port.EngineEntry) *engine {
@@ -117,9 +120,17 @@
 	}
 }
 
+// smoothLoad returns the mean of the upstream's load over the last seconds, given the one known at now.
+func (e *engine) smoothLoad(now time.Time, load float64) float64 {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.smoothedLoad.Add(now, load)
+}
+
 // engineStatus is the part of an upstream's state on which the choice of an upstream depends.
 type engineStatus struct {
 	upstream    fleet.Upstream
+	slots       int
 	failureRate float64
 	// ejected upstreams get a request only if no other upstream admits it.
 	ejected bool
@@ -134,7 +145,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	return engineStatus{
-		upstream: e.upstreamLocked(), failureRate: e.tracker.FailureRate(now), ejected: e.tracker.Ejected(now),
+		upstream: e.upstreamLocked(), slots: e.entry.Slots, failureRate: e.tracker.FailureRate(now), ejected: e.tracker.Ejected(now),
 		rateLimited: e.isRateLimited(now), paused: e.pause.Active(now),
 	}
 }
