--- a/core/revision/revision.go
+++ b/core/revision/revision.go
@@ -29,6 +29,27 @@
 // After reports whether r comes after other.
 func (r Revision) After(other Revision) bool { return r.Compare(other) > 0 }
 
+// IsOfLaterEra reports whether the store was restored between other and r.
+func (r Revision) IsOfLaterEra(other Revision) bool { return r.Era > other.Era }
+
+// IsOfSameEra reports whether the store was not restored between the two places.
+func (r Revision) IsOfSameEra(other Revision) bool { return r.Era == other.Era }
+
+// IsCopyOf reports whether r may be the change at an earlier place, in a store that was restored since.
+func (r Revision) IsCopyOf(earlier Revision) bool {
+	return r.IsOfLaterEra(earlier) && r.Number == earlier.Number
+}
+
+// MayHaveReplaced reports whether what r stands for may be an earlier state of what a router has from
+// held: the store was restored in between, or held is carried over states like r.
+func (r Revision) MayHaveReplaced(held Revision) bool {
+	return r.IsOfLaterEra(held) || held.IsCarried() && !r.IsCarried()
+}
+
+// IsAfterOrigin reports whether r, a place of an earlier era than carried, comes after the place from
+// which carried was kept.
+func (r Revision) IsAfterOrigin(carried Revision) bool { return r.Number > carried.Carried }
+
 // IsZero reports whether r is the place before all changes.
 func (r Revision) IsZero() bool { return r == Revision{} }
 
--- a/node/presence/lease.go
+++ b/node/presence/lease.go
@@ -75,7 +75,7 @@
 		p.register(ctx, ttl)
 		return
 	}
-	if p.era() > r.lease.Era {
+	if r.lease.IsBefore(p.era()) {
 		p.log.Info("store was restored since the router's lease was granted; registering again", "lease", r.lease, "era", p.era())
 		p.register(ctx, r.ttl)
 		return
--- a/node/replica/pull.go
+++ b/node/replica/pull.go
@@ -212,7 +212,7 @@
 		Prefix: t.prefix, AsOf: t.asOf, AgeMs: ageMs(t.confirmedAt),
 		SettleMs: max(0, time.Until(t.settledAt()).Milliseconds()), RestoreSettleMs: max(0, time.Until(t.restoreSettledAt()).Milliseconds()),
 	}
-	if after.IsZero() || after.Era != t.asOf.Era || t.prunedRevision.After(after) {
+	if after.IsZero() || !after.IsOfSameEra(t.asOf) || t.prunedRevision.After(after) {
 		pulled.Complete, after = true, revision.Revision{}
 	}
 	for key, entry := range t.entries {
--- a/node/replica/replica.go
+++ b/node/replica/replica.go
@@ -215,11 +215,11 @@
 	r.deliver(r.postpone(r.record(t, changes)))
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if at.Era > t.asOf.Era && !t.asOf.IsZero() {
+	if at.IsOfLaterEra(t.asOf) && !t.asOf.IsZero() {
 		t.restoredAt = time.Now()
 		kept, lost := t.carried(), r.postponedUnder(t.prefix)
 		r.restores.Kept, r.restores.Lost = r.restores.Kept+kept, r.restores.Lost+lost
-		r.log.Warn("store was restored from an older copy", "prefix", t.prefix, "era", at.Era, "revision", at,
+		r.log.Warn("store was restored from an older copy", "prefix", t.prefix, "revision", at,
 			"before", t.asOf, "kept", kept, "lost", lost)
 	}
 	t.asOf = revision.Latest(t.asOf, at)
@@ -260,14 +260,14 @@
 		return bytes.Equal(t.tombstones[key].last, change.Entry.Value)
 	}
 	current, found := t.entries[key]
-	return found && !change.Deleted && mayBeReplay(current.Revision, change.Entry.Revision) && bytes.Equal(current.Value, change.Entry.Value)
+	return found && !change.Deleted && change.Entry.Revision.MayHaveReplaced(current.Revision) && bytes.Equal(current.Value, change.Entry.Value)
 }
 
 // isBeforeRestore reports whether a revision is of an era before that of the copy.
 func (r *Replica) isBeforeRestore(t *tree, at revision.Revision) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return at.Era < t.asOf.Era
+	return t.asOf.IsOfLaterEra(at)
 }
 
 // deliver passes changes to the subscribers.
--- a/node/replica/tree.go
+++ b/node/replica/tree.go
@@ -137,23 +137,18 @@
 // a place: because the store was restored in between, or the copy has kept its state over that.
 func (t *tree) isReplay(held revision.Revision, value []byte, entry port.Entry) bool {
 	switch {
-	case t.isReport || !mayBeReplay(held, entry.Revision):
+	case t.isReport || !entry.Revision.MayHaveReplaced(held):
 		return false
 	case entry.Revision.IsCarried():
-		return held.Number > entry.Revision.Carried
+		return held.IsAfterOrigin(entry.Revision)
 	}
 	return t.isOutdated(entry.Key, value, entry.Value) || t.isEarlier(entry)
 }
 
-// mayBeReplay reports whether an entry at a later place may be an earlier state than one that is held.
-func mayBeReplay(held, found revision.Revision) bool {
-	return held.Era < found.Era || held.IsCarried() && !found.IsCarried()
-}
-
 // isEarlier reports whether an entry is a state that was replaced before the store was restored.
 func (t *tree) isEarlier(entry port.Entry) bool {
 	for _, state := range t.earlier[entry.Key] {
-		if state.revision.Number == entry.Revision.Number && state.revision.Era < entry.Revision.Era && bytes.Equal(state.value, entry.Value) {
+		if entry.Revision.IsCopyOf(state.revision) && bytes.Equal(state.value, entry.Value) {
 			return true
 		}
 	}
--- a/node/replica/watch.go
+++ b/node/replica/watch.go
@@ -298,7 +298,7 @@
 // at least.
 func (r *Replica) replace(t *tree, listed []Change, listedAt revision.Revision, confirmedAt, settledAt time.Time) {
 	r.mu.Lock()
-	if wasRestored := !t.asOf.IsZero() && listedAt.Era > t.asOf.Era; wasRestored && settledAt.IsZero() {
+	if wasRestored := !t.asOf.IsZero() && listedAt.IsOfLaterEra(t.asOf); wasRestored && settledAt.IsZero() {
 		settledAt = time.Now().Add(settlePeriod)
 	}
 	changes := append(t.missing(listed, listedAt, settledAt), listed...)
--- a/node/versionmove/versionmove.go
+++ b/node/versionmove/versionmove.go
@@ -194,7 +194,7 @@
 // restored store may have a status from before the end.
 func (m *move) applyStatus(current status) {
 	end, isEnd := endStates[current.State]
-	isOfMove := current.Target == m.order.Target && current.revision.Era == m.revision.Era && !m.revision.After(current.revision)
+	isOfMove := current.Target == m.order.Target && current.revision.IsOfSameEra(m.revision) && !m.revision.After(current.revision)
 	switch {
 	case isEnd && isOfMove:
 		m.state, m.reported = end, true
--- a/port/store.go
+++ b/port/store.go
@@ -85,6 +85,9 @@
 // IsNone reports whether the id stands for no lease.
 func (l LeaseID) IsNone() bool { return l.Number == 0 }
 
+// IsBefore reports whether the store was restored to an era since the lease was granted.
+func (l LeaseID) IsBefore(era int64) bool { return l.Era < era }
+
 // String returns the number, as logs show it.
 func (l LeaseID) String() string { return strconv.FormatInt(l.Number, 10) }
 
