--- a/node/replica/model_test.go
+++ b/node/replica/model_test.go
@@ -56,9 +56,7 @@
 	fleet   testFleet
 	version int
 	engines [modelEngines]modelEngine
-	// rewrites counts the restores after which not everything has been written again.
-	rewrites int
-	problem  string
+	problem string
 	// newest holds the newest version of the desired state that each router has had, and left the
 	// starts of engines that each router knew to leave or to have left.
 	newest map[*testRouter]int
