Apply a new write at a number that a restore has lost

Cause: an order that was removed and lost, and is given again after the restore, may get the number that it had; with the same content it was taken for the state of the copy. Found by reading. Change: only states up to the first list of the new era can come from the copy. Before: TestNewWriteAtALostNumberIsApplied fails. After: passes.

--- a/node/replica/replica.go
+++ b/node/replica/replica.go
@@ -216,7 +216,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if at.IsOfLaterEra(t.asOf) && !t.asOf.IsZero() {
-		t.restoredAt = time.Now()
+		t.restoredAt, t.restoredTo = time.Now(), at
 		kept, lost := t.carried(), r.postponedUnder(t.prefix)
 		r.restores.Kept, r.restores.Lost = r.restores.Kept+kept, r.restores.Lost+lost
 		r.log.Warn("store was restored from an older copy", "prefix", t.prefix, "revision", at,
--- a/node/replica/restore_test.go
+++ b/node/replica/restore_test.go
@@ -239,6 +239,26 @@
 	})
 }
 
+// What is written after a restore may have the number and the value of a write that the restore has lost.
+func TestNewWriteAtALostNumberIsApplied(t *testing.T) {
+	const orderKey = upstreamKey + "order"
+	restoreTo(t, func(s *fakeStore) {}, func(s *fakeStore) {
+		for i := range 3 {
+			s.put(upstreamKey+"other", versioned(i))
+		}
+		s.put(orderKey, []byte("{}"))
+		s.remove(orderKey)
+	}, func(t *testing.T, f testFleet) {
+		time.Sleep(leaveLimit)
+		for i := range 3 {
+			f.store.put(upstreamKey+"other", versioned(10+i))
+		}
+		f.store.put(orderKey, []byte("{}"))
+		time.Sleep(leaveLimit)
+		f.checkValues(t, orderKey, []byte("{}"))
+	})
+}
+
 var _ port.Eras = storeOf{}
 
 // at returns the store's revision.
--- a/node/replica/tree.go
+++ b/node/replica/tree.go
@@ -57,10 +57,12 @@
 	// have been removed, or were made before the copy was read as a whole.
 	prunedRevision revision.Revision
 	// asOf is the revision up to which the copy is complete, and confirmedAt when it was last
-	// confirmed to be the newest one. restoredAt is when the copy changed to the era of asOf.
+	// confirmed to be the newest one. restoredAt is when the copy changed to the era of asOf, and
+	// restoredTo the revision at which it was first complete in that era.
 	asOf        revision.Revision
 	confirmedAt time.Time
 	restoredAt  time.Time
+	restoredTo  revision.Revision
 }
 
 // tombstone records a deletion.
@@ -145,8 +147,12 @@
 	return t.isOutdated(entry.Key, value, entry.Value) || t.isEarlier(entry)
 }
 
-// isEarlier reports whether an entry is a state that was replaced before the store was restored.
+// isEarlier reports whether an entry is a state that was replaced before the store was restored. One that
+// was written after the first list of the era is new, also at a number that was lost.
 func (t *tree) isEarlier(entry port.Entry) bool {
+	if entry.Revision.IsOfSameEra(t.restoredTo) && entry.Revision.After(t.restoredTo) {
+		return false
+	}
 	for _, state := range t.earlier[entry.Key] {
 		if entry.Revision.IsCopyOf(state.revision) && bytes.Equal(state.value, entry.Value) {
 			return true
