Let two to four routers of a large fleet watch the store for all

Change: the watchers of the data centres pull from two to four routers of the whole fleet (core/dissemination.PlanWatch). A copy counts as stale after 3 s instead of 2.5 s, for the additional pull.

--- a/node/presence/routers.go
+++ b/node/presence/routers.go
@@ -2,7 +2,6 @@
 
 import (
 	"math/rand/v2"
-	"slices"
 	"sort"
 	"time"
 
@@ -90,31 +89,11 @@
 	return append(near, far...)
 }
 
-// Parameters of the watch of the store in large fleets.
-const (
-	// watchersKey is the rendezvous key by which watchers are chosen.
-	watchersKey = "store watcher"
-	// watcherGroupSize is how many routers share one watcher. A watcher makes two calls to the
-	// store and answers about 60 calls of routers per second, about a hundredth of a core.
-	watcherGroupSize = 15
-)
-
-// Watchers returns the routers of this one's data centre that watch the store for it, or reports
-// that it is a watcher itself. In a small fleet all routers watch. In a large one a few of each
-// data centre do, those with the fastest links, which limits both the calls to the store and the
-// traffic of a watcher.
+// Watchers returns the routers from which this one pulls the changes of the store, or reports that it
+// watches the store itself (dissemination.PlanWatch).
 func (p *Presence) Watchers() (watchers []fleet.HostID, self bool) {
-	routers := p.Routers()
-	if len(routers) <= maxDirectFleetSize {
-		return nil, true
-	}
-	near := slices.DeleteFunc(routers, func(router fleet.Host) bool { return router.DataCentre != p.self.DataCentre })
-	order := dissemination.ByCapacity(watchersKey, near)
-	watchers = order[:(len(order)+watcherGroupSize-1)/watcherGroupSize]
-	if slices.Contains(watchers, p.self.ID) {
-		return nil, true
-	}
-	return watchers, false
+	watchers = dissemination.PlanWatch(p.Routers(), p.self)
+	return watchers, len(watchers) == 0
 }
 
 // Relays returns this router's relay plan.
--- a/node/replica/replica.go
+++ b/node/replica/replica.go
@@ -34,8 +34,8 @@
 	minRetryDelay      = 150 * time.Millisecond
 	maxRetryDelay      = 500 * time.Millisecond
 	// staleTimeout is the age above which a replica pulls from other routers. An idle watch confirms
-	// a copy every 2 s.
-	staleTimeout = 2500 * time.Millisecond
+	// a copy every 2 s, and pulls over up to two routers add pullInterval each.
+	staleTimeout = 3 * time.Second
 	// pullInterval is the time between two pulls while the store delivers nothing, and between two
 	// pulls from a watcher.
 	pullInterval = 250 * time.Millisecond
@@ -45,7 +45,7 @@
 	pullFanout = 2
 	// maxWatcherCopyAge is the age of the watchers' copies above which a router watches the store
 	// itself, for at least minWatchTime.
-	maxWatcherCopyAge = 3 * time.Second
+	maxWatcherCopyAge = 3500 * time.Millisecond
 	minWatchTime      = time.Second
 	// silentWatchersTimeout is how long pulls from watchers may fail before a router watches the store
 	// itself.
