Try again to remove a router that died while the store was away

Cause: the pause between two removals of the same router began with the attempt, also when the store did not answer it. Before: TestRoutersThatDieWithoutTheStoreLeaveTheDirectory fails. After: passes.

--- a/node/presence/monitor.go
+++ b/node/presence/monitor.go
@@ -81,6 +81,11 @@
 	result, err := p.store.Commit(ctx, port.Transaction{
 		Conditions: []port.Condition{condition}, Writes: []port.Write{{Key: condition.Key, Delete: true}},
 	})
+	if result.Applied {
+		p.mu.Lock()
+		p.removedAt[id] = time.Now()
+		p.mu.Unlock()
+	}
 	p.log.Warn("router does not answer; removing its entry", "peer", id, "revision", condition.Revision,
 		"rank", rank, "removed", result.Applied, "err", err)
 }
@@ -98,8 +103,5 @@
 	for other, last := range p.heartbeats {
 		hearsOthers = hearsOthers || other != id && time.Since(last.receivedAt) < unresponsiveTimeout
 	}
-	if hearsOthers {
-		p.removedAt[id] = time.Now()
-	}
 	return port.Condition{Key: RouterKeyPrefix + string(id), Revision: at.Stored()}, hearsOthers
 }
