Allow for the way of a write when waiting for what a restore has lost

An entry that is written again two seconds after the store's return reaches a router up to a second later: half a second until the next call of a watch, and a pull or two. After an outage the wait stays at 2.3 s.

--- a/node/replica/tree.go
+++ b/node/replica/tree.go
@@ -12,6 +12,9 @@
 	// settlePeriod is how long after an outage of the store it may take until expired entries are
 	// written again.
 	settlePeriod = 2300 * time.Millisecond
+	// restoreSettlePeriod is the same after the store was restored from an older copy. It adds what a
+	// write takes to reach a router: half a second until the next call of a watch, and pulls.
+	restoreSettlePeriod = settlePeriod + time.Second
 	// minLapseOutage is the shortest outage of the store in which entries lapse. An entry lapses when
 	// it has not been renewed for three intervals of 1.2 s, and was renewed within one of them before.
 	minLapseOutage = 2400 * time.Millisecond
@@ -93,7 +96,7 @@
 
 // restoreSettledAt returns the time by which entries that the store lost when it was last restored
 // should be written again.
-func (t *tree) restoreSettledAt() time.Time { return t.restoredAt.Add(settlePeriod) }
+func (t *tree) restoreSettledAt() time.Time { return t.restoredAt.Add(restoreSettlePeriod) }
 
 // record records one change, unless the copy has the entry at this revision or a later one, or the
 // change is an earlier state that a restored store has again. It reports whether the change is passed
--- a/node/replica/watch.go
+++ b/node/replica/watch.go
@@ -294,12 +294,12 @@
 }
 
 // replace applies the complete tree at a revision. Entries that are missing in it may be written again
-// until settledAt, if that is not zero; if the store was restored since the last copy, for settlePeriod
-// at least.
+// until settledAt, if that is not zero; if the store was restored since the last copy, for
+// restoreSettlePeriod at least.
 func (r *Replica) replace(t *tree, listed []Change, listedAt revision.Revision, confirmedAt, settledAt time.Time) {
 	r.mu.Lock()
 	if wasRestored := !t.asOf.IsZero() && listedAt.IsOfLaterEra(t.asOf); wasRestored && settledAt.IsZero() {
-		settledAt = time.Now().Add(settlePeriod)
+		settledAt = time.Now().Add(restoreSettlePeriod)
 	}
 	changes := append(t.missing(listed, listedAt, settledAt), listed...)
 	t.prunedRevision = revision.Latest(t.prunedRevision, listedAt)
