Tell other routers no state of a restored store before it is applied

Change: a copy that is changing its era is told as none. Measured: TestStateOfARestoredStoreIsNotToldBeforeItIsApplied fails before (told a state of 504, the lost entry gone), passes after.

--- a/node/replica/fakes_test.go
+++ b/node/replica/fakes_test.go
@@ -75,8 +75,10 @@
 	cores    float64
 	// computing holds an element while the processor is in use.
 	computing chan struct{}
-	handlers  map[string]port.PeerHandler
 	fleet     *fakeFleet
+	// handlers holds the handlers by method; a host that has just started has none.
+	handlersMu sync.Mutex
+	handlers   map[string]port.PeerHandler
 	// silent is true while the host answers no calls, like one behind a partition.
 	silent atomic.Bool
 	// isolated is true while the host does not reach the store.
@@ -164,7 +166,18 @@
 }
 
 // Handle implements port.Peers.
-func (h *host) Handle(method string, handler port.PeerHandler) { h.handlers[method] = handler }
+func (h *host) Handle(method string, handler port.PeerHandler) {
+	h.handlersMu.Lock()
+	defer h.handlersMu.Unlock()
+	h.handlers[method] = handler
+}
+
+func (h *host) handler(method string) (port.PeerHandler, bool) {
+	h.handlersMu.Lock()
+	defer h.handlersMu.Unlock()
+	handler, found := h.handlers[method]
+	return handler, found
+}
 
 // Call implements port.Peers.
 func (h *host) Call(ctx context.Context, to fleet.HostID, method string, request, response any) error {
@@ -181,6 +194,10 @@
 		<-ctx.Done()
 		return errors.Trace(port.ErrPeerUnreachable)
 	}
+	handler, found := other.handler(method)
+	if !found {
+		return errors.Trace(port.ErrPeerUnreachable)
+	}
 	body, err := msgpack.Marshal(request)
 	if err != nil {
 		return err
@@ -189,7 +206,7 @@
 		return err
 	}
 	other.computeCall(len(body))
-	answer, err := other.handlers[method](ctx, h.id, func(into any) error { return msgpack.Unmarshal(body, into) })
+	answer, err := handler(ctx, h.id, func(into any) error { return msgpack.Unmarshal(body, into) })
 	if err != nil {
 		return err
 	}
--- a/node/replica/pull.go
+++ b/node/replica/pull.go
@@ -35,7 +35,8 @@
 // pulledTree holds a router's changes of a tree after the requested revision.
 type pulledTree struct {
 	Prefix string `msgpack:"prefix"`
-	// AsOf is the revision up to which the router's copy is complete. Zero means that it has none.
+	// AsOf is the revision up to which the router's copy is complete. Zero means that it has none, or
+	// that it is changing to the state of a restored store.
 	AsOf    revision.Revision `msgpack:"as_of"`
 	Entries []pulledEntry     `msgpack:"entries,omitempty"`
 	// Complete is true when Entries holds the complete tree.
@@ -208,6 +209,9 @@
 // pulled returns the changes after a revision, and all states that the copy keeps although a restored
 // store has earlier ones: a router that has read those from the store has a later revision.
 func (t *tree) pulled(after revision.Revision) pulledTree {
+	if t.isRestoring {
+		return pulledTree{Prefix: t.prefix}
+	}
 	pulled := pulledTree{
 		Prefix: t.prefix, AsOf: t.asOf, AgeMs: ageMs(t.confirmedAt),
 		SettleMs: max(0, time.Until(t.settledAt()).Milliseconds()), RestoreSettleMs: max(0, time.Until(t.restoreSettledAt()).Milliseconds()),
--- a/node/replica/replica.go
+++ b/node/replica/replica.go
@@ -212,10 +212,11 @@
 		r.log.Info("dropped changes from before the store was restored", "prefix", t.prefix, "revision", at, "changes", len(changes))
 		return
 	}
-	r.deliver(r.postpone(r.record(t, changes)))
+	r.deliver(r.postpone(r.record(t, changes, at)))
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if at.IsOfLaterEra(t.asOf) && !t.asOf.IsZero() {
+	if t.isRestoring {
+		t.isRestoring = false
 		t.restoredAt, t.restoredTo = time.Now(), at
 		kept, lost := t.carried(), r.postponedUnder(t.prefix)
 		r.restores.Kept, r.restores.Lost = r.restores.Kept+kept, r.restores.Lost+lost
@@ -229,11 +230,13 @@
 	r.updateLoaded()
 }
 
-// record records changes in the copy and returns those that subscribers have to apply.
-func (r *Replica) record(t *tree, changes []Change) []Change {
+// record records changes in the copy, which are complete up to a revision, and returns those that
+// subscribers have to apply.
+func (r *Replica) record(t *tree, changes []Change, at revision.Revision) []Change {
 	now := time.Now()
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	t.isRestoring = at.IsOfLaterEra(t.asOf) && !t.asOf.IsZero()
 	var applied []Change
 	for _, change := range changes {
 		change.Replayed = r.isReplayed(t, change)
--- a/node/replica/replica_test.go
+++ b/node/replica/replica_test.go
@@ -74,6 +74,24 @@
 	values map[string][]byte
 	// settled holds the last value of Change.Settled of each deleted key.
 	settled map[string]time.Time
+	// hook, unless it is nil, is called with each batch of changes before the replica has applied it.
+	hook func()
+}
+
+// onChanges sets hook.
+func (r *testRouter) onChanges(hook func()) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.hook = hook
+}
+
+func (r *testRouter) callHook() {
+	r.mu.Lock()
+	hook := r.hook
+	r.mu.Unlock()
+	if hook != nil {
+		hook()
+	}
 }
 
 func (r *testRouter) appliedRevision(key string) revision.Revision {
@@ -125,6 +143,7 @@
 		router.setValue(entry.Key, entry.Value)
 	})
 	router.replica.Subscribe(func(changes []Change) {
+		router.callHook()
 		for _, change := range changes {
 			router.observe(change.Entry.Key, change.Entry.Revision)
 			router.setValue(change.Entry.Key, change.Entry.Value)
--- a/node/replica/restore_test.go
+++ b/node/replica/restore_test.go
@@ -10,6 +10,7 @@
 	"agateswitch/port"
 
 	"github.com/shoenig/test/must"
+	"github.com/vmihailenco/msgpack/v5"
 )
 
 // entryVersion returns the field version of a value, or 0.
@@ -267,3 +268,33 @@
 	defer s.mu.Unlock()
 	return s.revision
 }
+
+// A router that was applying the list of a restored store used to tell it to others as the complete state of
+// the earlier era, so that they dropped the entries that the store had lost at once.
+func TestStateOfARestoredStoreIsNotToldBeforeItIsApplied(t *testing.T) {
+	runFleetWithState(t, 2, versioned(1), func(t *testing.T, f testFleet) {
+		f.stopUpstreams()
+		number := f.store.at().Number
+		f.store.put(engineKey, versioned(1))
+		time.Sleep(leaveLimit)
+		taking, other := f.routers[0].replica, f.routers[1].replica
+		after := other.trees[0].asOf
+		answers := 0
+		f.routers[0].onChanges(func() {
+			request, err := msgpack.Marshal(pullRequest{After: map[string]revision.Revision{upstreamKey: after}})
+			must.NoError(t, err)
+			answer, err := taking.handlePull(t.Context(), "router-01", func(into any) error { return msgpack.Unmarshal(request, into) })
+			must.NoError(t, err)
+			answers++
+			for _, tree := range answer.(pullResponse).Trees {
+				must.True(t, tree.AsOf.IsZero() || tree.AsOf.IsOfLaterEra(after), must.Sprintf("told a state of %s", tree.AsOf))
+			}
+		})
+		f.routers[1].isolated.Store(true)
+		f.store.restore(number)
+		f.store.put(upstreamKey+"other", versioned(1))
+		time.Sleep(leaveLimit)
+		must.Positive(t, answers)
+		must.Eq(t, string(versioned(1)), string(f.routers[1].value(engineKey)))
+	})
+}
--- a/node/replica/tree.go
+++ b/node/replica/tree.go
@@ -64,6 +64,8 @@
 	// restoredTo the revision at which it was first complete in that era.
 	asOf        revision.Revision
 	confirmedAt time.Time
+	// isRestoring is true while the state of a later era than that of asOf is applied.
+	isRestoring bool
 	restoredAt  time.Time
 	restoredTo  revision.Revision
 }
