Read a store's place under its lock in a test of restores

Cause: two data races in TestStateOfARestoredStoreIsNotToldBeforeItIsApplied, found by the race detector. Change: the place comes from the store, answers are counted atomically.

--- a/node/replica/restore_test.go
+++ b/node/replica/restore_test.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -277,24 +278,24 @@
 		number := f.store.at().Number
 		f.store.put(engineKey, versioned(1))
 		time.Sleep(leaveLimit)
-		taking, other := f.routers[0].replica, f.routers[1].replica
-		after := other.trees[0].asOf
-		answers := 0
+		taking := f.routers[0].replica
+		before := f.store.at()
+		request, err := msgpack.Marshal(pullRequest{After: map[string]revision.Revision{upstreamKey: before}})
+		must.NoError(t, err)
+		var answers atomic.Int32
 		f.routers[0].onChanges(func() {
-			request, err := msgpack.Marshal(pullRequest{After: map[string]revision.Revision{upstreamKey: after}})
-			must.NoError(t, err)
 			answer, err := taking.handlePull(t.Context(), "router-01", func(into any) error { return msgpack.Unmarshal(request, into) })
 			must.NoError(t, err)
-			answers++
+			answers.Add(1)
 			for _, tree := range answer.(pullResponse).Trees {
-				must.True(t, tree.AsOf.IsZero() || tree.AsOf.IsOfLaterEra(after), must.Sprintf("told a state of %s", tree.AsOf))
+				must.True(t, tree.AsOf.IsZero() || tree.AsOf.IsOfLaterEra(before), must.Sprintf("told a state of %s", tree.AsOf))
 			}
 		})
 		f.routers[1].isolated.Store(true)
 		f.store.restore(number)
 		f.store.put(upstreamKey+"other", versioned(1))
 		time.Sleep(leaveLimit)
-		must.Positive(t, answers)
+		must.Positive(t, answers.Load())
 		must.Eq(t, string(versioned(1)), string(f.routers[1].value(engineKey)))
 	})
 }
