Let hosts with fast links relay the workload of twenty routers

With 30 relays 870 pairs of them exchanged five messages a second, as many calls as all members made. The freshness at 295 routers, 598 ms at worst, was above the bound of 500 ms too, and the busiest host sent 784 kB/s. Change: a relay on a link of 100 Mbit/s or more serves twenty routers, others ten as before; members are dealt by what a relay can bear; a relay makes one of its messages the full one instead of adding it; members exchange each 200 ms instead of 125 ms.

--- a/core/dissemination/relay.go
+++ b/core/dissemination/relay.go
@@ -11,9 +11,12 @@
 	// MaxDirectFleetSize is the size of the largest fleet whose routers publish to each other
 	// directly. The number of messages grows with the square of the fleet's size.
 	MaxDirectFleetSize = 16
-	// RelayGroupSize is how many routers of a data centre one relay serves. In the users' largest
-	// installation a relay receives from about a dozen routers and nine relays.
+	// RelayGroupSize is how many routers of a data centre one relay serves.
 	RelayGroupSize = 10
+	// LargeRelayGroupSize is the same for a relay on a host with a link of at least largeRelayMbps. The
+	// messages between relays grow with the square of their number.
+	LargeRelayGroupSize = 20
+	largeRelayMbps      = 100
 )
 
 // relayKey is the rendezvous key by which relays are chosen among hosts of equal capacity.
@@ -44,25 +47,60 @@
 	var others, near []fleet.HostID
 	isRelay := small
 	for dataCentre, hosts := range inDataCentre {
-		members, relays := ByCapacity(relayKey, hosts), len(hosts)
+		members := ByCapacity(relayKey, hosts)
+		relays := members
 		if !small {
-			relays = (len(members) + RelayGroupSize - 1) / RelayGroupSize
+			relays = members[:relayCount(hosts, members)]
 		}
-		ownIndex := max(0, slices.Index(members, self.ID))
-		for i, relay := range members[:relays] {
-			if relay == self.ID {
-				isRelay = true
-				continue
-			}
-			others = append(others, relay)
-			if dataCentre == self.DataCentre {
-				// Relays are assigned to members in turn, so that the groups have equal sizes.
-				near = append(near, members[(ownIndex+i)%relays])
+		isRelay = isRelay || slices.Contains(relays, self.ID)
+		for _, relay := range relays {
+			if relay != self.ID {
+				others = append(others, relay)
 			}
 		}
+		if dataCentre == self.DataCentre {
+			near = nearRelays(hosts, relays, max(0, slices.Index(members, self.ID)))
+		}
 	}
 	if isRelay {
 		return RelayPlan{Direct: small, Others: others}
 	}
 	return RelayPlan{Near: near}
 }
+
+// relayCount returns how many of a data centre's routers, in the order of members, serve all of them.
+func relayCount(hosts []fleet.Host, members []fleet.HostID) int {
+	count, served := 0, 0
+	for served < len(members) {
+		served += relayGroupSize(hosts, members[count])
+		count++
+	}
+	return count
+}
+
+// relayGroupSize returns how many routers a router serves as a relay.
+func relayGroupSize(hosts []fleet.Host, relay fleet.HostID) int {
+	at := slices.IndexFunc(hosts, func(host fleet.Host) bool { return host.ID == relay })
+	if hosts[at].Capacity.LinkMbps >= largeRelayMbps {
+		return LargeRelayGroupSize
+	}
+	return RelayGroupSize
+}
+
+// nearRelays returns the relays in the order in which a member uses them. The first ones are assigned to
+// members in turn, so that the groups have the sizes that the relays can bear.
+func nearRelays(hosts []fleet.Host, relays []fleet.HostID, member int) []fleet.HostID {
+	var seats []int
+	for round := range LargeRelayGroupSize {
+		for i, relay := range relays {
+			if round < relayGroupSize(hosts, relay) {
+				seats = append(seats, i)
+			}
+		}
+	}
+	if len(seats) == 0 {
+		return nil
+	}
+	first := seats[member%len(seats)]
+	return append(slices.Clone(relays[first:]), relays[:first]...)
+}
--- a/node/workload/relay.go
+++ b/node/workload/relay.go
@@ -13,7 +13,7 @@
 // Parameters of relays.
 const (
 	// relayExchangeInterval is the time between two exchanges of a router with its relay.
-	relayExchangeInterval = 125 * time.Millisecond
+	relayExchangeInterval = 200 * time.Millisecond
 	// relayBatchDelay, times the number of other relays, is the time over which a relay batches
 	// changes into one message. A relay then sends about 80 messages per second, which takes a
 	// few hundredths of a core.
--- a/node/workload/workload.go
+++ b/node/workload/workload.go
@@ -29,7 +29,7 @@
 const (
 	// directBatchDelay is the time over which changes are batched into one message.
 	directBatchDelay = 3 * time.Millisecond
-	// fullPublishInterval is the time between two messages with the load of all upstreams.
+	// fullPublishInterval is the time after which a message has the load of all upstreams again.
 	fullPublishInterval = 500 * time.Millisecond
 	// staleTimeout is how long the load of an unresponsive router counts.
 	staleTimeout = 1600 * time.Millisecond
@@ -255,6 +255,7 @@
 func (w *Workload) Run(ctx context.Context) {
 	fullTimer := time.AfterFunc(fullPublishInterval, func() { notify(w.fullPublishDue) })
 	defer fullTimer.Stop()
+	var lastFull time.Time
 	for {
 		plan := w.updatePlan()
 		// A relay publishes changes; the other routers exchange with their relay at intervals.
@@ -270,8 +271,9 @@
 		case <-w.fullPublishDue:
 			fullTimer.Reset(fullPublishInterval)
 			w.removeStalePeers()
-			if plan.IsRelay() {
+			if plan.IsRelay() && time.Since(lastFull) >= fullPublishInterval {
 				w.publish(ctx, plan.Others, true)
+				lastFull = time.Now()
 			}
 		case <-w.relayExchangeDue:
 			if !plan.IsRelay() {
@@ -279,7 +281,12 @@
 			}
 		case <-dirty:
 			time.Sleep(w.batchDelay(plan))
-			w.publish(ctx, plan.Others, false)
+			// A relay that publishes often makes one of its messages a full one instead of adding one.
+			full := !plan.Direct && time.Since(lastFull) >= fullPublishInterval
+			w.publish(ctx, plan.Others, full)
+			if full {
+				lastFull = time.Now()
+			}
 		}
 		if relayTimer != nil {
 			relayTimer.Stop()
