Send neighbours fewer heartbeats, and keep plans of a large fleet

Cause: heartbeats were the most frequent message of a large fleet, two a second between each of twelve neighbours; the plans of relays and watchers were made anew some twenty times a second on each router, from lists of all of them, and each attempt counted and ranked all routers although only the shares of cold upstreams need that. Change: a neighbour that was heard within 1.2 s gets no heartbeat; one that does not answer is asked twice a second as before. Plans are kept for half a second unless an entry changes. Tests: TestNeighboursOfALargeFleetExchangeFewHeartbeats failed before (14,368 calls in 30 s of 40 routers, limit 6,000). TestDeadNeighbourIsRemovedInTime holds the limit also where a call takes 260 ms, as on the slowest busy host.

--- a/node/gateway/choose.go
+++ b/node/gateway/choose.go
@@ -137,11 +137,13 @@
 	default:
 		ranking = balance.ByFreeSlots(group.properties, rand.Float64)
 	}
-	routers := g.Fleet.Count()
 	for _, i := range ranking.Order {
 		e, candidate := group.engines[i], group.properties[i]
-		if !e.admit(now, g.rateShare(e, pool.ColdRate, routers), g.rateShare(e, recoveryRatePerSecond, routers)) {
-			continue
+		if e.status(now).rateLimited {
+			routers := g.Fleet.Count()
+			if !e.admit(now, g.rateShare(e, pool.ColdRate, routers), g.rateShare(e, recoveryRatePerSecond, routers)) {
+				continue
+			}
 		}
 		return &choice{
 			engine: e, upstream: e.upstream(), ranking: ranking, uncached: int(candidate.Uncached),
--- a/node/presence/heartbeats.go
+++ b/node/presence/heartbeats.go
@@ -60,7 +60,10 @@
 	if all || len(p.listed) <= maxDirectFleetSize {
 		return targets
 	}
-	return ringSuccessors(targets, p.self.ID, heartbeatNeighbours)
+	neighbours := ringSuccessors(targets, p.self.ID, heartbeatNeighbours)
+	return slices.DeleteFunc(neighbours, func(id fleet.HostID) bool {
+		return time.Since(p.heartbeats[id].receivedAt) < neighbourHeartbeatAge
+	})
 }
 
 // ringSuccessors returns the ids that follow self in a ring of all ids. The ring is in the order of a
--- a/node/presence/presence.go
+++ b/node/presence/presence.go
@@ -28,6 +28,9 @@
 	leaseCheckInterval = 800 * time.Millisecond
 	// heartbeatInterval is the time between two heartbeats to a router.
 	heartbeatInterval = 500 * time.Millisecond
+	// neighbourHeartbeatAge is the age of a neighbour's last heartbeat after which a large fleet's router
+	// sends it another one, at its next heartbeatInterval. One that has not answered gets one at each.
+	neighbourHeartbeatAge = 1200 * time.Millisecond
 	// heartbeatTimeout bounds one exchange of heartbeats.
 	heartbeatTimeout = 400 * time.Millisecond
 	// unresponsiveTimeout is the time without a heartbeat after which a router is no longer listed
@@ -76,6 +79,9 @@
 	// entryLost is true when the store has lost this router's entry although it lives.
 	entryLost bool
 
+	// lastPlans holds the last plans of a large fleet, or nil if the entries have changed since.
+	lastPlans atomic.Pointer[plans]
+
 	// registration is used by Run only.
 	registration registration
 }
@@ -105,6 +111,7 @@
 		if !isRouter {
 			continue
 		}
+		p.lastPlans.Store(nil)
 		if change.Deleted {
 			p.log.Info("router no longer listed", "peer", id, "revision", change.Entry.Revision)
 			delete(p.listed, fleet.HostID(id))
--- a/node/presence/routers.go
+++ b/node/presence/routers.go
@@ -92,13 +92,36 @@
 // Watchers returns the routers from which this one pulls the changes of the store, or reports that it
 // watches the store itself (dissemination.PlanWatch).
 func (p *Presence) Watchers() (watchers []fleet.HostID, self bool) {
-	watchers = dissemination.PlanWatch(p.Routers(), p.self)
+	watchers = p.plans().watchers
 	return watchers, len(watchers) == 0
 }
 
 // Relays returns this router's relay plan.
-func (p *Presence) Relays() dissemination.RelayPlan {
-	return dissemination.PlanRelays(p.Routers(), p.self)
+func (p *Presence) Relays() dissemination.RelayPlan { return p.plans().relays }
+
+// plans holds what follows from the list of routers for this one. It is immutable.
+type plans struct {
+	madeAt   time.Time
+	watchers []fleet.HostID
+	relays   dissemination.RelayPlan
+}
+
+// maxPlanAge is the age up to which plans are used again while the store's entries have not changed: as
+// long as a router may be silent without being noticed.
+const maxPlanAge = heartbeatInterval
+
+// plans returns the current plans. In a fleet of hundreds, making them takes a tenth of a millisecond or
+// more, and they are needed some twenty times a second.
+func (p *Presence) plans() *plans {
+	if made := p.lastPlans.Load(); made != nil && time.Since(made.madeAt) < maxPlanAge {
+		return made
+	}
+	routers := p.Routers()
+	made := &plans{madeAt: time.Now(), watchers: dissemination.PlanWatch(routers, p.self), relays: dissemination.PlanRelays(routers, p.self)}
+	if len(routers) > maxDirectFleetSize {
+		p.lastPlans.Store(made)
+	}
+	return made
 }
 
 // Count returns how many routers may send to upstreams: those listed and those with a recent
@@ -106,16 +129,16 @@
 func (p *Presence) Count() int {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	known := map[fleet.HostID]bool{p.self.ID: true}
-	for id := range p.listed {
-		known[id] = true
+	count := len(p.listed)
+	if _, listed := p.listed[p.self.ID]; !listed {
+		count++
 	}
 	for id, last := range p.heartbeats {
-		if time.Since(last.receivedAt) < heardTimeout {
-			known[id] = true
+		if _, listed := p.listed[id]; !listed && id != p.self.ID && time.Since(last.receivedAt) < heardTimeout {
+			count++
 		}
 	}
-	return len(known)
+	return count
 }
 
 // Rank returns this router's index, from 0, in the rendezvous order of the listed routers for a key.
