Renew the leases of a large fleet every 18 s

Change: a lease of a large fleet has 60 s and is renewed every 18 s. Neighbours remove routers that have died; the lease is for what they miss. Plans are tied to a count of the entries' changes, so that one that was being made during a change is not kept.

--- a/node/presence/lease.go
+++ b/node/presence/lease.go
@@ -18,8 +18,8 @@
 	smallFleetRenewal = leaseCheckInterval
 	// largeFleetTTL and largeFleetRenewal are the same in a larger fleet, where a router that has
 	// failed is removed by its neighbours. The calls to the store would grow with the fleet.
-	largeFleetTTL     = 20 * time.Second
-	largeFleetRenewal = 6 * time.Second
+	largeFleetTTL     = 60 * time.Second
+	largeFleetRenewal = 18 * time.Second
 	// sizeKnownAfter is the time after the start when the size of the fleet is known. A router
 	// registers with the TTL of a large one before.
 	sizeKnownAfter = 5 * time.Second
--- a/node/presence/presence.go
+++ b/node/presence/presence.go
@@ -79,8 +79,9 @@
 	// entryLost is true when the store has lost this router's entry although it lives.
 	entryLost bool
 
-	// lastPlans holds the last plans of a large fleet, or nil if the entries have changed since.
-	lastPlans atomic.Pointer[plans]
+	// lastPlans holds the last plans of a large fleet, and entryChanges counts the changes of entries.
+	lastPlans    atomic.Pointer[plans]
+	entryChanges atomic.Int64
 
 	// registration is used by Run only.
 	registration registration
@@ -106,12 +107,12 @@
 func (p *Presence) Observe(changes []replica.Change) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	defer p.entryChanges.Add(1)
 	for _, change := range changes {
 		id, isRouter := strings.CutPrefix(change.Entry.Key, RouterKeyPrefix)
 		if !isRouter {
 			continue
 		}
-		p.lastPlans.Store(nil)
 		if change.Deleted {
 			p.log.Info("router no longer listed", "peer", id, "revision", change.Entry.Revision)
 			delete(p.listed, fleet.HostID(id))
--- a/node/presence/routers.go
+++ b/node/presence/routers.go
@@ -101,23 +101,26 @@
 
 // plans holds what follows from the list of routers for this one. It is immutable.
 type plans struct {
-	madeAt   time.Time
+	madeAt time.Time
+	// entries is the value of Presence.entryChanges from before they were made.
+	entries  int64
 	watchers []fleet.HostID
 	relays   dissemination.RelayPlan
 }
 
-// maxPlanAge is the age up to which plans are used again while the store's entries have not changed: as
-// long as a router may be silent without being noticed.
-const maxPlanAge = heartbeatInterval
+// maxPlanAge is the age up to which plans are used again while the store has the same entries. Only routers
+// that are not listed yet, or are about to leave, change them otherwise.
+const maxPlanAge = 2 * time.Second
 
 // plans returns the current plans. In a fleet of hundreds, making them takes a tenth of a millisecond or
 // more, and they are needed some twenty times a second.
 func (p *Presence) plans() *plans {
-	if made := p.lastPlans.Load(); made != nil && time.Since(made.madeAt) < maxPlanAge {
+	entries := p.entryChanges.Load()
+	if made := p.lastPlans.Load(); made != nil && made.entries == entries && time.Since(made.madeAt) < maxPlanAge {
 		return made
 	}
 	routers := p.Routers()
-	made := &plans{madeAt: time.Now(), watchers: dissemination.PlanWatch(routers, p.self), relays: dissemination.PlanRelays(routers, p.self)}
+	made := &plans{madeAt: time.Now(), entries: entries, watchers: dissemination.PlanWatch(routers, p.self), relays: dissemination.PlanRelays(routers, p.self)}
 	if len(routers) > maxDirectFleetSize {
 		p.lastPlans.Store(made)
 	}
