Keep entries that a restore has lost until a newer copy lacks them

Cause: the removal of an entry that the store has lost was delivered a fixed time after the first restore or outage. A second one in that time takes the rewritten entry away again, and a router that has lost the store, or whose watchers have, never hears that it was written: engines that live were dropped. Found by the model of restores, which did not check before that a living engine stays known. Change: the time begins again with each restore and outage, also when another router tells of one, and the removal waits until the copy was confirmed to be the newest after that time. TestEntryOutlivesRestoresInQuickSuccession and ...OutagesInQuickSuccession failed before.

--- a/node/replica/model_test.go
+++ b/node/replica/model_test.go
@@ -63,6 +63,8 @@
 	// starts of engines that each router knew to leave or to have left.
 	newest map[*testRouter]int
 	left   map[*testRouter]map[string]string
+	// known holds the last start of each engine that each router has had.
+	known map[*testRouter]map[int]int
 }
 
 func modelKey(engine int) string { return fmt.Sprintf("%sengine-%d", upstreamKey, engine) }
@@ -151,17 +153,21 @@
 	}
 	m.newest[r] = max(m.newest[r], version)
 	if m.left[r] == nil {
-		m.left[r] = map[string]string{}
+		m.left[r], m.known[r] = map[string]string{}, map[int]int{}
 	}
 	for i := range m.engines {
 		value := r.value(modelKey(i))
 		if value == nil {
+			if m.engines[i].State != "" && m.known[r][i] == m.engines[i].Born {
+				m.problem = fmt.Sprintf("%s has lost start %d of engine %d, which lives", r.id, m.engines[i].Born, i)
+			}
 			continue
 		}
 		var known modelEngine
 		if err := json.Unmarshal(value, &known); err != nil {
 			panic(err)
 		}
+		m.known[r][i] = known.Born
 		start := fmt.Sprintf("%d/%d", i, known.Born)
 		if how := m.left[r][start]; how != "" && known.State == "ready" {
 			m.problem = fmt.Sprintf("%s would use start %s of an engine again, which was %s", r.id, start, how)
@@ -205,7 +211,7 @@
 			time.Sleep(10 * time.Second)
 		}()
 		f := &fakeFleet{store: newFakeStore(), bytesPerSecond: 1e9 / 8, cores: 1}
-		m := &model{newest: map[*testRouter]int{}, left: map[*testRouter]map[string]string{}, version: 1}
+		m := &model{newest: map[*testRouter]int{}, left: map[*testRouter]map[string]string{}, known: map[*testRouter]map[int]int{}, version: 1}
 		m.fleet = testFleet{store: f.store, start: func() *testRouter { return startRouter(ctx, f.add()) }}
 		f.store.put(desiredKey, versioned(1))
 		f.store.put(upstreamKey+"first", versioned(1))
@@ -240,8 +246,8 @@
 // modelsPerCheck makes the 100 checks of a test run 500 cases.
 const modelsPerCheck = 5
 
-// No router goes back to an older desired state or uses an engine that it knew to leave, and all
-// routers have the newest state in the end, whatever restores of the store lose.
+// No router goes back to an older desired state, uses an engine that it knew to leave, or drops one that
+// lives, and all routers have the newest state in the end, whatever restores of the store lose.
 func TestRestoresTakeNothingBack(t *testing.T) {
 	step := rapid.Custom(func(rt *rapid.T) modelStep {
 		return modelStep{
--- a/node/replica/pull.go
+++ b/node/replica/pull.go
@@ -149,6 +149,9 @@
 func (r *Replica) applyPulled(t *tree, pulled pulledTree, startedAt time.Time) {
 	confirmedAt := startedAt.Add(-time.Duration(pulled.AgeMs) * time.Millisecond)
 	settledAt := settleTime(pulled.SettleMs)
+	r.mu.Lock()
+	r.postponeFurther(t.prefix, latest(settledAt, settleTime(pulled.RestoreSettleMs)))
+	r.mu.Unlock()
 	changes := make([]Change, 0, len(pulled.Entries))
 	for _, entry := range pulled.Entries {
 		change := Change{
@@ -160,10 +163,7 @@
 		changes = append(changes, change)
 	}
 	if pulled.Complete {
-		if restored := settleTime(pulled.RestoreSettleMs); restored.After(settledAt) {
-			settledAt = restored
-		}
-		r.replace(t, changes, pulled.AsOf, confirmedAt, settledAt)
+		r.replace(t, changes, pulled.AsOf, confirmedAt, latest(settledAt, settleTime(pulled.RestoreSettleMs)))
 		return
 	}
 	r.apply(t, changes, pulled.AsOf, confirmedAt)
@@ -177,6 +177,14 @@
 	return time.Now().Add(time.Duration(remainingMs) * time.Millisecond)
 }
 
+// latest returns the later of two times.
+func latest(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
 // handlePull answers a pull of another router.
 func (r *Replica) handlePull(ctx context.Context, from fleet.HostID, decode port.Decode) (any, error) {
 	var request pullRequest
--- a/node/replica/replica.go
+++ b/node/replica/replica.go
@@ -293,7 +293,7 @@
 		key := change.Entry.Key
 		if remaining := time.Until(change.Settled); change.Deleted && remaining > 0 {
 			r.postponed[key] = change
-			time.AfterFunc(remaining, func() { r.deliverPostponed(change) })
+			time.AfterFunc(remaining, func() { r.deliverPostponed(change.Entry) })
 			continue
 		}
 		delete(r.postponed, key)
@@ -314,21 +314,42 @@
 	return count
 }
 
-// deliverPostponed delivers a deletion unless the entry has been written or deleted again since.
-func (r *Replica) deliverPostponed(change Change) {
+// postponeFurther postpones the deletions of entries under a prefix that are postponed already, because
+// their writers have been kept from writing them again. The caller holds mu.
+func (r *Replica) postponeFurther(prefix string, settledAt time.Time) {
+	for key, change := range r.postponed {
+		if strings.HasPrefix(key, prefix) && settledAt.After(change.Settled) {
+			change.Settled = settledAt
+			r.postponed[key] = change
+		}
+	}
+}
+
+// deliverPostponed delivers the deletion of an entry unless the entry has been written or deleted again
+// since. It waits while the deletion is postponed further, and until the copy is confirmed to be the newest at
+// a time when the entry should have been written again: a router that has lost the store would not know.
+func (r *Replica) deliverPostponed(deleted port.Entry) {
 	r.applying <- struct{}{}
 	defer func() { <-r.applying }()
 	r.mu.Lock()
-	waiting, found := r.postponed[change.Entry.Key]
-	isDue := found && waiting.Entry.Revision == change.Entry.Revision
-	if isDue {
-		delete(r.postponed, change.Entry.Key)
+	change, found := r.postponed[deleted.Key]
+	if !found || change.Entry.Revision != deleted.Revision {
+		r.mu.Unlock()
+		return
 	}
-	r.mu.Unlock()
-	if isDue {
-		change.Settled = time.Time{}
-		r.deliver([]Change{change})
+	remaining := time.Until(change.Settled)
+	if remaining <= 0 && r.treeOf(deleted.Key).confirmedAt.Before(change.Settled) {
+		remaining = pullInterval
 	}
+	if remaining > 0 {
+		time.AfterFunc(remaining, func() { r.deliverPostponed(deleted) })
+		r.mu.Unlock()
+		return
+	}
+	delete(r.postponed, deleted.Key)
+	r.mu.Unlock()
+	change.Settled = time.Time{}
+	r.deliver([]Change{change})
 }
 
 // learnEra records an era of the store that another router has seen.
--- a/node/replica/restore_test.go
+++ b/node/replica/restore_test.go
@@ -299,3 +299,50 @@
 		must.Eq(t, string(versioned(1)), string(f.routers[1].value(engineKey)))
 	})
 }
+
+// An entry that the store lost used to be dropped while it was to be written again after a second restore.
+func TestEntryOutlivesRestoresInQuickSuccession(t *testing.T) {
+	restoreTo(t, func(s *fakeStore) {}, func(s *fakeStore) { s.put(engineKey, versioned(1)) }, func(t *testing.T, f testFleet) {
+		number := f.store.at().Number
+		for range 3 {
+			for range 20 {
+				time.Sleep(100 * time.Millisecond)
+				f.checkValues(t, engineKey, versioned(1))
+			}
+			f.store.restore(number)
+		}
+		time.Sleep(restoreSettlePeriod + leaveLimit)
+		f.checkValues(t, engineKey, nil)
+	})
+}
+
+// An entry that lapsed in an outage is kept through a second one that begins before it could be written
+// again.
+func TestEntryOutlivesOutagesInQuickSuccession(t *testing.T) {
+	runFleetWithState(t, 2, versioned(1), func(t *testing.T, f testFleet) {
+		f.stopUpstreams()
+		f.store.put(engineKey, versioned(1))
+		time.Sleep(leaveLimit)
+		for range 2 {
+			for _, r := range f.routers {
+				r.isolated.Store(true)
+			}
+			f.store.remove(engineKey)
+			for range 40 {
+				time.Sleep(100 * time.Millisecond)
+				f.checkValues(t, engineKey, versioned(1))
+			}
+			for _, r := range f.routers {
+				r.isolated.Store(false)
+			}
+			time.Sleep(settlePeriod - time.Second)
+			f.checkValues(t, engineKey, versioned(1))
+		}
+		f.store.put(engineKey, versioned(2))
+		time.Sleep(leaveLimit)
+		f.checkValues(t, engineKey, versioned(2))
+		f.store.remove(engineKey)
+		time.Sleep(settlePeriod + leaveLimit)
+		f.checkValues(t, engineKey, nil)
+	})
+}
--- a/node/replica/watch.go
+++ b/node/replica/watch.go
@@ -298,11 +298,15 @@
 // restoreSettlePeriod at least.
 func (r *Replica) replace(t *tree, listed []Change, listedAt revision.Revision, confirmedAt, settledAt time.Time) {
 	r.mu.Lock()
-	if wasRestored := !t.asOf.IsZero() && listedAt.IsOfLaterEra(t.asOf); wasRestored && settledAt.IsZero() {
+	wasRestored := !t.asOf.IsZero() && listedAt.IsOfLaterEra(t.asOf)
+	if wasRestored && settledAt.IsZero() {
 		settledAt = time.Now().Add(restoreSettlePeriod)
 	}
 	changes := append(t.missing(listed, listedAt, settledAt), listed...)
 	t.prunedRevision = revision.Latest(t.prunedRevision, listedAt)
+	if wasRestored {
+		r.postponeFurther(t.prefix, settledAt)
+	}
 	r.mu.Unlock()
 	r.apply(t, changes, listedAt, confirmedAt)
 }
@@ -315,8 +319,12 @@
 	for _, c := range contacts {
 		regained = c.answer(time.Now()) || regained
 	}
-	if regained {
-		r.log.Info("store dependency regained", "prefix", prefix)
+	if !regained {
+		return
+	}
+	r.log.Info("store dependency regained", "prefix", prefix)
+	for _, t := range r.trees {
+		r.postponeFurther(t.prefix, t.settledAt())
 	}
 }
 
