Let only planned watchers press a store that is away

Cause: once the watchers' copies are 3.5 s old, each router of a large fleet watches the store itself, and tried again up to four times a second while the store was away. All of these calls are refused or lost, and come when the store has most to do. Change: a router for which others should watch tries again after 1 s, 2 s and then 4 s. It pulls from others meanwhile, and from its watchers as soon as these have the store again. Test: TestFewRoutersCallAStoreThatIsAway, 10 attempts in 10 s before, limit 4; a leave mark written when the store is back reaches all in time.

--- a/node/replica/fakes_test.go
+++ b/node/replica/fakes_test.go
@@ -85,8 +85,8 @@
 	isolated atomic.Bool
 	// era is the highest era of the store that the host has seen.
 	era atomic.Int64
-	// watches is the number of watches of the store in progress.
-	watches atomic.Int32
+	// watches is the number of watches of the store in progress, and startedWatches of those that began.
+	watches, startedWatches atomic.Int32
 }
 
 // compute uses the processor for a time that is given for a whole core.
@@ -439,6 +439,7 @@
 func (s storeOf) Watch(ctx context.Context, prefix string, after revision.Revision) <-chan port.WatchEvent {
 	events := make(chan port.WatchEvent)
 	s.host.watches.Add(1)
+	s.host.startedWatches.Add(1)
 	go func() {
 		defer close(events)
 		defer s.host.watches.Add(-1)
--- a/node/replica/replica.go
+++ b/node/replica/replica.go
@@ -33,6 +33,11 @@
 	unloadedRetryDelay = 50 * time.Millisecond
 	minRetryDelay      = 150 * time.Millisecond
 	maxRetryDelay      = 500 * time.Millisecond
+	// minFallbackDelay and maxFallbackDelay are these delays on a router for which others should watch.
+	// Once the store is back, those do so first, and it pulls from them: a whole fleet that calls a
+	// store which has just failed would only add to its load.
+	minFallbackDelay = time.Second
+	maxFallbackDelay = 4 * time.Second
 	// staleTimeout is the age above which a replica pulls from other routers. An idle watch confirms
 	// a copy every 2 s, and pulls over up to two routers add pullInterval each.
 	staleTimeout = 3 * time.Second
--- a/node/replica/replica_test.go
+++ b/node/replica/replica_test.go
@@ -326,6 +326,30 @@
 	})
 }
 
+// All routers of a large fleet used to call a store that was away up to four times a second.
+func TestFewRoutersCallAStoreThatIsAway(t *testing.T) {
+	runFleet(t, 20, func(t *testing.T, f testFleet) {
+		f.stopUpstreams()
+		const outage = 10 * time.Second
+		// The delays are 1 s, 2 s and 4 s at least.
+		maxAttempts := int32(1 + (outage-maxWatcherCopyAge)/(2*minFallbackDelay))
+		for _, r := range f.routers {
+			r.startedWatches.Store(0)
+			r.isolated.Store(true)
+		}
+		time.Sleep(outage)
+		for _, r := range f.routers[len(f.routers[0].fleet.watchers):] {
+			must.LessEq(t, maxAttempts, r.startedWatches.Load(), must.Sprint(r.id))
+		}
+		for _, r := range f.routers {
+			r.isolated.Store(false)
+		}
+		mark := f.store.put(upstreamKey+"leaving", []byte(`{"state": "draining"}`))
+		took, late := f.applyTime(upstreamKey+"leaving", mark, leaveLimit)
+		must.LessEq(t, leaveLimit, took, must.Sprintf("last: %s", late))
+	})
+}
+
 func TestRoutersReturnToWatchersThatWereSilent(t *testing.T) {
 	runFleet(t, 20, func(t *testing.T, f testFleet) {
 		for _, silent := range []bool{true, false} {
--- a/node/replica/watch.go
+++ b/node/replica/watch.go
@@ -177,11 +177,20 @@
 		}
 		r.markUnreachable(prefix, contacts, err)
 		failures++
-		delay := min(minRetryDelay<<min(failures-1, 8), maxRetryDelay)
+		delay := r.retryDelay(failures)
 		sleep(ctx, delay+rand.N(delay))
 	}
 }
 
+// retryDelay returns the delay before a watch that has failed several times in a row is tried again.
+func (r *Replica) retryDelay(failures int) time.Duration {
+	least, most := minRetryDelay, maxRetryDelay
+	if _, planned := r.peers.Watchers(); !planned {
+		least, most = minFallbackDelay, maxFallbackDelay
+	}
+	return min(least<<min(failures-1, 8), most)
+}
+
 // watchTogether watches all entries until the watch fails, or until ctx ends once the desired state is
 // large.
 func (r *Replica) watchTogether(ctx context.Context) error {
