Receive SIGHUP from the first moment of a gateway

Cause: until the settings were read and the router assembled, SIGHUP had its default action and ended the process. Change: the signal is caught before the settings are read; the reload follows once the router is assembled.

--- a/cmd/agateswitch/gateway.go
+++ b/cmd/agateswitch/gateway.go
@@ -28,6 +28,8 @@
 		Example: "  agateswitch gateway /etc/agateswitch/settings.jsonc",
 		Args:    cobra.MaximumNArgs(1),
 		RunE: func(command *cobra.Command, args []string) error {
+			// The platform may send one as soon as the process exists.
+			hangups := catchHangups()
 			path := os.Getenv(platform.SettingsVariable)
 			if len(args) == 1 {
 				path = args[0]
@@ -36,7 +38,7 @@
 			if err != nil {
 				return err
 			}
-			return runGateway(checked, path)
+			return runGateway(checked, path, hangups)
 		},
 	}
 }
@@ -57,7 +59,7 @@
 }
 
 // runGateway runs a gateway until a signal stops it, and reloads its settings file when it changes.
-func runGateway(s settings.Gateway, path string) error {
+func runGateway(s settings.Gateway, path string, hangups chan os.Signal) error {
 	logWriter := telemetry.NewAsyncWriter(os.Stdout)
 	defer logWriter.Close()
 	logger, err := telemetry.NewLogger(logWriter, s.Log.Level, s.Log.Format)
@@ -86,6 +88,6 @@
 	ctx, forced, stop := signalContexts()
 	defer stop()
 	reload := reloader{path: path, inForce: s, log: logger, apply: router.Apply}
-	reload.start(forced)
+	reload.start(forced, hangups)
 	return router.Run(ctx, forced)
 }
--- a/cmd/agateswitch/gateway_process_test.go
+++ b/cmd/agateswitch/gateway_process_test.go
@@ -91,16 +91,9 @@
 // address, so that its fixed ports are free.
 func (f *gatewayFleet) start(ctx context.Context, t *testing.T, number int) gatewayProcess {
 	t.Helper()
-	ip := fmt.Sprintf("127.%d.%d.%d", 20+os.Getpid()%200, os.Getpid()/200%250, number)
 	file := filepath.Join(t.TempDir(), "settings.jsonc")
-	content := fmt.Sprintf(`{
-		"host": {"id": "front-%d", "datacentre": "arima", "region": "tt-north"},
-		"listen": {"callers": "%[2]s:7001", "readiness": "%[2]s:7002", "directory": "%[2]s:7003", "peers": "%[2]s:7004", "metrics": "%[2]s:7005"},
-		"store": %[3]q, "peer_key": "process-test-peer-key-of-32-characters", "grace": "30s", "max_directory_ttl": "5s",
-		"retries": {"ratio": 0.2, "extra": 50, "window": "10s"}, "log": {"format": "json"}
-	}`, number, ip, listenOn(t, f.store.HandlerFor(ip)))
-	must.NoError(t, os.WriteFile(file, []byte(content), 0o600))
-	p := gatewayProcess{process: launch(t, f.program, "gateway", file), callers: ip + ":7001", settings: file}
+	must.NoError(t, os.WriteFile(file, f.settingsOf(t, number), 0o600))
+	p := gatewayProcess{process: launch(t, f.program, "gateway", file), callers: gatewayIP(number) + ":7001", settings: file}
 	p.await(ctx, t, "desired state in force")
 	return p
 }
--- a/cmd/agateswitch/reload.go
+++ b/cmd/agateswitch/reload.go
@@ -30,10 +30,15 @@
 // hangup is the signal that requests a reload.
 const hangup = syscall.SIGHUP
 
-// start reloads the settings file at each hangup and every reloadInterval, until ctx ends.
-func (r *reloader) start(ctx context.Context) {
-	hangups := make(chan os.Signal, 1)
+// catchHangups receives the hangups of the process from now on, which would otherwise end it.
+func catchHangups() (hangups chan os.Signal) {
+	hangups = make(chan os.Signal, 1)
 	signal.Notify(hangups, hangup)
+	return hangups
+}
+
+// start reloads the settings file at each of the hangups and every reloadInterval, until ctx ends.
+func (r *reloader) start(ctx context.Context, hangups chan os.Signal) {
 	go func() {
 		defer signal.Stop(hangups)
 		r.run(ctx, hangups)
--- a/cmd/agateswitch/reload_test.go
+++ b/cmd/agateswitch/reload_test.go
@@ -50,7 +50,7 @@
 	must.NoError(t, os.WriteFile(path, []byte(strings.ReplaceAll(gatewaySettings, "RATIO", "0.2")), 0o600))
 	applied := make(chan struct{}, 1)
 	r := reloader{path: path, log: log.New(io.Discard), apply: func(settings.Gateway) { applied <- struct{}{} }}
-	r.start(t.Context())
+	r.start(t.Context(), catchHangups())
 	process, err := os.FindProcess(os.Getpid())
 	must.NoError(t, err)
 	must.NoError(t, process.Signal(hangup))
