--- a/node/replica/replica.go
+++ b/node/replica/replica.go
@@ -12,7 +12,6 @@
 import (
 	"bytes"
 	"context"
-	"strings"
 	"sync"
 	"time"
 
@@ -288,111 +287,6 @@
 	}
 }
 
-// postpone returns the changes that subscribers receive now. Deletions of entries that may be written
-// again are delivered later, unless they are.
-func (r *Replica) postpone(changes []Change) []Change {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	due := make([]Change, 0, len(changes))
-	for _, change := range changes {
-		key := change.Entry.Key
-		if remaining := time.Until(change.Settled); change.Deleted && remaining > 0 {
-			r.postponed[key] = change
-			time.AfterFunc(remaining, func() { r.deliverPostponed(change.Entry) })
-			continue
-		}
-		delete(r.postponed, key)
-		change.Settled = time.Time{}
-		due = append(due, change)
-	}
-	return due
-}
-
-// postponedUnder returns how many deletions of entries under a prefix are postponed. The caller holds mu.
-func (r *Replica) postponedUnder(prefix string) int64 {
-	count := int64(0)
-	for key := range r.postponed {
-		if strings.HasPrefix(key, prefix) {
-			count++
-		}
-	}
-	return count
-}
-
-// postponeFurther postpones the deletions of entries under a prefix that are postponed already, because
-// their writers have been kept from writing them again. The caller holds mu.
-func (r *Replica) postponeFurther(prefix string, settledAt time.Time) {
-	for key, change := range r.postponed {
-		if strings.HasPrefix(key, prefix) && settledAt.After(change.Settled) {
-			change.Settled = settledAt
-			r.postponed[key] = change
-		}
-	}
-}
-
-// deliverPostponed delivers the deletion of an entry unless the entry has been written or deleted again
-// since. It waits while the deletion is postponed further, and until the copy is confirmed to be the newest at
-// a time when the entry should have been written again: a router that has lost the store would not know.
-func (r *Replica) deliverPostponed(deleted port.Entry) {
-	r.applying <- struct{}{}
-	defer func() { <-r.applying }()
-	r.mu.Lock()
-	change, found := r.postponed[deleted.Key]
-	if !found || change.Entry.Revision != deleted.Revision {
-		r.mu.Unlock()
-		return
-	}
-	remaining := time.Until(change.Settled)
-	if remaining <= 0 && r.treeOf(deleted.Key).confirmedAt.Before(change.Settled) {
-		remaining = pullInterval
-	}
-	if remaining > 0 {
-		time.AfterFunc(remaining, func() { r.deliverPostponed(deleted) })
-		r.mu.Unlock()
-		return
-	}
-	delete(r.postponed, deleted.Key)
-	r.mu.Unlock()
-	change.Settled = time.Time{}
-	r.deliver([]Change{change})
-}
-
-// learnEra records an era of the store that another router has seen.
-func (r *Replica) learnEra(era int64, from fleet.HostID) {
-	if r.eras == nil || era <= r.eras.Era() {
-		return
-	}
-	r.log.Warn("another router has seen that the store was restored", "peer", from, "era", era, "before", r.eras.Era())
-	r.eras.LearnEra(era)
-}
-
-// era returns the highest era of the store that this router knows.
-func (r *Replica) era() int64 {
-	if r.eras == nil {
-		return 0
-	}
-	return r.eras.Era()
-}
-
-// RestoreCounts counts what restores of the store have done to a copy.
-type RestoreCounts struct {
-	// Era is the highest era of the store that the router knows.
-	Era int64
-	// Kept is how many entries and removals stayed in force although the store had earlier states, and
-	// Lost how many entries the store had lost. Entries that were lost stay in force until they are
-	// written again or should have been.
-	Kept, Lost int64
-}
-
-// Restores returns the counts since the start of the router.
-func (r *Replica) Restores() RestoreCounts {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	counts := r.restores
-	counts.Era = r.era()
-	return counts
-}
-
 // sleep waits for a duration or until ctx ends.
 func sleep(ctx context.Context, duration time.Duration) {
 	timer := time.NewTimer(duration)
--- /dev/null
+++ b/node/workload/publish.go
@@ -0,0 +1,81 @@
+package workload
+
+import (
+	"context"
+	"maps"
+	"time"
+
+	"agateswitch/core/fleet"
+	"agateswitch/core/warmth"
+	"agateswitch/port"
+)
+
+// messageToRelay returns a router's message to its relay.
+func (w *Workload) messageToRelay() message {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return message{Load: maps.Clone(w.own), Full: true, CachedParts: w.takePendingParts(), Leaving: w.leaving.Told(time.Now())}
+}
+
+// nextMessage returns the next message of a relay, for itself and the routers for which it is the
+// relay.
+func (w *Workload) nextMessage(full bool) message {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	m := message{Load: map[fleet.UpstreamID]Load{}, Full: full, CachedParts: w.takePendingParts(), Leaving: w.leaving.Told(time.Now())}
+	if full {
+		for upstream := range w.own {
+			w.changed[upstream] = true
+		}
+		for upstream := range w.relayedTotal {
+			w.changed[upstream] = true
+		}
+	}
+	for upstream := range w.changed {
+		m.Load[upstream] = w.own[upstream].plus(w.relayedTotal[upstream])
+	}
+	w.changed = map[fleet.UpstreamID]bool{}
+	if !w.isDirect {
+		w.recentParts.add(m.CachedParts)
+	}
+	return m
+}
+
+// takePendingParts removes and returns the cached parts for the next message. Callers hold mu.
+func (w *Workload) takePendingParts() []warmth.CachedPart {
+	count := min(len(w.pendingParts), maxPartsPerMessage)
+	parts := w.pendingParts[:count:count]
+	w.pendingParts = w.pendingParts[count:]
+	return parts
+}
+
+// publish sends the next message to the given routers.
+func (w *Workload) publish(ctx context.Context, others []fleet.HostID, full bool) {
+	m := w.nextMessage(full)
+	for _, other := range others {
+		go func() {
+			ctx, cancel := context.WithTimeout(ctx, messageTimeout)
+			defer cancel()
+			var none struct{}
+			if err := w.transport.Call(ctx, other, methodPublish, m, &none); err != nil {
+				w.log.Debug("failed to deliver a workload message to a router", "peer", other, "err", err)
+			}
+		}()
+	}
+}
+
+// handlePublish handles a message of another router.
+func (w *Workload) handlePublish(_ context.Context, from fleet.HostID, decode port.Decode) (any, error) {
+	var m message
+	if err := decode(&m); err != nil {
+		return nil, err
+	}
+	w.learnLeaving(m.Leaving)
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.applyMessage(from, m, false)
+	if !w.isDirect {
+		w.recentParts.add(m.CachedParts)
+	}
+	return struct{}{}, nil
+}
--- a/node/workload/workload.go
+++ b/node/workload/workload.go
@@ -11,7 +11,6 @@
 
 import (
 	"context"
-	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -126,15 +125,6 @@
 	isRelay, isDirect bool
 }
 
-// peerLoad is the load received from one router.
-type peerLoad struct {
-	load       map[fleet.UpstreamID]Load
-	receivedAt time.Time
-	// isRelayed is true when this router is the other one's relay, and so includes the other's load
-	// in what it publishes.
-	isRelayed bool
-}
-
 // New returns the workload of a router and registers its peer methods.
 func New(self fleet.HostID, transport port.Peers, peers Peers, logger *log.Logger) *Workload {
 	w := &Workload{
@@ -325,141 +315,3 @@
 	}
 	return plan
 }
-
-// messageToRelay returns a router's message to its relay.
-func (w *Workload) messageToRelay() message {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	return message{Load: maps.Clone(w.own), Full: true, CachedParts: w.takePendingParts(), Leaving: w.leaving.Told(time.Now())}
-}
-
-// nextMessage returns the next message of a relay, for itself and the routers for which it is the
-// relay.
-func (w *Workload) nextMessage(full bool) message {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	m := message{Load: map[fleet.UpstreamID]Load{}, Full: full, CachedParts: w.takePendingParts(), Leaving: w.leaving.Told(time.Now())}
-	if full {
-		for upstream := range w.own {
-			w.changed[upstream] = true
-		}
-		for upstream := range w.relayedTotal {
-			w.changed[upstream] = true
-		}
-	}
-	for upstream := range w.changed {
-		m.Load[upstream] = w.own[upstream].plus(w.relayedTotal[upstream])
-	}
-	w.changed = map[fleet.UpstreamID]bool{}
-	if !w.isDirect {
-		w.recentParts.add(m.CachedParts)
-	}
-	return m
-}
-
-// takePendingParts removes and returns the cached parts for the next message. Callers hold mu.
-func (w *Workload) takePendingParts() []warmth.CachedPart {
-	count := min(len(w.pendingParts), maxPartsPerMessage)
-	parts := w.pendingParts[:count:count]
-	w.pendingParts = w.pendingParts[count:]
-	return parts
-}
-
-// publish sends the next message to the given routers.
-func (w *Workload) publish(ctx context.Context, others []fleet.HostID, full bool) {
-	m := w.nextMessage(full)
-	for _, other := range others {
-		go func() {
-			ctx, cancel := context.WithTimeout(ctx, messageTimeout)
-			defer cancel()
-			var none struct{}
-			if err := w.transport.Call(ctx, other, methodPublish, m, &none); err != nil {
-				w.log.Debug("failed to deliver a workload message to a router", "peer", other, "err", err)
-			}
-		}()
-	}
-}
-
-// handlePublish handles a message of another router.
-func (w *Workload) handlePublish(_ context.Context, from fleet.HostID, decode port.Decode) (any, error) {
-	var m message
-	if err := decode(&m); err != nil {
-		return nil, err
-	}
-	w.learnLeaving(m.Leaving)
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	w.applyMessage(from, m, false)
-	if !w.isDirect {
-		w.recentParts.add(m.CachedParts)
-	}
-	return struct{}{}, nil
-}
-
-// applyMessage applies a message of another router. Callers hold mu.
-func (w *Workload) applyMessage(from fleet.HostID, m message, isRelayed bool) {
-	now := time.Now()
-	peer, found := w.peerLoads[from]
-	if found && peer.isRelayed != isRelayed {
-		w.removePeer(from, peer)
-		found = false
-	}
-	if !found {
-		peer = &peerLoad{load: map[fleet.UpstreamID]Load{}, isRelayed: isRelayed}
-		w.peerLoads[from] = peer
-	}
-	peer.receivedAt = now
-	if m.Full {
-		for upstream := range peer.load {
-			if _, still := m.Load[upstream]; !still {
-				w.setLoad(peer, upstream, Load{})
-			}
-		}
-	}
-	for upstream, load := range m.Load {
-		w.setLoad(peer, upstream, load)
-	}
-	w.warm.Merge(m.CachedParts, now)
-}
-
-// setLoad sets a router's load on one upstream, and updates the sums. Callers hold mu.
-func (w *Workload) setLoad(peer *peerLoad, upstream fleet.UpstreamID, load Load) {
-	change := load.minus(peer.load[upstream])
-	if change == (Load{}) {
-		return
-	}
-	addLoad(peer.load, upstream, change)
-	addLoad(w.total, upstream, change)
-	if peer.isRelayed {
-		addLoad(w.relayedTotal, upstream, change)
-		w.changed[upstream] = true
-	}
-}
-
-// addLoad adds a change to a sum. It removes sums that become zero.
-func addLoad(sums map[fleet.UpstreamID]Load, upstream fleet.UpstreamID, change Load) {
-	if sum := sums[upstream].plus(change); sum != (Load{}) {
-		sums[upstream] = sum
-		return
-	}
-	delete(sums, upstream)
-}
-
-// removeStalePeers removes the load of unresponsive routers.
-func (w *Workload) removeStalePeers() {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	for from, peer := range w.peerLoads {
-		if time.Since(peer.receivedAt) > staleTimeout {
-			w.removePeer(from, peer)
-		}
-	}
-}
-
-// removePeer removes the load of a router. Callers hold mu.
-func (w *Workload) removePeer(from fleet.HostID, peer *peerLoad) {
-	for upstream := range peer.load {
-		w.setLoad(peer, upstream, Load{})
-	}
-	delete(w.peerLoads, from)
-}
