Let watchers say that they have lost the store

Change: an answer says whether the router is cut off; such watchers count as silent, and after a second the router watches the store itself. If that fails too, it waits 1 s, 2 s, then 4 s, over all causes for which it would try.

--- a/node/replica/confirm.go
+++ b/node/replica/confirm.go
@@ -43,7 +43,7 @@
 // confirm asks a watcher, the store, and then routers that may reach the store.
 func (r *Replica) confirm(ctx context.Context) error {
 	if watchers, self := r.watchers(); !self {
-		err := r.pullFrom(ctx, watchers[rand.N(len(watchers))], pullRequest{Newest: true})
+		_, err := r.pullFrom(ctx, watchers[rand.N(len(watchers))], pullRequest{Newest: true})
 		if err == nil && r.awaitConfirmed(ctx) {
 			return nil
 		}
--- a/node/replica/pull.go
+++ b/node/replica/pull.go
@@ -64,6 +64,8 @@
 type pullResponse struct {
 	Trees   []pulledTree  `msgpack:"trees"`
 	Desired pulledDesired `msgpack:"desired"`
+	// CutOff is true while the router gets no changes, neither from the store nor from its watchers.
+	CutOff bool `msgpack:"cut_off,omitempty"`
 	// Era is the highest era of the store that the router knows.
 	Era int64 `msgpack:"era,omitempty"`
 }
@@ -106,13 +108,13 @@
 	var calls sync.WaitGroup
 	for _, other := range others[:min(len(others), pullFanout)] {
 		// Each failure is logged, and no answer is needed from every router.
-		calls.Go(func() { _ = r.pullFrom(ctx, other, pullRequest{Newest: newest}) })
+		calls.Go(func() { _, _ = r.pullFrom(ctx, other, pullRequest{Newest: newest}) })
 	}
 	calls.Wait()
 }
 
-// pullFrom pulls from one router and applies its response.
-func (r *Replica) pullFrom(ctx context.Context, other fleet.HostID, request pullRequest) error {
+// pullFrom pulls from one router and applies its response. It reports whether the router is cut off.
+func (r *Replica) pullFrom(ctx context.Context, other fleet.HostID, request pullRequest) (cutOff bool, err error) {
 	request.After, request.Era = map[string]revision.Revision{}, r.era()
 	r.mu.Lock()
 	for _, t := range r.trees {
@@ -124,7 +126,7 @@
 	var response pullResponse
 	if err := r.call(ctx, pullTimeout, other, methodPull, request, &response); err != nil {
 		r.log.Debug("failed to pull the state from a router", "peer", other, "err", err)
-		return err
+		return false, err
 	}
 	r.learnEra(response.Era, other)
 	for _, pulled := range response.Trees {
@@ -135,7 +137,7 @@
 		}
 	}
 	r.learnDesired(other, response.Desired, startedAt)
-	return nil
+	return response.CutOff, nil
 }
 
 // call calls a router with a timeout.
@@ -197,9 +199,10 @@
 			r.log.Debug("failed to read the newest state from the store for a router's pull", "err", err)
 		}
 	}
+	cutOff := r.isCutOff()
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	response := pullResponse{Desired: r.desired.pulled(), Era: r.era()}
+	response := pullResponse{Desired: r.desired.pulled(), Era: r.era(), CutOff: cutOff}
 	for _, t := range r.trees {
 		response.Trees = append(response.Trees, t.pulled(request.After[t.prefix]))
 	}
--- a/node/replica/replica.go
+++ b/node/replica/replica.go
@@ -130,6 +130,10 @@
 	// watchersSilentSince is when the first of the last pulls from watchers began, all of which have
 	// failed; zero if the last one has succeeded.
 	watchersSilentSince time.Time
+	// fallbackRetryAt is the time before which the router does not watch the store if others should watch for
+	// it, and fallbackFailures how often the store has failed it in a row.
+	fallbackRetryAt  time.Time
+	fallbackFailures int
 
 	// packing admits one compression of the desired state.
 	packing sync.Mutex
--- a/node/replica/replica_test.go
+++ b/node/replica/replica_test.go
@@ -326,6 +326,24 @@
 	})
 }
 
+// drainLimit is the users' drain_ms of the grown installations, whose fleets have watchers.
+const drainLimit = 3 * time.Second
+
+// Watchers that had lost the store went on answering with old copies, and routers noticed only by their
+// age, after 3.5 s.
+func TestLeaveMarkReachesRoutersWhoseWatchersHaveLostTheStore(t *testing.T) {
+	for _, lost := range []int{1, 2} {
+		runFleet(t, 20, func(t *testing.T, f testFleet) {
+			for _, r := range f.routers[:lost] {
+				r.isolated.Store(true)
+			}
+			mark := f.store.put(upstreamKey+"leaving", []byte(`{"state": "draining"}`))
+			took, late := f.applyTime(upstreamKey+"leaving", mark, drainLimit)
+			must.LessEq(t, drainLimit, took, must.Sprintf("watchers lost: %d, last: %s", lost, late))
+		})
+	}
+}
+
 // All routers of a large fleet used to call a store that was away up to four times a second.
 func TestFewRoutersCallAStoreThatIsAway(t *testing.T) {
 	runFleet(t, 20, func(t *testing.T, f testFleet) {
--- a/node/replica/watch.go
+++ b/node/replica/watch.go
@@ -36,11 +36,23 @@
 // pullFromWatchers pulls from one of the watchers, and records since when they have not answered.
 func (r *Replica) pullFromWatchers(ctx context.Context, watchers []fleet.HostID) {
 	startedAt := time.Now()
-	err := r.pullFrom(ctx, watchers[rand.N(len(watchers))], pullRequest{})
-	r.setWatchersSilent(err != nil, startedAt)
+	cutOff, err := r.pullFrom(ctx, watchers[rand.N(len(watchers))], pullRequest{})
+	r.setWatchersSilent(cutOff || err != nil, startedAt)
 }
 
-// setWatchersSilent records that watchers did or did not answer a pull that began at a time.
+// isCutOff reports whether this router gets no changes, neither from the store nor from its watchers. One
+// failure of several watchers does not count.
+func (r *Replica) isCutOff() bool {
+	if _, self := r.watchers(); self {
+		return r.lostStore()
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return !r.watchersSilentSince.IsZero() && time.Since(r.watchersSilentSince) > 2*pullInterval
+}
+
+// setWatchersSilent records that watchers did or did not answer a pull that began at a time. One that is cut
+// off itself counts as silent.
 func (r *Replica) setWatchersSilent(silent bool, at time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -57,7 +69,8 @@
 func (r *Replica) watchers() (watchers []fleet.HostID, self bool) {
 	watchers, self = r.peers.Watchers()
 	r.mu.Lock()
-	silent := !r.watchersSilentSince.IsZero() && time.Since(r.watchersSilentSince) > silentWatchersTimeout
+	silent := !r.watchersSilentSince.IsZero() && time.Since(r.watchersSilentSince) > silentWatchersTimeout &&
+		time.Now().After(r.fallbackRetryAt)
 	r.mu.Unlock()
 	return watchers, self || silent || r.Age() > maxWatcherCopyAge || len(watchers) == 0
 }
@@ -167,6 +180,7 @@
 func (r *Replica) keepWatching(ctx context.Context, prefix string, contacts []*contact, watch func() error) {
 	failures := 0
 	for ctx.Err() == nil {
+		r.awaitFallbackRetry(ctx)
 		startedAt := time.Now()
 		err := watch()
 		if err == nil || ctx.Err() != nil {
@@ -176,19 +190,43 @@
 			failures = 0
 		}
 		r.markUnreachable(prefix, contacts, err)
+		if r.postponeFallback() {
+			continue
+		}
 		failures++
-		delay := r.retryDelay(failures)
+		delay := min(minRetryDelay<<min(failures-1, 8), maxRetryDelay)
 		sleep(ctx, delay+rand.N(delay))
 	}
 }
 
-// retryDelay returns the delay before a watch that has failed several times in a row is tried again.
-func (r *Replica) retryDelay(failures int) time.Duration {
-	least, most := minRetryDelay, maxRetryDelay
-	if _, planned := r.peers.Watchers(); !planned {
-		least, most = minFallbackDelay, maxFallbackDelay
+// postponeFallback sets when a router for which others should watch may watch the store again, after it has
+// failed. It reports false on a router that should watch.
+func (r *Replica) postponeFallback() bool {
+	if _, planned := r.peers.Watchers(); planned {
+		return false
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if time.Now().Before(r.fallbackRetryAt) {
+		return true
+	}
+	delay := min(minFallbackDelay<<min(r.fallbackFailures, 8), maxFallbackDelay)
+	r.fallbackFailures++
+	r.fallbackRetryAt = time.Now().Add(delay + rand.N(delay))
+	return true
+}
+
+// awaitFallbackRetry waits until the time that postponeFallback has set, or until the router should watch.
+func (r *Replica) awaitFallbackRetry(ctx context.Context) {
+	for ctx.Err() == nil {
+		r.mu.Lock()
+		remaining := time.Until(r.fallbackRetryAt)
+		r.mu.Unlock()
+		if _, planned := r.peers.Watchers(); planned || remaining <= 0 {
+			return
+		}
+		sleep(ctx, min(remaining, pullInterval))
 	}
-	return min(least<<min(failures-1, 8), most)
 }
 
 // watchTogether watches all entries until the watch fails, or until ctx ends once the desired state is
@@ -324,6 +362,7 @@
 func (r *Replica) markReachable(prefix string, contacts ...*contact) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.fallbackFailures, r.fallbackRetryAt = 0, time.Time{}
 	regained := false
 	for _, c := range contacts {
 		regained = c.answer(time.Now()) || regained
