Count only routers that watch the store as cut off from it

Change: a router says only that it has lost the store that it watches. The few that pull from it watch the store in its place, and those that pull from these get its changes from them.

--- a/node/replica/pull.go
+++ b/node/replica/pull.go
@@ -64,8 +64,8 @@
 type pullResponse struct {
 	Trees   []pulledTree  `msgpack:"trees"`
 	Desired pulledDesired `msgpack:"desired"`
-	// CutOff is true while the router gets no changes, neither from the store nor from its watchers.
-	CutOff bool `msgpack:"cut_off,omitempty"`
+	// LostStore is true while the router watches the store and the store does not answer it.
+	LostStore bool `msgpack:"lost_store,omitempty"`
 	// Era is the highest era of the store that the router knows.
 	Era int64 `msgpack:"era,omitempty"`
 }
@@ -113,8 +113,9 @@
 	calls.Wait()
 }
 
-// pullFrom pulls from one router and applies its response. It reports whether the router is cut off.
-func (r *Replica) pullFrom(ctx context.Context, other fleet.HostID, request pullRequest) (cutOff bool, err error) {
+// pullFrom pulls from one router and applies its response. It reports whether the router has lost the store
+// that it watches.
+func (r *Replica) pullFrom(ctx context.Context, other fleet.HostID, request pullRequest) (lostStore bool, err error) {
 	request.After, request.Era = map[string]revision.Revision{}, r.era()
 	r.mu.Lock()
 	for _, t := range r.trees {
@@ -137,7 +138,7 @@
 		}
 	}
 	r.learnDesired(other, response.Desired, startedAt)
-	return response.CutOff, nil
+	return response.LostStore, nil
 }
 
 // call calls a router with a timeout.
@@ -199,10 +200,11 @@
 			r.log.Debug("failed to read the newest state from the store for a router's pull", "err", err)
 		}
 	}
-	cutOff := r.isCutOff()
+	_, watches := r.watchers()
+	lostStore := watches && r.lostStore()
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	response := pullResponse{Desired: r.desired.pulled(), Era: r.era(), CutOff: cutOff}
+	response := pullResponse{Desired: r.desired.pulled(), Era: r.era(), LostStore: lostStore}
 	for _, t := range r.trees {
 		response.Trees = append(response.Trees, t.pulled(request.After[t.prefix]))
 	}
--- a/node/replica/watch.go
+++ b/node/replica/watch.go
@@ -36,23 +36,13 @@
 // pullFromWatchers pulls from one of the watchers, and records since when they have not answered.
 func (r *Replica) pullFromWatchers(ctx context.Context, watchers []fleet.HostID) {
 	startedAt := time.Now()
-	cutOff, err := r.pullFrom(ctx, watchers[rand.N(len(watchers))], pullRequest{})
-	r.setWatchersSilent(cutOff || err != nil, startedAt)
+	lostStore, err := r.pullFrom(ctx, watchers[rand.N(len(watchers))], pullRequest{})
+	r.setWatchersSilent(lostStore || err != nil, startedAt)
 }
 
-// isCutOff reports whether this router gets no changes, neither from the store nor from its watchers. One
-// failure of several watchers does not count.
-func (r *Replica) isCutOff() bool {
-	if _, self := r.watchers(); self {
-		return r.lostStore()
-	}
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return !r.watchersSilentSince.IsZero() && time.Since(r.watchersSilentSince) > 2*pullInterval
-}
-
-// setWatchersSilent records that watchers did or did not answer a pull that began at a time. One that is cut
-// off itself counts as silent.
+// setWatchersSilent records that watchers did or did not answer a pull that began at a time. One that has
+// lost the store counts as silent. Those that pull from it watch the store then, and not the many that pull from
+// these: while the store is away, few call it.
 func (r *Replica) setWatchersSilent(silent bool, at time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
