--- /dev/null
+++ b/node/versionmove/share_test.go
@@ -0,0 +1,80 @@
+package versionmove
+
+import (
+	"context"
+	"io"
+	"testing"
+	"time"
+
+	"agateswitch/core/fleet"
+	"agateswitch/core/rollout"
+	"agateswitch/port"
+
+	"github.com/charmbracelet/log"
+	"github.com/shoenig/test/must"
+	"github.com/vmihailenco/msgpack/v5"
+)
+
+// noPeers is a transport without other routers.
+type noPeers struct{}
+
+func (noPeers) Handle(string, port.PeerHandler) {}
+func (noPeers) Call(context.Context, fleet.HostID, string, any, any) error {
+	return port.ErrPeerUnreachable
+}
+func (noPeers) Others() []fleet.HostID { return nil }
+func (noPeers) Count() int             { return 1 }
+func (noPeers) Rank(string) int        { return 0 }
+
+// newService returns a service with a running move of the pool lm.
+func newService() (*Service, *move) {
+	s := New(nil, nil, noPeers{}, noPeers{}, rollout.Exposure{}, log.New(io.Discard))
+	now := time.Now()
+	m := &move{
+		id: "move-1", began: now, state: rollout.StatusRunning,
+		detector: rollout.NewDetector(rollout.Move{ID: "move-1", Begun: now, Deadline: now.Add(time.Minute)}),
+	}
+	s.moves["lm"] = m
+	return s, m
+}
+
+// tell passes messages to a service as another router does.
+func tell(t *testing.T, s *Service, messages ...moveMessage) {
+	t.Helper()
+	body, err := msgpack.Marshal(messages)
+	must.NoError(t, err)
+	_, err = s.handleMessages(t.Context(), "front-2", func(into any) error { return msgpack.Unmarshal(body, into) })
+	must.NoError(t, err)
+}
+
+// A rollback of any router counts at once, and no later message undoes it or changes its reason.
+func TestRollbackOfAnotherRouterIsFinal(t *testing.T) {
+	s, m := newService()
+	tell(t, s, moveMessage{Pool: "lm", ID: "move-1", RolledBack: true, Reason: "fails"})
+	must.Eq(t, rollout.StatusRolledBack, m.state)
+	must.False(t, m.endDueAt.IsZero())
+	tell(t, s, moveMessage{Pool: "lm", ID: "move-1"}, moveMessage{Pool: "lm", ID: "move-1", RolledBack: true, Reason: "slow"})
+	must.Eq(t, rollout.StatusRolledBack, m.state)
+	must.Eq(t, "fails", m.reason)
+}
+
+// Messages about an earlier order, or about a pool without a move, change nothing.
+func TestMessagesOfOtherMovesAreIgnored(t *testing.T) {
+	s, m := newService()
+	began := m.began
+	tell(t, s, moveMessage{Pool: "lm", ID: "move-0", RolledBack: true, AgeMs: 60_000}, moveMessage{Pool: "app", ID: "move-1", RolledBack: true})
+	must.Eq(t, rollout.StatusRunning, m.state)
+	must.Eq(t, began, m.began)
+	must.MapLen(t, 1, s.moves)
+}
+
+// All routers count a move's time from the router that received its order first.
+func TestMoveBeganWhenTheFirstRouterHeardOfIt(t *testing.T) {
+	s, m := newService()
+	tell(t, s, moveMessage{Pool: "lm", ID: "move-1", AgeMs: 2000})
+	must.LessEq(t, 3*time.Second, time.Since(m.began))
+	must.GreaterEq(t, 2*time.Second, time.Since(m.began))
+	earliest := m.began
+	tell(t, s, moveMessage{Pool: "lm", ID: "move-1", AgeMs: 10})
+	must.Eq(t, earliest, m.began)
+}
