--- a/node/versionmove/report.go
+++ b/node/versionmove/report.go
@@ -12,6 +12,8 @@
 // statusWrite is a status to write to the store.
 type statusWrite struct {
 	move     *move
+	id       rollout.MoveID
+	reason   string
 	order    port.MoveOrder
 	state    port.MoveState
 	revision revision.Revision
@@ -30,13 +32,13 @@
 		switch {
 		case m.reported:
 		case running && s.fleet.Rank(string(m.id)) == 0:
-			due = append(due, statusWrite{m, m.order, port.MoveRunning, s.statuses[pool].revision})
+			due = append(due, statusWrite{m, m.id, m.reason, m.order, port.MoveRunning, s.statuses[pool].revision})
 		case m.endDueAt.IsZero() || time.Now().Before(dueAt):
 		case m.state == rollout.StatusRolledBack:
-			due = append(due, statusWrite{m, m.order, port.MoveRolledBack, s.statuses[pool].revision})
+			due = append(due, statusWrite{m, m.id, m.reason, m.order, port.MoveRolledBack, s.statuses[pool].revision})
 		case time.Now().Before(dueAt.Add(evidenceGracePeriod)):
 		default:
-			due = append(due, statusWrite{m, m.order, port.MoveSucceeded, s.statuses[pool].revision})
+			due = append(due, statusWrite{m, m.id, m.reason, m.order, port.MoveSucceeded, s.statuses[pool].revision})
 		}
 	}
 	return due
@@ -51,17 +53,17 @@
 	}
 	key, value, err := s.codec.MoveStatus(write.order, write.state)
 	if err != nil {
-		s.log.Error("failed to encode the status of a move", "move", write.move.id, "err", err)
+		s.log.Error("failed to encode the status of a move", "move", write.id, "err", err)
 		return
 	}
 	result, err := s.store.Commit(ctx, port.Transaction{
 		Conditions: []port.Condition{{Key: key, Revision: write.revision}}, Writes: []port.Write{{Key: key, Value: value}},
 	})
 	if err != nil || !result.Applied {
-		s.log.Warn("failed to write the status of a move", "move", write.move.id, "state", write.state, "conflict", err == nil, "err", err)
+		s.log.Warn("failed to write the status of a move", "move", write.id, "state", write.state, "conflict", err == nil, "err", err)
 		return
 	}
-	s.log.Info("status of a move written", "move", write.move.id, "state", write.state, "reason", write.move.reason)
+	s.log.Info("status of a move written", "move", write.id, "state", write.state, "reason", write.reason)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.applyStatus(port.Entry{Key: key, Revision: result.Revision}, port.MoveStatus{Pool: write.order.Pool, Target: write.order.Target, State: write.state})
