Start no watch of the store whose time is over

A router that goes back to its watchers while it waits to watch the store again began one more watch, with a context that had ended.

--- a/node/replica/fakes_test.go
+++ b/node/replica/fakes_test.go
@@ -85,8 +85,9 @@
 	isolated atomic.Bool
 	// era is the highest era of the store that the host has seen.
 	era atomic.Int64
-	// watches is the number of watches of the store in progress, and startedWatches of those that began.
-	watches, startedWatches atomic.Int32
+	// watches is the number of watches of the store in progress, startedWatches of those that began, and
+	// uselessWatches of those that began after their context had ended.
+	watches, startedWatches, uselessWatches atomic.Int32
 }
 
 // compute uses the processor for a time that is given for a whole core.
@@ -440,6 +441,9 @@
 	events := make(chan port.WatchEvent)
 	s.host.watches.Add(1)
 	s.host.startedWatches.Add(1)
+	if ctx.Err() != nil {
+		s.host.uselessWatches.Add(1)
+	}
 	go func() {
 		defer close(events)
 		defer s.host.watches.Add(-1)
--- a/node/replica/replica_test.go
+++ b/node/replica/replica_test.go
@@ -358,6 +358,7 @@
 		time.Sleep(outage)
 		for _, r := range f.routers[len(f.routers[0].fleet.watchers):] {
 			must.LessEq(t, maxAttempts, r.startedWatches.Load(), must.Sprint(r.id))
+			must.Zero(t, r.uselessWatches.Load(), must.Sprint(r.id))
 		}
 		for _, r := range f.routers {
 			r.isolated.Store(false)
--- a/node/replica/watch.go
+++ b/node/replica/watch.go
@@ -171,6 +171,9 @@
 	failures := 0
 	for ctx.Err() == nil {
 		r.awaitFallbackRetry(ctx)
+		if ctx.Err() != nil {
+			return
+		}
 		startedAt := time.Now()
 		err := watch()
 		if err == nil || ctx.Err() != nil {
