Open a router's sockets before it joins the fleet

The services of a router ran while its sockets were still being opened: it had a lease and a desired state, and the directory could name it, before callers could connect. A port that was taken showed only after the router had joined. TestRouterJoinsNoFleetBeforeItsSocketsAreOpen failed before (15 calls to the store), and passes.

--- a/node/edge/edge.go
+++ b/node/edge/edge.go
@@ -143,10 +143,15 @@
 }
 
 // Run serves until ctx ends, then leaves the fleet and finishes running requests within the grace
-// period. When forced ends, the services of the router stop at once.
+// period. When forced ends, the services of the router stop at once. The router joins the fleet once all
+// its sockets are open.
 func (r *Router) Run(ctx, forced context.Context) error {
+	if err := r.servers.open(); err != nil {
+		return err
+	}
 	peers, err := r.network.Listen("tcp", r.settings.Load().Listen.Peers)
 	if err != nil {
+		r.servers.close()
 		return errors.Annotate(err, "listening for routers")
 	}
 	runContext, stop := context.WithCancel(forced)
--- a/node/edge/server.go
+++ b/node/edge/server.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"maps"
 	"net"
 	"net/http"
+	"slices"
 	"time"
 
 	"agateswitch/node/gateway"
@@ -44,10 +46,36 @@
 	// grace returns how long running requests may take to finish after that.
 	grace func() time.Duration
 	log   *log.Logger
+
+	// sockets holds the open sockets by their listen address.
+	sockets map[string]net.Listener
+}
+
+// open opens the sockets of all servers. On an error it leaves none open.
+func (s *servers) open() error {
+	s.sockets = map[string]net.Listener{}
+	for _, address := range append(slices.Collect(maps.Keys(s.handlers)), s.callers) {
+		socket, err := s.listen("tcp", address)
+		if err != nil {
+			s.close()
+			return errors.Annotatef(err, "listening on %s", address)
+		}
+		s.sockets[address] = socket
+	}
+	return nil
 }
 
-// run serves until ctx ends, then leaves the fleet and finishes running requests within the grace
-// period.
+// close closes the sockets.
+func (s *servers) close() {
+	for address, socket := range s.sockets {
+		if err := socket.Close(); err != nil {
+			s.log.Warn("failed to close a socket", "address", address, "err", err)
+		}
+	}
+}
+
+// run serves at the open sockets until ctx ends, then leaves the fleet and finishes running requests within
+// the grace period.
 func (s *servers) run(ctx context.Context) error {
 	var others []*http.Server
 	group, groupContext := errgroup.WithContext(context.Background())
@@ -107,13 +135,9 @@
 	s.log.Info("shut down the server for callers", "err", err)
 }
 
-// serve listens on the server's address and serves until the server is closed.
+// serve serves at the server's address until the server is closed.
 func (s *servers) serve(server *http.Server) error {
-	listener, err := s.listen("tcp", server.Addr)
-	if err != nil {
-		return errors.Annotatef(err, "listening on %s", server.Addr)
-	}
-	if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+	if err := server.Serve(s.sockets[server.Addr]); !errors.Is(err, http.ErrServerClosed) {
 		return errors.Trace(err)
 	}
 	return nil
