--- a/standin/store/server.go
+++ b/standin/store/server.go
@@ -174,6 +174,13 @@
 	for {
 		events, next, changed := s.state.eventsSince(request, position)
 		position = next
+		select {
+		case <-silenced:
+			// Some of the events may be later than that.
+			<-r.Context().Done()
+			return
+		default:
+		}
 		if len(events) > 0 {
 			response := kv.WatchResponse{Header: kv.Header{Revision: events[len(events)-1].KV.ModRevision}, Events: events}
 			if encoder.Encode(kv.WatchEnvelope{Result: response}) != nil || controller.Flush() != nil {
