Show how a fleet of gateways is on one screen

With hundreds of routers nobody could see which ones are silent, cut off from the store or behind, but in their logs.

--- a/node/edge/edge.go
+++ b/node/edge/edge.go
@@ -11,10 +11,12 @@
 	"agateswitch/adapter/peer"
 	"agateswitch/adapter/telemetry"
 	"agateswitch/core/fleet"
+	"agateswitch/core/fleethealth"
 	"agateswitch/core/rollout"
 	"agateswitch/node/gateway"
 	"agateswitch/node/presence"
 	"agateswitch/node/replica"
+	"agateswitch/node/survey"
 	"agateswitch/node/versionmove"
 	"agateswitch/node/workload"
 	"agateswitch/port"
@@ -87,17 +89,30 @@
 	r.replica.Subscribe(r.moves.Observe)
 	r.replica.Subscribe(r.gateway.Observe)
 	r.replica.SubscribeDesired(r.gateway.ObserveDesired)
+	health := survey.New(r.presence, r.mesh, r.report, time.Duration(s.ChangeDeadline), logger)
+	reports := http.NewServeMux()
+	reports.Handle(survey.Path, health)
+	reports.Handle("/", metrics.Handler())
 	directory, readiness := external.Entries(port.EntryList{Addresses: r.addresses, TTL: r.ttl, Ready: r.ready})
 	r.servers = &servers{
 		gateway: r.gateway, listen: network.Listen, callers: s.Listen.Callers, leave: r.presence.Leave,
 		handlers: map[string]http.Handler{
-			s.Listen.Directory: directory, s.Listen.Readiness: readiness, s.Listen.Metrics: metrics.Handler(),
+			s.Listen.Directory: directory, s.Listen.Readiness: readiness, s.Listen.Metrics: reports,
 		},
 		grace: func() time.Duration { return time.Duration(r.settings.Load().Grace) }, log: logger,
 	}
 	return r, nil
 }
 
+// report returns what this router says about itself to operators.
+func (r *Router) report() fleethealth.Report {
+	watches, lostStore := r.replica.Watches()
+	return fleethealth.Report{
+		Leaving: r.presence.Leaving(), Version: r.gateway.Version(), CopyAge: r.replica.Age(), StateAge: r.replica.DesiredAge(),
+		WatchesStore: watches, LostStore: lostStore,
+	}
+}
+
 func retryLimits(s settings.Gateway) gateway.RetryLimits {
 	return gateway.RetryLimits{
 		Ratio: s.Retries.Ratio, Extra: s.Retries.Extra, Window: time.Duration(s.Retries.Window),
--- a/node/gateway/gateway.go
+++ b/node/gateway/gateway.go
@@ -107,6 +107,14 @@
 // Wait blocks until no request is running.
 func (g *Gateway) Wait() { g.running.Wait() }
 
+// Version returns the version of the desired state in force; 0 means that there is none yet.
+func (g *Gateway) Version() int64 {
+	if current := g.view.current.Load(); current != nil {
+		return current.table.State.Version
+	}
+	return 0
+}
+
 // Limits returns the size and time limits for callers, or false before the first desired state.
 func (g *Gateway) Limits() (routing.Limits, bool) {
 	current := g.view.current.Load()
--- a/node/replica/pull.go
+++ b/node/replica/pull.go
@@ -82,7 +82,7 @@
 
 // isStale reports whether a copy is older than watches and pulls from watchers leave it.
 func (r *Replica) isStale() bool {
-	if _, self := r.watchers(); self && r.lostStore() {
+	if _, lostStore := r.Watches(); lostStore {
 		return true
 	}
 	limit := staleTimeout
@@ -92,6 +92,12 @@
 	return r.Age() > limit || r.DesiredAge() > limit
 }
 
+// Watches reports whether this router watches the store, and whether the store does not answer it then.
+func (r *Replica) Watches() (watches, lostStore bool) {
+	_, watches = r.watchers()
+	return watches, watches && r.lostStore()
+}
+
 // lostStore reports whether a watch of this router fails.
 func (r *Replica) lostStore() bool {
 	r.mu.Lock()
@@ -204,8 +210,7 @@
 			r.log.Debug("failed to read the newest state from the store for a router's pull", "err", err)
 		}
 	}
-	_, watches := r.watchers()
-	lostStore := watches && r.lostStore()
+	_, lostStore := r.Watches()
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	response := pullResponse{Desired: r.desired.pulled(), Era: r.era(), LostStore: lostStore}
--- a/settings/gateway.go
+++ b/settings/gateway.go
@@ -54,7 +54,8 @@
 	// Directory serves the list of routers that callers may use.
 	Directory string `json:"directory"`
 	Peers     string `json:"peers"`
-	Metrics   string `json:"metrics"`
+	// Metrics serves metrics, and surveys of the fleet.
+	Metrics string `json:"metrics"`
 }
 
 // RetryLimits limits the retries of the whole fleet for one pool.
