Read the desired state again when the read found the store restored

The first read after a restore fails, since its condition may have met the number of another write. A router without the store asked such a router to confirm the desired state, got no confirmation, and refused a request with an unknown key with 503 instead of 401.

--- a/node/replica/desired.go
+++ b/node/replica/desired.go
@@ -232,7 +232,19 @@
 	}
 }
 
+// readNewest reads the desired state once more if the first read found that the store was restored: that one fails,
+// since its condition may have met the number of another write.
 func (r *Replica) readNewest(ctx context.Context) (isNew bool, err error) {
+	era := r.era()
+	isNew, err = r.readIfChanged(ctx)
+	if err != nil && r.era() > era {
+		return r.readIfChanged(ctx)
+	}
+	return isNew, err
+}
+
+// readIfChanged reads the desired state unless the store has the one that the router holds.
+func (r *Replica) readIfChanged(ctx context.Context) (isNew bool, err error) {
 	condition := port.Condition{Key: r.desired.key, Revision: r.heldRevision()}
 	startedAt := time.Now()
 	result, err := r.store.Commit(ctx, port.Transaction{Conditions: []port.Condition{condition}, ReadConflicts: true})
--- a/node/replica/fakes_test.go
+++ b/node/replica/fakes_test.go
@@ -433,6 +433,11 @@
 // Commit supports transactions without writes.
 func (s storeOf) Commit(ctx context.Context, transaction port.Transaction) (port.CommitResult, error) {
 	s.store.mu.Lock()
+	if era := s.store.revision.Era; !s.host.isolated.Load() && era > s.host.era.Load() && len(transaction.Conditions) > 0 {
+		s.host.era.Store(era)
+		s.store.mu.Unlock()
+		return port.CommitResult{}, errors.WithType(errors.New("restored during a transaction"), port.ErrUnavailable)
+	}
 	result, size := port.CommitResult{Applied: true, Revision: s.store.revision}, messageBytes
 	for _, condition := range transaction.Conditions {
 		entry := s.store.entries[condition.Key]
--- a/node/replica/restore_test.go
+++ b/node/replica/restore_test.go
@@ -346,3 +346,18 @@
 		f.checkValues(t, engineKey, nil)
 	})
 }
+
+// A read by which a router first met a restored store used to fail. A router without the store that asked that one to
+// confirm the desired state then refused a request with an unknown key with 503 instead of 401.
+func TestFirstConfirmationAfterARestoreSucceeds(t *testing.T) {
+	runFleetWithState(t, 2, versioned(1), func(t *testing.T, f testFleet) {
+		f.stopUpstreams()
+		number := f.store.at().Number
+		for f.routers[0].replica.DesiredAge() <= maxConfirmedAge || f.routers[1].replica.DesiredAge() <= maxConfirmedAge {
+			time.Sleep(10 * time.Millisecond)
+		}
+		f.routers[0].isolated.Store(true)
+		f.store.restoreQuietly(number)
+		must.NoError(t, f.routers[0].replica.Confirm(t.Context()))
+	})
+}
