Let starting routers of a large fleet get the state from others

A starting router now reads only which routers there are, and pulls the rest, compressed, from those that watch the store for it; after a second it reads the store as before. A state too old for a running router is refused.

--- a/node/edge/edge.go
+++ b/node/edge/edge.go
@@ -62,7 +62,7 @@
 	r.presence.Join(r.mesh)
 	keys := replica.Keys{
 		Desired: external.Codec.DesiredKey(), Prefixes: append(external.Codec.Prefixes(), presence.RouterKeyPrefix),
-		Reports: external.Codec.ReportPrefix(), IsOutdated: external.Codec.IsOutdated,
+		Routers: presence.RouterKeyPrefix, Reports: external.Codec.ReportPrefix(), IsOutdated: external.Codec.IsOutdated,
 	}
 	r.replica = replica.New(external.Store, r.mesh, r.presence, keys, time.Duration(s.ChangeDeadline), logger)
 	r.workload = workload.New(self.ID, r.mesh, r.presence, logger)
--- a/node/replica/fakes_test.go
+++ b/node/replica/fakes_test.go
@@ -230,8 +230,10 @@
 	return msgpack.Unmarshal(body, response)
 }
 
-// fakeStore is the store. Its own link is fast; those of the hosts limit its responses.
+// fakeStore is the store. Its own link is fast unless up is set; those of the hosts limit its responses.
 type fakeStore struct {
+	up *link
+
 	mu       sync.Mutex
 	revision revision.Revision
 	entries  map[string]port.Entry
@@ -402,8 +404,13 @@
 		sleep(ctx, callTimeout)
 		return errors.Trace(port.ErrUnavailable)
 	}
-	if err := s.host.down.carry(ctx, size); err != nil {
-		return errors.WithType(err, port.ErrUnavailable)
+	for _, l := range []*link{s.store.up, s.host.down} {
+		if l == nil {
+			continue
+		}
+		if err := l.carry(ctx, size); err != nil {
+			return errors.WithType(err, port.ErrUnavailable)
+		}
 	}
 	s.host.computeCall(size)
 	return nil
--- a/node/replica/fetch.go
+++ b/node/replica/fetch.go
@@ -158,12 +158,12 @@
 // unpack returns the value of the given size that pack has compressed.
 func unpack(packed []byte, size int) ([]byte, error) {
 	if size < 0 || size > maxStateBytes {
-		return nil, errors.Errorf("a desired state of %d bytes is larger than %d", size, maxStateBytes)
+		return nil, errors.Errorf("a state of %d bytes is larger than %d", size, maxStateBytes)
 	}
 	value := make([]byte, size)
 	reader := flate.NewReader(bytes.NewReader(packed))
 	if _, err := io.ReadFull(reader, value); err != nil {
-		return nil, errors.Annotate(err, "decompressing a desired state")
+		return nil, errors.Annotate(err, "decompressing a state")
 	}
 	return value, nil
 }
--- a/node/replica/pull.go
+++ b/node/replica/pull.go
@@ -9,6 +9,8 @@
 	"agateswitch/core/fleet"
 	"agateswitch/core/revision"
 	"agateswitch/port"
+
+	"github.com/juju/errors"
 )
 
 // methodPull requests another router's changes after the given revisions.
@@ -20,6 +22,8 @@
 	After map[string]revision.Revision `msgpack:"after"`
 	// Era is the highest era of the store that the router knows.
 	Era int64 `msgpack:"era,omitempty"`
+	// Packs is true when the router understands pulledTree.Packed.
+	Packs bool `msgpack:"packs,omitempty"`
 	// Newest requests that the router first confirms its desired state.
 	Newest bool `msgpack:"newest,omitempty"`
 }
@@ -41,6 +45,10 @@
 	Entries []pulledEntry     `msgpack:"entries,omitempty"`
 	// Complete is true when Entries holds the complete tree.
 	Complete bool `msgpack:"complete,omitempty"`
+	// Packed holds the entries of a complete tree in their encoding, compressed (RFC 1951), and PackedBytes is the
+	// size of the encoding. Entries is empty then.
+	Packed      []byte `msgpack:"packed,omitempty"`
+	PackedBytes int    `msgpack:"packed_bytes,omitempty"`
 	// AgeMs is how long ago the router confirmed that AsOf is the newest revision.
 	AgeMs int64 `msgpack:"age_ms"`
 	// SettleMs is for how long entries that expired during an outage may still be written again.
@@ -126,7 +134,7 @@
 // pullFrom pulls from one router and applies its response. It reports whether the router has lost the store
 // that it watches.
 func (r *Replica) pullFrom(ctx context.Context, other fleet.HostID, request pullRequest) (lostStore bool, err error) {
-	request.After, request.Era = map[string]revision.Revision{}, r.era()
+	request.After, request.Era, request.Packs = map[string]revision.Revision{}, r.era(), true
 	r.mu.Lock()
 	for _, t := range r.trees {
 		request.After[t.prefix] = t.asOf
@@ -140,14 +148,24 @@
 		return false, err
 	}
 	r.learnEra(response.Era, other)
+	if !r.isLoaded() && r.isTooOld(response) {
+		return response.LostStore, errors.Trace(errOldState)
+	}
 	for _, pulled := range response.Trees {
+		if err := pulled.unpackEntries(); err != nil {
+			r.log.Warn("failed to unpack the state of a router", "peer", other, "err", err)
+			return false, err
+		}
 		for _, t := range r.trees {
 			if t.prefix == pulled.Prefix && !pulled.AsOf.IsZero() && !request.After[t.prefix].After(pulled.AsOf) {
 				r.applyPulled(t, pulled, startedAt)
 			}
 		}
 	}
-	r.learnDesired(other, response.Desired, startedAt)
+	if r.hasTrees() {
+		// Callers are served from the first desired state on, which is why it comes last.
+		r.learnDesired(other, response.Desired, startedAt)
+	}
 	return response.LostStore, nil
 }
 
@@ -211,13 +229,28 @@
 		}
 	}
 	_, lostStore := r.Watches()
+	response := r.pulled(request.After)
+	response.LostStore = lostStore
+	for i := range response.Trees {
+		if !request.Packs {
+			break
+		}
+		if err := response.Trees[i].packEntries(); err != nil {
+			return nil, err
+		}
+	}
+	return response, nil
+}
+
+// pulled returns the changes after the revisions of the trees, and what the router has of the desired state.
+func (r *Replica) pulled(after map[string]revision.Revision) pullResponse {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	response := pullResponse{Desired: r.desired.pulled(), Era: r.era(), LostStore: lostStore}
+	response := pullResponse{Desired: r.desired.pulled(), Era: r.era()}
 	for _, t := range r.trees {
-		response.Trees = append(response.Trees, t.pulled(request.After[t.prefix]))
+		response.Trees = append(response.Trees, t.pulled(after[t.prefix]))
 	}
-	return response, nil
+	return response
 }
 
 // maxAge is the largest age that routers tell each other. It stands for a copy that was never confirmed.
--- a/node/replica/replica.go
+++ b/node/replica/replica.go
@@ -78,6 +78,9 @@
 	Desired string
 	// Prefixes are the prefixes of all other entries. No key begins with two of them.
 	Prefixes []string
+	// Routers is the one of Prefixes under which routers register. With none, every router reads the whole state
+	// from the store at its start.
+	Routers string
 	// Reports is the one of Prefixes whose entries only routers write, to report to operators.
 	Reports string
 	// IsOutdated is port.EntryCodec.IsOutdated.
@@ -115,7 +118,9 @@
 	peers     Peers
 	freshness dissemination.Freshness
 	log       *log.Logger
-	loaded    chan struct{}
+	// routersPrefix is Keys.Routers.
+	routersPrefix string
+	loaded        chan struct{}
 
 	subscribers        []func([]Change)
 	desiredSubscribers []func(port.Entry)
@@ -156,7 +161,7 @@
 // added before Run.
 func New(store port.Store, transport port.Peers, peers Peers, keys Keys, deadline time.Duration, logger *log.Logger) *Replica {
 	r := &Replica{
-		store: store, transport: transport, peers: peers, freshness: dissemination.PlanFreshness(deadline), log: logger, loaded: make(chan struct{}),
+		store: store, transport: transport, peers: peers, freshness: dissemination.PlanFreshness(deadline), log: logger, routersPrefix: keys.Routers, loaded: make(chan struct{}),
 		applying: make(chan struct{}, 1), applyingDesired: make(chan struct{}, 1), confirming: make(chan struct{}, 1),
 		desired: newDesiredCopy(keys.Desired, keys.IsOutdated), postponed: map[string]Change{},
 	}
--- a/node/replica/replica_test.go
+++ b/node/replica/replica_test.go
@@ -135,9 +135,14 @@
 
 // startRouter starts the replica of a host.
 func startRouter(ctx context.Context, h *host) *testRouter {
+	keys := Keys{Desired: desiredKey, Prefixes: []string{upstreamKey}, IsOutdated: isOutdated}
+	return startRouterWithKeys(ctx, h, keys, log.New(io.Discard))
+}
+
+// startRouterWithKeys is startRouter for other keys.
+func startRouterWithKeys(ctx context.Context, h *host, keys Keys, logger *log.Logger) *testRouter {
 	router := &testRouter{host: h, applied: map[string]revision.Revision{}, values: map[string][]byte{}, settled: map[string]time.Time{}}
-	router.replica = New(storeOf{store: h.fleet.store, host: h}, h, memberOf{fleet: h.fleet, self: h.id},
-		Keys{Desired: desiredKey, Prefixes: []string{upstreamKey}, IsOutdated: isOutdated}, h.fleet.deadline, log.New(io.Discard))
+	router.replica = New(storeOf{store: h.fleet.store, host: h}, h, memberOf{fleet: h.fleet, self: h.id}, keys, h.fleet.deadline, logger)
 	router.replica.SubscribeDesired(func(entry port.Entry) {
 		router.observe(entry.Key, entry.Revision)
 		router.setValue(entry.Key, entry.Value)
--- a/node/replica/watch.go
+++ b/node/replica/watch.go
@@ -120,16 +120,6 @@
 	return nil
 }
 
-// loadUntilDone loads the store until that succeeds or ctx ends.
-func (r *Replica) loadUntilDone(ctx context.Context) {
-	for ctx.Err() == nil && !r.isLoaded() {
-		if err := r.load(ctx); err != nil {
-			r.log.Warn("failed to read the store at the start", "err", err)
-			sleep(ctx, unloadedRetryDelay+rand.N(unloadedRetryDelay))
-		}
-	}
-}
-
 // watchStore watches the store until ctx ends, or until another router watches for this one. One watch
 // covers all entries while the desired state is small. Otherwise each tree and the desired state have
 // a watch of their own, so that no other entry waits for it.
