--- a/node/replica/pull.go
+++ b/node/replica/pull.go
@@ -78,11 +78,12 @@
 	Era int64 `msgpack:"era,omitempty"`
 }
 
-// pullWhileStale pulls from other routers while the replica is stale or the store does not answer it.
+// pullWhileStale pulls from other routers while the replica is stale or the store does not answer it, once it has been
+// loaded.
 func (r *Replica) pullWhileStale(ctx context.Context) {
 	for ctx.Err() == nil {
 		sleep(ctx, pullInterval)
-		if r.isStale() {
+		if r.isLoaded() && r.isStale() {
 			r.pull(ctx, false)
 		}
 	}
--- a/node/replica/start.go
+++ b/node/replica/start.go
@@ -14,11 +14,17 @@
 
 // Times of a start.
 const (
-	// startPullTimeout is how long a starting router of a large fleet tries to get the state from the routers that
+	// maxDirectReaders is how many routers may read the whole state from the store at once: the store's link of
+	// 1,000 Mbit/s gives each as much as the slowest hosts' own of 10 Mbit/s.
+	maxDirectReaders = 100
+	// startPullTimeout is how long a starting router of a larger fleet tries to get the entries from the routers that
 	// watch the store for it, before it reads the whole state from the store.
 	startPullTimeout = time.Second
 	// startPullInterval is the time between two such attempts. The watchers may be starting too.
 	startPullInterval = 60 * time.Millisecond
+	// startFetchTimeout is how long the desired state may take after the entries. After storeFallbackDelay it is read
+	// from the store.
+	startFetchTimeout = storeFallbackDelay + desiredReadTimeout
 )
 
 // loadUntilDone reads the state until that succeeds or ctx ends.
@@ -31,15 +37,15 @@
 	}
 }
 
-// start reads the whole state. In a large fleet only the routers that watch the store read it there: when all start
-// at once, the state times the number of routers is more than the store's link carries in a second. The others
-// read which routers there are, and get the rest from those that have it, compressed.
+// start reads the whole state. A router first reads which others there are. If there are so many that they would wait
+// for each other at the store's link when all start at once, it gets the rest from those that watch the store for
+// it, compressed. Otherwise it reads the store, which takes less time than to wait until others have done so.
 func (r *Replica) start(ctx context.Context) error {
 	if t := r.treeOf(r.routersPrefix); r.routersPrefix != "" && t != nil {
 		if err := r.list(ctx, t); err != nil {
 			return err
 		}
-		if r.loadFromWatchers(ctx) {
+		if len(r.peers.Others()) >= maxDirectReaders && r.loadFromWatchers(ctx) {
 			return nil
 		}
 	}
@@ -50,21 +56,40 @@
 // router should read the store itself.
 func (r *Replica) loadFromWatchers(ctx context.Context) bool {
 	startedAt := time.Now()
-	for ctx.Err() == nil && time.Since(startedAt) < startPullTimeout {
+	if !r.treesFromWatchers(ctx) {
+		return false
+	}
+	ctx, cancel := context.WithTimeout(ctx, startFetchTimeout)
+	defer cancel()
+	select {
+	case <-r.loaded:
+		r.log.Info("state read from routers at the start", "took", time.Since(startedAt))
+		return true
+	case <-ctx.Done():
+		r.log.Info("failed to fetch the desired state at the start; reading the whole state from the store", "waited", time.Since(startedAt))
+		return false
+	}
+}
+
+// treesFromWatchers gets all entries other than the desired state from the routers that watch the store for this
+// one, and reports whether it has them.
+func (r *Replica) treesFromWatchers(ctx context.Context) bool {
+	startedAt := time.Now()
+	for ctx.Err() == nil {
 		watchers, planned := r.peers.Watchers()
 		if planned || len(watchers) == 0 {
 			return false
 		}
 		r.pullAtStart(ctx, watchers)
-		select {
-		case <-r.loaded:
-			r.log.Info("state read from routers at the start", "took", time.Since(startedAt))
+		if r.hasTrees() {
 			return true
-		case <-time.After(startPullInterval):
-		case <-ctx.Done():
 		}
+		if time.Since(startedAt) > startPullTimeout {
+			r.log.Info("no router has the state at the start; reading it from the store", "waited", time.Since(startedAt))
+			return false
+		}
+		sleep(ctx, startPullInterval)
 	}
-	r.log.Info("no router has provided the state at the start; reading it from the store", "waited", time.Since(startedAt))
 	return false
 }
 
--- a/node/replica/start_test.go
+++ b/node/replica/start_test.go
@@ -17,12 +17,11 @@
 
 const routersKey = "router/"
 
-// Sizes of a fleet that starts. The store's link has the share of a fleet of 300 on 1,000 Mbit/s.
-const (
-	startingRouters     = 60
-	startingUpstreams   = 160
-	storeBytesPerSecond = startingRouters * 1000e6 / 8 / 300
-)
+// startingUpstreams is the number of upstreams of a fleet that starts.
+const startingUpstreams = 160
+
+// routerShare is the share of a router in the store's link of 1,000 Mbit/s when 300 start at once, in bytes a second.
+const routerShare = 1000e6 / 8 / 300
 
 var startKeys = Keys{
 	Desired: desiredKey, Prefixes: []string{upstreamKey, routersKey}, Routers: routersKey, IsOutdated: isOutdated,
@@ -33,7 +32,7 @@
 
 // startAll starts all routers of a fleet at once, whose first four watch the store, and returns them. Routers for which
 // isDown is true don't start.
-func startAll(ctx context.Context, isDown func(i int) bool) (*fakeFleet, []*testRouter) {
+func startAll(ctx context.Context, startingRouters int, storeBytesPerSecond float64, isDown func(i int) bool) (*fakeFleet, []*testRouter) {
 	f := &fakeFleet{store: newFakeStore(), deadline: 4 * time.Second, bytesPerSecond: slowLinkBytesPerSecond, cores: slowCores}
 	f.store.up = newLink(storeBytesPerSecond)
 	f.store.put(desiredKey, largeState(1))
@@ -87,7 +86,8 @@
 					cancel()
 					time.Sleep(10 * time.Second)
 				}()
-				f, routers := startAll(ctx, isDown)
+				const startingRouters = maxDirectReaders + 20
+				f, routers := startAll(ctx, startingRouters, startingRouters*routerShare, isDown)
 				state := len(largeState(1)) * 4 / 3
 				took, last := loadTime(routers, startPullTimeout)
 				t.Logf("ready after %s; %d kB from the store", took, f.store.up.total()/1000)
@@ -110,7 +110,8 @@
 			cancel()
 			time.Sleep(10 * time.Second)
 		}()
-		_, routers := startAll(ctx, func(i int) bool { return i < 4 })
+		const startingRouters = maxDirectReaders + 20
+		_, routers := startAll(ctx, startingRouters, startingRouters*routerShare, func(i int) bool { return i < 4 })
 		took, last := loadTime(routers, recoverLimit)
 		t.Logf("ready after %s", took)
 		must.LessEq(t, recoverLimit, took, must.Sprint(last))
@@ -125,16 +126,52 @@
 			cancel()
 			time.Sleep(10 * time.Second)
 		}()
-		f, routers := startAll(ctx, func(int) bool { return false })
+		f, routers := startAll(ctx, maxDirectReaders+5, 1000e6/8, func(int) bool { return false })
 		time.Sleep(5 * time.Second)
 		for _, r := range routers[:len(f.watchers)] {
 			r.isolated.Store(true)
 		}
 		time.Sleep(5 * time.Second)
 		newest := f.store.put(desiredKey, largeState(2))
-		time.Sleep(leaveLimit)
+		time.Sleep(applyLimit)
 		started := startRouterWithKeys(ctx, f.add(), startKeys, log.New(io.Discard))
 		<-started.replica.Loaded()
 		must.Eq(t, newest, started.appliedRevision(desiredKey))
 	})
 }
+
+// Routers of a fleet that the store's link can serve read it when all start at once: waiting for watchers on slow links
+// takes longer.
+func TestMediumFleetReadsTheStoreAtTheStart(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(context.Background())
+		defer func() {
+			cancel()
+			time.Sleep(10 * time.Second)
+		}()
+		_, routers := startAll(ctx, 60, 1000e6/8, func(int) bool { return false })
+		ownLink := time.Duration(float64(len(largeState(1))*4/3) / slowLinkBytesPerSecond * float64(time.Second))
+		took, last := loadTime(routers, 2*ownLink)
+		t.Logf("ready after %s, the state alone takes %s", took, ownLink)
+		must.LessEq(t, 2*ownLink, took, must.Sprint(last))
+	})
+}
+
+// A router that starts in a running large fleet reads little from the store, and needs no transfer of the whole state.
+func TestRouterStartsInARunningFleet(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(context.Background())
+		defer func() {
+			cancel()
+			time.Sleep(10 * time.Second)
+		}()
+		f, _ := startAll(ctx, maxDirectReaders+5, 1000e6/8, func(int) bool { return false })
+		time.Sleep(10 * time.Second)
+		state := len(largeState(1)) * 4 / 3
+		before := f.store.up.total()
+		took, _ := loadTime([]*testRouter{startRouterWithKeys(ctx, f.add(), startKeys, log.New(io.Discard))}, recoverLimit)
+		t.Logf("ready after %s, %d kB from the store", took, (f.store.up.total()-before)/1000)
+		must.LessEq(t, time.Duration(float64(state)/slowLinkBytesPerSecond*float64(time.Second)), took)
+		must.LessEq(t, state/4, f.store.up.total()-before)
+	})
+}
