Ask for the desired state again at a start

A starting router of a fleet above 100 that could not fetch the desired state from the router that had named it waited for six seconds, since only a further pull names another one.

--- a/node/replica/start.go
+++ b/node/replica/start.go
@@ -59,16 +59,31 @@
 	if !r.treesFromWatchers(ctx) {
 		return false
 	}
-	ctx, cancel := context.WithTimeout(ctx, startFetchTimeout)
-	defer cancel()
-	select {
-	case <-r.loaded:
-		r.log.Info("state read from routers at the start", "took", time.Since(startedAt))
-		return true
-	case <-ctx.Done():
+	if !r.awaitDesired(ctx) {
 		r.log.Info("failed to fetch the desired state at the start; reading the whole state from the store", "waited", time.Since(startedAt))
 		return false
 	}
+	r.log.Info("state read from routers at the start", "took", time.Since(startedAt))
+	return true
+}
+
+// awaitDesired waits until the desired state has been fetched, and goes on to pull meanwhile: a router that could not
+// provide it is not asked again unless another pull names it.
+func (r *Replica) awaitDesired(ctx context.Context) bool {
+	ctx, cancel := context.WithTimeout(ctx, startFetchTimeout)
+	defer cancel()
+	for {
+		select {
+		case <-r.loaded:
+			return true
+		case <-time.After(pullInterval):
+		case <-ctx.Done():
+			return false
+		}
+		if watchers, _ := r.peers.Watchers(); len(watchers) > 0 {
+			r.pullAtStart(ctx, watchers)
+		}
+	}
 }
 
 // treesFromWatchers gets all entries other than the desired state from the routers that watch the store for this
--- a/node/replica/start_test.go
+++ b/node/replica/start_test.go
@@ -10,8 +10,10 @@
 
 	"agateswitch/core/fleet"
 	"agateswitch/core/revision"
+	"agateswitch/port"
 
 	"github.com/charmbracelet/log"
+	"github.com/juju/errors"
 	"github.com/shoenig/test/must"
 )
 
@@ -175,3 +177,24 @@
 		must.LessEq(t, state/4, f.store.up.total()-before)
 	})
 }
+
+// A starting router that could not fetch the desired state from the router that had told it of one used to wait for six
+// seconds.
+func TestRouterStartsAlthoughAFetchFails(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(context.Background())
+		defer func() {
+			cancel()
+			time.Sleep(10 * time.Second)
+		}()
+		f, _ := startAll(ctx, maxDirectReaders+5, 1000e6/8, func(int) bool { return false })
+		time.Sleep(10 * time.Second)
+		for _, h := range f.all() {
+			h.Handle(methodFetch, func(context.Context, fleet.HostID, port.Decode) (any, error) {
+				return nil, errors.New("out of order")
+			})
+		}
+		took, last := loadTime([]*testRouter{startRouterWithKeys(ctx, f.add(), startKeys, log.New(io.Discard))}, applyLimit)
+		must.LessEq(t, applyLimit, took, must.Sprint(last))
+	})
+}
