--- a/cmd/agateswitch/reload_test.go
+++ b/cmd/agateswitch/reload_test.go
@@ -68,10 +68,11 @@
 	var stdout, stderr strings.Builder
 	must.Eq(t, 0, run([]string{"check", "--gateway", path}, &stdout, &stderr))
 	wrong := strings.ReplaceAll(strings.ReplaceAll(gatewaySettings, "RATIO", "7"), `"10.0.0.2:1"`, `"store.example"`)
-	wrong = strings.Replace(wrong, `"max_directory_ttl"`, `"change_deadline": "1s", "max_directory_ttl"`, 1)
+	wrong = strings.Replace(wrong, `"max_directory_ttl"`, `"change_deadline": "1s", "advertise": {"peers": "front.example"}, "max_directory_ttl"`, 1)
 	must.NoError(t, os.WriteFile(path, []byte(wrong), 0o600))
 	must.Eq(t, exitFailure, run([]string{"check", "--gateway", path}, &stdout, &stderr))
 	must.StrContains(t, stderr.String(), path+`:4: store: "store.example" is not ip:port`)
+	must.StrContains(t, stderr.String(), `advertise.peers: "front.example" is not ip:port`)
 	must.StrContains(t, stderr.String(), "change_deadline: must be 2s or more")
 	must.StrContains(t, stderr.String(), path+":8: retries.ratio: must be 0 to 1")
 }
--- a/node/edge/edge.go
+++ b/node/edge/edge.go
@@ -2,6 +2,7 @@
 package edge
 
 import (
+	"cmp"
 	"context"
 	"net/http"
 	"sync"
@@ -53,7 +54,7 @@
 func New(s settings.Gateway, external port.Edge, network Network, metrics *telemetry.Metrics, logger *log.Logger) (*Router, error) {
 	self := fleet.Host{
 		ID: s.Host.ID, DataCentre: s.Host.DataCentre, Region: s.Host.Region, State: fleet.Live,
-		HTTPAddress: s.Listen.Callers, PeerAddress: s.Listen.Peers, Capacity: fleet.Capacity(s.Capacity),
+		HTTPAddress: cmp.Or(s.Advertise.Callers, s.Listen.Callers), PeerAddress: cmp.Or(s.Advertise.Peers, s.Listen.Peers), Capacity: fleet.Capacity(s.Capacity),
 	}
 	r := &Router{network: network, log: logger}
 	r.settings.Store(&s)
--- a/settings/gateway.go
+++ b/settings/gateway.go
@@ -14,6 +14,9 @@
 	Host     Host          `json:"host"`
 	Capacity Capacity      `json:"capacity"`
 	Listen   GatewayListen `json:"listen"`
+	// Advertise holds the addresses at which others reach the router, where they differ from those that it
+	// listens on.
+	Advertise Advertise `json:"advertise"`
 	// Store is the ip:port of the platform's key-value service.
 	Store string `json:"store"`
 	// PeerKey authenticates the routers of the fleet to each other. At least 32 characters, the
@@ -46,6 +49,12 @@
 	LinkMbps float64 `json:"link_mbps"`
 }
 
+// Advertise holds the ip:port addresses that a router tells others. An empty one is that of GatewayListen.
+type Advertise struct {
+	Callers string `json:"callers"`
+	Peers   string `json:"peers"`
+}
+
 // GatewayListen holds the ip:port addresses that the router listens on.
 type GatewayListen struct {
 	Callers string `json:"callers"`
@@ -124,6 +133,12 @@
 		"listen.callers": g.Listen.Callers, "listen.readiness": g.Listen.Readiness,
 		"listen.directory": g.Listen.Directory, "listen.peers": g.Listen.Peers, "listen.metrics": g.Listen.Metrics,
 	})
+	if g.Advertise.Callers != "" {
+		d.address("advertise.callers", g.Advertise.Callers)
+	}
+	if g.Advertise.Peers != "" {
+		d.address("advertise.peers", g.Advertise.Peers)
+	}
 	d.address("store", g.Store)
 	d.require(len(g.PeerKey) >= MinPeerKeyBytes, "peer_key", "needs at least %d characters", MinPeerKeyBytes)
 	d.require(g.Grace > 0, "grace", "must be above 0s")
