--- a/node/replica/postpone.go
+++ b/node/replica/postpone.go
@@ -7,12 +7,15 @@
 	"agateswitch/port"
 )
 
-// settledCheckInterval is the time between two checks of whether the copy is confirmed, once a postponed deletion
-// is due.
-const settledCheckInterval = 50 * time.Millisecond
-
-// settlingTail is how long after its own settle time a router goes on to confirm its copy often.
-const settlingTail = 2 * time.Second
+// Times of postponed deletions.
+const (
+	// settledCheckInterval is the time between two checks of whether the copy is confirmed, once a postponed
+	// deletion is due.
+	settledCheckInterval = 50 * time.Millisecond
+	// settlingTail is how long after its own settle time a router goes on to confirm its copy often. Others that learnt of the
+	// outage later pull from it.
+	settlingTail = 2 * time.Second
+)
 
 // postpone returns the changes that subscribers receive now. Deletions of entries that may be written
 // again are delivered later, unless they are.
--- a/node/replica/replica.go
+++ b/node/replica/replica.go
@@ -161,7 +161,8 @@
 // added before Run.
 func New(store port.Store, transport port.Peers, peers Peers, keys Keys, deadline time.Duration, logger *log.Logger) *Replica {
 	r := &Replica{
-		store: store, transport: transport, peers: peers, freshness: dissemination.PlanFreshness(deadline), log: logger, routersPrefix: keys.Routers, loaded: make(chan struct{}),
+		store: store, transport: transport, peers: peers, log: logger, loaded: make(chan struct{}),
+		freshness: dissemination.PlanFreshness(deadline), routersPrefix: keys.Routers,
 		applying: make(chan struct{}, 1), applyingDesired: make(chan struct{}, 1), confirming: make(chan struct{}, 1),
 		desired: newDesiredCopy(keys.Desired, keys.IsOutdated), postponed: map[string]Change{},
 	}
--- a/node/survey/survey.go
+++ b/node/survey/survey.go
@@ -16,6 +16,9 @@
 	"golang.org/x/sync/errgroup"
 )
 
+// Path is the path at which routers serve surveys.
+const Path = "/fleet"
+
 // methodReport requests a router's report.
 const methodReport = "survey.report"
 
@@ -107,9 +110,6 @@
 	}
 }
 
-// Path is where routers serve a survey.
-const Path = "/fleet"
-
 // ServeHTTP answers GET requests with the summary as JSON.
 func (s *Survey) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	if r.Method != http.MethodGet {
