Postpone no removals for a loss of the store that is over

A router of a large fleet that had lost the store while it watched for itself, and then pulled from others again, counted as one that regains the store at its next watch of its own, however long after. A router forgets the loss when it goes back to its watchers, and while its copy is confirmed by others the store was not away. A member that shared the outage takes its end over from the router that it pulls from.

--- a/node/replica/desired.go
+++ b/node/replica/desired.go
@@ -47,10 +47,8 @@
 	behind chan struct{}
 	// holders are routers that hold a newer revision than this one, the last one to say so last.
 	holders []holder
-	// confirmedAt is when applied was last confirmed to be the newest revision, and asOf a revision of
-	// the store at which it was.
-	confirmedAt time.Time
-	asOf        revision.Revision
+	// asOf is a revision of the store at which applied was confirmed to be the newest.
+	asOf revision.Revision
 	// changed is closed and replaced when applied or confirmedAt changes.
 	changed chan struct{}
 }
--- a/node/replica/freshness_test.go
+++ b/node/replica/freshness_test.go
@@ -30,3 +30,27 @@
 		}
 	}
 }
+
+// A router that had lost the store while it watched for itself counted as one that regains it at its next watch of its
+// own, also long after. It then postponed removals by 2.3 s, as after an outage, and kept no deadline.
+func TestRemovalIsNotPostponedByALossThatIsOver(t *testing.T) {
+	const deadline = 3 * time.Second
+	runFleetWithDeadline(t, 20, largeState(0), deadline, func(t *testing.T, f testFleet) {
+		f.stopUpstreams()
+		f.store.put(engineKey, versioned(1))
+		for _, lost := range []bool{true, false} {
+			for _, r := range f.routers {
+				r.isolated.Store(lost)
+			}
+			time.Sleep(10 * time.Second)
+		}
+		for _, r := range f.routers[:2] {
+			r.stalled.Store(true)
+		}
+		f.store.remove(engineKey)
+		time.Sleep(deadline)
+		for _, r := range f.routers[2:] {
+			must.Eq(t, "", string(r.value(engineKey)), must.Sprint(r.id))
+		}
+	})
+}
--- a/node/replica/pull.go
+++ b/node/replica/pull.go
@@ -182,6 +182,10 @@
 	confirmedAt := startedAt.Add(-time.Duration(pulled.AgeMs) * time.Millisecond)
 	settledAt := settleTime(pulled.SettleMs)
 	r.mu.Lock()
+	if time.Since(t.confirmedAt) >= minLapseOutage && settledAt.After(t.settledAt()) {
+		// The outage was this router's too, and no answer of the store will tell it.
+		t.regainedAt = settledAt.Add(-settlePeriod)
+	}
 	r.postponeFurther(t.prefix, latest(settledAt, settleTime(pulled.RestoreSettleMs)))
 	r.mu.Unlock()
 	changes := make([]Change, 0, len(pulled.Entries))
--- a/node/replica/tree.go
+++ b/node/replica/tree.go
@@ -31,12 +31,15 @@
 	// answeredAt is when the store last answered, and regainedAt when it last answered again after an
 	// outage of at least minLapseOutage.
 	answeredAt, regainedAt time.Time
+	// confirmedAt is when the copy was last confirmed to be the newest, by the store or by a router.
+	confirmedAt time.Time
 }
 
 // answer records an answer of the store. It reports whether the store had failed before.
 func (c *contact) answer(now time.Time) (regained bool) {
 	regained = c.wasLost
-	if regained && now.Sub(c.answeredAt) >= minLapseOutage {
+	// While the copy was confirmed, the store answered others.
+	if regained && now.Sub(latest(c.answeredAt, c.confirmedAt)) >= minLapseOutage {
 		c.regainedAt = now
 	}
 	c.reachable, c.wasLost, c.answeredAt = true, false, now
@@ -59,12 +62,10 @@
 	// prunedRevision is a revision after which the copy has the tombstones of all deletions. Earlier ones
 	// have been removed, or were made before the copy was read as a whole.
 	prunedRevision revision.Revision
-	// asOf is the revision up to which the copy is complete, and confirmedAt when it was last
-	// confirmed to be the newest one. restoreSettledAt is the time by which entries that the store lost
-	// when it was restored to the era of asOf should be written again, and restoredTo the revision at which
-	// the copy was first complete in that era.
-	asOf        revision.Revision
-	confirmedAt time.Time
+	// asOf is the revision up to which the copy is complete. restoreSettledAt is the time by which entries
+	// that the store lost when it was restored to the era of asOf should be written again, and restoredTo the
+	// revision at which the copy was first complete in that era.
+	asOf revision.Revision
 	// isRestoring is true while the state of a later era than that of asOf is applied.
 	isRestoring      bool
 	restoreSettledAt time.Time
--- a/node/replica/watch.go
+++ b/node/replica/watch.go
@@ -133,6 +133,7 @@
 			sleep(ctx, pullInterval)
 			if _, self := r.watchers(); !self && time.Since(startedAt) > minWatchTime {
 				stop()
+				r.forgetLoss()
 				r.log.Info("other routers watch the store for this one")
 				return
 			}
@@ -379,6 +380,16 @@
 	}
 }
 
+// forgetLoss makes the next answer of the store count as no return of it: until then other routers confirm the copy,
+// and tell when an outage has ended.
+func (r *Replica) forgetLoss() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, c := range r.contacts() {
+		c.wasLost = false
+	}
+}
+
 // markUnreachable records that the watch of a prefix failed.
 func (r *Replica) markUnreachable(prefix string, contacts []*contact, err error) {
 	r.mu.Lock()
