--- a/cmd/agateswitch/demo.go
+++ b/cmd/agateswitch/demo.go
@@ -82,7 +82,8 @@
 	if err != nil {
 		return usageError{err}
 	}
-	logger, err := telemetry.NewLogger(command.ErrOrStderr(), flags.logLevel, "text")
+	progress := &sharedWriter{to: command.ErrOrStderr()}
+	logger, err := telemetry.NewLogger(progress, flags.logLevel, "text")
 	if err != nil {
 		return usageError{err}
 	}
@@ -93,7 +94,7 @@
 		return err
 	}
 	defer fleet.Stop()
-	report, err := fleet.Run(ctx, scenario, flags.runFor, flags.seed, showProgress(command.ErrOrStderr()))
+	report, err := fleet.Run(ctx, scenario, flags.runFor, flags.seed, showProgress(progress))
 	if err != nil {
 		return err
 	}
