Log the evaluation of a running version move once a second

Cause: the log of a move shows nothing of tests that stay silent, so that a bound without effect and evidence without effect look alike. Change: a line per router and second with phase, counts, strength and threshold.

--- a/node/versionmove/versionmove.go
+++ b/node/versionmove/versionmove.go
@@ -33,6 +33,8 @@
 	// reportTakeoverDelay is how long a router waits, for each router ranked before it for the
 	// move, before it reports the move's end in their place.
 	reportTakeoverDelay = 300 * time.Millisecond
+	// logInterval is the time between two log lines about the evaluation of a running move.
+	logInterval = time.Second
 )
 
 // methodPublish publishes moves to another router.
@@ -92,6 +94,8 @@
 	finished, failed  uint32
 	// endDueAt is when this router found that the move has to end.
 	endDueAt time.Time
+	// loggedAt is when the evaluation was last logged.
+	loggedAt time.Time
 }
 
 // New returns the service of a router and registers its peer method.
@@ -295,6 +299,17 @@
 	}
 }
 
+// logEvaluation logs what a decision about a running move depends on, once per logInterval.
+func (s *Service) logEvaluation(m *move, phase rollout.Phase, verdict rollout.Verdict) {
+	if time.Since(m.loggedAt) < logInterval {
+		return
+	}
+	m.loggedAt = time.Now()
+	s.log.Info("version move evaluated", "move", m.id, "target", m.order.Target, "phase", phase, "age", time.Since(m.began),
+		"requests", m.requests, "exposed", m.exposed, "finished", m.finished, "failed", m.failed,
+		"strength", verdict.Strength, "threshold", verdict.Threshold, "evidence", verdict.Reason)
+}
+
 // evaluate rolls a running move back when the evidence shows that the new version is bad, and ends
 // it when its duration has elapsed.
 func (s *Service) evaluate(m *move) {
@@ -302,7 +317,9 @@
 		return
 	}
 	phase := rollout.PhaseAt(time.Since(m.began), m.order.Duration)
-	state, reason := rollout.DecideShortMove(phase, m.detector.Verdict(true), m.finished, m.failed)
+	verdict := m.detector.Verdict(true)
+	state, reason := rollout.DecideShortMove(phase, verdict, m.finished, m.failed)
+	s.logEvaluation(m, phase, verdict)
 	if state == rollout.StatusRunning {
 		return
 	}
