Hold the bound on exposure in every phase of a short move

Callers saw: a bad version got up to 160 of some 490 requests, allowed 99. Cause: the phase with all requests began by the clock and had no bound; with 34 failures of 55 known, all requests went to the version. Change: the bound holds in each phase; a version gets more than a canary only when answers of all routers prove it (eight answers, at least half of what was sent, less than half failed, no suspicion), and all requests once what the bound leaves lasts until the end is reported. Missing answers count against a version at the deadline. Cost for a good version: at 50 requests a second and 12 s, three routers, it has all requests for the last second instead of the last four; streams on the old version that last longer end with it. PhaseAt's tests by the clock alone are replaced by stricter ones: the bound is checked in each phase, for up to 300 routers.

--- a/core/rollout/evidence.go
+++ b/core/rollout/evidence.go
@@ -68,6 +68,9 @@
 
 // Tally counts the results of one version in one stratum.
 type Tally struct {
+	// Started counts the requests that were sent. Only short moves count it.
+	Started uint32 `msgpack:"s,omitempty"`
+	// Requests counts those that ended.
 	Requests uint32 `msgpack:"n,omitempty"`
 	Failures uint32 `msgpack:"f,omitempty"`
 	// FirstToken counts the times to the first byte, Interval the mean times between tokens.
@@ -101,6 +104,7 @@
 }
 
 func (t *Tally) merge(other Tally) {
+	t.Started += other.Started
 	t.Requests += other.Requests
 	t.Failures += other.Failures
 	t.FirstToken = mergeHistograms(t.FirstToken, other.FirstToken)
@@ -146,16 +150,27 @@
 
 // Add counts the result of an exchange. It ignores versions that are not part of the move.
 func (e *Evidence) Add(move Move, evidence fleet.Evidence) {
-	isNew := evidence.Version == move.To
-	if !isNew && evidence.Version != move.From {
-		return
+	if tally := e.tally(move, evidence.Version, Stratum{Route: evidence.Route, Cold: evidence.Cold}); tally != nil {
+		tally.add(evidence)
+	}
+}
+
+// Start counts a request that was sent to an upstream of a version.
+func (e *Evidence) Start(move Move, version fleet.Version, stratum Stratum) {
+	if tally := e.tally(move, version, stratum); tally != nil {
+		tally.Started++
 	}
-	pair := e.pair(Stratum{Route: evidence.Route, Cold: evidence.Cold})
-	if isNew {
-		pair.New.add(evidence)
-	} else {
-		pair.Old.add(evidence)
+}
+
+// tally returns the tally of a version in a stratum. It is nil if the version is not part of the move.
+func (e *Evidence) tally(move Move, version fleet.Version, stratum Stratum) *Tally {
+	switch version {
+	case move.To:
+		return &e.pair(stratum).New
+	case move.From:
+		return &e.pair(stratum).Old
 	}
+	return nil
 }
 
 // Merge adds pairs that another router reports.
--- a/core/rollout/exposure.go
+++ b/core/rollout/exposure.go
@@ -5,92 +5,148 @@
 	"time"
 )
 
-// Exposure bounds how many requests a version gets in a short move before there is enough evidence to
-// send it all of them. The bound holds for the whole fleet: Share of a pool's requests since the
-// order, plus Slack.
+// Exposure bounds how many requests a version gets in a short move. The bound holds for the whole
+// fleet, from the order until its deadline: Share of the pool's requests, plus Slack.
 type Exposure struct {
 	Share float64
 	Slack float64
 }
 
-// Phases of a short move, which has to end within seconds to minutes, as fractions of its duration.
-// There is no time for steps that wait for evidence. The bound on exposure limits the damage instead.
+// Spending is what one router has used of the bound since the order.
+type Spending struct {
+	// Requests counts the router's attempts on upstreams of the pool, and Exposed those of them on the new
+	// version.
+	Requests, Exposed int
+	// Routers is the size of the fleet. Each router uses an equal part of the slack.
+	Routers int
+}
+
+// bound returns the router's part of the bound.
+func (e Exposure) bound(s Spending) float64 {
+	return e.Share*float64(s.Requests) + e.Slack/float64(max(s.Routers, 1))
+}
+
+// Parameters of a short move, which has to end within seconds to minutes. There is no time for steps that
+// each wait for evidence of their own. Fractions of time refer to the move's duration.
 const (
-	// rampStartFraction is when the version begins to get rampShare, to show its behaviour under load.
+	// canaryShare is the share of requests that an unproven version gets, as a multiple of Exposure.Share.
+	canaryShare = 2
+	// rampStartFraction is when a proven version begins to get rampShare, to show its behaviour under load.
 	rampStartFraction = 0.5
-	// fullStartFraction is when the version begins to get all requests. Streams on the old version
-	// have the rest of the time to end: the old version stops without draining when the move is done.
-	fullStartFraction = 0.66
-	// dueStartFraction is when the move is to be reported as done. The rest of its duration is
-	// left for the last evidence, for another router to take over the report, and for the write to
-	// the store.
+	rampShare         = 0.3
+	// canaryBoundFraction and rampBoundFraction are the fractions of the bound that may be used up in these
+	// phases. The full phase may use usableBoundFraction.
+	canaryBoundFraction = 0.2
+	rampBoundFraction   = 0.3
+	usableBoundFraction = 0.95
+	// dueStartFraction is when the move is to be reported as done. The rest of its duration is left for
+	// the last evidence, for another router to take over the report, and for the write to the store.
 	dueStartFraction = 0.85
-	// rampShare is the share of requests during the ramp. It is high enough to show faults under
-	// load, and leaves a second for detection at full share.
-	rampShare = 0.3
-	// canaryBoundFraction is the fraction of the exposure bound that may be used before the ramp,
-	// and rampBoundFraction the one before the version gets all requests.
-	canaryBoundFraction = 0.4
-	rampBoundFraction   = 0.75
+	// ReportTime is the time from then until the report is in the store.
+	ReportTime = 800 * time.Millisecond
+	// fullReserve is how much more must be left of the bound at the start of the full phase than the phase
+	// is expected to use.
+	fullReserve = 1.1
 )
 
-// Phase is the phase of a short move.
+// Phase is the phase of a short move on one router. It determines how many requests the new version
+// gets. In each phase the bound on exposure holds.
 type Phase string
 
 // Phases of a short move, in their order.
 const (
 	PhaseCanary Phase = "canary"
 	PhaseRamp   Phase = "ramp"
-	PhaseFull   Phase = "full"
-	// PhaseDue means that the move is to be reported as done.
-	PhaseDue Phase = "due"
+	// PhaseFull sends all requests to the new version, so that those on the old one, which stops without
+	// draining when the move is done, have time to end.
+	PhaseFull Phase = "full"
 )
 
-// PhaseAt returns the phase of a move that was ordered age ago.
-func PhaseAt(age, duration time.Duration) Phase {
-	elapsed := float64(age) / float64(max(duration, 1))
-	switch {
-	case elapsed < rampStartFraction:
+// DueAt returns how long after its order a move is to be reported as done.
+func DueAt(duration time.Duration) time.Duration {
+	return time.Duration(dueStartFraction * float64(duration))
+}
+
+// PhaseAt returns the phase of a move that was ordered age ago. A version that is not proven stays in the
+// canary phase. The full phase begins when what the bound leaves lasts until the move is reported; callers
+// keep it then as long as the version is proven.
+func (e Exposure) PhaseAt(age, duration time.Duration, proven bool, s Spending) Phase {
+	if !proven {
 		return PhaseCanary
-	case elapsed < fullStartFraction:
-		return PhaseRamp
-	case elapsed < dueStartFraction:
+	}
+	end := DueAt(duration) + ReportTime
+	expected := float64(s.Requests) * max(0, float64(end-age)) / float64(max(age, 1))
+	if usableBoundFraction*e.bound(s)-float64(s.Exposed) >= fullReserve*(1-usableBoundFraction*e.Share)*expected {
 		return PhaseFull
 	}
-	return PhaseDue
+	if float64(age) >= rampStartFraction*float64(duration) {
+		return PhaseRamp
+	}
+	return PhaseCanary
 }
 
-// Admits reports whether a router may send one more request to the new version. Since the order,
-// the router has received the given number of the pool's requests and sent exposed of them there.
-// Draw is a random number in [0, 1). Each of the fleet's routers uses an equal part of the slack.
-func (e Exposure) Admits(phase Phase, requests, exposed, routers int, draw float64) bool {
-	bound := e.Share*float64(requests) + e.Slack/float64(max(routers, 1))
+// Admits reports whether a router may send one more request, counted in s.Requests, to the new version.
+// Draw is a random number in [0, 1).
+func (e Exposure) Admits(phase Phase, s Spending, draw float64) bool {
+	share, fraction := 1.0, usableBoundFraction
 	switch phase {
 	case PhaseCanary:
-		return draw < 2*e.Share && float64(exposed+1) <= canaryBoundFraction*bound
+		share, fraction = canaryShare*e.Share, canaryBoundFraction
 	case PhaseRamp:
-		return draw < rampShare && float64(exposed+1) <= rampBoundFraction*bound
+		share, fraction = rampShare, rampBoundFraction
 	}
-	return true
+	return draw < share && float64(s.Exposed+1) <= fraction*e.bound(s)
 }
 
-// suspicious reports whether the evidence against the version is too strong for a move to be done.
+// suspicious reports whether the evidence against the version is too strong for it to get more requests, or
+// for a move to be done.
 func (v Verdict) suspicious() bool { return v.Strength >= suspicionThreshold }
 
+// Progress counts the requests of all routers on the new version of a short move: those that were sent,
+// those whose answer began or that failed, and those that failed.
+type Progress struct {
+	Started, Answered, Failed uint32
+}
+
+// Add adds the results of the new version in one period.
+func (p *Progress) Add(t Tally) {
+	p.Started += t.Started
+	p.Answered += t.FirstToken.total() + t.Failures
+	p.Failed += t.Failures
+}
+
+// isSilent reports whether too few requests were answered to tell anything about the others.
+func (p Progress) isSilent() bool { return 2*p.Answered < p.Started }
+
+// isFailing reports whether so many requests failed that no test is needed.
+func (p Progress) isFailing() bool { return p.Answered > 0 && 2*p.Failed >= p.Answered }
+
+// minProofAnswers is how many answers a proof needs. A version that fails 30 in 100 requests shows at least
+// one failure among them with a probability of 94%.
+const minProofAnswers = 8
+
+// IsProven reports whether a version may get more requests than an unproven one. Missing answers are no
+// evidence for a version.
+func (p Progress) IsProven(verdict Verdict) bool {
+	return p.Answered >= minProofAnswers && !p.isSilent() && !p.isFailing() && !verdict.suspicious()
+}
+
 // DecideShortMove returns the status of a short move. The move is rolled back as soon as the verdict
-// is bad. When it is due, it is also rolled back if the verdict is suspicious, if no request has
-// ended on the new version, or if at least half of them failed. The last rule covers evidence that is
-// too thin for the sequential tests. Requests and failures are those that ended on the new version.
-func DecideShortMove(phase Phase, verdict Verdict, requests, failures uint32) (status Status, reason string) {
+// is bad. When it is due, it is also rolled back if the verdict is suspicious, if less than half of the requests
+// on the new version were answered, or if half of those failed. The last two rules cover evidence that is too
+// thin for the sequential tests.
+func DecideShortMove(due bool, verdict Verdict, p Progress) (status Status, reason string) {
 	switch {
 	case verdict.Bad:
 		return StatusRolledBack, verdict.Reason
-	case phase != PhaseDue:
+	case !due:
 		return StatusRunning, ""
-	case requests == 0:
-		return StatusRolledBack, "the deadline came without a request on the new version"
-	case 2*failures >= requests:
-		return StatusRolledBack, fmt.Sprintf("the deadline came with %d of %d requests failed", failures, requests)
+	case p.Answered == 0:
+		return StatusRolledBack, "the deadline came without an answer of the new version"
+	case p.isFailing():
+		return StatusRolledBack, fmt.Sprintf("the deadline came with %d of %d requests failed", p.Failed, p.Answered)
+	case p.isSilent():
+		return StatusRolledBack, fmt.Sprintf("the deadline came with %d of %d requests answered", p.Answered, p.Started)
 	case verdict.suspicious():
 		return StatusRolledBack, "the deadline came under suspicion: " + verdict.Reason
 	}
--- a/core/rollout/exposure_test.go
+++ b/core/rollout/exposure_test.go
@@ -8,25 +8,22 @@
 	"github.com/shoenig/test/must"
 )
 
-// Until the version gets all requests, all routers together stay within the exposure bound at any
-// time, however the requests are distributed among them.
+// In every phase, all routers together stay within the exposure bound at any time, however the requests are
+// distributed among them.
 func TestExposureStaysWithinItsBound(t *testing.T) {
 	exposure := Exposure{Share: 0.1, Slack: 50}
 	random := rand.New(rand.NewPCG(1, 2))
-	for _, routers := range []int{1, 6, 8, 88} {
-		requests, exposed := make([]int, routers), make([]int, routers)
+	phases := []Phase{PhaseCanary, PhaseRamp, PhaseFull}
+	for _, routers := range []int{1, 6, 8, 88, 300} {
+		spending := make([]Spending, routers)
 		all, sent := 0, 0
-		for i := range 20000 {
-			phase := PhaseCanary
-			if i > 10000 {
-				phase = PhaseRamp
-			}
+		for i := range 30000 {
 			// At least half of the requests arrive at one router.
-			router := random.IntN(2) * random.IntN(routers)
-			requests[router]++
+			s := &spending[random.IntN(2)*random.IntN(routers)]
+			s.Requests, s.Routers = s.Requests+1, routers
 			all++
-			if exposure.Admits(phase, requests[router], exposed[router], routers, random.Float64()) {
-				exposed[router]++
+			if exposure.Admits(phases[i/10000], *s, random.Float64()) {
+				s.Exposed++
 				sent++
 			}
 			must.LessEq(t, exposure.Share*float64(all)+exposure.Slack, float64(sent))
@@ -35,33 +32,68 @@
 	}
 }
 
+// A proven version goes through the phases in time, an unproven one stays in the canary phase. The full phase
+// lasts as long as what the bound leaves.
 func TestPhasesOfAShortMove(t *testing.T) {
-	for age, want := range map[time.Duration]Phase{
-		0: PhaseCanary, 5 * time.Second: PhaseCanary, 7 * time.Second: PhaseRamp, 9 * time.Second: PhaseFull,
-		11 * time.Second: PhaseDue, time.Hour: PhaseDue,
+	exposure := Exposure{Share: 0.1, Slack: 50}
+	const duration = 12 * time.Second
+	for _, c := range []struct {
+		age    time.Duration
+		proven bool
+		s      Spending
+		want   Phase
+	}{
+		{time.Second, true, Spending{Requests: 20, Exposed: 2, Routers: 1}, PhaseCanary},
+		{7 * time.Second, true, Spending{Requests: 140, Exposed: 20, Routers: 1}, PhaseRamp},
+		{7 * time.Second, false, Spending{Requests: 140, Exposed: 20, Routers: 1}, PhaseCanary},
+		// 65 - 30 requests are left for 1.5 s at 20 requests a second.
+		{9500 * time.Millisecond, true, Spending{Requests: 190, Exposed: 30, Routers: 1}, PhaseFull},
+		{9 * time.Second, true, Spending{Requests: 180, Exposed: 50, Routers: 1}, PhaseRamp},
+		{11 * time.Second, false, Spending{Requests: 220, Exposed: 30, Routers: 1}, PhaseCanary},
+		{time.Hour, true, Spending{Requests: 300, Exposed: 30, Routers: 1}, PhaseFull},
+	} {
+		must.Eq(t, c.want, exposure.PhaseAt(c.age, duration, c.proven, c.s), must.Sprint(c))
+	}
+	must.Eq(t, 10200*time.Millisecond, DueAt(duration))
+	must.Zero(t, DueAt(0))
+}
+
+// Requests without an answer are no evidence for a version.
+func TestProofNeedsAnswers(t *testing.T) {
+	for _, c := range []struct {
+		progress Progress
+		verdict  Verdict
+		want     bool
+	}{
+		{Progress{Started: 12, Answered: 10}, Verdict{}, true},
+		{Progress{Started: 12, Answered: 10, Failed: 5}, Verdict{}, false},
+		{Progress{Started: 12, Answered: 10}, Verdict{Strength: suspicionThreshold}, false},
+		{Progress{Started: 30, Answered: 10}, Verdict{}, false},
+		{Progress{Started: 5, Answered: 5}, Verdict{}, false},
 	} {
-		must.Eq(t, want, PhaseAt(age, 12*time.Second), must.Sprint(age))
+		must.Eq(t, c.want, c.progress.IsProven(c.verdict), must.Sprint(c))
 	}
-	must.Eq(t, PhaseDue, PhaseAt(time.Second, 0))
 }
 
-// A short move has no time for steps: at its deadline it is rolled back unless requests ended on the
-// new version, fewer than half of them failed, and there is no suspicion.
+// A short move has no time for steps: at its deadline it is rolled back unless requests were answered by the
+// new version, most of those that were sent and without failure, and there is no suspicion.
 func TestEndOfAShortMove(t *testing.T) {
 	for _, c := range []struct {
-		phase              Phase
-		verdict            Verdict
-		requests, failures uint32
-		want               Status
+		due      bool
+		verdict  Verdict
+		progress Progress
+		want     Status
 	}{
-		{PhaseCanary, Verdict{Bad: true}, 1, 1, StatusRolledBack},
-		{PhaseFull, Verdict{Strength: suspicionThreshold}, 100, 3, StatusRunning},
-		{PhaseDue, Verdict{Strength: suspicionThreshold}, 100, 3, StatusRolledBack},
-		{PhaseDue, Verdict{}, 0, 0, StatusRolledBack},
-		{PhaseDue, Verdict{}, 1, 1, StatusRolledBack},
-		{PhaseDue, Verdict{}, 100, 1, StatusDone},
+		{false, Verdict{Bad: true}, Progress{Started: 1, Answered: 1, Failed: 1}, StatusRolledBack},
+		{false, Verdict{Strength: suspicionThreshold}, Progress{Started: 100, Answered: 100, Failed: 3}, StatusRunning},
+		{true, Verdict{Strength: suspicionThreshold}, Progress{Started: 100, Answered: 100, Failed: 3}, StatusRolledBack},
+		{true, Verdict{}, Progress{}, StatusRolledBack},
+		{true, Verdict{}, Progress{Started: 5}, StatusRolledBack},
+		{true, Verdict{}, Progress{Started: 1, Answered: 1, Failed: 1}, StatusRolledBack},
+		{true, Verdict{}, Progress{Started: 100, Answered: 40}, StatusRolledBack},
+		{true, Verdict{}, Progress{Started: 100, Answered: 100, Failed: 1}, StatusDone},
 	} {
-		status, _ := DecideShortMove(c.phase, c.verdict, c.requests, c.failures)
-		must.Eq(t, c.want, status)
+		status, _ := DecideShortMove(c.due, c.verdict, c.progress)
+		must.Eq(t, c.want, status, must.Sprint(c))
 	}
 }
--- a/node/gateway/choose.go
+++ b/node/gateway/choose.go
@@ -37,6 +37,9 @@
 	eventCount int
 }
 
+// isCold reports whether the upstream has to read more of the prompt than it takes to begin an answer.
+func (c *choice) isCold() bool { return c.uncached > minCopyTokens }
+
 // candidates holds upstreams and, at the same indexes, the properties by which they are ranked.
 type candidates struct {
 	engines    []*engine
--- a/node/gateway/report.go
+++ b/node/gateway/report.go
@@ -34,7 +34,7 @@
 func (c *callerRequest) evidence(chosen *choice, result attemptResult) fleet.Evidence {
 	e := fleet.Evidence{
 		Pool: c.pool.ID, Version: chosen.upstream.Version, Upstream: chosen.upstream.ID, Route: c.route.Name,
-		Failed: !result.delivered, FirstToken: chosen.firstByteTime, Cold: chosen.uncached > minCopyTokens,
+		Failed: !result.delivered, FirstToken: chosen.firstByteTime, Cold: chosen.isCold(),
 	}
 	if chosen.eventCount > 1 {
 		e.TokenInterval = (time.Since(chosen.sentAt) - chosen.firstByteTime) / time.Duration(chosen.eventCount-1)
--- a/node/gateway/request.go
+++ b/node/gateway/request.go
@@ -206,6 +206,7 @@
 func (c *callerRequest) attempt(ctx context.Context, chosen *choice) attemptResult {
 	chosen.ticket = c.gateway.Workload.Start(chosen.engine.id, chosen.uncached, c.sharedParts())
 	defer chosen.ticket.End()
+	c.gateway.Moves.Start(c.pool.ID, chosen.upstream.Version, c.route.Name, chosen.isCold())
 	chosen.sentAt = time.Now()
 	send := c.attemptBuffered
 	if c.route.Kind == routing.Streaming {
--- a/node/versionmove/versionmove.go
+++ b/node/versionmove/versionmove.go
@@ -29,7 +29,7 @@
 	publishTimeout = 300 * time.Millisecond
 	// evidenceGracePeriod is how long the report of a successful end waits for evidence that other
 	// routers have not published yet.
-	evidenceGracePeriod = 2*publishInterval + 50*time.Millisecond
+	evidenceGracePeriod = rollout.ReportTime - publishInterval
 	// reportTakeoverDelay is how long a router waits, for each router ranked before it for the
 	// move, before it reports the move's end in their place.
 	reportTakeoverDelay = 300 * time.Millisecond
@@ -87,11 +87,12 @@
 	detector *rollout.Detector
 	// evidence is the evidence to publish with the next message.
 	evidence rollout.Evidence
-	// requests counts the attempts of this router since the order, and exposed those for which the
-	// new version was chosen. finished counts the attempts of all routers that ended on the new
-	// version, and failed those of them that failed.
-	requests, exposed int
-	finished, failed  uint32
+	// spending is what this router has used of the exposure bound.
+	spending rollout.Spending
+	// isFull is true once the full phase has begun on this router.
+	isFull bool
+	// progress counts the requests of all routers on the new version.
+	progress rollout.Progress
 	// endDueAt is when this router found that the move has to end.
 	endDueAt time.Time
 	// loggedAt is when the evaluation was last logged.
@@ -246,15 +247,26 @@
 	if m.from == "" {
 		m.from = mostCommonVersion(present, target)
 	}
-	phase := rollout.PhaseAt(time.Since(m.began), m.order.Duration)
-	m.requests++
-	if present[target] == 0 || !s.exposure.Admits(phase, m.requests, m.exposed, s.fleet.Count(), rand.Float64()) {
+	m.spending.Requests++
+	m.spending.Routers = s.fleet.Count()
+	if present[target] == 0 || !s.exposure.Admits(s.phase(m), m.spending, rand.Float64()) {
 		return Versions{Avoid: target}
 	}
-	m.exposed++
+	m.spending.Exposed++
 	return Versions{Prefer: target}
 }
 
+// phase returns the phase of a running move on this router. Callers hold mu.
+func (s *Service) phase(m *move) rollout.Phase {
+	proven := m.progress.IsProven(m.detector.Verdict(true))
+	if proven && m.isFull {
+		return rollout.PhaseFull
+	}
+	phase := s.exposure.PhaseAt(time.Since(m.began), m.order.Duration, proven, m.spending)
+	m.isFull = phase == rollout.PhaseFull
+	return phase
+}
+
 // mostCommonVersion returns the version with the most upstreams, without the excluded one.
 func mostCommonVersion(present map[fleet.Version]int, excluded fleet.Version) fleet.Version {
 	var most fleet.Version
@@ -276,6 +288,15 @@
 	}
 }
 
+// Start counts an attempt that is sent to an upstream of a version.
+func (s *Service) Start(pool fleet.PoolID, version fleet.Version, route string, cold bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if m, found := s.moves[pool]; found && m.state == rollout.StatusRunning {
+		m.evidence.Start(rollout.Move{From: m.from, To: m.order.Target}, version, rollout.Stratum{Route: route, Cold: cold})
+	}
+}
+
 // Run publishes, evaluates and reports moves until ctx ends.
 func (s *Service) Run(ctx context.Context) {
 	ticker := time.NewTicker(publishInterval)
@@ -294,19 +315,19 @@
 func (m *move) addEvidence(pairs []rollout.Pair) {
 	m.detector.Add(time.Now(), pairs)
 	for _, pair := range pairs {
-		m.finished += pair.New.Requests
-		m.failed += pair.New.Failures
+		m.progress.Add(pair.New)
 	}
 }
 
 // logEvaluation logs what a decision about a running move depends on, once per logInterval.
-func (s *Service) logEvaluation(m *move, phase rollout.Phase, verdict rollout.Verdict) {
+func (s *Service) logEvaluation(m *move, verdict rollout.Verdict) {
 	if time.Since(m.loggedAt) < logInterval {
 		return
 	}
 	m.loggedAt = time.Now()
-	s.log.Info("version move evaluated", "move", m.id, "target", m.order.Target, "phase", phase, "age", time.Since(m.began),
-		"requests", m.requests, "exposed", m.exposed, "finished", m.finished, "failed", m.failed,
+	s.log.Info("version move evaluated", "move", m.id, "target", m.order.Target, "phase", s.phase(m), "age", time.Since(m.began),
+		"requests", m.spending.Requests, "exposed", m.spending.Exposed, "started", m.progress.Started, "answered", m.progress.Answered,
+		"failed", m.progress.Failed,
 		"strength", verdict.Strength, "threshold", verdict.Threshold, "evidence", verdict.Reason)
 }
 
@@ -316,22 +337,22 @@
 	if m.state != rollout.StatusRunning {
 		return
 	}
-	phase := rollout.PhaseAt(time.Since(m.began), m.order.Duration)
 	verdict := m.detector.Verdict(true)
-	state, reason := rollout.DecideShortMove(phase, verdict, m.finished, m.failed)
-	s.logEvaluation(m, phase, verdict)
+	dueAt := m.began.Add(rollout.DueAt(m.order.Duration))
+	state, reason := rollout.DecideShortMove(!time.Now().Before(dueAt), verdict, m.progress)
+	s.logEvaluation(m, verdict)
 	if state == rollout.StatusRunning {
 		return
 	}
 	if state == rollout.StatusDone {
-		// All traffic is on the new version already. The state changes when the end is reported.
+		// The state changes when the end is reported.
 		if m.endDueAt.IsZero() {
-			m.endDueAt = time.Now()
+			m.endDueAt = dueAt
 		}
 		m.reason = reason
 		return
 	}
 	m.state, m.reason, m.endDueAt = state, reason, time.Now()
 	s.log.Warn("version rolled back", "move", m.id, "target", m.order.Target, "reason", reason,
-		"age", time.Since(m.began), "exposed", m.exposed, "requests", m.requests)
+		"age", time.Since(m.began), "exposed", m.spending.Exposed, "requests", m.spending.Requests)
 }
