Test failures over all routes of a short move together

Cause: each route's evidence had to pass the threshold of a whole move alone. Change: short moves also test the failures of all routes together. Measured: TestFailuresOnManyRoutesAreFoundInAShortMove checks both: the detector of long moves, which all moves had before, stays silent on 12 of 20 failures against 4 of 160, that of short moves does not.

--- a/core/rollout/detector.go
+++ b/core/rollout/detector.go
@@ -26,7 +26,8 @@
 	leaderErrorRate = 0.004
 	routerErrorRate = 0.001 / 1000
 	// testCount is the number of tests in a move: up to nine routes, warm and cold, three signals,
-	// paired and unpaired.
+	// paired and unpaired. The test of all routes together is within it, since failures are not split by
+	// warm and cold.
 	testCount = 9 * 2 * 3 * 2
 )
 
@@ -90,6 +91,8 @@
 	step        int
 	strata      map[Stratum]*stratumState
 	restartedAt time.Time
+	// poolsRoutes is true if failures are also tested over all routes together.
+	poolsRoutes bool
 	// newVersionOnly is true while the old version gets no traffic. Cells don't wait for it then.
 	newVersionOnly  bool
 	leaderThreshold float64
@@ -123,6 +126,14 @@
 	}
 }
 
+// NewShortMoveDetector returns the detector of a short move. It has too few requests for a fault on all
+// routes to show on each of them, so failures are also tested over all routes together.
+func NewShortMoveDetector(move Move) *Detector {
+	d := NewDetector(move)
+	d.poolsRoutes = true
+	return d
+}
+
 // Move returns the id of the move under evaluation.
 func (d *Detector) Move() MoveID { return d.move }
 
@@ -151,12 +162,26 @@
 			routePair.Old.Requests, routePair.Old.Failures = pair.Old.Requests, pair.Old.Failures
 			routePair.New.Requests, routePair.New.Failures = pair.New.Requests, pair.New.Failures
 			d.addPair(now, routePair)
+			d.addToAllRoutes(now, routePair)
 			pair.Old.Requests, pair.Old.Failures, pair.New.Requests, pair.New.Failures = 0, 0, 0, 0
 		}
 		d.addPair(now, pair)
+		d.addToAllRoutes(now, pair)
 	}
 }
 
+// addToAllRoutes adds the failures of a pair to the stratum of all routes.
+func (d *Detector) addToAllRoutes(now time.Time, pair Pair) {
+	if !d.poolsRoutes || pair.Old.Requests+pair.New.Requests == 0 {
+		return
+	}
+	d.addPair(now, Pair{
+		Stratum: Stratum{Route: allRoutes},
+		Old:     Tally{Requests: pair.Old.Requests, Failures: pair.Old.Failures},
+		New:     Tally{Requests: pair.New.Requests, Failures: pair.New.Failures},
+	})
+}
+
 func (d *Detector) addPair(now time.Time, pair Pair) {
 	state := d.state(now, pair.Stratum)
 	state.maybeCloseCell(now, d.newVersionOnly)
--- a/core/rollout/evidence.go
+++ b/core/rollout/evidence.go
@@ -14,6 +14,8 @@
 	maxRoutes = 8
 	// otherRoutes is the name under which routes above maxRoutes are counted.
 	otherRoutes = "other"
+	// allRoutes is the name under which a short move counts all routes together.
+	allRoutes = "all routes"
 	// bucketsPerOctave sets the width of latency buckets to a factor of 2^(1/4), or 19%.
 	bucketsPerOctave = 4
 	maxBucket        = 127
--- a/core/rollout/exposure_test.go
+++ b/core/rollout/exposure_test.go
@@ -97,3 +97,20 @@
 		must.Eq(t, c.want, status, must.Sprint(c))
 	}
 }
+
+// The evidence of a short move is split over so many routes that none of them shows the fault alone.
+func TestFailuresOnManyRoutesAreFoundInAShortMove(t *testing.T) {
+	now := time.Now()
+	move := Move{ID: "m", Begun: now, Deadline: now.Add(15 * time.Second)}
+	short, long := NewShortMoveDetector(move), NewDetector(move)
+	for _, route := range []string{"a", "b", "c", "d"} {
+		pairs := []Pair{{
+			Stratum: Stratum{Route: route},
+			Old:     Tally{Requests: 40, Failures: 1}, New: Tally{Requests: 5, Failures: 3},
+		}}
+		short.Add(now, pairs)
+		long.Add(now, pairs)
+	}
+	must.False(t, long.Verdict(true).Bad)
+	must.True(t, short.Verdict(true).Bad)
+}
--- a/node/versionmove/versionmove.go
+++ b/node/versionmove/versionmove.go
@@ -146,7 +146,7 @@
 		id: moveID(order, entry.Revision), order: order, revision: entry.Revision,
 		began: now, state: rollout.StatusRunning,
 	}
-	m.detector = rollout.NewDetector(rollout.Move{ID: m.id, Begun: now, Deadline: now.Add(order.Duration)})
+	m.detector = rollout.NewShortMoveDetector(rollout.Move{ID: m.id, Begun: now, Deadline: now.Add(order.Duration)})
 	s.moves[order.Pool], s.orders[entry.Key] = m, order.Pool
 	s.log.Info("version move ordered", "move", m.id, "target", order.Target, "duration", order.Duration)
 	if current, found := s.statuses[order.Pool]; found {
