Count for the bound on exposure only attempts that reach an upstream

Cause: an attempt counted as one of the pool's requests before there was an upstream for it. Those that found none, or reached none, raised the bound. Change: the count is corrected when no upstream was found, when it is of another version, and when the request was not sent. Measured: TestAttemptsThatReachNothingAreNotCounted (before, 100 attempts without an upstream counted as 100 requests).

--- a/node/gateway/choose.go
+++ b/node/gateway/choose.go
@@ -11,6 +11,7 @@
 	"agateswitch/core/pace"
 	"agateswitch/core/routing"
 	"agateswitch/core/warmth"
+	"agateswitch/node/versionmove"
 	"agateswitch/node/workload"
 )
 
@@ -29,6 +30,8 @@
 	// fetchFrom is the address of an engine that has more of the prompt cached; empty means none.
 	fetchFrom string
 	ticket    *workload.Ticket
+	// versions is what the pool's version move allowed for the attempt.
+	versions versionmove.Versions
 	// sentAt is when the attempt began, and firstByteTime the time from then to the first byte of
 	// the answer, or to the first event of a stream.
 	sentAt        time.Time
@@ -92,10 +95,14 @@
 			break
 		}
 	}
-	if chosen != nil {
-		if source, found := sources.bestExcluding(chosen.engine); found && source.tokens >= cached[chosen.engine.id]+minCopyTokens {
-			chosen.fetchFrom = source.address
-		}
+	if chosen == nil {
+		g.Moves.Reached(&versions, "")
+		return nil
+	}
+	g.Moves.Reached(&versions, chosen.upstream.Version)
+	chosen.versions = versions
+	if source, found := sources.bestExcluding(chosen.engine); found && source.tokens >= cached[chosen.engine.id]+minCopyTokens {
+		chosen.fetchFrom = source.address
 	}
 	return chosen
 }
--- a/node/gateway/request.go
+++ b/node/gateway/request.go
@@ -213,6 +213,9 @@
 		send = c.attemptStream
 	}
 	result := send(ctx, chosen)
+	if !result.delivered && !result.sent {
+		c.gateway.Moves.Reached(&chosen.versions, "")
+	}
 	if result.delivered || result.sent && c.request.Context().Err() == nil {
 		c.gateway.Moves.Add(c.evidence(chosen, result))
 	}
--- a/node/versionmove/share_test.go
+++ b/node/versionmove/share_test.go
@@ -38,6 +38,30 @@
 	return s, m
 }
 
+// Attempts that reach no upstream don't raise the bound on exposure, nor do they use it up.
+func TestAttemptsThatReachNothingAreNotCounted(t *testing.T) {
+	s, m := newService()
+	s.SetExposure(rollout.Exposure{Share: 0.5, Slack: 10})
+	m.order = port.MoveOrder{Pool: "lm", Target: "v2", Duration: time.Minute}
+	present := map[fleet.Version]int{"v1": 3, "v2": 3}
+	for range 100 {
+		versions := s.Choose("lm", present)
+		s.Reached(&versions, "")
+		s.Reached(&versions, "")
+	}
+	must.Eq(t, rollout.Spending{Routers: 1}, m.spending)
+	exposed := 0
+	for range 100 {
+		versions := s.Choose("lm", present)
+		if versions.Prefer == "v2" {
+			exposed++
+		}
+		s.Reached(&versions, "v1")
+	}
+	must.Positive(t, exposed)
+	must.Eq(t, rollout.Spending{Requests: 100, Routers: 1}, m.spending)
+}
+
 // tell passes messages to a service as another router does.
 func tell(t *testing.T, s *Service, messages ...moveMessage) {
 	t.Helper()
--- a/node/versionmove/versionmove.go
+++ b/node/versionmove/versionmove.go
@@ -226,10 +226,15 @@
 	// Avoid must not be used. Prefer is used if any upstream of it can accept the request. Empty
 	// means none.
 	Avoid, Prefer fleet.Version
+
+	// counted is the running move for which the attempt is counted, and exposed whether it counts as one on
+	// the new version.
+	counted *move
+	exposed bool
 }
 
 // Choose counts an attempt of a pool and draws its version. present holds the number of the pool's
-// upstreams by version.
+// upstreams by version. Callers call Reached if the attempt doesn't reach an upstream of the preferred version.
 func (s *Service) Choose(pool fleet.PoolID, present map[fleet.Version]int) Versions {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -250,10 +255,29 @@
 	m.spending.Requests++
 	m.spending.Routers = s.fleet.Count()
 	if present[target] == 0 || !s.exposure.Admits(s.phase(m), m.spending, rand.Float64()) {
-		return Versions{Avoid: target}
+		return Versions{Avoid: target, counted: m}
 	}
 	m.spending.Exposed++
-	return Versions{Prefer: target}
+	return Versions{Prefer: target, counted: m, exposed: true}
+}
+
+// Reached corrects the count of an attempt after it has reached an upstream of the given version; empty means
+// none. Only requests that reach the pool raise the bound on exposure.
+func (s *Service) Reached(versions *Versions, version fleet.Version) {
+	m := versions.counted
+	if m == nil {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if versions.exposed && version != m.order.Target {
+		versions.exposed = false
+		m.spending.Exposed--
+	}
+	if version == "" {
+		versions.counted = nil
+		m.spending.Requests--
+	}
 }
 
 // phase returns the phase of a running move on this router. Callers hold mu.
