Send nothing to a version whose order was rolled back, replaced or deleted

Cause: a router knew one order a pool. A newer order, or the deletion of the order, dropped the rollback with it, and the version that had been rolled back got its share again until its upstreams were gone. A router that started after the order was gone saw the status and ignored it. Change: versions whose order is no longer in force stay withdrawn until an order names them; a status that names a rollback withdraws, too; routers tell each other; while a move runs, only its old and its new version get requests. Measured: before the change, Choose returned no version to avoid in each case of TestVersionStaysWithdrawnUnderALaterOrder, ...WhenItsOrderIsDeleted and TestStartedRouterAvoidsAVersionThatWasRolledBack by reading (Versions{} without a move, Avoid of the newest order only); they pass now. Not covered: all routers restart between the rollback and a later order's end; the store keeps the newest status of a pool only.

--- a/node/gateway/choose.go
+++ b/node/gateway/choose.go
@@ -66,7 +66,7 @@
 	for _, e := range current.engines[pool.ID] {
 		s := e.status(now)
 		if tried[e] || s.paused || s.upstream.State != fleet.Live || current.dataCentresOut[s.upstream.DataCentre] ||
-			versions.Avoid != "" && s.upstream.Version == versions.Avoid {
+			versions.Avoids(s.upstream.Version) {
 			continue
 		}
 		load := g.Workload.Load(e.id)
--- a/node/versionmove/share.go
+++ b/node/versionmove/share.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"time"
 
 	"agateswitch/core/fleet"
@@ -17,6 +19,9 @@
 	RolledBack bool           `msgpack:"back,omitempty"`
 	Reason     string         `msgpack:"reason,omitempty"`
 	Evidence   []rollout.Pair `msgpack:"evidence,omitempty"`
+	// Withdrawn lists the pool's versions that get no requests, which a router that has started since doesn't
+	// know.
+	Withdrawn []fleet.Version `msgpack:"withdrawn,omitempty"`
 }
 
 // tick evaluates the moves, publishes them to the other routers and writes the status entries that
@@ -56,7 +61,7 @@
 		s.evaluate(m)
 		messages = append(messages, moveMessage{
 			Pool: pool, ID: m.id, AgeMs: time.Since(m.began).Milliseconds(), RolledBack: m.state == rollout.StatusRolledBack,
-			Reason: m.reason, Evidence: pairs,
+			Reason: m.reason, Evidence: pairs, Withdrawn: slices.Collect(maps.Keys(s.withdrawn[pool])),
 		})
 	}
 	return messages
@@ -79,6 +84,11 @@
 		if began := time.Now().Add(-time.Duration(message.AgeMs) * time.Millisecond); began.Before(m.began) {
 			m.began = began
 		}
+		for _, version := range message.Withdrawn {
+			if version != m.order.Target {
+				s.withdraw(message.Pool, version)
+			}
+		}
 		m.addEvidence(message.Evidence)
 		if message.RolledBack && m.state == rollout.StatusRunning {
 			m.state, m.reason, m.endDueAt = rollout.StatusRolledBack, message.Reason, time.Now()
--- a/node/versionmove/share_test.go
+++ b/node/versionmove/share_test.go
@@ -7,7 +7,9 @@
 	"time"
 
 	"agateswitch/core/fleet"
+	"agateswitch/core/revision"
 	"agateswitch/core/rollout"
+	"agateswitch/node/replica"
 	"agateswitch/port"
 
 	"github.com/charmbracelet/log"
@@ -31,7 +33,7 @@
 	s := New(nil, nil, noPeers{}, noPeers{}, rollout.Exposure{}, log.New(io.Discard))
 	now := time.Now()
 	m := &move{
-		id: "move-1", began: now, state: rollout.StatusRunning,
+		id: "move-1", order: port.MoveOrder{Pool: "lm", Target: "v2", Duration: time.Minute}, began: now, state: rollout.StatusRunning,
 		detector: rollout.NewDetector(rollout.Move{ID: "move-1", Begun: now, Deadline: now.Add(time.Minute)}),
 	}
 	s.moves["lm"] = m
@@ -42,7 +44,6 @@
 func TestAttemptsThatReachNothingAreNotCounted(t *testing.T) {
 	s, m := newService()
 	s.SetExposure(rollout.Exposure{Share: 0.5, Slack: 10})
-	m.order = port.MoveOrder{Pool: "lm", Target: "v2", Duration: time.Minute}
 	present := map[fleet.Version]int{"v1": 3, "v2": 3}
 	for range 100 {
 		versions := s.Choose("lm", present)
@@ -102,3 +103,90 @@
 	tell(t, s, moveMessage{Pool: "lm", ID: "move-1", AgeMs: 10})
 	must.Eq(t, earliest, m.began)
 }
+
+// codec decodes entries whose keys are "order" and "status"; their values name a version.
+type codec struct{ port.EntryCodec }
+
+func (codec) Decode(key string, value []byte) port.DecodedEntry {
+	if key == "order" {
+		return port.DecodedEntry{Move: &port.MoveOrder{Pool: "lm", Target: fleet.Version(value), Duration: time.Minute}}
+	}
+	return port.DecodedEntry{MoveStatus: &port.MoveStatus{Pool: "lm", Target: fleet.Version(value), State: port.MoveState(key)}}
+}
+
+// write applies an entry as the replica does.
+func write(s *Service, key string, version fleet.Version, number int64) {
+	s.Observe([]replica.Change{{Entry: port.Entry{Key: key, Value: []byte(version), Revision: revision.Revision{Number: number}}}})
+}
+
+// usable returns the versions that no attempt of many has to avoid.
+func usable(s *Service, all ...fleet.Version) []fleet.Version {
+	present := map[fleet.Version]int{}
+	for _, version := range all {
+		present[version] = 3
+	}
+	var used []fleet.Version
+	for _, version := range all {
+		for range 1000 {
+			if versions := s.Choose("lm", present); !versions.Avoids(version) {
+				used = append(used, version)
+				break
+			}
+		}
+	}
+	return used
+}
+
+func newServiceWithCodec() *Service {
+	return New(codec{}, nil, noPeers{}, noPeers{}, rollout.Exposure{Share: 0.1, Slack: 50}, log.New(io.Discard))
+}
+
+func TestVersionStaysWithdrawnUnderALaterOrder(t *testing.T) {
+	for name, withdraw := range map[string]func(*Service){
+		"rolled back": func(s *Service) { write(s, string(port.MoveRolledBack), "v2", 2) },
+		"replaced":    func(*Service) {},
+		"told by another router": func(s *Service) {
+			s.moves["lm"].id = "move-1"
+			tell(t, s, moveMessage{Pool: "lm", ID: "move-1", Withdrawn: []fleet.Version{"v2"}, RolledBack: true})
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := newServiceWithCodec()
+			write(s, "order", "v2", 1)
+			withdraw(s)
+			write(s, "order", "v3", 3)
+			must.Eq(t, []fleet.Version{"v1", "v3"}, usable(s, "v1", "v2", "v3"))
+			write(s, string(port.MoveSucceeded), "v3", 4)
+			must.SliceNotContains(t, usable(s, "v2", "v3"), "v2")
+			write(s, "order", "v2", 5)
+			must.SliceContains(t, usable(s, "v3", "v2"), "v2")
+		})
+	}
+}
+
+func TestVersionStaysWithdrawnWhenItsOrderIsDeleted(t *testing.T) {
+	s := newServiceWithCodec()
+	write(s, "order", "v2", 1)
+	s.Observe([]replica.Change{{Entry: port.Entry{Key: "order"}, Deleted: true}})
+	must.Eq(t, []fleet.Version{"v1"}, usable(s, "v1", "v2"))
+}
+
+// The status alone is left of a move when its order is gone before a router starts.
+func TestStartedRouterAvoidsAVersionThatWasRolledBack(t *testing.T) {
+	s := newServiceWithCodec()
+	write(s, string(port.MoveRolledBack), "v2", 2)
+	must.Eq(t, []fleet.Version{"v1"}, usable(s, "v1", "v2"))
+}
+
+// An order that names the old version again must not leave the pool without a version.
+func TestOrderBackToTheOldVersionUsesItAtOnce(t *testing.T) {
+	s := newServiceWithCodec()
+	write(s, "order", "v2", 1)
+	usable(s, "v1", "v2")
+	write(s, "order", "v1", 2)
+	for range 100 {
+		versions := s.Choose("lm", map[fleet.Version]int{"v1": 3, "v2": 3})
+		must.Eq(t, "v1", versions.Prefer)
+		must.True(t, versions.Avoids("v2"))
+	}
+}
--- a/node/versionmove/versionmove.go
+++ b/node/versionmove/versionmove.go
@@ -5,8 +5,10 @@
 package versionmove
 
 import (
+	"cmp"
 	"context"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -62,6 +64,9 @@
 	statuses map[fleet.PoolID]status
 	// orders maps the store's keys of orders to pools.
 	orders map[string]fleet.PoolID
+	// withdrawn holds the versions of each pool that were rolled back, or whose order was replaced or deleted
+	// before its end. An order that names a version removes it from there.
+	withdrawn map[fleet.PoolID]map[fleet.Version]bool
 }
 
 // status is the status entry of a pool in the store.
@@ -104,6 +109,7 @@
 	s := &Service{
 		codec: codec, store: store, transport: transport, fleet: others, log: logger, exposure: exposure,
 		moves: map[fleet.PoolID]*move{}, statuses: map[fleet.PoolID]status{}, orders: map[string]fleet.PoolID{},
+		withdrawn: map[fleet.PoolID]map[fleet.Version]bool{},
 	}
 	transport.Handle(methodPublish, s.handleMessages)
 	return s
@@ -122,8 +128,7 @@
 	defer s.mu.Unlock()
 	for _, change := range changes {
 		if change.Deleted {
-			delete(s.moves, s.orders[change.Entry.Key])
-			delete(s.orders, change.Entry.Key)
+			s.applyDeletedOrder(change.Entry.Key)
 			s.applyLostStatus(change.Entry.Key)
 			continue
 		}
@@ -147,6 +152,14 @@
 		began: now, state: rollout.StatusRunning,
 	}
 	m.detector = rollout.NewShortMoveDetector(rollout.Move{ID: m.id, Begun: now, Deadline: now.Add(order.Duration)})
+	if previous, found := s.moves[order.Pool]; found {
+		m.from = previous.from
+		if previous.state == rollout.StatusDone {
+			m.from = previous.order.Target
+		}
+		s.endOrder(previous)
+	}
+	delete(s.withdrawn[order.Pool], order.Target)
 	s.moves[order.Pool], s.orders[entry.Key] = m, order.Pool
 	s.log.Info("version move ordered", "move", m.id, "target", order.Target, "duration", order.Duration)
 	if current, found := s.statuses[order.Pool]; found {
@@ -154,6 +167,37 @@
 	}
 }
 
+// applyDeletedOrder ends the move of a deleted order. Callers hold mu.
+func (s *Service) applyDeletedOrder(key string) {
+	pool, found := s.orders[key]
+	if !found {
+		return
+	}
+	s.endOrder(s.moves[pool])
+	delete(s.moves, pool)
+	delete(s.orders, key)
+}
+
+// endOrder withdraws the version of a move whose order is no longer in force, unless the move has succeeded.
+// Callers hold mu.
+func (s *Service) endOrder(m *move) {
+	if m.state != rollout.StatusDone {
+		s.withdraw(m.order.Pool, m.order.Target)
+	}
+}
+
+// withdraw excludes a version of a pool from requests until an order names it. Callers hold mu.
+func (s *Service) withdraw(pool fleet.PoolID, version fleet.Version) {
+	if s.withdrawn[pool][version] {
+		return
+	}
+	if s.withdrawn[pool] == nil {
+		s.withdrawn[pool] = map[fleet.Version]bool{}
+	}
+	s.withdrawn[pool][version] = true
+	s.log.Info("version gets no requests until an order names it", "pool", pool, "version", version)
+}
+
 // moveID returns the id of the move that an order at a revision has started.
 func moveID(order port.MoveOrder, at revision.Revision) rollout.MoveID {
 	return rollout.MoveID(fmt.Sprintf("%s@%s", order.Pool, at))
@@ -190,9 +234,13 @@
 func (s *Service) applyStatus(entry port.Entry, reported port.MoveStatus) {
 	current := status{MoveStatus: reported, key: entry.Key, revision: entry.Revision}
 	s.statuses[reported.Pool] = current
-	if m, found := s.moves[reported.Pool]; found {
+	m, found := s.moves[reported.Pool]
+	if found {
 		m.applyStatus(current)
 	}
+	if reported.State == port.MoveRolledBack && (!found || m.order.Target != reported.Target) {
+		s.withdraw(reported.Pool, reported.Target)
+	}
 }
 
 // applyStatus applies the end that some router reported. An older status belongs to an earlier order. A
@@ -223,42 +271,64 @@
 
 // Versions states which versions of a pool an attempt may use.
 type Versions struct {
-	// Avoid must not be used. Prefer is used if any upstream of it can accept the request. Empty
-	// means none.
-	Avoid, Prefer fleet.Version
+	// Prefer is used if any upstream of it can accept the request. Empty means none.
+	Prefer fleet.Version
 
+	// withdrawn holds versions that must not be used, and avoid is another one. If only is set, other
+	// versions than it and Prefer must not be used either.
+	withdrawn   map[fleet.Version]bool
+	avoid, only fleet.Version
 	// counted is the running move for which the attempt is counted, and exposed whether it counts as one on
 	// the new version.
 	counted *move
 	exposed bool
 }
 
+// Avoids reports whether a version must not be used.
+func (v *Versions) Avoids(version fleet.Version) bool {
+	if version == "" {
+		return false
+	}
+	return version == v.avoid || v.withdrawn[version] || v.only != "" && version != v.only && version != v.Prefer
+}
+
 // Choose counts an attempt of a pool and draws its version. present holds the number of the pool's
 // upstreams by version. Callers call Reached if the attempt doesn't reach an upstream of the preferred version.
 func (s *Service) Choose(pool fleet.PoolID, present map[fleet.Version]int) Versions {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	versions := Versions{withdrawn: maps.Clone(s.withdrawn[pool])}
 	m, found := s.moves[pool]
 	if !found {
-		return Versions{}
+		return versions
 	}
 	target := m.order.Target
 	switch m.state {
 	case rollout.StatusDone:
-		return Versions{Prefer: target}
+		versions.Prefer = target
+		return versions
 	case rollout.StatusRolledBack:
-		return Versions{Avoid: target}
+		versions.avoid = target
+		return versions
+	}
+	if m.from == target {
+		// The order returns to the version from which the move before it began.
+		versions.Prefer = target
+		return versions
 	}
-	if m.from == "" {
-		m.from = mostCommonVersion(present, target)
+	if m.from == "" || present[m.from] == 0 {
+		m.from = cmp.Or(mostCommonVersion(present, target, s.withdrawn[pool]), m.from)
 	}
+	versions.counted, versions.only = m, m.from
 	m.spending.Requests++
 	m.spending.Routers = s.fleet.Count()
 	if present[target] == 0 || !s.exposure.Admits(s.phase(m), m.spending, rand.Float64()) {
-		return Versions{Avoid: target, counted: m}
+		versions.avoid = target
+		return versions
 	}
 	m.spending.Exposed++
-	return Versions{Prefer: target, counted: m, exposed: true}
+	versions.Prefer, versions.exposed = target, true
+	return versions
 }
 
 // Reached corrects the count of an attempt after it has reached an upstream of the given version; empty means
@@ -291,11 +361,12 @@
 	return phase
 }
 
-// mostCommonVersion returns the version with the most upstreams, without the excluded one.
-func mostCommonVersion(present map[fleet.Version]int, excluded fleet.Version) fleet.Version {
+// mostCommonVersion returns the version with the most upstreams, without the target of a move and those that
+// are withdrawn.
+func mostCommonVersion(present map[fleet.Version]int, target fleet.Version, withdrawn map[fleet.Version]bool) fleet.Version {
 	var most fleet.Version
 	for version, count := range present {
-		if version != excluded && (count > present[most] || count == present[most] && version < most) {
+		if version != target && !withdrawn[version] && (count > present[most] || count == present[most] && version < most) {
 			most = version
 		}
 	}
