Use the slack of the bound on exposure once, over restarts and losses of routers

Cause: a move's counts are in a router's memory, so that each restart used its part of the slack again; and the part grew for all others when routers died that had used theirs. Change: a router that finds the order among the entries of its start gets no slack; the largest size of the fleet since the order counts. Cost: after a kill of all routers a version gets a tenth of the requests only, and the move's time begins again, so that a good version may be late. Measured: TestRestartedRoutersDoNotUseTheSlackAgain, TestShrinkingFleetDoesNotUseTheSlackAgain.

--- a/core/rollout/exposure.go
+++ b/core/rollout/exposure.go
@@ -17,12 +17,18 @@
 	// Requests counts the router's attempts on upstreams of the pool, and Exposed those of them on the new
 	// version.
 	Requests, Exposed int
-	// Routers is the size of the fleet. Each router uses an equal part of the slack.
+	// Routers is the largest size of the fleet since the order. Each router uses an equal part of the slack.
 	Routers int
+	// Inherited is true on a router that started after the order. It gets no part of the slack, which an
+	// earlier process may have used.
+	Inherited bool
 }
 
 // bound returns the router's part of the bound.
 func (e Exposure) bound(s Spending) float64 {
+	if s.Inherited {
+		return e.Share * float64(s.Requests)
+	}
 	return e.Share*float64(s.Requests) + e.Slack/float64(max(s.Routers, 1))
 }
 
--- a/node/versionmove/share_test.go
+++ b/node/versionmove/share_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"agateswitch/core/fleet"
@@ -190,3 +191,50 @@
 		must.True(t, versions.Avoids("v2"))
 	}
 }
+
+// chooseUntilRefused sends attempts to a new version, and returns how many of them the bound allowed.
+func chooseUntilRefused(s *Service, attempts int) int {
+	exposed := 0
+	for range attempts {
+		if versions := s.Choose("lm", map[fleet.Version]int{"v1": 3, "v2": 3}); versions.Prefer == "v2" {
+			exposed++
+		}
+	}
+	return exposed
+}
+
+// Routers that start again in the middle of a move must not use up the slack once more each time.
+func TestRestartedRoutersDoNotUseTheSlackAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const attempts = 200
+		running := newServiceWithCodec()
+		running.Observe(nil)
+		time.Sleep(time.Minute)
+		write(running, "order", "v2", 1)
+		must.Positive(t, chooseUntilRefused(running, attempts))
+		restarted := newServiceWithCodec()
+		write(restarted, "order", "v2", 1)
+		must.LessEq(t, attempts/10, chooseUntilRefused(restarted, attempts))
+		must.True(t, restarted.moves["lm"].spending.Inherited)
+		must.False(t, running.moves["lm"].spending.Inherited)
+	})
+}
+
+// sizedFleet is a fleet whose size changes.
+type sizedFleet struct {
+	noPeers
+	count *int
+}
+
+func (f sizedFleet) Count() int { return *f.count }
+
+// The slack that routers have used stays used when they leave the fleet.
+func TestShrinkingFleetDoesNotUseTheSlackAgain(t *testing.T) {
+	s, m := newService()
+	count := 10
+	s.fleet = sizedFleet{count: &count}
+	chooseUntilRefused(s, 1)
+	count = 1
+	chooseUntilRefused(s, 1)
+	must.Eq(t, 10, m.spending.Routers)
+}
--- a/node/versionmove/versionmove.go
+++ b/node/versionmove/versionmove.go
@@ -35,6 +35,8 @@
 	// reportTakeoverDelay is how long a router waits, for each router ranked before it for the
 	// move, before it reports the move's end in their place.
 	reportTakeoverDelay = 300 * time.Millisecond
+	// loadTime is how long after the first entries of the store those that were there before may arrive.
+	loadTime = 1500 * time.Millisecond
 	// logInterval is the time between two log lines about the evaluation of a running move.
 	logInterval = time.Second
 )
@@ -59,6 +61,8 @@
 
 	mu       sync.Mutex
 	exposure rollout.Exposure
+	// loadedAt is when the first entries of the store arrived.
+	loadedAt time.Time
 	moves    map[fleet.PoolID]*move
 	// statuses holds the content and revision of each pool's status entry.
 	statuses map[fleet.PoolID]status
@@ -126,6 +130,9 @@
 func (s *Service) Observe(changes []replica.Change) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if s.loadedAt.IsZero() {
+		s.loadedAt = time.Now()
+	}
 	for _, change := range changes {
 		if change.Deleted {
 			s.applyDeletedOrder(change.Entry.Key)
@@ -151,6 +158,7 @@
 		id: moveID(order, entry.Revision), order: order, revision: entry.Revision,
 		began: now, state: rollout.StatusRunning,
 	}
+	m.spending.Inherited = now.Sub(s.loadedAt) < loadTime
 	m.detector = rollout.NewShortMoveDetector(rollout.Move{ID: m.id, Begun: now, Deadline: now.Add(order.Duration)})
 	if previous, found := s.moves[order.Pool]; found {
 		m.from = previous.from
@@ -161,7 +169,8 @@
 	}
 	delete(s.withdrawn[order.Pool], order.Target)
 	s.moves[order.Pool], s.orders[entry.Key] = m, order.Pool
-	s.log.Info("version move ordered", "move", m.id, "target", order.Target, "duration", order.Duration)
+	s.log.Info("version move ordered", "move", m.id, "target", order.Target, "duration", order.Duration,
+		"inherited", m.spending.Inherited)
 	if current, found := s.statuses[order.Pool]; found {
 		m.applyStatus(current)
 	}
@@ -321,7 +330,7 @@
 	}
 	versions.counted, versions.only = m, m.from
 	m.spending.Requests++
-	m.spending.Routers = s.fleet.Count()
+	m.spending.Routers = max(m.spending.Routers, s.fleet.Count())
 	if present[target] == 0 || !s.exposure.Admits(s.phase(m), m.spending, rand.Float64()) {
 		versions.avoid = target
 		return versions
