Check at the moment of sending that a version was not rolled back

Cause: only the choice of an upstream looked at its version. A request that waited for a connection when the rollback came was sent all the same. Change: the check before a send, which knows drains and data centres taken out, knows versions, too. Measured: TestRequestThatWaitedDuringARollbackIsNotSent.

--- a/node/gateway/request.go
+++ b/node/gateway/request.go
@@ -187,7 +187,10 @@
 		Upstream: chosen.upstream, Request: c.call.ID, Method: c.request.Method, Path: c.request.RequestURI,
 		Host: c.request.Host, Header: c.gateway.Engines.Header(c.request.Header, call),
 		Body: bytes.NewReader(c.body), ContentLength: int64(len(c.body)),
-		MaySend: func() bool { return c.gateway.view.current.Load().acceptsWork(c.pool.ID, chosen.engine) },
+		MaySend: func() bool {
+			return c.gateway.view.current.Load().acceptsWork(c.pool.ID, chosen.engine) &&
+				c.gateway.Moves.MaySend(c.pool.ID, chosen.upstream.Version)
+		},
 	})
 }
 
--- a/node/versionmove/share_test.go
+++ b/node/versionmove/share_test.go
@@ -238,3 +238,14 @@
 	chooseUntilRefused(s, 1)
 	must.Eq(t, 10, m.spending.Routers)
 }
+
+func TestRequestThatWaitedDuringARollbackIsNotSent(t *testing.T) {
+	s, _ := newService()
+	must.True(t, s.MaySend("lm", "v2"))
+	tell(t, s, moveMessage{Pool: "lm", ID: "move-1", RolledBack: true, Reason: "fails"})
+	must.False(t, s.MaySend("lm", "v2"))
+	must.True(t, s.MaySend("lm", "v1"))
+	must.True(t, s.MaySend("app", "v2"))
+	s.withdraw("app", "v2")
+	must.False(t, s.MaySend("app", "v2"))
+}
--- a/node/versionmove/versionmove.go
+++ b/node/versionmove/versionmove.go
@@ -340,6 +340,16 @@
 	return versions
 }
 
+// MaySend reports whether a request that was chosen for a version of a pool may still be sent there. The version
+// may have been rolled back while the request waited for a connection.
+func (s *Service) MaySend(pool fleet.PoolID, version fleet.Version) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	m, found := s.moves[pool]
+	rolledBack := found && m.state == rollout.StatusRolledBack && m.order.Target == version
+	return !rolledBack && !s.withdrawn[pool][version]
+}
+
 // Reached corrects the count of an attempt after it has reached an upstream of the given version; empty means
 // none. Only requests that reach the pool raise the bound on exposure.
 func (s *Service) Reached(versions *Versions, version fleet.Version) {
