Count no refusal as a failure of a version

Cause: an upstream's own refusal (503 or 429, not run) counted as a failure of its version. Upstreams that have just started, or are full, made a good version look bad, and full old ones hid a bad one. Change: refusals are no evidence; a version that only refuses gives no answers, which counts at the deadline.

--- a/node/gateway/request.go
+++ b/node/gateway/request.go
@@ -219,7 +219,8 @@
 	if !result.delivered && !result.sent {
 		c.gateway.Moves.Reached(&chosen.versions, "")
 	}
-	if result.delivered || result.sent && c.request.Context().Err() == nil {
+	// A refusal tells how busy an upstream is, not how good its version.
+	if result.delivered || result.sent && result.ran != fleet.NotRun && c.request.Context().Err() == nil {
 		c.gateway.Moves.Add(c.evidence(chosen, result))
 	}
 	return result
