Wait for the order of a version that appears beside another one

Cause: a router that has the entries of a version's upstreams before that of the order let the version in without a bound. Change: a version that appears beside another one gets nothing for as long as a change of the store may take. Cost: upstreams that an operator exchanges without an order get requests that much later, while others are there. Measured: TestVersionWhoseOrderMayBeOnItsWayGetsNothing.

--- a/node/edge/edge.go
+++ b/node/edge/edge.go
@@ -67,7 +67,7 @@
 	}
 	r.replica = replica.New(external.Store, r.mesh, r.presence, keys, time.Duration(s.ChangeDeadline), logger)
 	r.workload = workload.New(self.ID, r.mesh, r.presence, logger)
-	r.moves = versionmove.New(external.Codec, external.Store, r.mesh, r.presence, exposure(s), logger)
+	r.moves = versionmove.New(external.Codec, external.Store, r.mesh, r.presence, exposure(s), time.Duration(s.ChangeDeadline), logger)
 	r.traffic = trafficReport{store: network.StoreTraffic, routers: r.mesh.Traffic, log: logger}
 	if r.traffic.store == nil {
 		r.traffic.store = func() (sent, received int64) { return 0, 0 }
--- a/node/versionmove/share_test.go
+++ b/node/versionmove/share_test.go
@@ -31,7 +31,7 @@
 
 // newService returns a service with a running move of the pool lm.
 func newService() (*Service, *move) {
-	s := New(nil, nil, noPeers{}, noPeers{}, rollout.Exposure{}, log.New(io.Discard))
+	s := New(nil, nil, noPeers{}, noPeers{}, rollout.Exposure{}, 2*time.Second, log.New(io.Discard))
 	now := time.Now()
 	m := &move{
 		id: "move-1", order: port.MoveOrder{Pool: "lm", Target: "v2", Duration: time.Minute}, began: now, state: rollout.StatusRunning,
@@ -139,7 +139,7 @@
 }
 
 func newServiceWithCodec() *Service {
-	return New(codec{}, nil, noPeers{}, noPeers{}, rollout.Exposure{Share: 0.1, Slack: 50}, log.New(io.Discard))
+	return New(codec{}, nil, noPeers{}, noPeers{}, rollout.Exposure{Share: 0.1, Slack: 50}, 2*time.Second, log.New(io.Discard))
 }
 
 func TestVersionStaysWithdrawnUnderALaterOrder(t *testing.T) {
@@ -249,3 +249,18 @@
 	s.withdraw("app", "v2")
 	must.False(t, s.MaySend("app", "v2"))
 }
+
+// The entries of a version's upstreams may arrive before that of its order.
+func TestVersionWhoseOrderMayBeOnItsWayGetsNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newServiceWithCodec()
+		must.Eq(t, []fleet.Version{"v1"}, usable(s, "v1"))
+		must.Eq(t, []fleet.Version{"v1"}, usable(s, "v1", "v2"))
+		time.Sleep(time.Second)
+		must.Eq(t, []fleet.Version{"v1"}, usable(s, "v1", "v2"))
+		// An operator may exchange upstreams without an order.
+		time.Sleep(time.Second)
+		must.Eq(t, []fleet.Version{"v1", "v2"}, usable(s, "v1", "v2"))
+		must.Eq(t, []fleet.Version{"v3"}, usable(s, "v3"))
+	})
+}
--- a/node/versionmove/versionmove.go
+++ b/node/versionmove/versionmove.go
@@ -59,6 +59,9 @@
 	fleet     Fleet
 	log       *log.Logger
 
+	// changeDeadline is the time within which a change of the store is in force on all routers.
+	changeDeadline time.Duration
+
 	mu       sync.Mutex
 	exposure rollout.Exposure
 	// loadedAt is when the first entries of the store arrived.
@@ -71,6 +74,9 @@
 	// withdrawn holds the versions of each pool that were rolled back, or whose order was replaced or deleted
 	// before its end. An order that names a version removes it from there.
 	withdrawn map[fleet.PoolID]map[fleet.Version]bool
+	// firstSeen holds when each version of a pool first had an upstream here. The versions of the first attempt
+	// have the zero time.
+	firstSeen map[fleet.PoolID]map[fleet.Version]time.Time
 }
 
 // status is the status entry of a pool in the store.
@@ -109,11 +115,11 @@
 }
 
 // New returns the service of a router and registers its peer method.
-func New(codec port.EntryCodec, store port.Store, transport port.Peers, others Fleet, exposure rollout.Exposure, logger *log.Logger) *Service {
+func New(codec port.EntryCodec, store port.Store, transport port.Peers, others Fleet, exposure rollout.Exposure, changeDeadline time.Duration, logger *log.Logger) *Service {
 	s := &Service{
-		codec: codec, store: store, transport: transport, fleet: others, log: logger, exposure: exposure,
+		codec: codec, store: store, transport: transport, fleet: others, log: logger, exposure: exposure, changeDeadline: changeDeadline,
 		moves: map[fleet.PoolID]*move{}, statuses: map[fleet.PoolID]status{}, orders: map[string]fleet.PoolID{},
-		withdrawn: map[fleet.PoolID]map[fleet.Version]bool{},
+		withdrawn: map[fleet.PoolID]map[fleet.Version]bool{}, firstSeen: map[fleet.PoolID]map[fleet.Version]time.Time{},
 	}
 	transport.Handle(methodPublish, s.handleMessages)
 	return s
@@ -283,10 +289,10 @@
 	// Prefer is used if any upstream of it can accept the request. Empty means none.
 	Prefer fleet.Version
 
-	// withdrawn holds versions that must not be used, and avoid is another one. If only is set, other
+	// withdrawn holds versions that must not be used, and avoid and newcomer are others. If only is set, other
 	// versions than it and Prefer must not be used either.
-	withdrawn   map[fleet.Version]bool
-	avoid, only fleet.Version
+	withdrawn             map[fleet.Version]bool
+	avoid, newcomer, only fleet.Version
 	// counted is the running move for which the attempt is counted, and exposed whether it counts as one on
 	// the new version.
 	counted *move
@@ -298,7 +304,7 @@
 	if version == "" {
 		return false
 	}
-	return version == v.avoid || v.withdrawn[version] || v.only != "" && version != v.only && version != v.Prefer
+	return version == v.avoid || version == v.newcomer || v.withdrawn[version] || v.only != "" && version != v.only && version != v.Prefer
 }
 
 // Choose counts an attempt of a pool and draws its version. present holds the number of the pool's
@@ -307,8 +313,10 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	versions := Versions{withdrawn: maps.Clone(s.withdrawn[pool])}
+	newcomer := s.newcomer(pool, present)
 	m, found := s.moves[pool]
 	if !found {
+		versions.newcomer = newcomer
 		return versions
 	}
 	target := m.order.Target
@@ -340,6 +348,32 @@
 	return versions
 }
 
+// newcomer returns a version that appeared so lately beside another one that its order may still be on its way to
+// this router. Empty means none. Callers hold mu.
+func (s *Service) newcomer(pool fleet.PoolID, present map[fleet.Version]int) fleet.Version {
+	seen, known := s.firstSeen[pool]
+	if !known {
+		seen = map[fleet.Version]time.Time{}
+		s.firstSeen[pool] = seen
+	}
+	now := time.Now()
+	var newest fleet.Version
+	for version := range present {
+		if _, found := seen[version]; !found && known {
+			seen[version] = now
+		} else if !found {
+			seen[version] = time.Time{}
+		}
+		if now.Sub(seen[version]) < s.changeDeadline {
+			newest = version
+		}
+	}
+	if len(present) < 2 {
+		return ""
+	}
+	return newest
+}
+
 // MaySend reports whether a request that was chosen for a version of a pool may still be sent there. The version
 // may have been rolled back while the request waited for a connection.
 func (s *Service) MaySend(pool fleet.PoolID, version fleet.Version) bool {
