Hear of a rollback under any id of an order that was written again

Cause: a move's id has the revision of its order, which changes when the order is written again to a restored store. Until all routers had adopted the new one, rollbacks and evidence under the other id were ignored. Change: moves keep their earlier ids and messages carry them. Measured: TestRollbackIsHeardUnderAnyIDOfARestoredOrder.

--- a/node/versionmove/share.go
+++ b/node/versionmove/share.go
@@ -13,12 +13,14 @@
 
 // moveMessage is what a router publishes about one move.
 type moveMessage struct {
-	Pool       fleet.PoolID   `msgpack:"pool"`
-	ID         rollout.MoveID `msgpack:"id"`
-	AgeMs      int64          `msgpack:"age_ms"`
-	RolledBack bool           `msgpack:"back,omitempty"`
-	Reason     string         `msgpack:"reason,omitempty"`
-	Evidence   []rollout.Pair `msgpack:"evidence,omitempty"`
+	Pool fleet.PoolID   `msgpack:"pool"`
+	ID   rollout.MoveID `msgpack:"id"`
+	// EarlierIDs are the ids from before restores of the store, by which other routers may know the move.
+	EarlierIDs []rollout.MoveID `msgpack:"earlier_ids,omitempty"`
+	AgeMs      int64            `msgpack:"age_ms"`
+	RolledBack bool             `msgpack:"back,omitempty"`
+	Reason     string           `msgpack:"reason,omitempty"`
+	Evidence   []rollout.Pair   `msgpack:"evidence,omitempty"`
 	// Withdrawn lists the pool's versions that get no requests, which a router that has started since doesn't
 	// know.
 	Withdrawn []fleet.Version `msgpack:"withdrawn,omitempty"`
@@ -60,7 +62,7 @@
 		m.addEvidence(pairs)
 		s.evaluate(m)
 		messages = append(messages, moveMessage{
-			Pool: pool, ID: m.id, AgeMs: time.Since(m.began).Milliseconds(), RolledBack: m.state == rollout.StatusRolledBack,
+			Pool: pool, ID: m.id, EarlierIDs: slices.Clone(m.earlierIDs), AgeMs: time.Since(m.began).Milliseconds(), RolledBack: m.state == rollout.StatusRolledBack,
 			Reason: m.reason, Evidence: pairs, Withdrawn: slices.Collect(maps.Keys(s.withdrawn[pool])),
 		})
 	}
@@ -77,7 +79,7 @@
 	defer s.mu.Unlock()
 	for _, message := range messages {
 		m, found := s.moves[message.Pool]
-		if !found || m.id != message.ID {
+		if !found || !m.hasID(message.ID) && !slices.ContainsFunc(message.EarlierIDs, m.hasID) {
 			continue
 		}
 		// The router that received the order first has the best estimate of its time.
--- a/node/versionmove/share_test.go
+++ b/node/versionmove/share_test.go
@@ -264,3 +264,18 @@
 		must.Eq(t, []fleet.Version{"v3"}, usable(s, "v3"))
 	})
 }
+
+// Routers adopt an order that was written again at different times.
+func TestRollbackIsHeardUnderAnyIDOfARestoredOrder(t *testing.T) {
+	adopted, m := newService()
+	adopted.adoptOrder(port.Entry{Key: "order", Revision: revision.Revision{Number: 7}}, m.order)
+	must.NotEq(t, "move-1", m.id)
+	messages := adopted.evaluateMoves()
+	tell(t, adopted, moveMessage{Pool: "lm", ID: "move-1", RolledBack: true, Reason: "fails"})
+	must.Eq(t, rollout.StatusRolledBack, m.state)
+
+	behind, other := newService()
+	messages[0].RolledBack = true
+	tell(t, behind, messages...)
+	must.Eq(t, rollout.StatusRolledBack, other.state)
+}
--- a/node/versionmove/versionmove.go
+++ b/node/versionmove/versionmove.go
@@ -10,6 +10,7 @@
 	"fmt"
 	"maps"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -88,7 +89,9 @@
 
 // move is the execution of one order. Service.mu guards it.
 type move struct {
-	id       rollout.MoveID
+	id rollout.MoveID
+	// earlierIDs are the ids that the move had before the store was restored. Other routers may still use them.
+	earlierIDs []rollout.MoveID
 	order    port.MoveOrder
 	revision revision.Revision
 	// from is the old version. It is empty until the first request shows it.
@@ -227,9 +230,13 @@
 		return
 	}
 	s.log.Info("order of a running move was written again", "move", m.id, "revision", entry.Revision, "state", m.state)
+	m.earlierIDs = append(m.earlierIDs, m.id)
 	m.id, m.revision = moveID(order, entry.Revision), entry.Revision
 }
 
+// hasID reports whether the move has or had an id.
+func (m *move) hasID(id rollout.MoveID) bool { return m.id == id || slices.Contains(m.earlierIDs, id) }
+
 // applyLostStatus applies the deletion of a status entry. Only a store that was restored from an older
 // copy loses one; the end of a move is then reported again. Callers hold mu.
 func (s *Service) applyLostStatus(key string) {
