Take refusals out of the requests that a version owes an answer

Change: refusals are counted apart; a version with too little evidence for or against it may use half of the bound in the second half of its time.

--- a/core/rollout/evidence.go
+++ b/core/rollout/evidence.go
@@ -72,6 +72,8 @@
 type Tally struct {
 	// Started counts the requests that were sent. Only short moves count it.
 	Started uint32 `msgpack:"s,omitempty"`
+	// Refused counts those of them that the upstream refused to run.
+	Refused uint32 `msgpack:"x,omitempty"`
 	// Requests counts those that ended.
 	Requests uint32 `msgpack:"n,omitempty"`
 	Failures uint32 `msgpack:"f,omitempty"`
@@ -107,6 +109,7 @@
 
 func (t *Tally) merge(other Tally) {
 	t.Started += other.Started
+	t.Refused += other.Refused
 	t.Requests += other.Requests
 	t.Failures += other.Failures
 	t.FirstToken = mergeHistograms(t.FirstToken, other.FirstToken)
@@ -164,6 +167,14 @@
 	}
 }
 
+// Refuse counts a started request that an upstream refused to run. Refusals tell how busy the upstream is, not
+// how good its version.
+func (e *Evidence) Refuse(move Move, version fleet.Version, stratum Stratum) {
+	if tally := e.tally(move, version, stratum); tally != nil {
+		tally.Refused++
+	}
+}
+
 // tally returns the tally of a version in a stratum. It is nil if the version is not part of the move.
 func (e *Evidence) tally(move Move, version fleet.Version, stratum Stratum) *Tally {
 	switch version {
--- a/core/rollout/exposure.go
+++ b/core/rollout/exposure.go
@@ -42,9 +42,10 @@
 	rampShare         = 0.3
 	// canaryBoundFraction and rampBoundFraction are the fractions of the bound that may be used up in these
 	// phases. The full phase may use usableBoundFraction.
-	canaryBoundFraction = 0.2
-	rampBoundFraction   = 0.3
-	usableBoundFraction = 0.95
+	canaryBoundFraction   = 0.2
+	extendedBoundFraction = 0.5
+	rampBoundFraction     = 0.3
+	usableBoundFraction   = 0.95
 	// dueStartFraction is when the move is to be reported as done. The rest of its duration is left for
 	// the last evidence, for another router to take over the report, and for the write to the store.
 	dueStartFraction = 0.85
@@ -62,7 +63,10 @@
 // Phases of a short move, in their order.
 const (
 	PhaseCanary Phase = "canary"
-	PhaseRamp   Phase = "ramp"
+	// PhaseExtended goes on with the canary's share while there is too little evidence for or against the
+	// version.
+	PhaseExtended Phase = "extended"
+	PhaseRamp     Phase = "ramp"
 	// PhaseFull sends all requests to the new version, so that those on the old one, which stops without
 	// draining when the move is done, have time to end.
 	PhaseFull Phase = "full"
@@ -73,11 +77,15 @@
 	return time.Duration(dueStartFraction * float64(duration))
 }
 
-// PhaseAt returns the phase of a move that was ordered age ago. A version that is not proven stays in the
-// canary phase. The full phase begins when what the bound leaves lasts until the move is reported; callers
+// PhaseAt returns the phase of a move that was ordered age ago. A version that is not proven gets no more than
+// a canary's share. The full phase begins when what the bound leaves lasts until the move is reported; callers
 // keep it then as long as the version is proven.
-func (e Exposure) PhaseAt(age, duration time.Duration, proven bool, s Spending) Phase {
-	if !proven {
+func (e Exposure) PhaseAt(age, duration time.Duration, proof Proof, s Spending) Phase {
+	isEarly := float64(age) < rampStartFraction*float64(duration)
+	switch {
+	case proof == ProofMissing && !isEarly:
+		return PhaseExtended
+	case proof != ProofComplete:
 		return PhaseCanary
 	}
 	end := DueAt(duration) + ReportTime
@@ -85,10 +93,10 @@
 	if usableBoundFraction*e.bound(s)-float64(s.Exposed) >= fullReserve*(1-usableBoundFraction*e.Share)*expected {
 		return PhaseFull
 	}
-	if float64(age) >= rampStartFraction*float64(duration) {
-		return PhaseRamp
+	if isEarly {
+		return PhaseCanary
 	}
-	return PhaseCanary
+	return PhaseRamp
 }
 
 // Admits reports whether a router may send one more request, counted in s.Requests, to the new version.
@@ -98,6 +106,8 @@
 	switch phase {
 	case PhaseCanary:
 		share, fraction = canaryShare*e.Share, canaryBoundFraction
+	case PhaseExtended:
+		share, fraction = canaryShare*e.Share, extendedBoundFraction
 	case PhaseRamp:
 		share, fraction = rampShare, rampBoundFraction
 	}
@@ -108,21 +118,22 @@
 // for a move to be done.
 func (v Verdict) suspicious() bool { return v.Strength >= suspicionThreshold }
 
-// Progress counts the requests of all routers on the new version of a short move: those that were sent,
-// those whose answer began or that failed, and those that failed.
+// Progress counts the requests of all routers on the new version of a short move: those that were sent, those that
+// an upstream refused to run, those whose answer began or that failed, and those that failed.
 type Progress struct {
-	Started, Answered, Failed uint32
+	Started, Refused, Answered, Failed uint32
 }
 
 // Add adds the results of the new version in one period.
 func (p *Progress) Add(t Tally) {
 	p.Started += t.Started
+	p.Refused += t.Refused
 	p.Answered += t.FirstToken.total() + t.Failures
 	p.Failed += t.Failures
 }
 
 // isSilent reports whether too few requests were answered to tell anything about the others.
-func (p Progress) isSilent() bool { return 2*p.Answered < p.Started }
+func (p Progress) isSilent() bool { return 2*int(p.Answered) < int(p.Started)-int(p.Refused) }
 
 // isFailing reports whether so many requests failed that no test is needed.
 func (p Progress) isFailing() bool { return p.Answered > 0 && 2*p.Failed >= p.Answered }
@@ -131,10 +142,25 @@
 // one failure among them with a probability of 94%.
 const minProofAnswers = 8
 
-// IsProven reports whether a version may get more requests than an unproven one. Missing answers are no
-// evidence for a version.
-func (p Progress) IsProven(verdict Verdict) bool {
-	return p.Answered >= minProofAnswers && !p.isSilent() && !p.isFailing() && !verdict.suspicious()
+// Proof states whether there is evidence enough for a version to get more requests than a canary.
+type Proof int
+
+// States of a proof. Missing answers are no evidence for a version.
+const (
+	ProofMissing Proof = iota
+	ProofFailed
+	ProofComplete
+)
+
+// Proof returns the state of the proof.
+func (p Progress) Proof(verdict Verdict) Proof {
+	switch {
+	case verdict.suspicious() || p.isFailing():
+		return ProofFailed
+	case p.Answered < minProofAnswers || p.isSilent():
+		return ProofMissing
+	}
+	return ProofComplete
 }
 
 // DecideShortMove returns the status of a short move. The move is rolled back as soon as the verdict
--- a/node/gateway/request.go
+++ b/node/gateway/request.go
@@ -11,6 +11,7 @@
 	"agateswitch/core/exchange"
 	"agateswitch/core/fleet"
 	"agateswitch/core/outlier"
+	"agateswitch/core/rollout"
 	"agateswitch/core/routing"
 	"agateswitch/core/warmth"
 	"agateswitch/port"
@@ -209,7 +210,8 @@
 func (c *callerRequest) attempt(ctx context.Context, chosen *choice) attemptResult {
 	chosen.ticket = c.gateway.Workload.Start(chosen.engine.id, chosen.uncached, c.sharedParts())
 	defer chosen.ticket.End()
-	c.gateway.Moves.Start(c.pool.ID, chosen.upstream.Version, c.route.Name, chosen.isCold())
+	stratum := rollout.Stratum{Route: c.route.Name, Cold: chosen.isCold()}
+	c.gateway.Moves.Start(c.pool.ID, chosen.upstream.Version, stratum)
 	chosen.sentAt = time.Now()
 	send := c.attemptBuffered
 	if c.route.Kind == routing.Streaming {
@@ -219,8 +221,10 @@
 	if !result.delivered && !result.sent {
 		c.gateway.Moves.Reached(&chosen.versions, "")
 	}
-	// A refusal tells how busy an upstream is, not how good its version.
-	if result.delivered || result.sent && result.ran != fleet.NotRun && c.request.Context().Err() == nil {
+	switch {
+	case !result.delivered && result.ran == fleet.NotRun:
+		c.gateway.Moves.Refuse(c.pool.ID, chosen.upstream.Version, stratum)
+	case result.delivered || result.sent && c.request.Context().Err() == nil:
 		c.gateway.Moves.Add(c.evidence(chosen, result))
 	}
 	return result
--- a/node/versionmove/versionmove.go
+++ b/node/versionmove/versionmove.go
@@ -92,8 +92,8 @@
 	id rollout.MoveID
 	// earlierIDs are the ids that the move had before the store was restored. Other routers may still use them.
 	earlierIDs []rollout.MoveID
-	order    port.MoveOrder
-	revision revision.Revision
+	order      port.MoveOrder
+	revision   revision.Revision
 	// from is the old version. It is empty until the first request shows it.
 	from  fleet.Version
 	began time.Time
@@ -412,11 +412,11 @@
 
 // phase returns the phase of a running move on this router. Callers hold mu.
 func (s *Service) phase(m *move) rollout.Phase {
-	proven := m.progress.IsProven(m.detector.Verdict(true))
-	if proven && m.isFull {
+	proof := m.progress.Proof(m.detector.Verdict(true))
+	if proof == rollout.ProofComplete && m.isFull {
 		return rollout.PhaseFull
 	}
-	phase := s.exposure.PhaseAt(time.Since(m.began), m.order.Duration, proven, m.spending)
+	phase := s.exposure.PhaseAt(time.Since(m.began), m.order.Duration, proof, m.spending)
 	m.isFull = phase == rollout.PhaseFull
 	return phase
 }
@@ -433,25 +433,33 @@
 	return most
 }
 
+// Start counts an attempt that is sent to an upstream of a version.
+func (s *Service) Start(pool fleet.PoolID, version fleet.Version, stratum rollout.Stratum) {
+	s.count(pool, func(m *move) { m.evidence.Start(m.versions(), version, stratum) })
+}
+
+// Refuse counts that the upstream refused to run an attempt.
+func (s *Service) Refuse(pool fleet.PoolID, version fleet.Version, stratum rollout.Stratum) {
+	s.count(pool, func(m *move) { m.evidence.Refuse(m.versions(), version, stratum) })
+}
+
 // Add adds the evidence of a finished attempt.
 func (s *Service) Add(evidence fleet.Evidence) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	m, found := s.moves[evidence.Pool]
-	if found && m.state == rollout.StatusRunning {
-		m.evidence.Add(rollout.Move{From: m.from, To: m.order.Target}, evidence)
-	}
+	s.count(evidence.Pool, func(m *move) { m.evidence.Add(m.versions(), evidence) })
 }
 
-// Start counts an attempt that is sent to an upstream of a version.
-func (s *Service) Start(pool fleet.PoolID, version fleet.Version, route string, cold bool) {
+// count adds to the evidence of a pool's running move, if there is one.
+func (s *Service) count(pool fleet.PoolID, add func(*move)) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if m, found := s.moves[pool]; found && m.state == rollout.StatusRunning {
-		m.evidence.Start(rollout.Move{From: m.from, To: m.order.Target}, version, rollout.Stratum{Route: route, Cold: cold})
+		add(m)
 	}
 }
 
+// versions returns the versions between which the move chooses.
+func (m *move) versions() rollout.Move { return rollout.Move{From: m.from, To: m.order.Target} }
+
 // Run publishes, evaluates and reports moves until ctx ends.
 func (s *Service) Run(ctx context.Context) {
 	ticker := time.NewTicker(publishInterval)
