Hold back parts of prompts that crash engine after engine

Cause: nothing joined an engine's end to the parts of prompts in work on it, and each request with the part was repeated on the next engine. Class: a request that is the cause of its failure is retried, and sent again by others. Change: routers tell each other the ends of engines on which a part was in work and unanswered; an answer clears a part, an answer of the engine refutes its end, ends at the same moment count once. After two ends the fleet works on one request with the part at a time, on the engine with the least work; after four the part is held back: 503 at once, without Retry-After. A request whose engine ended is repeated only alone.

--- a/core/fleet/refusal.go
+++ b/core/fleet/refusal.go
@@ -42,6 +42,7 @@
 	CodeStarting         Code = "starting"
 	CodeLeaving          Code = "leaving"
 	CodeResumeImpossible Code = "resume_impossible"
+	CodeQuarantined      Code = "quarantined"
 	CodeInternal         Code = "internal"
 )
 
--- /dev/null
+++ b/core/quarantine/quarantine.go
@@ -0,0 +1,207 @@
+// Package quarantine finds parts of prompts that crash the engines which work on them, and holds back requests
+// with such a part. An engine that ends takes along everything that it works on, from callers who have nothing to
+// do with its end. A part is suspected by the ends of several engines on which it was in work and not yet
+// answered, with no answer to a request with the part since the first of them: a part that other requests get
+// answers with is never held.
+package quarantine
+
+import (
+	"slices"
+	"time"
+
+	"agateswitch/core/fleet"
+)
+
+// Limits of the evidence for a part.
+const (
+	// suspectEnds is how many ends make a part a suspect, of which the fleet works on one request at a time.
+	suspectEnds = 2
+	// holdEnds is how many ends hold a part back.
+	holdEnds = 4
+	// sameCauseWindow is the time within which ends of several engines count as one. Engines that end at the
+	// same moment, as in a loss of power, have a cause in common that is not the part.
+	sameCauseWindow = 50 * time.Millisecond
+	// maxEndAge is how long an end counts. Parts that are requested less often are not worth more memory.
+	maxEndAge = 10 * time.Minute
+	// maxParts bounds the parts with evidence, and maxEnds the ends kept of each.
+	maxParts = 1024
+	maxEnds  = 16
+)
+
+// Part is the id of a part of a prompt.
+type Part string
+
+// Engine is one incarnation of an upstream.
+type Engine struct {
+	//lint:ignore U1000 The msgpack library reads this tag.
+	_msgpack    struct{} `msgpack:",as_array"`
+	ID          fleet.UpstreamID
+	Incarnation int64
+}
+
+// End is the end of an engine on which a part was in work and not yet answered.
+type End struct {
+	Part   Part
+	Engine Engine
+	At     time.Time
+}
+
+// Standing is what the evidence says of a part.
+type Standing int
+
+// Standings of parts.
+const (
+	// Clear parts have no evidence against them, or too little.
+	Clear Standing = iota
+	// Suspect parts may be in work in one request at a time.
+	Suspect
+	// Held parts get no work until an operator releases them or an answer clears them.
+	Held
+)
+
+// record is the evidence for one part.
+type record struct {
+	ends []engineEnd
+	// clearedAt is the time of the last answer. Earlier ends don't count.
+	clearedAt time.Time
+}
+
+type engineEnd struct {
+	engine Engine
+	at     time.Time
+}
+
+// Evidence is what a router knows about the ends of engines. It is not safe for concurrent use.
+type Evidence struct {
+	parts map[Part]*record
+	// ended holds the last end of each engine with evidence.
+	ended map[Engine]time.Time
+}
+
+// NewEvidence returns evidence of nothing.
+func NewEvidence() *Evidence {
+	return &Evidence{parts: map[Part]*record{}, ended: map[Engine]time.Time{}}
+}
+
+// AddEnd adds an end and reports whether it is new and counts.
+func (e *Evidence) AddEnd(end End, now time.Time) bool {
+	r, found := e.parts[end.Part]
+	if !found {
+		e.prune(now)
+		if len(e.parts) >= maxParts {
+			return false
+		}
+		r = &record{}
+		e.parts[end.Part] = r
+	}
+	isKnown := slices.ContainsFunc(r.ends, func(known engineEnd) bool { return known.engine == end.Engine })
+	if isKnown || !end.At.After(r.clearedAt) || len(r.ends) >= maxEnds {
+		return false
+	}
+	r.ends = append(r.ends, engineEnd{engine: end.Engine, at: end.At})
+	slices.SortFunc(r.ends, func(a, b engineEnd) int { return a.at.Compare(b.at) })
+	e.ended[end.Engine] = end.At
+	return true
+}
+
+// Concerns reports whether an answer by an engine to a request with a part would change the evidence.
+func (e *Evidence) Concerns(engine Engine, parts []Part) bool {
+	if _, found := e.ended[engine]; found {
+		return true
+	}
+	return slices.ContainsFunc(parts, func(part Part) bool { return e.parts[part] != nil })
+}
+
+// AddAnswer adds that an answer to a request with the parts began at a time. It clears the parts of all ends
+// before.
+func (e *Evidence) AddAnswer(parts []Part, at time.Time) {
+	for _, part := range parts {
+		if r, found := e.parts[part]; found && at.After(r.clearedAt) {
+			r.clearedAt = at
+			r.ends = slices.DeleteFunc(r.ends, func(end engineEnd) bool { return !end.at.After(at) })
+		}
+	}
+}
+
+// Refute removes the end of an engine that has answered a request which was sent to it later: only connections to it
+// had ended.
+func (e *Evidence) Refute(engine Engine, sentAt time.Time) bool {
+	endedAt, found := e.ended[engine]
+	if !found || !sentAt.After(endedAt) {
+		return false
+	}
+	delete(e.ended, engine)
+	for _, r := range e.parts {
+		r.ends = slices.DeleteFunc(r.ends, func(end engineEnd) bool { return end.engine == engine })
+	}
+	return true
+}
+
+// Ends returns how many ends count against a part. Those at the same moment count once.
+func (e *Evidence) Ends(part Part) int {
+	r, found := e.parts[part]
+	if !found {
+		return 0
+	}
+	count := 0
+	var last time.Time
+	for _, end := range r.ends {
+		if count == 0 || end.at.Sub(last) >= sameCauseWindow {
+			count++
+			last = end.at
+		}
+	}
+	return count
+}
+
+// Engines returns the engines whose ends count against a part, first to last.
+func (e *Evidence) Engines(part Part) []Engine {
+	var engines []Engine
+	if r, found := e.parts[part]; found {
+		for _, end := range r.ends {
+			engines = append(engines, end.engine)
+		}
+	}
+	return engines
+}
+
+// Standing returns what the evidence says of a part. The standard is stricter for a request that has already been
+// in work on an engine that ended.
+func (e *Evidence) Standing(part Part, isRepeat bool) Standing {
+	ends := e.Ends(part)
+	switch {
+	case ends >= holdEnds:
+		return Held
+	case ends >= suspectEnds, isRepeat && ends > 0:
+		return Suspect
+	}
+	return Clear
+}
+
+// Known returns all ends that count, for a router that starts.
+func (e *Evidence) Known(now time.Time) []End {
+	var all []End
+	for part, r := range e.parts {
+		for _, end := range r.ends {
+			if now.Sub(end.at) <= maxEndAge {
+				all = append(all, End{Part: part, Engine: end.engine, At: end.at})
+			}
+		}
+	}
+	return all
+}
+
+// prune removes evidence that is too old, and parts without any.
+func (e *Evidence) prune(now time.Time) {
+	for part, r := range e.parts {
+		r.ends = slices.DeleteFunc(r.ends, func(end engineEnd) bool { return now.Sub(end.at) > maxEndAge })
+		if len(r.ends) == 0 && now.Sub(r.clearedAt) > sameCauseWindow {
+			delete(e.parts, part)
+		}
+	}
+	for engine, at := range e.ended {
+		if now.Sub(at) > maxEndAge {
+			delete(e.ended, engine)
+		}
+	}
+}
--- a/node/edge/edge.go
+++ b/node/edge/edge.go
@@ -16,6 +16,7 @@
 	"agateswitch/core/rollout"
 	"agateswitch/node/gateway"
 	"agateswitch/node/presence"
+	"agateswitch/node/quarantine"
 	"agateswitch/node/replica"
 	"agateswitch/node/survey"
 	"agateswitch/node/versionmove"
@@ -45,6 +46,7 @@
 	replica  *replica.Replica
 	workload *workload.Workload
 	moves    *versionmove.Service
+	held     *quarantine.Service
 	mesh     *peer.Mesh
 	traffic  trafficReport
 	servers  *servers
@@ -62,12 +64,13 @@
 	r.mesh = peer.NewWithDial(peer.Dial(network.Dial), self.ID, r.presence, s.PeerKey, logger)
 	r.presence.Join(r.mesh)
 	keys := replica.Keys{
-		Desired: external.Codec.DesiredKey(), Prefixes: append(external.Codec.Prefixes(), presence.RouterKeyPrefix),
+		Desired: external.Codec.DesiredKey(), Prefixes: append(external.Codec.Prefixes(), presence.RouterKeyPrefix, quarantine.KeyPrefix),
 		Routers: presence.RouterKeyPrefix, Reports: external.Codec.ReportPrefix(), IsOutdated: external.Codec.IsOutdated,
 	}
 	r.replica = replica.New(external.Store, r.mesh, r.presence, keys, time.Duration(s.ChangeDeadline), logger)
 	r.workload = workload.New(self.ID, r.mesh, r.presence, logger)
 	r.moves = versionmove.New(external.Codec, external.Store, r.mesh, r.presence, exposure(s), time.Duration(s.ChangeDeadline), logger)
+	r.held = quarantine.New(self.ID, external.Store, r.mesh, r.presence, logger)
 	r.traffic = trafficReport{store: network.StoreTraffic, routers: r.mesh.Traffic, log: logger}
 	if r.traffic.store == nil {
 		r.traffic.store = func() (sent, received int64) { return 0, 0 }
@@ -83,11 +86,12 @@
 		return nil, err
 	}
 	r.gateway = gateway.New(gateway.Dependencies{
-		Edge: external, Freshness: r.replica, Fleet: r.presence, Workload: r.workload, Moves: r.moves,
+		Edge: external, Freshness: r.replica, Fleet: r.presence, Workload: r.workload, Moves: r.moves, Quarantine: r.held,
 		Instruments: instruments, Log: logger,
 	}, retryLimits(s))
 	r.replica.Subscribe(r.presence.Observe)
 	r.replica.Subscribe(r.moves.Observe)
+	r.replica.Subscribe(r.held.Observe)
 	r.replica.Subscribe(r.gateway.Observe)
 	r.replica.SubscribeDesired(r.gateway.ObserveDesired)
 	health := survey.New(r.presence, r.mesh, r.report, time.Duration(s.ChangeDeadline), logger)
@@ -172,7 +176,7 @@
 	}
 	runContext, stop := context.WithCancel(forced)
 	var services sync.WaitGroup
-	for _, run := range []func(context.Context){r.replica.Run, r.presence.Run, r.workload.Run, r.moves.Run, r.traffic.run, r.bootstrap} {
+	for _, run := range []func(context.Context){r.replica.Run, r.presence.Run, r.workload.Run, r.moves.Run, r.held.Run, r.traffic.run, r.bootstrap} {
 		services.Go(func() { run(runContext) })
 	}
 	services.Go(func() {
--- a/node/gateway/buffered.go
+++ b/node/gateway/buffered.go
@@ -44,6 +44,12 @@
 	if engineAnswer.NotRun {
 		return c.handleNotRun(chosen, head.Status, engineAnswer)
 	}
+	switch {
+	case err == nil && engineAnswer.Signed:
+		c.recordAnswer(chosen)
+	case err != nil && len(body) == 0 && attempt.Err() == nil:
+		c.recordEnd(chosen)
+	}
 	if err != nil || !engineAnswer.Signed {
 		chosen.engine.recordResult(time.Now(), outlier.Failure)
 		return attemptResult{sent: true, ran: fleet.RanUnknown, cause: describeIncomplete(err)}
--- a/node/gateway/choose.go
+++ b/node/gateway/choose.go
@@ -54,8 +54,9 @@
 }
 
 // chooseUpstream chooses an upstream of the pool for an attempt. Upstreams of the version that a
-// move prefers come first, and ejected ones last. It returns nil if none may get the request now.
-func (g *Gateway) chooseUpstream(current *snapshot, pool *routing.Pool, prompt []warmth.Part, tried map[*engine]bool, now time.Time) *choice {
+// move prefers come first, and ejected ones last. A request that must be alone goes to the upstream with the least work.
+// It returns nil if none may get the request now.
+func (g *Gateway) chooseUpstream(current *snapshot, pool *routing.Pool, prompt []warmth.Part, tried map[*engine]bool, alone bool, now time.Time) *choice {
 	var preferred, usable, ejected candidates
 	total := promptTokens(prompt)
 	cached := g.Workload.CachedTokens(prompt)
@@ -91,7 +92,7 @@
 	}
 	var chosen *choice
 	for _, group := range []candidates{preferred, usable, ejected} {
-		if chosen = g.bestAdmitted(group, pool, prompt, now); chosen != nil {
+		if chosen = g.bestAdmitted(group, pool, prompt, alone, now); chosen != nil {
 			break
 		}
 	}
@@ -129,9 +130,11 @@
 
 // bestAdmitted ranks a group of candidates and returns the best one that admits the request, or
 // nil.
-func (g *Gateway) bestAdmitted(group candidates, pool *routing.Pool, prompt []warmth.Part, now time.Time) *choice {
+func (g *Gateway) bestAdmitted(group candidates, pool *routing.Pool, prompt []warmth.Part, alone bool, now time.Time) *choice {
 	var ranking balance.Ranking
 	switch {
+	case alone:
+		ranking = balance.ByLoad(group.properties, func(int) uint64 { return rand.Uint64() })
 	case len(prompt) > 0:
 		key := prompt[max(0, len(prompt)-2)].ID
 		ranking = balance.ByPrompt(balance.Prompt{
--- a/node/gateway/gateway.go
+++ b/node/gateway/gateway.go
@@ -13,6 +13,7 @@
 	"agateswitch/core/fleet"
 	"agateswitch/core/pace"
 	"agateswitch/core/routing"
+	"agateswitch/node/quarantine"
 	"agateswitch/node/replica"
 	"agateswitch/node/versionmove"
 	"agateswitch/node/workload"
@@ -52,6 +53,8 @@
 	Fleet     Fleet
 	Workload  *workload.Workload
 	Moves     *versionmove.Service
+	// Quarantine holds back requests with parts of prompts that crash engines.
+	Quarantine *quarantine.Service
 	// Instruments records the gateway's metrics.
 	Instruments Instruments
 	Log         *log.Logger
--- a/node/gateway/instruments.go
+++ b/node/gateway/instruments.go
@@ -15,6 +15,7 @@
 	refusals       metric.Int64Counter
 	failedAttempts metric.Int64Counter
 	signals        metric.Int64Counter
+	quarantined    metric.Int64Counter
 	firstByte      metric.Float64Histogram
 }
 
@@ -38,6 +39,10 @@
 		metric.WithDescription("Answers in which an upstream said that it leaves, or asked for a pause, by signal")); err != nil {
 		return i, errors.Trace(err)
 	}
+	if i.quarantined, err = meter.Int64Counter("agateswitch_quarantined",
+		metric.WithDescription("Requests refused because a part of their prompt crashes engines, by route")); err != nil {
+		return i, errors.Trace(err)
+	}
 	i.firstByte, err = meter.Float64Histogram("agateswitch_first_byte_seconds", metric.WithUnit("s"),
 		metric.WithDescription("Time from a request to its answer's first byte, by route"),
 		metric.WithExplicitBucketBoundaries(0.025, 0.05, 0.1, 0.2, 0.3, 0.5, 1, 2, 5))
@@ -54,6 +59,10 @@
 	i.refusals.Add(context.Background(), 1, metric.WithAttributes(attribute.String("route", route), attribute.String("code", code)))
 }
 
+func (i Instruments) recordQuarantined(route string) {
+	i.quarantined.Add(context.Background(), 1, metric.WithAttributes(attribute.String("route", route)))
+}
+
 // recordSignal counts what an upstream said of itself: "leaving" or "pause".
 func (i Instruments) recordSignal(signal string) {
 	i.signals.Add(context.Background(), 1, metric.WithAttributes(attribute.String("signal", signal)))
--- a/node/gateway/request.go
+++ b/node/gateway/request.go
@@ -11,6 +11,7 @@
 	"agateswitch/core/exchange"
 	"agateswitch/core/fleet"
 	"agateswitch/core/outlier"
+	"agateswitch/core/quarantine"
 	"agateswitch/core/rollout"
 	"agateswitch/core/routing"
 	"agateswitch/core/warmth"
@@ -47,9 +48,12 @@
 	body     []byte
 	deadline time.Time
 
-	// prompt lists the parts of the request's prompt.
+	// prompt lists the parts of the request's prompt, and parts those that other requests may share.
 	prompt []warmth.Part
-	tried  map[*engine]bool
+	parts  []quarantine.Part
+	// engineEnded is true once an engine has ended while it worked on the request.
+	engineEnded bool
+	tried       map[*engine]bool
 	// sentCount is the number of upstreams that the request was sent to.
 	sentCount int
 	// ran states whether the request may have run on any of them.
@@ -70,6 +74,7 @@
 	for _, part := range c.call.Prompt {
 		c.prompt = append(c.prompt, warmth.Part(part))
 	}
+	c.parts = c.quarantineParts()
 	if refusal := c.prepare(); refusal != nil {
 		c.refuse(refusal)
 		return
@@ -87,14 +92,21 @@
 // attempt is allowed.
 func (c *callerRequest) forward(ctx context.Context) {
 	for {
+		permit, refusal := c.permit(ctx)
+		if refusal != nil {
+			c.failQuarantined(refusal)
+			return
+		}
 		c.current = c.gateway.view.current.Load()
-		chosen := c.gateway.chooseUpstream(c.current, c.pool, c.prompt, c.tried, time.Now())
+		chosen := c.gateway.chooseUpstream(c.current, c.pool, c.prompt, c.tried, permit.Alone, time.Now())
 		if chosen == nil {
+			c.gateway.Quarantine.Return(permit)
 			c.failRequest(fleet.CodeNoUpstream, "no upstream can take the request now")
 			return
 		}
 		c.tried[chosen.engine] = true
 		result := c.attempt(ctx, chosen)
+		c.gateway.Quarantine.Return(permit)
 		if result.delivered {
 			return
 		}
@@ -166,6 +178,15 @@
 	c.refuse(fleet.RefuseUnknown(code, why))
 }
 
+// failQuarantined ends a request that must not be sent because of a part of its prompt.
+func (c *callerRequest) failQuarantined(refusal *fleet.Refusal) {
+	if c.ran == fleet.NotRun && !c.stream.begun {
+		c.refuse(refusal)
+		return
+	}
+	c.failRequest(fleet.CodeUpstreamFailed, refusal.Message)
+}
+
 // rank returns the request's urgency. The team's rank takes precedence over the route's.
 func (c *callerRequest) rank() int {
 	if c.team != nil && c.team.HasRank {
@@ -190,7 +211,7 @@
 		Body: bytes.NewReader(c.body), ContentLength: int64(len(c.body)),
 		MaySend: func() bool {
 			return c.gateway.view.current.Load().acceptsWork(c.pool.ID, chosen.engine) &&
-				c.gateway.Moves.MaySend(c.pool.ID, chosen.upstream.Version)
+				c.gateway.Moves.MaySend(c.pool.ID, chosen.upstream.Version) && c.gateway.Quarantine.MaySend(c.parts)
 		},
 	})
 }
@@ -237,6 +258,9 @@
 	if result.sent {
 		c.sentCount++
 	}
+	if result.sent && failure.Fault == exchange.FaultLost {
+		c.recordEnd(chosen)
+	}
 	if failure.Fault != exchange.FaultWithdrawn && (ctx.Err() == nil || time.Now().After(c.deadline)) {
 		verdict := outlier.Failure
 		if !result.sent {
--- a/node/gateway/stream.go
+++ b/node/gateway/stream.go
@@ -69,6 +69,9 @@
 	if c.request.Context().Err() == nil {
 		chosen.engine.recordResult(time.Now(), outlier.Failure)
 	}
+	if chosen.eventCount == 0 && attempt.Err() == nil {
+		c.recordEnd(chosen)
+	}
 	return attemptResult{sent: true, ran: fleet.RanUnknown, cause: "the stream broke off: " + err.Error()}
 }
 
@@ -117,6 +120,7 @@
 		chosen.ticket.EndPrefill()
 		if chosen.eventCount == 0 {
 			chosen.firstByteTime = time.Since(chosen.sentAt)
+			c.recordAnswer(chosen)
 		}
 		chosen.eventCount++
 		if c.stream.eventCount == 0 {
--- /dev/null
+++ b/node/gateway/suspects.go
@@ -0,0 +1,61 @@
+package gateway
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"agateswitch/core/fleet"
+	"agateswitch/core/quarantine"
+	node "agateswitch/node/quarantine"
+)
+
+// suspectRetryAfter is the mean retry delay for callers whose request shares a suspect part with one that is in work.
+const suspectRetryAfter = time.Second
+
+// quarantineParts returns the shared parts of the prompt.
+func (c *callerRequest) quarantineParts() []quarantine.Part {
+	shared := c.sharedParts()
+	parts := make([]quarantine.Part, 0, len(shared))
+	for _, part := range shared {
+		parts = append(parts, quarantine.Part(part.ID))
+	}
+	return parts
+}
+
+// permit asks for the permission to send the request. It returns a refusal if one of the parts is held back, or is a
+// suspect that another request works on.
+func (c *callerRequest) permit(ctx context.Context) (*node.Permit, *fleet.Refusal) {
+	permit := c.gateway.Quarantine.Admit(ctx, c.parts, c.engineEnded, c.deadline)
+	switch {
+	case permit.Denied == "":
+		return permit, nil
+	case permit.Held:
+		c.gateway.Instruments.recordQuarantined(c.route.Name)
+		return nil, fleet.Refuse(fleet.CodeQuarantined, fmt.Sprintf("part %q of the prompt is held back: %d engines ended that worked on it", permit.Denied, permit.Ends), 0)
+	}
+	retryAfter := suspectRetryAfter/2 + rand.N(suspectRetryAfter)
+	return nil, fleet.Refuse(fleet.CodeNoUpstream, fmt.Sprintf("part %q of the prompt is suspected after the ends of %d engines and in work", permit.Denied, permit.Ends), retryAfter)
+}
+
+// engineOf returns the incarnation of the upstream that was chosen.
+func engineOf(chosen *choice) quarantine.Engine {
+	return quarantine.Engine{ID: chosen.engine.id, Incarnation: chosen.engine.incarnation}
+}
+
+// recordEnd records that a connection ended on which the upstream worked on the request and had not begun to answer.
+func (c *callerRequest) recordEnd(chosen *choice) {
+	if len(c.parts) == 0 || c.request.Context().Err() != nil {
+		return
+	}
+	c.engineEnded = true
+	c.gateway.Quarantine.Ended(engineOf(chosen), c.parts)
+}
+
+// recordAnswer records that the upstream has begun to answer the request.
+func (c *callerRequest) recordAnswer(chosen *choice) {
+	if len(c.parts) > 0 {
+		c.gateway.Quarantine.Answered(engineOf(chosen), c.parts, chosen.sentAt)
+	}
+}
--- /dev/null
+++ b/node/quarantine/quarantine.go
@@ -0,0 +1,358 @@
+// Package quarantine holds back requests with parts of prompts that crash engines, on all routers alike. Routers tell
+// each other at once which engines ended on which parts, and which parts were answered (core/quarantine). A part that
+// is held back is written to the platform's store, so that it stays so when all hosts have lost power.
+package quarantine
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"agateswitch/core/fleet"
+	"agateswitch/core/quarantine"
+	"agateswitch/core/rendezvous"
+	"agateswitch/core/revision"
+	"agateswitch/node/replica"
+	"agateswitch/port"
+
+	"github.com/charmbracelet/log"
+)
+
+// Intervals, timeouts and limits.
+const (
+	// recentAnswerTime is how long after an answer to a request with a part, on this router, an engine's end says
+	// nothing of the part.
+	recentAnswerTime = 2 * time.Second
+	// maxRecentAnswers bounds the parts whose last answer is remembered.
+	maxRecentAnswers = 4096
+	// permitTimeout bounds the wait for the permission to work on a suspect part.
+	permitTimeout = 200 * time.Millisecond
+	// messageTimeout bounds one message to a router.
+	messageTimeout = 300 * time.Millisecond
+	// batchDelay is the time over which news are batched into one message.
+	batchDelay = 5 * time.Millisecond
+	// storeInterval is the time between two checks which entries have to be written.
+	storeInterval = 100 * time.Millisecond
+	// takeoverDelay is how long a router waits, for each router ranked before it for a part, before it writes the
+	// part's entry in their place.
+	takeoverDelay = 300 * time.Millisecond
+)
+
+// KeyPrefix is the prefix of the keys in the store of parts that are held back.
+const KeyPrefix = "agateswitch/quarantine/"
+
+// Fleet provides the other routers, and this router's rank for a key.
+type Fleet interface {
+	Others() []fleet.HostID
+	Rank(key string) int
+}
+
+// Service is the quarantine as one router knows it. It is safe for concurrent use.
+type Service struct {
+	self      fleet.HostID
+	store     port.Store
+	transport port.Peers
+	fleet     Fleet
+	log       *log.Logger
+	// dirty is notified when there are news for other routers.
+	dirty chan struct{}
+
+	mu       sync.Mutex
+	evidence *quarantine.Evidence
+	// answeredAt is when an answer to a request with a part last began on this router.
+	answeredAt map[quarantine.Part]time.Time
+	holds      map[quarantine.Part]*hold
+	// permits holds until when some router may work on a suspect part for which this router is responsible.
+	permits map[quarantine.Part]time.Time
+	news    message
+}
+
+// hold is a part that is held back, or was released. Service.mu guards it.
+type hold struct {
+	quarantine.Hold
+	// revision is that of the entry in the store; zero while there is none.
+	revision revision.Revision
+	// changedAt is when this router learned of the content, and written whether the store has it.
+	changedAt time.Time
+	written   bool
+}
+
+// New returns the quarantine of a router and registers its peer methods.
+func New(self fleet.HostID, store port.Store, transport port.Peers, others Fleet, logger *log.Logger) *Service {
+	s := &Service{
+		self: self, store: store, transport: transport, fleet: others, log: logger, dirty: make(chan struct{}, 1),
+		evidence: quarantine.NewEvidence(), answeredAt: map[quarantine.Part]time.Time{},
+		holds: map[quarantine.Part]*hold{}, permits: map[quarantine.Part]time.Time{},
+	}
+	transport.Handle(methodTell, s.handleTell)
+	transport.Handle(methodPermit, s.handlePermit)
+	transport.Handle(methodReturn, s.handleReturn)
+	transport.Handle(methodKnown, s.handleKnown)
+	return s
+}
+
+// Permit is the permission to work on a request.
+type Permit struct {
+	// Denied is the part because of which the request must not be sent; empty means that it may. Held is
+	// true if the part is held back, and false if another request with it is in work.
+	Denied quarantine.Part
+	Held   bool
+	// Ends is how many ends of engines count against the part.
+	Ends int
+	// Alone is true if no other request with a suspect part may be in work meanwhile.
+	Alone bool
+
+	// taken are the suspect parts for which permission was given.
+	taken []quarantine.Part
+}
+
+// Admit returns the permission for a request with the given shared parts. A repeat is a request that was in work
+// on an engine that ended. Callers end the permit with Return.
+func (s *Service) Admit(ctx context.Context, parts []quarantine.Part, isRepeat bool, deadline time.Time) *Permit {
+	permit := &Permit{}
+	for _, part := range parts {
+		standing, ends := s.standing(part, isRepeat)
+		if standing == quarantine.Clear {
+			continue
+		}
+		permit.Alone = true
+		if standing == quarantine.Suspect && s.requestPermit(ctx, part, deadline) {
+			permit.taken = append(permit.taken, part)
+			continue
+		}
+		permit.Denied, permit.Held, permit.Ends = part, standing == quarantine.Held, ends
+		s.Return(permit)
+		return permit
+	}
+	return permit
+}
+
+// standing returns the standing of a part and how many ends count against it.
+func (s *Service) standing(part quarantine.Part, isRepeat bool) (quarantine.Standing, int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	ends := s.evidence.Ends(part)
+	if s.isHeld(part) {
+		return quarantine.Held, ends
+	}
+	return s.evidence.Standing(part, isRepeat), ends
+}
+
+// isHeld reports whether a part is held back. The caller holds mu.
+func (s *Service) isHeld(part quarantine.Part) bool {
+	h, found := s.holds[part]
+	return found && h.InForce(time.Now())
+}
+
+// MaySend reports whether none of a request's parts is held back.
+func (s *Service) MaySend(parts []quarantine.Part) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, part := range parts {
+		if s.isHeld(part) {
+			return false
+		}
+	}
+	return true
+}
+
+// Ended records that an engine ended while it worked on a request with the given shared parts, to which no answer
+// had begun.
+func (s *Service) Ended(engine quarantine.Engine, parts []quarantine.Part) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := time.Now()
+	for _, part := range parts {
+		if now.Sub(s.answeredAt[part]) < recentAnswerTime {
+			continue
+		}
+		end := quarantine.End{Part: part, Engine: engine, At: now}
+		if s.addEnd(end) {
+			s.news.Ends = append(s.news.Ends, newEndNews(end, now))
+			s.notify()
+		}
+	}
+}
+
+// addEnd adds an end to the evidence, and holds the part back if that is enough. The caller holds mu.
+func (s *Service) addEnd(end quarantine.End) bool {
+	now := time.Now()
+	if !s.evidence.AddEnd(end, now) {
+		return false
+	}
+	s.log.Info("engine ended while it worked on a part of a prompt", "part", end.Part, "upstream", end.Engine.ID,
+		"incarnation", end.Engine.Incarnation, "age", now.Sub(end.At).Round(time.Millisecond), "ends", s.evidence.Ends(end.Part))
+	if s.evidence.Standing(end.Part, false) == quarantine.Held && !s.isHeld(end.Part) {
+		s.hold(end.Part, now)
+	}
+	return true
+}
+
+// hold holds a part back. The caller holds mu.
+func (s *Service) hold(part quarantine.Part, now time.Time) {
+	h := quarantine.Hold{Part: part, Since: now, Router: s.self}
+	for _, engine := range s.evidence.Engines(part) {
+		h.Engines = append(h.Engines, engine.ID)
+	}
+	s.log.Warn("part of a prompt held back because engines end that work on it", "part", part, "engines", h.Engines)
+	s.change(h)
+}
+
+// change puts a new content of an entry in force, to be told to the other routers and written to the store. The
+// caller holds mu.
+func (s *Service) change(content quarantine.Hold) {
+	current, found := s.holds[content.Part]
+	if !found {
+		s.makeRoom()
+		current = &hold{}
+		s.holds[content.Part] = current
+	}
+	current.Hold, current.changedAt, current.written = content, time.Now(), false
+	s.news.Holds = append(s.news.Holds, content)
+	s.notify()
+}
+
+// makeRoom forgets the oldest part if there are too many. The caller holds mu.
+func (s *Service) makeRoom() {
+	if len(s.holds) < quarantine.MaxHolds {
+		return
+	}
+	var oldest quarantine.Part
+	for part, h := range s.holds {
+		if oldest == "" || h.Since.Before(s.holds[oldest].Since) {
+			oldest = part
+		}
+	}
+	s.log.Warn("too many parts are held back; forgetting the oldest", "part", oldest, "since", s.holds[oldest].Since)
+	delete(s.holds, oldest)
+}
+
+// Answered records that an engine began to answer a request with the given shared parts, which was sent to it at
+// sentAt.
+func (s *Service) Answered(engine quarantine.Engine, parts []quarantine.Part, sentAt time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := time.Now()
+	s.remember(parts, now)
+	if !s.evidence.Concerns(engine, parts) && !s.concernsHold(parts) {
+		return
+	}
+	if s.evidence.Refute(engine, sentAt) {
+		s.news.Refuted = append(s.news.Refuted, refutedNews{Engine: engine, SentAgeMs: now.Sub(sentAt).Milliseconds()})
+		s.notify()
+	}
+	for _, part := range parts {
+		if s.evidence.Standing(part, false) != quarantine.Clear {
+			s.news.Answered = append(s.news.Answered, answeredNews{Part: part})
+			s.notify()
+		}
+		if s.isHeld(part) {
+			s.release(part, "a request with it was answered")
+		}
+	}
+	s.evidence.AddAnswer(parts, now)
+}
+
+// concernsHold reports whether one of the parts is held back. The caller holds mu.
+func (s *Service) concernsHold(parts []quarantine.Part) bool {
+	for _, part := range parts {
+		if s.isHeld(part) {
+			return true
+		}
+	}
+	return false
+}
+
+// remember records the time of an answer. The caller holds mu.
+func (s *Service) remember(parts []quarantine.Part, now time.Time) {
+	if len(s.answeredAt) >= maxRecentAnswers {
+		for part, at := range s.answeredAt {
+			if now.Sub(at) >= recentAnswerTime {
+				delete(s.answeredAt, part)
+			}
+		}
+	}
+	for _, part := range parts {
+		if _, found := s.answeredAt[part]; found || len(s.answeredAt) < maxRecentAnswers {
+			s.answeredAt[part] = now
+		}
+	}
+}
+
+// release ends the hold of a part. The caller holds mu.
+func (s *Service) release(part quarantine.Part, reason string) {
+	content := s.holds[part].Hold
+	content.Released, content.Reason = true, reason
+	s.evidence.AddAnswer([]quarantine.Part{part}, time.Now())
+	s.log.Warn("part of a prompt released", "part", part, "reason", reason)
+	s.change(content)
+}
+
+// Release ends the hold of a part, as an operator asks. It reports false if the part is not held back.
+func (s *Service) Release(part quarantine.Part) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.isHeld(part) {
+		return false
+	}
+	s.release(part, "an operator released it")
+	return true
+}
+
+// Holds returns the parts that are held back.
+func (s *Service) Holds() []quarantine.Hold {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var all []quarantine.Hold
+	for _, h := range s.holds {
+		if h.InForce(time.Now()) {
+			all = append(all, h.Hold)
+		}
+	}
+	return all
+}
+
+// Observe applies changes of the store.
+func (s *Service) Observe(changes []replica.Change) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, change := range changes {
+		s.observe(change)
+	}
+}
+
+// Run tells the other routers the news and writes entries until ctx ends.
+func (s *Service) Run(ctx context.Context) {
+	s.learn(ctx)
+	ticker := time.NewTicker(storeInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-s.dirty:
+			time.Sleep(batchDelay)
+			s.tell(ctx)
+		case <-ticker.C:
+			s.writeEntries(ctx)
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// notify makes Run tell the news. The caller holds mu.
+func (s *Service) notify() {
+	select {
+	case s.dirty <- struct{}{}:
+	default:
+	}
+}
+
+// responsible returns the router that gives the permissions for a part.
+func (s *Service) responsible(part quarantine.Part) fleet.HostID {
+	names := []string{string(s.self)}
+	for _, other := range s.fleet.Others() {
+		names = append(names, string(other))
+	}
+	first, _ := rendezvous.First(KeyPrefix+string(part), names)
+	return fleet.HostID(first)
+}
--- /dev/null
+++ b/node/quarantine/share.go
@@ -0,0 +1,277 @@
+package quarantine
+
+import (
+	"context"
+	"time"
+
+	"agateswitch/core/fleet"
+	"agateswitch/core/quarantine"
+	"agateswitch/port"
+)
+
+// Methods of the peer protocol.
+const (
+	// methodTell tells another router the news.
+	methodTell = "quarantine.tell"
+	// methodPermit asks the router that is responsible for a part for the permission to work on it, and
+	// methodReturn gives it back.
+	methodPermit = "quarantine.permit"
+	methodReturn = "quarantine.return"
+	// methodKnown requests the evidence that a router has.
+	methodKnown = "quarantine.known"
+)
+
+// maxLearnPeers is how many routers a starting one asks for their evidence.
+const maxLearnPeers = 2
+
+// message is what a router tells the others. Times are ages, since clocks differ.
+type message struct {
+	Ends     []endNews         `msgpack:"ends,omitempty"`
+	Answered []answeredNews    `msgpack:"answered,omitempty"`
+	Refuted  []refutedNews     `msgpack:"refuted,omitempty"`
+	Holds    []quarantine.Hold `msgpack:"holds,omitempty"`
+}
+
+// endNews is the end of an engine on which a part was in work.
+type endNews struct {
+	Part   quarantine.Part   `msgpack:"p"`
+	Engine quarantine.Engine `msgpack:"e"`
+	AgeMs  int64             `msgpack:"a"`
+}
+
+// answeredNews is a suspect part to which an answer has just begun.
+type answeredNews struct {
+	Part quarantine.Part `msgpack:"p"`
+}
+
+// refutedNews is an engine that has answered a request sent to it some time ago.
+type refutedNews struct {
+	Engine    quarantine.Engine `msgpack:"e"`
+	SentAgeMs int64             `msgpack:"a"`
+}
+
+func newEndNews(end quarantine.End, now time.Time) endNews {
+	return endNews{Part: end.Part, Engine: end.Engine, AgeMs: now.Sub(end.At).Milliseconds()}
+}
+
+func (n endNews) end(now time.Time) quarantine.End {
+	return quarantine.End{Part: n.Part, Engine: n.Engine, At: ago(now, n.AgeMs)}
+}
+
+func ago(now time.Time, ageMs int64) time.Time {
+	return now.Add(-time.Duration(max(0, ageMs)) * time.Millisecond)
+}
+
+// tell sends the news to all other routers.
+func (s *Service) tell(ctx context.Context) {
+	s.mu.Lock()
+	news := s.news
+	s.news = message{}
+	s.mu.Unlock()
+	for _, other := range s.fleet.Others() {
+		go func() {
+			ctx, cancel := context.WithTimeout(ctx, messageTimeout)
+			defer cancel()
+			var none struct{}
+			if err := s.transport.Call(ctx, other, methodTell, news, &none); err != nil {
+				s.log.Info("failed to tell a router of ended engines", "peer", other, "err", err)
+			}
+		}()
+	}
+}
+
+func (s *Service) handleTell(_ context.Context, _ fleet.HostID, decode port.Decode) (any, error) {
+	var news message
+	if err := decode(&news); err != nil {
+		return nil, err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.apply(news)
+	return struct{}{}, nil
+}
+
+// apply applies another router's news. The caller holds mu.
+func (s *Service) apply(news message) {
+	now := time.Now()
+	for _, told := range news.Ends {
+		end := told.end(now)
+		if !s.answeredAt[end.Part].After(end.At) {
+			s.addEnd(end)
+		}
+	}
+	for _, told := range news.Refuted {
+		s.evidence.Refute(told.Engine, ago(now, told.SentAgeMs))
+	}
+	for _, told := range news.Answered {
+		s.evidence.AddAnswer([]quarantine.Part{told.Part}, now)
+	}
+	for _, told := range news.Holds {
+		s.adopt(told)
+	}
+}
+
+// adopt applies what another router has held back or released. A release is not undone by an earlier hold that
+// is told later. The caller holds mu.
+func (s *Service) adopt(content quarantine.Hold) {
+	current, found := s.holds[content.Part]
+	if found && (current.Released || !content.Released) && !content.Since.After(current.Since) {
+		return
+	}
+	if !found {
+		s.makeRoom()
+		current = &hold{}
+		s.holds[content.Part] = current
+	}
+	s.log.Warn("part of a prompt held back or released by another router", "part", content.Part, "router", content.Router,
+		"released", content.Released, "engines", content.Engines)
+	current.Hold, current.changedAt, current.written = content, time.Now(), false
+	if content.Released {
+		s.evidence.AddAnswer([]quarantine.Part{content.Part}, time.Now())
+	}
+}
+
+// learn asks other routers for the evidence from before this one started.
+func (s *Service) learn(ctx context.Context) {
+	others := s.fleet.Others()
+	for _, other := range others[:min(len(others), maxLearnPeers)] {
+		callContext, cancel := context.WithTimeout(ctx, messageTimeout)
+		var known message
+		err := s.transport.Call(callContext, other, methodKnown, struct{}{}, &known)
+		cancel()
+		if err != nil {
+			s.log.Info("failed to learn from a router of ended engines", "peer", other, "err", err)
+			continue
+		}
+		s.mu.Lock()
+		s.apply(known)
+		s.mu.Unlock()
+	}
+}
+
+func (s *Service) handleKnown(context.Context, fleet.HostID, port.Decode) (any, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var known message
+	now := time.Now()
+	for _, end := range s.evidence.Known(now) {
+		known.Ends = append(known.Ends, newEndNews(end, now))
+	}
+	for _, h := range s.holds {
+		known.Holds = append(known.Holds, h.Hold)
+	}
+	return known, nil
+}
+
+// permitRequest asks for the permission to work on a suspect part, for as long as the request may take.
+type permitRequest struct {
+	Part    quarantine.Part `msgpack:"part"`
+	ForMs   int64           `msgpack:"for_ms"`
+	Evident []endNews       `msgpack:"evident,omitempty"`
+}
+
+type permitResponse struct {
+	Granted bool `msgpack:"granted"`
+}
+
+// requestPermit asks for the permission to work on a suspect part.
+func (s *Service) requestPermit(ctx context.Context, part quarantine.Part, deadline time.Time) bool {
+	ctx, cancel := context.WithTimeout(ctx, permitTimeout)
+	defer cancel()
+	request := permitRequest{Part: part, ForMs: time.Until(deadline).Milliseconds(), Evident: s.evident([]quarantine.Part{part})}
+	var response permitResponse
+	to := s.responsible(part)
+	if to == s.self {
+		return s.grant(request)
+	}
+	if err := s.transport.Call(ctx, to, methodPermit, request, &response); err != nil {
+		s.log.Info("failed to get the permission for a suspect part", "part", part, "peer", to, "err", err)
+		return false
+	}
+	return response.Granted
+}
+
+// evident returns the ends that count against parts, which the responsible router may not have been told yet.
+func (s *Service) evident(parts []quarantine.Part) []endNews {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := time.Now()
+	var ends []endNews
+	for _, end := range s.evidence.Known(now) {
+		for _, part := range parts {
+			if end.Part == part {
+				ends = append(ends, newEndNews(end, now))
+			}
+		}
+	}
+	return ends
+}
+
+func (s *Service) handlePermit(_ context.Context, _ fleet.HostID, decode port.Decode) (any, error) {
+	var request permitRequest
+	if err := decode(&request); err != nil {
+		return nil, err
+	}
+	return permitResponse{Granted: s.grant(request)}, nil
+}
+
+// grant gives the permission to work on a suspect part to one router at a time.
+func (s *Service) grant(request permitRequest) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.apply(message{Ends: request.Evident})
+	now := time.Now()
+	if s.isHeld(request.Part) || now.Before(s.permits[request.Part]) {
+		return false
+	}
+	for part, until := range s.permits {
+		if !now.Before(until) {
+			delete(s.permits, part)
+		}
+	}
+	s.permits[request.Part] = now.Add(time.Duration(request.ForMs) * time.Millisecond)
+	return true
+}
+
+// returnRequest gives permissions back, with the ends that the work has brought.
+type returnRequest struct {
+	Part quarantine.Part `msgpack:"part"`
+	Ends []endNews       `msgpack:"ends,omitempty"`
+}
+
+// Return gives a permit's permissions back.
+func (s *Service) Return(permit *Permit) {
+	for _, part := range permit.taken {
+		request := returnRequest{Part: part, Ends: s.evident([]quarantine.Part{part})}
+		to := s.responsible(part)
+		if to == s.self {
+			s.takeBack(request)
+			continue
+		}
+		go func() {
+			ctx, cancel := context.WithTimeout(context.Background(), messageTimeout)
+			defer cancel()
+			var none struct{}
+			if err := s.transport.Call(ctx, to, methodReturn, request, &none); err != nil {
+				s.log.Info("failed to return the permission for a suspect part", "part", part, "peer", to, "err", err)
+			}
+		}()
+	}
+	permit.taken = nil
+}
+
+func (s *Service) handleReturn(_ context.Context, _ fleet.HostID, decode port.Decode) (any, error) {
+	var request returnRequest
+	if err := decode(&request); err != nil {
+		return nil, err
+	}
+	s.takeBack(request)
+	return struct{}{}, nil
+}
+
+func (s *Service) takeBack(request returnRequest) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.apply(message{Ends: request.Ends})
+	delete(s.permits, request.Part)
+}
