--- /dev/null
+++ b/cmd/agatectl/quarantine.go
@@ -0,0 +1,61 @@
+package main
+
+import (
+	"fmt"
+	"io"
+	"text/tabwriter"
+	"time"
+
+	"agateswitch/core/quarantine"
+
+	"github.com/spf13/cobra"
+)
+
+func quarantineCommand(o *options) *cobra.Command {
+	command := &cobra.Command{
+		Use:   "quarantine",
+		Short: "List or release parts of prompts that gateways hold back because they crash engines",
+		Long: "List or release parts of prompts that gateways hold back because they crash engines.\n\n" +
+			"--server is the metrics address of any gateway, which tells all others.",
+	}
+	command.AddCommand(quarantineListCommand(o), quarantineReleaseCommand(o))
+	return command
+}
+
+func quarantineListCommand(o *options) *cobra.Command {
+	return &cobra.Command{
+		Use:     "list",
+		Short:   "List the parts that are held back, with the engines that ended",
+		Example: "  agatectl quarantine list --server 10.1.0.4:7341",
+		Args:    cobra.NoArgs,
+		RunE: func(command *cobra.Command, _ []string) error {
+			holds, err := o.client().Quarantine(command.Context())
+			if err != nil {
+				return err
+			}
+			return printResult(command, o, holds, func() { printHolds(command.OutOrStdout(), holds) })
+		},
+	}
+}
+
+func quarantineReleaseCommand(o *options) *cobra.Command {
+	return &cobra.Command{
+		Use:     "release PART",
+		Short:   "Send requests with a part to engines again",
+		Example: "  agatectl quarantine release 5c1e07a2 --server 10.1.0.4:7341",
+		Args:    cobra.ExactArgs(1),
+		RunE: func(command *cobra.Command, args []string) error {
+			return o.client().ReleasePart(command.Context(), quarantine.Part(args[0]))
+		},
+	}
+}
+
+// printHolds prints a line for each part.
+func printHolds(w io.Writer, holds []quarantine.Hold) {
+	table := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(table, "PART\tSINCE\tBY\tENDED ENGINES")
+	for _, h := range holds {
+		fmt.Fprintf(table, "%s\t%s\t%s\t%v\n", h.Part, h.Since.UTC().Format(time.RFC3339), h.Router, h.Engines)
+	}
+	table.Flush()
+}
--- /dev/null
+++ b/cmd/agatectl/quarantine_test.go
@@ -0,0 +1,43 @@
+package main
+
+import (
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"agateswitch/core/fleet"
+	"agateswitch/core/quarantine"
+	node "agateswitch/node/quarantine"
+
+	"github.com/shoenig/test/must"
+)
+
+// The list has a line for each part; a part is released by its id.
+func TestQuarantineCommand(t *testing.T) {
+	holds := []quarantine.Hold{{
+		Part: "5c1e07a2", Since: time.Date(2026, 12, 4, 12, 0, 0, 0, time.UTC), Router: "front-1", Engines: []fleet.UpstreamID{"e1", "e2"},
+	}}
+	var released string
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.Method == http.MethodDelete {
+			released = r.URL.Path
+			w.WriteHeader(http.StatusNoContent)
+			return
+		}
+		must.Eq(t, node.Path, r.URL.Path)
+		json.NewEncoder(w).Encode(holds)
+	}))
+	defer server.Close()
+	o := operator{t: t, server: strings.TrimPrefix(server.URL, "http://")}
+	must.Eq(t, `PART      SINCE                 BY       ENDED ENGINES
+5c1e07a2  2026-12-04T12:00:00Z  front-1  [e1 e2]
+`, o.mustCall("quarantine", "list"))
+	var printed []quarantine.Hold
+	must.NoError(t, json.Unmarshal([]byte(o.mustCall("quarantine", "list", "-o", "json")), &printed))
+	must.Eq(t, holds, printed)
+	o.mustCall("quarantine", "release", "5c1e07a2")
+	must.Eq(t, node.Path+"/5c1e07a2", released)
+}
--- a/core/quarantine/quarantine.go
+++ b/core/quarantine/quarantine.go
@@ -6,6 +6,7 @@
 package quarantine
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -74,13 +75,14 @@
 // Evidence is what a router knows about the ends of engines. It is not safe for concurrent use.
 type Evidence struct {
 	parts map[Part]*record
-	// ended holds the last end of each engine with evidence.
-	ended map[Engine]time.Time
+	// ended holds the last end of each engine with evidence, and refuted when a request was sent to which an
+	// engine that seemed to have ended has answered.
+	ended, refuted map[Engine]time.Time
 }
 
 // NewEvidence returns evidence of nothing.
 func NewEvidence() *Evidence {
-	return &Evidence{parts: map[Part]*record{}, ended: map[Engine]time.Time{}}
+	return &Evidence{parts: map[Part]*record{}, ended: map[Engine]time.Time{}, refuted: map[Engine]time.Time{}}
 }
 
 // AddEnd adds an end and reports whether it is new and counts.
@@ -95,7 +97,7 @@
 		e.parts[end.Part] = r
 	}
 	isKnown := slices.ContainsFunc(r.ends, func(known engineEnd) bool { return known.engine == end.Engine })
-	if isKnown || !end.At.After(r.clearedAt) || len(r.ends) >= maxEnds {
+	if isKnown || !end.At.After(r.clearedAt) || end.At.Before(e.refuted[end.Engine]) || len(r.ends) >= maxEnds {
 		return false
 	}
 	r.ends = append(r.ends, engineEnd{engine: end.Engine, at: end.At})
@@ -124,8 +126,11 @@
 }
 
 // Refute removes the end of an engine that has answered a request which was sent to it later: only connections to it
-// had ended.
+// had ended. It reports whether there was one. An end from before that is told later doesn't count either.
 func (e *Evidence) Refute(engine Engine, sentAt time.Time) bool {
+	if len(e.refuted) < maxParts {
+		e.refuted[engine] = sentAt
+	}
 	endedAt, found := e.ended[engine]
 	if !found || !sentAt.After(endedAt) {
 		return false
@@ -199,9 +204,7 @@
 			delete(e.parts, part)
 		}
 	}
-	for engine, at := range e.ended {
-		if now.Sub(at) > maxEndAge {
-			delete(e.ended, engine)
-		}
-	}
+	isOld := func(_ Engine, at time.Time) bool { return now.Sub(at) > maxEndAge }
+	maps.DeleteFunc(e.ended, isOld)
+	maps.DeleteFunc(e.refuted, isOld)
 }
--- a/node/edge/edge.go
+++ b/node/edge/edge.go
@@ -97,6 +97,8 @@
 	health := survey.New(r.presence, r.mesh, r.report, time.Duration(s.ChangeDeadline), logger)
 	reports := http.NewServeMux()
 	reports.Handle(survey.Path, health)
+	reports.Handle(quarantine.Path, r.held)
+	reports.Handle(quarantine.Path+"/", r.held)
 	reports.Handle("/", metrics.Handler())
 	directory, readiness := external.Entries(port.EntryList{Addresses: r.addresses, TTL: r.ttl, Ready: r.ready})
 	r.servers = &servers{
--- a/node/quarantine/quarantine.go
+++ b/node/quarantine/quarantine.go
@@ -64,7 +64,7 @@
 	holds      map[quarantine.Part]*hold
 	// permits holds until when some router may work on a suspect part for which this router is responsible.
 	permits map[quarantine.Part]time.Time
-	news    message
+	news    news
 }
 
 // hold is a part that is held back, or was released. Service.mu guards it.
@@ -168,7 +168,7 @@
 		}
 		end := quarantine.End{Part: part, Engine: engine, At: now}
 		if s.addEnd(end) {
-			s.news.Ends = append(s.news.Ends, newEndNews(end, now))
+			s.news.ends = append(s.news.ends, end)
 			s.notify()
 		}
 	}
@@ -208,7 +208,7 @@
 		s.holds[content.Part] = current
 	}
 	current.Hold, current.changedAt, current.written = content, time.Now(), false
-	s.news.Holds = append(s.news.Holds, content)
+	s.news.holds = append(s.news.holds, content)
 	s.notify()
 }
 
@@ -238,12 +238,15 @@
 		return
 	}
 	if s.evidence.Refute(engine, sentAt) {
-		s.news.Refuted = append(s.news.Refuted, refutedNews{Engine: engine, SentAgeMs: now.Sub(sentAt).Milliseconds()})
+		if s.news.refuted == nil {
+			s.news.refuted = map[quarantine.Engine]time.Time{}
+		}
+		s.news.refuted[engine] = sentAt
 		s.notify()
 	}
 	for _, part := range parts {
 		if s.evidence.Standing(part, false) != quarantine.Clear {
-			s.news.Answered = append(s.news.Answered, answeredNews{Part: part})
+			s.news.answered = append(s.news.answered, part)
 			s.notify()
 		}
 		if s.isHeld(part) {
--- a/node/quarantine/share.go
+++ b/node/quarantine/share.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"agateswitch/core/fleet"
@@ -27,7 +28,7 @@
 // message is what a router tells the others. Times are ages, since clocks differ.
 type message struct {
 	Ends     []endNews         `msgpack:"ends,omitempty"`
-	Answered []answeredNews    `msgpack:"answered,omitempty"`
+	Answered []quarantine.Part `msgpack:"answered,omitempty"`
 	Refuted  []refutedNews     `msgpack:"refuted,omitempty"`
 	Holds    []quarantine.Hold `msgpack:"holds,omitempty"`
 }
@@ -39,19 +40,37 @@
 	AgeMs  int64             `msgpack:"a"`
 }
 
-// answeredNews is a suspect part to which an answer has just begun.
-type answeredNews struct {
-	Part quarantine.Part `msgpack:"p"`
-}
-
 // refutedNews is an engine that has answered a request sent to it some time ago.
 type refutedNews struct {
 	Engine    quarantine.Engine `msgpack:"e"`
 	SentAgeMs int64             `msgpack:"a"`
 }
 
-func newEndNews(end quarantine.End, now time.Time) endNews {
-	return endNews{Part: end.Part, Engine: end.Engine, AgeMs: now.Sub(end.At).Milliseconds()}
+// news is what the other routers have not been told yet.
+type news struct {
+	ends []quarantine.End
+	// answered holds suspect parts to which an answer has begun.
+	answered []quarantine.Part
+	// refuted holds when requests were sent to engines that have answered them after they seemed to have ended.
+	refuted map[quarantine.Engine]time.Time
+	holds   []quarantine.Hold
+}
+
+// message returns the news as they are sent at a time.
+func (n news) message(now time.Time) message {
+	m := message{Ends: endsAt(now, n.ends), Answered: n.answered, Holds: n.holds}
+	for engine, sentAt := range n.refuted {
+		m.Refuted = append(m.Refuted, refutedNews{Engine: engine, SentAgeMs: now.Sub(sentAt).Milliseconds()})
+	}
+	return m
+}
+
+func endsAt(now time.Time, ends []quarantine.End) []endNews {
+	all := make([]endNews, 0, len(ends))
+	for _, end := range ends {
+		all = append(all, endNews{Part: end.Part, Engine: end.Engine, AgeMs: now.Sub(end.At).Milliseconds()})
+	}
+	return all
 }
 
 func (n endNews) end(now time.Time) quarantine.End {
@@ -65,15 +84,15 @@
 // tell sends the news to all other routers.
 func (s *Service) tell(ctx context.Context) {
 	s.mu.Lock()
-	news := s.news
-	s.news = message{}
+	told := s.news.message(time.Now())
+	s.news = news{}
 	s.mu.Unlock()
 	for _, other := range s.fleet.Others() {
 		go func() {
 			ctx, cancel := context.WithTimeout(ctx, messageTimeout)
 			defer cancel()
 			var none struct{}
-			if err := s.transport.Call(ctx, other, methodTell, news, &none); err != nil {
+			if err := s.transport.Call(ctx, other, methodTell, told, &none); err != nil {
 				s.log.Info("failed to tell a router of ended engines", "peer", other, "err", err)
 			}
 		}()
@@ -81,33 +100,31 @@
 }
 
 func (s *Service) handleTell(_ context.Context, _ fleet.HostID, decode port.Decode) (any, error) {
-	var news message
-	if err := decode(&news); err != nil {
+	var told message
+	if err := decode(&told); err != nil {
 		return nil, err
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.apply(news)
+	s.apply(told)
 	return struct{}{}, nil
 }
 
-// apply applies another router's news. The caller holds mu.
-func (s *Service) apply(news message) {
+// apply applies what another router has told. The caller holds mu.
+func (s *Service) apply(told message) {
 	now := time.Now()
-	for _, told := range news.Ends {
-		end := told.end(now)
+	for _, one := range told.Ends {
+		end := one.end(now)
 		if !s.answeredAt[end.Part].After(end.At) {
 			s.addEnd(end)
 		}
 	}
-	for _, told := range news.Refuted {
-		s.evidence.Refute(told.Engine, ago(now, told.SentAgeMs))
-	}
-	for _, told := range news.Answered {
-		s.evidence.AddAnswer([]quarantine.Part{told.Part}, now)
+	for _, one := range told.Refuted {
+		s.evidence.Refute(one.Engine, ago(now, one.SentAgeMs))
 	}
-	for _, told := range news.Holds {
-		s.adopt(told)
+	s.evidence.AddAnswer(told.Answered, now)
+	for _, content := range told.Holds {
+		s.adopt(content)
 	}
 }
 
@@ -154,9 +171,7 @@
 	defer s.mu.Unlock()
 	var known message
 	now := time.Now()
-	for _, end := range s.evidence.Known(now) {
-		known.Ends = append(known.Ends, newEndNews(end, now))
-	}
+	known.Ends = endsAt(now, s.evidence.Known(now))
 	for _, h := range s.holds {
 		known.Holds = append(known.Holds, h.Hold)
 	}
@@ -178,7 +193,7 @@
 func (s *Service) requestPermit(ctx context.Context, part quarantine.Part, deadline time.Time) bool {
 	ctx, cancel := context.WithTimeout(ctx, permitTimeout)
 	defer cancel()
-	request := permitRequest{Part: part, ForMs: time.Until(deadline).Milliseconds(), Evident: s.evident([]quarantine.Part{part})}
+	request := permitRequest{Part: part, ForMs: time.Until(deadline).Milliseconds(), Evident: s.evident(part)}
 	var response permitResponse
 	to := s.responsible(part)
 	if to == s.self {
@@ -191,20 +206,13 @@
 	return response.Granted
 }
 
-// evident returns the ends that count against parts, which the responsible router may not have been told yet.
-func (s *Service) evident(parts []quarantine.Part) []endNews {
+// evident returns the ends that count against a part, of which the responsible router may not have been told yet.
+func (s *Service) evident(part quarantine.Part) []endNews {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := time.Now()
-	var ends []endNews
-	for _, end := range s.evidence.Known(now) {
-		for _, part := range parts {
-			if end.Part == part {
-				ends = append(ends, newEndNews(end, now))
-			}
-		}
-	}
-	return ends
+	ends := slices.DeleteFunc(s.evidence.Known(now), func(end quarantine.End) bool { return end.Part != part })
+	return endsAt(now, ends)
 }
 
 func (s *Service) handlePermit(_ context.Context, _ fleet.HostID, decode port.Decode) (any, error) {
@@ -242,7 +250,7 @@
 // Return gives a permit's permissions back.
 func (s *Service) Return(permit *Permit) {
 	for _, part := range permit.taken {
-		request := returnRequest{Part: part, Ends: s.evident([]quarantine.Part{part})}
+		request := returnRequest{Part: part, Ends: s.evident(part)}
 		to := s.responsible(part)
 		if to == s.self {
 			s.takeBack(request)
