Bound the memory for answers whose bytes come without end

Cause: an upstream that sends bytes until the caller closes had 16 MiB of each attempt's memory, also for a refusal or an answer without signature, which is of no use; a host has as little as 184 MB, and many requests meet such an upstream at once. Heads were bounded before, by the transport. Change: answers and events above 64 KiB share 32 MiB of a router; what finds no memory fails at once as an incomplete answer. Answers without a signature are not read, refusals up to 4 KiB.

--- a/node/gateway/buffered.go
+++ b/node/gateway/buffered.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"net/http"
 	"strconv"
 	"time"
@@ -11,8 +10,6 @@
 	"agateswitch/core/outlier"
 	"agateswitch/core/routing"
 	"agateswitch/port"
-
-	"github.com/juju/errors"
 )
 
 // answer is an upstream's complete answer.
@@ -23,9 +20,6 @@
 	body   []byte
 }
 
-// maxAnswerBytes is the maximum size of a buffered answer.
-const maxAnswerBytes = 16 << 20
-
 // attemptBuffered attempts a request that is not streamed. It buffers the answer and sends it to the
 // caller only once it is complete.
 func (c *callerRequest) attemptBuffered(ctx context.Context, chosen *choice) attemptResult {
@@ -40,10 +34,15 @@
 	engineAnswer := c.gateway.Engines.Read(head.Status, head.Header)
 	c.applySignals(chosen, engineAnswer)
 	chosen.firstByteTime = time.Since(chosen.sentAt)
-	body, err := readComplete(head.Body)
 	if engineAnswer.NotRun {
+		drain(head.Body)
 		return c.handleNotRun(chosen, head.Status, engineAnswer)
 	}
+	var body []byte
+	var err error
+	if engineAnswer.Signed {
+		body, err = c.holding.readComplete(head.Body)
+	}
 	switch {
 	case err == nil && engineAnswer.Signed:
 		c.recordAnswer(chosen)
@@ -65,19 +64,6 @@
 	return attemptResult{delivered: true}
 }
 
-// errTooLarge is returned for an answer of more than maxAnswerBytes.
-const errTooLarge = errors.ConstError("it is larger than a router holds")
-
-// readComplete reads an answer to its end. It fails when the answer ends before its end marker
-// or its declared length, or exceeds maxAnswerBytes.
-func readComplete(from io.Reader) ([]byte, error) {
-	body, err := io.ReadAll(io.LimitReader(from, maxAnswerBytes+1))
-	if err == nil && len(body) > maxAnswerBytes {
-		return nil, errTooLarge
-	}
-	return body, err
-}
-
 // bufferedContext returns the context of an attempt. It has a timeout of its own if another upstream
 // may be tried after it.
 func (c *callerRequest) bufferedContext(ctx context.Context) (context.Context, context.CancelFunc) {
--- a/node/gateway/gateway.go
+++ b/node/gateway/gateway.go
@@ -66,6 +66,8 @@
 	view        *view
 	retryLimits atomic.Pointer[RetryLimits]
 	leaving     atomic.Bool
+	// held counts what the requests hold of large answers.
+	held heldBytes
 	// running counts the running requests of callers.
 	running sync.WaitGroup
 
--- a/node/gateway/request.go
+++ b/node/gateway/request.go
@@ -63,6 +63,8 @@
 	failureAnswer *answer
 	// stream is the state of the stream to the caller.
 	stream streamState
+	// holding is what the request holds of large answers.
+	holding holding
 	// lastCause is the cause of the last failed attempt, for the log.
 	lastCause string
 }
@@ -70,6 +72,8 @@
 // serve handles the request.
 func (c *callerRequest) serve() {
 	c.ran = fleet.NotRun
+	c.holding.all = &c.gateway.held
+	defer c.holding.release()
 	c.tried = map[*engine]bool{}
 	for _, part := range c.call.Prompt {
 		c.prompt = append(c.prompt, warmth.Part(part))
--- a/node/gateway/stream.go
+++ b/node/gateway/stream.go
@@ -47,6 +47,7 @@
 	engineAnswer := c.gateway.Engines.Read(head.Status, head.Header)
 	c.applySignals(chosen, engineAnswer)
 	if engineAnswer.NotRun {
+		drain(head.Body)
 		return c.handleNotRun(chosen, head.Status, engineAnswer)
 	}
 	if !engineAnswer.Signed {
@@ -105,6 +106,7 @@
 // than errCallerDisconnected means that the stream is incomplete.
 func (c *callerRequest) copyEvents(chosen *choice, head port.UpstreamAnswer, watchdog *time.Timer) error {
 	events := sse.NewRawReader(head.Body)
+	events.Grow = c.holding.grow
 	control := http.NewResponseController(c.writer)
 	for {
 		raw, id, err := events.Next()
@@ -152,7 +154,7 @@
 
 // handleNonStream evaluates an answer with an error status, which has no stream of events.
 func (c *callerRequest) handleNonStream(chosen *choice, head port.UpstreamAnswer) attemptResult {
-	body, err := readComplete(head.Body)
+	body, err := c.holding.readComplete(head.Body)
 	chosen.engine.recordResult(time.Now(), outlier.Failure)
 	if err != nil {
 		return attemptResult{sent: true, ran: fleet.RanUnknown, cause: describeIncomplete(err)}
--- a/sse/raw.go
+++ b/sse/raw.go
@@ -10,13 +10,34 @@
 
 // RawReader reads events as raw bytes, for forwarding them unchanged.
 type RawReader struct {
+	// Grow, if it is set, is asked for memory before an event grows by that many bytes beyond freeEventBytes. If it
+	// returns false, the event counts as too large.
+	Grow func(bytes int) bool
+
 	buffered *bufio.Reader
 	raw      []byte
+	// allowed is how large an event may become without asking again.
+	allowed int
 }
 
+// freeEventBytes is the size up to which an event takes no memory that has to be asked for.
+const freeEventBytes = 64 << 10
+
 // NewRawReader returns a reader of the events in r.
 func NewRawReader(r io.Reader) *RawReader {
-	return &RawReader{buffered: bufio.NewReader(r)}
+	return &RawReader{buffered: bufio.NewReader(r), allowed: freeEventBytes}
+}
+
+// mayGrow asks for memory if the event needs more.
+func (r *RawReader) mayGrow() bool {
+	for r.Grow != nil && len(r.raw) > r.allowed {
+		// A buffer that grows has up to twice the size of its content.
+		if !r.Grow(2 * freeEventBytes) {
+			return false
+		}
+		r.allowed += freeEventBytes
+	}
+	return len(r.raw) <= MaxEventBytes
 }
 
 // Next returns the bytes of the next event, including the blank line that ends it, and its id. The
@@ -28,7 +49,7 @@
 		line, err := r.buffered.ReadSlice('\n')
 		r.raw = append(r.raw, line...)
 		switch {
-		case len(r.raw) > MaxEventBytes:
+		case !r.mayGrow():
 			return nil, "", errors.Trace(ErrTooLarge)
 		case err == bufio.ErrBufferFull:
 			continue
