Learn the evidence of a quarantine once other routers are known

Cause: a router that starts asked for the evidence at once, when it knows no other router yet, and learned nothing. Change: it asks until one has answered, for three seconds at most. Measured: TestStartedRouterKnowsSuspectAndHeldParts, now with a fleet that is known a second late, failed before.

--- a/node/quarantine/quarantine.go
+++ b/node/quarantine/quarantine.go
@@ -29,6 +29,10 @@
 	permitTimeout = 200 * time.Millisecond
 	// messageTimeout bounds one message to a router.
 	messageTimeout = 300 * time.Millisecond
+	// learnInterval is the time between two attempts of a router that starts to learn from others, which it does not
+	// know at first, and maxLearnAttempts their number.
+	learnInterval    = 250 * time.Millisecond
+	maxLearnAttempts = 12
 	// batchDelay is the time over which news are batched into one message.
 	batchDelay = 5 * time.Millisecond
 	// storeInterval is the time between two checks which entries have to be written.
@@ -326,7 +330,9 @@
 
 // Run tells the other routers the news and writes entries until ctx ends.
 func (s *Service) Run(ctx context.Context) {
-	s.learn(ctx)
+	var learning sync.WaitGroup
+	defer learning.Wait()
+	learning.Go(func() { s.learn(ctx) })
 	ticker := time.NewTicker(storeInterval)
 	defer ticker.Stop()
 	for {
--- a/node/quarantine/quarantine_test.go
+++ b/node/quarantine/quarantine_test.go
@@ -247,6 +247,10 @@
 		m, services := newFleet(3)
 		endEngines(services, "suspect", 2)
 		restarted := m.start("front-2")
+		// It does not know the others at once.
+		names := m.names
+		m.names = nil
+		time.AfterFunc(time.Second, func() { m.names = names })
 		restarted.learn(context.Background())
 		must.True(t, restarted.Admit(context.Background(), []quarantine.Part{"suspect"}, false, deadline()).Alone)
 
--- a/node/quarantine/share.go
+++ b/node/quarantine/share.go
@@ -148,8 +148,22 @@
 	}
 }
 
-// learn asks other routers for the evidence from before this one started.
+// learn gets the evidence from before this router started from another one, as soon as it knows one.
 func (s *Service) learn(ctx context.Context) {
+	for range maxLearnAttempts {
+		if s.learnOnce(ctx) {
+			return
+		}
+		select {
+		case <-time.After(learnInterval):
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// learnOnce asks a few routers for their evidence. It reports whether one has answered.
+func (s *Service) learnOnce(ctx context.Context) bool {
 	others := s.fleet.Others()
 	for _, other := range others[:min(len(others), maxLearnPeers)] {
 		callContext, cancel := context.WithTimeout(ctx, messageTimeout)
@@ -163,7 +177,9 @@
 		s.mu.Lock()
 		s.apply(known)
 		s.mu.Unlock()
+		return true
 	}
+	return false
 }
 
 func (s *Service) handleKnown(context.Context, fleet.HostID, port.Decode) (any, error) {
