Count an engine's end against a part until the second event of its answer

Cause: an engine that ends as it writes its first event had begun to answer, which cleared the part each time. Repeats of requests whose engine had ended were refused while another repeat with the same part was in work. Change: the second event, or the end of the stream, counts as an answer; repeats wait up to 250 ms for their turn.

--- a/node/gateway/stream.go
+++ b/node/gateway/stream.go
@@ -60,6 +60,7 @@
 	err := c.copyEvents(chosen, head, watchdog)
 	if err == nil {
 		chosen.engine.recordResult(time.Now(), outlier.Success)
+		c.recordAnswer(chosen)
 		c.logAnswer(chosen, head.Status, c.stream.firstByteTime, c.stream.eventCount)
 		return attemptResult{delivered: true}
 	}
@@ -70,7 +71,7 @@
 	if c.request.Context().Err() == nil {
 		chosen.engine.recordResult(time.Now(), outlier.Failure)
 	}
-	if chosen.eventCount == 0 && attempt.Err() == nil {
+	if chosen.eventCount < provenEvents && attempt.Err() == nil {
 		c.recordEnd(chosen)
 	}
 	return attemptResult{sent: true, ran: fleet.RanUnknown, cause: "the stream broke off: " + err.Error()}
@@ -122,9 +123,11 @@
 		chosen.ticket.EndPrefill()
 		if chosen.eventCount == 0 {
 			chosen.firstByteTime = time.Since(chosen.sentAt)
-			c.recordAnswer(chosen)
 		}
 		chosen.eventCount++
+		if chosen.eventCount == provenEvents {
+			c.recordAnswer(chosen)
+		}
 		if c.stream.eventCount == 0 {
 			c.stream.firstByteTime = time.Since(c.began)
 		}
--- a/node/gateway/suspects.go
+++ b/node/gateway/suspects.go
@@ -14,6 +14,17 @@
 // suspectRetryAfter is the mean retry delay for callers whose request shares a suspect part with one that is in work.
 const suspectRetryAfter = time.Second
 
+// provenEvents is how many events of a stream show that the upstream survives the request. An engine may end as it
+// writes the first one.
+const provenEvents = 2
+
+// A request whose engine has ended waits up to repeatPatience while another one with a suspect part is in work, and
+// asks each repeatInterval.
+const (
+	repeatPatience = 250 * time.Millisecond
+	repeatInterval = 25 * time.Millisecond
+)
+
 // quarantineParts returns the shared parts of the prompt.
 func (c *callerRequest) quarantineParts() []quarantine.Part {
 	shared := c.sharedParts()
@@ -28,6 +39,12 @@
 // suspect that another request works on.
 func (c *callerRequest) permit(ctx context.Context) (*node.Permit, *fleet.Refusal) {
 	permit := c.gateway.Quarantine.Admit(ctx, c.parts, c.engineEnded, c.deadline)
+	for waited := time.Duration(0); c.engineEnded && permit.Denied != "" && !permit.Held && waited < repeatPatience; waited += repeatInterval {
+		if !pause(ctx, repeatInterval) {
+			break
+		}
+		permit = c.gateway.Quarantine.Admit(ctx, c.parts, true, c.deadline)
+	}
 	switch {
 	case permit.Denied == "":
 		return permit, nil
@@ -44,7 +61,7 @@
 	return quarantine.Engine{ID: chosen.engine.id, Incarnation: chosen.engine.incarnation}
 }
 
-// recordEnd records that a connection ended on which the upstream worked on the request and had not begun to answer.
+// recordEnd records that a connection ended on which the upstream worked on the request and had hardly begun to answer.
 func (c *callerRequest) recordEnd(chosen *choice) {
 	if len(c.parts) == 0 || c.request.Context().Err() != nil {
 		return
