Judge short moves by their thin evidence: slow answers at once, failures of single routes

Change: in a short move the open cell's answers of the old version tell what is slow; three failures at twice the old rate and a tenth of all answers, or half of a route's, are suspicion, as is a median latency far above the old one's from 14 answers on.

--- a/core/rollout/detector.go
+++ b/core/rollout/detector.go
@@ -73,6 +73,7 @@
 
 // stratumState holds the tests of one stratum.
 type stratumState struct {
+	isShort   bool
 	openCell  Pair
 	openedAt  time.Time
 	reference Tally
@@ -91,8 +92,9 @@
 	step        int
 	strata      map[Stratum]*stratumState
 	restartedAt time.Time
-	// poolsRoutes is true if failures are also tested over all routes together.
-	poolsRoutes bool
+	// isShort is true for short moves: failures are also tested over all routes together, and what is slow
+	// follows from the old version's answers as soon as there are enough.
+	isShort bool
 	// newVersionOnly is true while the old version gets no traffic. Cells don't wait for it then.
 	newVersionOnly  bool
 	leaderThreshold float64
@@ -127,10 +129,11 @@
 }
 
 // NewShortMoveDetector returns the detector of a short move. It has too few requests for a fault on all
-// routes to show on each of them, so failures are also tested over all routes together.
+// routes to show on each of them, so failures are also tested over all routes together. It has too little time to
+// wait for the first cells, so their answers of the old version tell what is slow.
 func NewShortMoveDetector(move Move) *Detector {
 	d := NewDetector(move)
-	d.poolsRoutes = true
+	d.isShort = true
 	return d
 }
 
@@ -172,7 +175,7 @@
 
 // addToAllRoutes adds the failures of a pair to the stratum of all routes.
 func (d *Detector) addToAllRoutes(now time.Time, pair Pair) {
-	if !d.poolsRoutes || pair.Old.Requests+pair.New.Requests == 0 {
+	if !d.isShort || pair.Old.Requests+pair.New.Requests == 0 {
 		return
 	}
 	d.addPair(now, Pair{
@@ -209,7 +212,7 @@
 		state, found = d.strata[stratum]
 	}
 	if !found {
-		state = &stratumState{openedAt: now}
+		state = &stratumState{openedAt: now, isShort: d.isShort}
 		state.updateSlowLimits()
 		d.strata[stratum] = state
 	}
@@ -275,13 +278,25 @@
 	if kind == slowIntervals {
 		older, newer = s.openCell.Old.Interval, s.openCell.New.Interval
 	}
-	limit := s.slowLimits[kind]
+	limit := s.slowLimit(kind, older)
 	return cell{
 		oldRequests: float64(older.total()), oldEvents: float64(older.above(limit)),
 		newRequests: float64(newer.total()), newEvents: float64(newer.above(limit)),
 	}, nullSlowRate
 }
 
+// slowLimit returns the bucket above which answers are slow, given those of the old version in the open cell.
+func (s *stratumState) slowLimit(kind signal, older Histogram) uint8 {
+	reference, fallback := s.reference.FirstToken, defaultFirstToken
+	if kind == slowIntervals {
+		reference, fallback = s.reference.Interval, defaultInterval
+	}
+	if !s.isShort || reference.total() >= minReferenceAnswers {
+		return s.slowLimits[kind]
+	}
+	return slowLimit(mergeHistograms(mergeHistograms(nil, reference), older), fallback)
+}
+
 // Verdict evaluates the evidence added so far. Leader is true for the router that receives the
 // evidence of all routers. The others need stronger evidence, since there are many of them and each
 // may be wrong.
@@ -312,6 +327,10 @@
 	worst.Bad = worst.Strength >= threshold
 	if worst.Strength >= suspicionThreshold {
 		worst.Reason = d.strata[worstStratum].explain(worstStratum, worstKind, worst.Strength)
+		return worst
+	}
+	if reason := d.shortMoveDoubt(); reason != "" {
+		worst.Strength, worst.Reason = suspicionThreshold, reason
 	}
 	return worst
 }
--- a/core/rollout/step_evidence.go
+++ b/core/rollout/step_evidence.go
@@ -16,6 +16,8 @@
 	minStepFailures   = 2
 	// minMedianAnswers is how many answers of each version a comparison of medians needs.
 	minMedianAnswers = 8
+	// minShortMedianAnswers is the same for a short move, which compares them at each evaluation.
+	minShortMedianAnswers = 14
 )
 
 // StepEvidence returns how many requests of the new version ended in the step in force, and what
@@ -53,20 +55,52 @@
 // slowerStratum describes the first stratum in which the new version's median latency in this step
 // is far above the old one's. It returns "" if there is none.
 func (d *Detector) slowerStratum() string {
+	minAnswers := uint32(minMedianAnswers)
+	if d.isShort {
+		minAnswers = minShortMedianAnswers
+	}
 	for _, stratum := range d.sortedStrata() {
 		state := d.strata[stratum]
 		switch {
-		case isSlower(state.newSum.FirstToken, state.oldSum.FirstToken):
+		case isSlower(state.newSum.FirstToken, state.oldSum.FirstToken, minAnswers):
 			return state.explain(stratum, slowFirstTokens, 0)
-		case isSlower(state.newSum.Interval, state.oldSum.Interval):
+		case isSlower(state.newSum.Interval, state.oldSum.Interval, minAnswers):
 			return state.explain(stratum, slowIntervals, 0)
 		}
 	}
 	return ""
 }
 
-func isSlower(newer, older Histogram) bool {
-	if newer.total() < minMedianAnswers || older.total() < minMedianAnswers {
+// Limits above which a short move is under suspicion, though it has too few requests for the tests: at least
+// minShortFailures, more than maxShortFailureRatio times the old version's rate, and half of the answers of a single
+// route, or minShortFailureRate of those of all routes.
+const (
+	minShortFailures     = 3
+	maxShortFailureRatio = 2
+	minShortFailureRate  = 0.1
+)
+
+// shortMoveDoubt returns why the results of a short move's single routes speak against the new version, or "".
+func (d *Detector) shortMoveDoubt() string {
+	if !d.isShort {
+		return ""
+	}
+	for _, stratum := range d.sortedStrata() {
+		state := d.strata[stratum]
+		least := 0.5
+		if stratum.Route == allRoutes {
+			least = minShortFailureRate
+		}
+		failing := rate(state.newSum)
+		if state.newSum.Failures >= minShortFailures && failing >= least && failing > maxShortFailureRatio*rate(state.oldSum) {
+			return state.explain(stratum, failures, 0)
+		}
+	}
+	return d.slowerStratum()
+}
+
+func isSlower(newer, older Histogram, minAnswers uint32) bool {
+	if newer.total() < minAnswers || older.total() < minAnswers {
 		return false
 	}
 	return newer.quantile(0.5) >= older.quantile(0.5)+slowBucketMargin
