Tell the other routers at once that a version move has succeeded

Cause: the old version stops as soon as the store has the report, but the other routers kept to the bound until they saw the entry, up to half a second later; what they sent to the old version found it gone. Change: the router that has written the report tells all others. Measured: TestSuccessOfAnotherRouterEndsTheBound.

--- a/node/versionmove/report.go
+++ b/node/versionmove/report.go
@@ -64,9 +64,18 @@
 		return
 	}
 	s.log.Info("status of a move written", "move", write.id, "state", write.state, "reason", write.reason)
+	s.applyWritten(port.Entry{Key: key, Revision: result.Revision}, port.MoveStatus{Pool: write.order.Pool, Target: write.order.Target, State: write.state})
+	if write.state == port.MoveSucceeded {
+		// The old version stops now, before the others see the entry.
+		s.publish(ctx, []moveMessage{{Pool: write.order.Pool, ID: write.id, Succeeded: true}})
+	}
+}
+
+// applyWritten applies a status that this router has written.
+func (s *Service) applyWritten(entry port.Entry, written port.MoveStatus) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.applyStatus(port.Entry{Key: key, Revision: result.Revision}, port.MoveStatus{Pool: write.order.Pool, Target: write.order.Target, State: write.state})
+	s.applyStatus(entry, written)
 }
 
 // isRolledBack reports whether a move is rolled back on this router.
--- a/node/versionmove/share.go
+++ b/node/versionmove/share.go
@@ -19,8 +19,10 @@
 	EarlierIDs []rollout.MoveID `msgpack:"earlier_ids,omitempty"`
 	AgeMs      int64            `msgpack:"age_ms"`
 	RolledBack bool             `msgpack:"back,omitempty"`
-	Reason     string           `msgpack:"reason,omitempty"`
-	Evidence   []rollout.Pair   `msgpack:"evidence,omitempty"`
+	// Succeeded is true once the store has the report of the move's good end: the old version stops.
+	Succeeded bool           `msgpack:"succeeded,omitempty"`
+	Reason    string         `msgpack:"reason,omitempty"`
+	Evidence  []rollout.Pair `msgpack:"evidence,omitempty"`
 	// Withdrawn lists the pool's versions that get no requests, which a router that has started since doesn't
 	// know.
 	Withdrawn []fleet.Version `msgpack:"withdrawn,omitempty"`
@@ -33,6 +35,14 @@
 	if len(messages) == 0 {
 		return
 	}
+	s.publish(ctx, messages)
+	for _, write := range s.dueStatusWrites() {
+		s.writeStatus(ctx, write)
+	}
+}
+
+// publish sends messages to all other routers.
+func (s *Service) publish(ctx context.Context, messages []moveMessage) {
 	for _, other := range s.fleet.Others() {
 		go func() {
 			ctx, cancel := context.WithTimeout(ctx, publishTimeout)
@@ -43,9 +53,6 @@
 			}
 		}()
 	}
-	for _, write := range s.dueStatusWrites() {
-		s.writeStatus(ctx, write)
-	}
 }
 
 // evaluateMoves evaluates the moves whose end is not reported yet, and returns the messages for the
@@ -92,6 +99,10 @@
 			}
 		}
 		m.addEvidence(message.Evidence)
+		if message.Succeeded && m.state == rollout.StatusRunning {
+			m.state = rollout.StatusDone
+			s.log.Info("version move succeeded according to another router", "move", m.id, "peer", from)
+		}
 		if message.RolledBack && m.state == rollout.StatusRunning {
 			m.state, m.reason, m.endDueAt = rollout.StatusRolledBack, message.Reason, time.Now()
 			s.log.Warn("version rolled back by another router", "move", m.id, "peer", from, "reason", message.Reason)
--- a/node/versionmove/share_test.go
+++ b/node/versionmove/share_test.go
@@ -279,3 +279,17 @@
 	tell(t, behind, messages...)
 	must.Eq(t, rollout.StatusRolledBack, other.state)
 }
+
+// The old version's upstreams stop as soon as the store has the report, before all routers have seen the entry.
+func TestSuccessOfAnotherRouterEndsTheBound(t *testing.T) {
+	s, m := newService()
+	tell(t, s, moveMessage{Pool: "lm", ID: "move-1", Succeeded: true})
+	must.Eq(t, rollout.StatusDone, m.state)
+	for range 10 {
+		must.Eq(t, "v2", s.Choose("lm", map[fleet.Version]int{"v1": 3, "v2": 3}).Prefer)
+	}
+	must.SliceEmpty(t, s.dueStatusWrites())
+	rolledBack, other := newService()
+	tell(t, rolledBack, moveMessage{Pool: "lm", ID: "move-1", RolledBack: true}, moveMessage{Pool: "lm", ID: "move-1", Succeeded: true})
+	must.Eq(t, rollout.StatusRolledBack, other.state)
+}
