Compare median first tokens of short moves for plain services only

Cause: engines of a new version have empty caches, so that a sound version's first tokens have twice to three times the old one's median for seconds. Change: of models, a short move compares the time between tokens.

--- a/core/rollout/step_evidence.go
+++ b/core/rollout/step_evidence.go
@@ -55,16 +55,12 @@
 // slowerStratum describes the first stratum in which the new version's median latency in this step
 // is far above the old one's. It returns "" if there is none.
 func (d *Detector) slowerStratum() string {
-	minAnswers := uint32(minMedianAnswers)
-	if d.isShort {
-		minAnswers = minShortMedianAnswers
-	}
 	for _, stratum := range d.sortedStrata() {
 		state := d.strata[stratum]
 		switch {
-		case isSlower(state.newSum.FirstToken, state.oldSum.FirstToken, minAnswers):
+		case isSlower(state.newSum.FirstToken, state.oldSum.FirstToken, minMedianAnswers):
 			return state.explain(stratum, slowFirstTokens, 0)
-		case isSlower(state.newSum.Interval, state.oldSum.Interval, minAnswers):
+		case isSlower(state.newSum.Interval, state.oldSum.Interval, minMedianAnswers):
 			return state.explain(stratum, slowIntervals, 0)
 		}
 	}
@@ -96,7 +92,23 @@
 			return state.explain(stratum, failures, 0)
 		}
 	}
-	return d.slowerStratum()
+	return d.slowerStratumOfShortMove()
+}
+
+// slowerStratumOfShortMove is slowerStratum for a short move, whose engines have just started: as long as their
+// caches are empty, the first tokens of a sound version are as late as those of a slow one.
+func (d *Detector) slowerStratumOfShortMove() string {
+	for _, stratum := range d.sortedStrata() {
+		state := d.strata[stratum]
+		isModel := state.oldSum.Interval.total() > 0
+		switch {
+		case isModel && isSlower(state.newSum.Interval, state.oldSum.Interval, minShortMedianAnswers):
+			return state.explain(stratum, slowIntervals, 0)
+		case !isModel && isSlower(state.newSum.FirstToken, state.oldSum.FirstToken, minShortMedianAnswers):
+			return state.explain(stratum, slowFirstTokens, 0)
+		}
+	}
+	return ""
 }
 
 func isSlower(newer, older Histogram, minAnswers uint32) bool {
