--- a/core/rollout/detector.go
+++ b/core/rollout/detector.go
@@ -319,7 +319,8 @@
 	for _, stratum := range d.sortedStrata() {
 		state := d.strata[stratum]
 		for kind := range state.tests {
-			if strength := state.withOpenCell(signal(kind)).strength(); strength > worst.Strength {
+			strength := state.withOpenCell(signal(kind)).strength()
+			if strength > worst.Strength && (strength >= threshold || !d.isExpected(stratum, signal(kind))) {
 				worst.Strength, worstStratum, worstKind = strength, stratum, signal(kind)
 			}
 		}
@@ -335,6 +336,12 @@
 	return worst
 }
 
+// isExpected reports whether a sound version shows some of a signal, too: the engines of a short move have just
+// started, and their empty caches delay first tokens.
+func (d *Detector) isExpected(stratum Stratum, kind signal) bool {
+	return d.isShort && stratum.Cold && kind == slowFirstTokens
+}
+
 // sortedStrata returns the strata by route, warm before cold.
 func (d *Detector) sortedStrata() []Stratum {
 	order := make([]Stratum, 0, len(d.strata))
