--- a/node/quarantine/quarantine_test.go
+++ b/node/quarantine/quarantine_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -24,6 +25,7 @@
 
 // mesh connects the services of a test in one process.
 type mesh struct {
+	mu       sync.Mutex
 	services map[fleet.HostID]map[string]port.PeerHandler
 	names    []fleet.HostID
 	// store is the store's content.
@@ -39,11 +41,15 @@
 }
 
 func (m member) Handle(method string, handler port.PeerHandler) {
+	m.mesh.mu.Lock()
+	defer m.mesh.mu.Unlock()
 	m.mesh.services[m.self][method] = handler
 }
 
 func (m member) Call(ctx context.Context, to fleet.HostID, method string, request, response any) error {
+	m.mesh.mu.Lock()
 	handler, found := m.mesh.services[to][method]
+	m.mesh.mu.Unlock()
 	if !found {
 		return port.ErrPeerUnreachable
 	}
@@ -62,6 +68,8 @@
 }
 
 func (m member) Others() []fleet.HostID {
+	m.mesh.mu.Lock()
+	defer m.mesh.mu.Unlock()
 	var others []fleet.HostID
 	for _, name := range m.mesh.names {
 		if name != m.self {
@@ -72,6 +80,8 @@
 }
 
 func (m member) Rank(string) int {
+	m.mesh.mu.Lock()
+	defer m.mesh.mu.Unlock()
 	for i, name := range m.mesh.names {
 		if name == m.self {
 			return i
@@ -111,7 +121,9 @@
 
 // start returns the service of a router that has just started.
 func (m *mesh) start(name fleet.HostID) *Service {
+	m.mu.Lock()
 	m.services[name] = map[string]port.PeerHandler{}
+	m.mu.Unlock()
 	view := member{mesh: m, self: name}
 	return New(name, view, view, view, log.New(io.Discard))
 }
@@ -120,6 +132,13 @@
 	return quarantine.Engine{ID: fleet.UpstreamID(fmt.Sprint("e", number)), Incarnation: 1}
 }
 
+// setNames sets which routers are known.
+func (m *mesh) setNames(names []fleet.HostID) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.names = names
+}
+
 // endEngines ends engines, one each second, on which the routers in turn worked on a part.
 func endEngines(services []*Service, part quarantine.Part, count int) {
 	for i := range count {
@@ -249,8 +268,8 @@
 		restarted := m.start("front-2")
 		// It does not know the others at once.
 		names := m.names
-		m.names = nil
-		time.AfterFunc(time.Second, func() { m.names = names })
+		m.setNames(nil)
+		time.AfterFunc(time.Second, func() { m.setNames(names) })
 		restarted.learn(context.Background())
 		must.True(t, restarted.Admit(context.Background(), []quarantine.Part{"suspect"}, false, deadline()).Alone)
 
