Take a stream without any event for broken off

Cause: a stream may have neither a length nor chunks, so that its end is that of the connection. A connection that ended before the first event passed as an empty answer with status 200, and as an answer that clears the parts of its prompt. Change: a stream without an event is complete only where the caller has had events already. Measured: TestStreamThatEndsWithItsConnection, case empty, failed before; whole ones, and those that end within an event, passed before.

--- a/node/gateway/stream.go
+++ b/node/gateway/stream.go
@@ -111,6 +111,10 @@
 	control := http.NewResponseController(c.writer)
 	for {
 		raw, id, err := events.Next()
+		if err == io.EOF && chosen.eventCount == 0 && c.stream.lastEventID == "" {
+			// Without a length or chunks, the end of the connection before the first event looks like that of a stream.
+			return io.ErrUnexpectedEOF
+		}
 		if err == io.EOF {
 			c.writeStreamHeader(head)
 			return nil
