Log when an upstream begins or ceases to state a rate limit

Change: the header is decoded, a change is logged with the limit, the load and the request that brought it, and counted in agateswitch_upstream_signals. No decision uses it.

--- a/node/gateway/instruments.go
+++ b/node/gateway/instruments.go
@@ -36,7 +36,7 @@
 		return i, errors.Trace(err)
 	}
 	if i.signals, err = meter.Int64Counter("agateswitch_upstream_signals",
-		metric.WithDescription("Answers in which an upstream said that it leaves, or asked for a pause, by signal")); err != nil {
+		metric.WithDescription("Answers in which an upstream said that it leaves, asked for a pause, or began or ceased to state a rate limit, by signal")); err != nil {
 		return i, errors.Trace(err)
 	}
 	if i.quarantined, err = meter.Int64Counter("agateswitch_quarantined",
@@ -63,7 +63,7 @@
 	i.quarantined.Add(context.Background(), 1, metric.WithAttributes(attribute.String("route", route)))
 }
 
-// recordSignal counts what an upstream said of itself: "leaving" or "pause".
+// recordSignal counts what an upstream said of itself: "leaving", "pause" or "rate_limit".
 func (i Instruments) recordSignal(signal string) {
 	i.signals.Add(context.Background(), 1, metric.WithAttributes(attribute.String("signal", signal)))
 }
--- a/node/gateway/signals.go
+++ b/node/gateway/signals.go
@@ -9,8 +9,8 @@
 	"agateswitch/port"
 )
 
-// applySignals applies what an upstream says of itself in the header of an answer: that it leaves, or
-// that it wants a pause. An answer from another upstream at the same address says nothing of it.
+// applySignals applies what an upstream says of itself in the header of an answer: that it leaves, that
+// it wants a pause, or how many requests it takes. An answer from another upstream at the same address says nothing of it.
 func (c *callerRequest) applySignals(chosen *choice, answer port.EngineAnswer) {
 	if answer.Misdirected {
 		return
@@ -29,6 +29,12 @@
 		c.gateway.Log.Info("upstream asked for a pause", "request", c.call.ID, "upstream", e.id, "pool", c.pool.ID,
 			"asked", answer.Pause, "reason", reason, "remaining", time.Until(until).Round(time.Millisecond))
 	}
+	if previous := e.setStatedLimit(answer.RateLimit); previous != answer.RateLimit.Stated {
+		c.gateway.Instruments.recordSignal("rate_limit")
+		c.gateway.Log.Info("upstream changed whether it states a rate limit", "request", c.call.ID, "upstream", e.id, "pool", c.pool.ID,
+			"incarnation", e.incarnation, "stated", answer.RateLimit.Stated, "per_second", answer.RateLimit.PerSecond,
+			"load", chosen.load.Running, "sent_before", time.Since(chosen.sentAt).Round(time.Millisecond))
+	}
 }
 
 // retryAfter returns when a caller may return after a refusal because no upstream of the pool may get
--- a/port/edge.go
+++ b/port/edge.go
@@ -68,10 +68,20 @@
 	// Pause is for how long the upstream, which refused the request, wants no requests from this
 	// router. Zero means that it asks for no pause.
 	Pause time.Duration
+	// RateLimit is how many requests the upstream takes.
+	RateLimit RateLimit
 	// Signed is true when the answer was written by an upstream and not by an intermediary.
 	Signed bool
 }
 
+// RateLimit is the number of requests per second that an upstream takes from all routers together, as it
+// states in an answer. It holds until an answer states none.
+type RateLimit struct {
+	Stated bool
+	// PerSecond is NaN if what is stated is no number.
+	PerSecond float64
+}
+
 // EngineProtocol encodes the headers of calls to upstreams and decodes those of their answers.
 type EngineProtocol interface {
 	// Header returns the header of a call, given the caller's header.
