Hold back whole requests that crash engines, beside parts of prompts

Callers of a small service saw its calls refused or broken off each few seconds, whenever its engines were back and the same request came again. Cause: the quarantine suspected parts of prompts only. A plain call, and a prompt without shared parts, has none: its engines' ends were not recorded, and its repeats asked nobody. Class: a rule that is tied to a property which only some of its subjects have. Ruled out: evidence that answers clear (there is none), and too many retries (one call has one repeat). Change: the unit of suspicion is a part or a whole request: method, host, target, team and body, by a digest with the fleet's key. The digest is made when an engine has ended on the request, and of others only while some request is a suspect. A whole request is held after four ends of which one was alone, as answers to it are not remembered before. A zone's ends push out only records of one end. Refuted ends count for plain calls, too. Lists and logs name route and team.

--- a/cmd/agatectl/quarantine.go
+++ b/cmd/agatectl/quarantine.go
@@ -14,8 +14,8 @@
 func quarantineCommand(o *options) *cobra.Command {
 	command := &cobra.Command{
 		Use:   "quarantine",
-		Short: "List or release parts of prompts that gateways hold back because they crash engines",
-		Long: "List or release parts of prompts that gateways hold back because they crash engines.\n\n" +
+		Short: "List or release parts of prompts and requests that gateways hold back because they crash engines",
+		Long: "List or release parts of prompts and whole requests that gateways hold back because they crash engines.\n\n" +
 			"--server is the metrics address of any gateway, which tells all others.",
 	}
 	command.AddCommand(quarantineListCommand(o), quarantineReleaseCommand(o))
@@ -25,7 +25,7 @@
 func quarantineListCommand(o *options) *cobra.Command {
 	return &cobra.Command{
 		Use:     "list",
-		Short:   "List the parts that are held back, with the engines that ended",
+		Short:   "List what is held back, with its route, its team and the engines that ended",
 		Example: "  agatectl quarantine list --server 10.1.0.4:7341",
 		Args:    cobra.NoArgs,
 		RunE: func(command *cobra.Command, _ []string) error {
@@ -41,7 +41,7 @@
 func quarantineReleaseCommand(o *options) *cobra.Command {
 	return &cobra.Command{
 		Use:     "release PART",
-		Short:   "Send requests with a part to engines again",
+		Short:   "Send requests with a part, or a whole request, to engines again",
 		Example: "  agatectl quarantine release 5c1e07a2 --server 10.1.0.4:7341",
 		Args:    cobra.ExactArgs(1),
 		RunE: func(command *cobra.Command, args []string) error {
@@ -53,9 +53,9 @@
 // printHolds prints a line for each part.
 func printHolds(w io.Writer, holds []quarantine.Hold) {
 	table := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
-	fmt.Fprintln(table, "PART\tSINCE\tBY\tENDED ENGINES")
+	fmt.Fprintln(table, "PART\tSINCE\tBY\tROUTE\tTEAM\tENDED ENGINES")
 	for _, h := range holds {
-		fmt.Fprintf(table, "%s\t%s\t%s\t%v\n", h.Part, h.Since.UTC().Format(time.RFC3339), h.Router, h.Engines)
+		fmt.Fprintf(table, "%s\t%s\t%s\t%s\t%s\t%v\n", h.Part, h.Since.UTC().Format(time.RFC3339), h.Router, h.Route, h.Team, h.Engines)
 	}
 	table.Flush()
 }
--- a/core/quarantine/hold.go
+++ b/core/quarantine/hold.go
@@ -23,6 +23,8 @@
 	// Engines are the engines that ended, first to last, and Router is the router that held the part back.
 	Engines []fleet.UpstreamID `json:"engines"`
 	Router  fleet.HostID       `json:"router"`
+	// Origin is where the first request with the part came from.
+	Origin
 	// Released is true once an operator, or an answer to a request with the part, has released it. The entry stays
 	// until it expires, so that a release is not taken for a loss.
 	Released bool `json:"released,omitempty"`
--- a/core/quarantine/quarantine.go
+++ b/core/quarantine/quarantine.go
@@ -1,7 +1,7 @@
-// Package quarantine finds parts of prompts that crash the engines which work on them, and holds back requests
-// with such a part. An engine that ends takes along everything that it works on, from callers who have nothing to
-// do with its end. A part is suspected by the ends of several engines on which it was in work and not yet
-// answered, with no answer to a request with the part since the first of them: a part that other requests get
+// Package quarantine finds parts of prompts, and whole requests that come again, that crash the engines which work on
+// them, and holds back requests with such a part. An engine that ends takes along everything that it works on, from callers
+// who have nothing to do with its end. A part is suspected by the ends of several engines on which it was in work and not
+// yet answered, with no answer to a request with the part since the first of them: a part that other requests get
 // answers with is never held.
 package quarantine
 
@@ -29,7 +29,7 @@
 	maxEnds  = 16
 )
 
-// Part is the id of a part of a prompt.
+// Part is the id of what may be guilty: a part of a prompt, or a whole request (WholeRequest).
 type Part string
 
 // Engine is one incarnation of an upstream.
@@ -45,6 +45,16 @@
 	Part   Part
 	Engine Engine
 	At     time.Time
+	// Alone is true if no other request with the part was in work.
+	Alone bool
+	// Origin tells operators of the request.
+	Origin Origin
+}
+
+// Origin is where a request came from.
+type Origin struct {
+	Route string     `json:"route,omitempty" msgpack:"r,omitempty"`
+	Team  fleet.Team `json:"team,omitempty" msgpack:"t,omitempty"`
 }
 
 // Standing is what the evidence says of a part.
@@ -65,11 +75,13 @@
 	ends []engineEnd
 	// clearedAt is the time of the last answer. Earlier ends don't count.
 	clearedAt time.Time
+	origin    Origin
 }
 
 type engineEnd struct {
 	engine Engine
 	at     time.Time
+	alone  bool
 }
 
 // Evidence is what a router knows about the ends of engines. It is not safe for concurrent use.
@@ -78,11 +90,15 @@
 	// ended holds the last end of each engine with evidence, and refuted when a request was sent to which an
 	// engine that seemed to have ended has answered.
 	ended, refuted map[Engine]time.Time
+	// suspectRequests holds the whole requests with suspectEnds ends or more.
+	suspectRequests map[Part]bool
 }
 
 // NewEvidence returns evidence of nothing.
 func NewEvidence() *Evidence {
-	return &Evidence{parts: map[Part]*record{}, ended: map[Engine]time.Time{}, refuted: map[Engine]time.Time{}}
+	return &Evidence{
+		parts: map[Part]*record{}, ended: map[Engine]time.Time{}, refuted: map[Engine]time.Time{}, suspectRequests: map[Part]bool{},
+	}
 }
 
 // AddEnd adds an end and reports whether it is new and counts.
@@ -90,7 +106,7 @@
 	r, found := e.parts[end.Part]
 	if !found {
 		e.prune(now)
-		if len(e.parts) >= maxParts {
+		if len(e.parts) >= maxParts && !e.makeRoom() {
 			return false
 		}
 		r = &record{}
@@ -100,12 +116,61 @@
 	if isKnown || !end.At.After(r.clearedAt) || end.At.Before(e.refuted[end.Engine]) || len(r.ends) >= maxEnds {
 		return false
 	}
-	r.ends = append(r.ends, engineEnd{engine: end.Engine, at: end.At})
+	r.ends = append(r.ends, engineEnd{engine: end.Engine, at: end.At, alone: end.Alone})
+	if r.origin == (Origin{}) {
+		r.origin = end.Origin
+	}
 	slices.SortFunc(r.ends, func(a, b engineEnd) int { return a.at.Compare(b.at) })
 	e.ended[end.Engine] = end.At
+	e.updateSuspect(end.Part)
 	return true
 }
 
+// makeRoom forgets the older half of the parts with a single end, such as requests that did not come again. It reports
+// false if there are none.
+func (e *Evidence) makeRoom() bool {
+	var single []Part
+	for part, r := range e.parts {
+		if len(r.ends) <= 1 {
+			single = append(single, part)
+		}
+	}
+	lastHeard := func(part Part) time.Time {
+		if r := e.parts[part]; len(r.ends) > 0 {
+			return r.ends[0].at
+		}
+		return e.parts[part].clearedAt
+	}
+	slices.SortFunc(single, func(a, b Part) int { return lastHeard(a).Compare(lastHeard(b)) })
+	for _, part := range single[:(len(single)+1)/2] {
+		delete(e.parts, part)
+	}
+	return len(single) > 0
+}
+
+// updateSuspect updates suspectRequests after a change of the evidence for a part.
+func (e *Evidence) updateSuspect(part Part) {
+	if !part.IsWholeRequest() {
+		return
+	}
+	if e.Ends(part) >= suspectEnds {
+		e.suspectRequests[part] = true
+	} else {
+		delete(e.suspectRequests, part)
+	}
+}
+
+// SuspectsRequests reports whether any whole request is a suspect or held.
+func (e *Evidence) SuspectsRequests() bool { return len(e.suspectRequests) > 0 }
+
+// Origin returns where the first request with a part came from.
+func (e *Evidence) Origin(part Part) Origin {
+	if r, found := e.parts[part]; found {
+		return r.origin
+	}
+	return Origin{}
+}
+
 // Concerns reports whether an answer by an engine to a request with a part would change the evidence.
 func (e *Evidence) Concerns(engine Engine, parts []Part) bool {
 	if _, found := e.ended[engine]; found {
@@ -121,6 +186,7 @@
 		if r, found := e.parts[part]; found && at.After(r.clearedAt) {
 			r.clearedAt = at
 			r.ends = slices.DeleteFunc(r.ends, func(end engineEnd) bool { return !end.at.After(at) })
+			e.updateSuspect(part)
 		}
 	}
 }
@@ -136,8 +202,9 @@
 		return false
 	}
 	delete(e.ended, engine)
-	for _, r := range e.parts {
+	for part, r := range e.parts {
 		r.ends = slices.DeleteFunc(r.ends, func(end engineEnd) bool { return end.engine == engine })
+		e.updateSuspect(part)
 	}
 	return true
 }
@@ -175,7 +242,7 @@
 func (e *Evidence) Standing(part Part, isRepeat bool) Standing {
 	ends := e.Ends(part)
 	switch {
-	case ends >= holdEnds:
+	case ends >= holdEnds && (!part.IsWholeRequest() || e.endedAlone(part)):
 		return Held
 	case ends >= suspectEnds, isRepeat && ends > 0:
 		return Suspect
@@ -183,13 +250,20 @@
 	return Clear
 }
 
+// endedAlone reports whether an engine ended while no other request with the part was in work. A whole request needs such an
+// end to be held: answers to it are not remembered before it is a suspect, so that a popular one may have been in work on
+// several engines that end one after the other.
+func (e *Evidence) endedAlone(part Part) bool {
+	return slices.ContainsFunc(e.parts[part].ends, func(end engineEnd) bool { return end.alone })
+}
+
 // Known returns all ends that count, for a router that starts.
 func (e *Evidence) Known(now time.Time) []End {
 	var all []End
 	for part, r := range e.parts {
 		for _, end := range r.ends {
 			if now.Sub(end.at) <= maxEndAge {
-				all = append(all, End{Part: part, Engine: end.engine, At: end.at})
+				all = append(all, End{Part: part, Engine: end.engine, At: end.at, Alone: end.alone, Origin: r.origin})
 			}
 		}
 	}
@@ -200,6 +274,7 @@
 func (e *Evidence) prune(now time.Time) {
 	for part, r := range e.parts {
 		r.ends = slices.DeleteFunc(r.ends, func(end engineEnd) bool { return now.Sub(end.at) > maxEndAge })
+		e.updateSuspect(part)
 		if len(r.ends) == 0 && now.Sub(r.clearedAt) > sameCauseWindow {
 			delete(e.parts, part)
 		}
--- a/core/quarantine/quarantine_test.go
+++ b/core/quarantine/quarantine_test.go
@@ -198,3 +198,73 @@
 	}
 	must.Zero(t, others)
 }
+
+func wholeRequest(number int) Part {
+	return WholeRequest([]byte("key"), Request{Method: "POST", Host: "h", Target: fmt.Sprint("/slots/", number)})
+}
+
+// Only what makes two requests the same counts, and nothing of it can be moved from one field to another.
+func TestWholeRequestsAreToldApart(t *testing.T) {
+	base := Request{Method: "POST", Host: "h", Target: "/slots/1?a=1", Caller: "one", Body: []byte("body")}
+	id := WholeRequest([]byte("key"), base)
+	must.True(t, id.IsWholeRequest())
+	must.Eq(t, id, WholeRequest([]byte("key"), base))
+	others := []Request{base, base, base, base, base, base}
+	others[0].Method = "PUT"
+	others[1].Host = "i"
+	others[2].Target = "/slots/1?a=2"
+	others[3].Caller = "two"
+	others[4].Body = []byte("bodz")
+	others[5].Target, others[5].Caller = "/slots/1?a=1o", "ne"
+	seen := map[Part]bool{id: true, WholeRequest([]byte("other key"), base): true}
+	for _, other := range others {
+		seen[WholeRequest([]byte("key"), other)] = true
+	}
+	must.MapLen(t, 8, seen)
+	must.False(t, Part("5e55").IsWholeRequest())
+}
+
+// A popular sound request may be in work on engines that end one after the other. It is on trial alone, not held.
+func TestWholeRequestIsNotHeldWithoutAnEndAlone(t *testing.T) {
+	e := NewEvidence()
+	whole := wholeRequest(1)
+	for i := range 10 {
+		end(e, whole, i, float64(i))
+	}
+	must.Eq(t, Suspect, e.Standing(whole, false))
+	must.True(t, e.SuspectsRequests())
+	at := start.Add(20 * time.Second)
+	must.True(t, e.AddEnd(End{Part: whole, Engine: engineOf(20), At: at, Alone: true, Origin: Origin{Route: "slots"}}, at))
+	must.Eq(t, Held, e.Standing(whole, false))
+	e.AddAnswer([]Part{whole}, at.Add(time.Second))
+	must.Eq(t, Clear, e.Standing(whole, true))
+	must.False(t, e.SuspectsRequests())
+}
+
+// A zone's loss of power leaves a record of each request that ran there. They push out neither what is a suspect already
+// nor what ends engines after them.
+func TestRequestsOfAZoneThatLostPowerPushOutNoSuspect(t *testing.T) {
+	e := NewEvidence()
+	guilty, later := wholeRequest(-1), wholeRequest(-2)
+	end(e, guilty, 1, 1)
+	end(e, guilty, 2, 2)
+	for i := range 160 * 64 {
+		end(e, wholeRequest(i), 10+i/64, 3+float64(i)/1e6)
+	}
+	must.LessEq(t, maxParts, len(e.parts))
+	must.Eq(t, Suspect, e.Standing(guilty, false))
+	must.True(t, end(e, later, 3, 4))
+	must.True(t, end(e, later, 4, 5))
+	must.Eq(t, Suspect, e.Standing(later, false))
+}
+
+func BenchmarkWholeRequest(b *testing.B) {
+	for _, size := range []int{100, 10_000} {
+		b.Run(fmt.Sprint(size), func(b *testing.B) {
+			request := Request{Method: "POST", Host: "h.example", Target: "/slots/1", Caller: "one", Body: make([]byte, size)}
+			for b.Loop() {
+				WholeRequest([]byte("key"), request)
+			}
+		})
+	}
+}
--- a/node/edge/edge.go
+++ b/node/edge/edge.go
@@ -87,7 +87,7 @@
 		return nil, err
 	}
 	r.gateway = gateway.New(gateway.Dependencies{
-		Edge: external, Freshness: r.replica, Fleet: r.presence, Workload: r.workload, Moves: r.moves, Quarantine: r.held,
+		Edge: external, Freshness: r.replica, Fleet: r.presence, Workload: r.workload, Moves: r.moves, Quarantine: r.held, QuarantineKey: []byte(s.PeerKey),
 		RateLimits:  ratelimit.New(self.ID, r.mesh, r.presence, r.workload, logger),
 		Instruments: instruments, Log: logger,
 	}, retryLimits(s))
--- a/node/gateway/choose.go
+++ b/node/gateway/choose.go
@@ -12,6 +12,7 @@
 	"agateswitch/core/pace"
 	"agateswitch/core/routing"
 	"agateswitch/core/warmth"
+	"agateswitch/node/quarantine"
 	"agateswitch/node/ratelimit"
 	"agateswitch/node/versionmove"
 	"agateswitch/node/workload"
@@ -37,7 +38,9 @@
 	uncached int
 	// fetchFrom is the address of an engine that has more of the prompt cached; empty means none.
 	fetchFrom string
-	ticket    *workload.Ticket
+	// permit is the quarantine's permission for the attempt.
+	permit *quarantine.Permit
+	ticket *workload.Ticket
 	// draw is what allowed the request within the upstream's rate limit.
 	draw ratelimit.Draw
 	// versions is what the pool's version move allowed for the attempt.
--- a/node/gateway/gateway.go
+++ b/node/gateway/gateway.go
@@ -56,8 +56,10 @@
 	Moves     *versionmove.Service
 	// RateLimits divides the rate limits that upstreams state.
 	RateLimits *ratelimit.Service
-	// Quarantine holds back requests with parts of prompts that crash engines.
-	Quarantine *quarantine.Service
+	// Quarantine holds back requests that crash engines, and QuarantineKey is the key of the digests by which it
+	// knows whole requests.
+	Quarantine    *quarantine.Service
+	QuarantineKey []byte
 	// Instruments records the gateway's metrics.
 	Instruments Instruments
 	Log         *log.Logger
--- a/node/gateway/request.go
+++ b/node/gateway/request.go
@@ -51,6 +51,8 @@
 	// prompt lists the parts of the request's prompt, and parts those that other requests may share.
 	prompt []warmth.Part
 	parts  []quarantine.Part
+	// whole is the id of the request as a whole; empty until it is needed.
+	whole quarantine.Part
 	// engineEnded is true once an engine has ended while it worked on the request.
 	engineEnded bool
 	tried       map[*engine]bool
@@ -110,6 +112,7 @@
 			c.failRequest(fleet.CodeNoUpstream, "no upstream can take the request now")
 			return
 		}
+		chosen.permit = permit
 		c.tried[chosen.engine] = true
 		result := c.attempt(ctx, chosen)
 		c.gateway.Quarantine.Return(permit)
@@ -184,7 +187,7 @@
 	c.refuse(fleet.RefuseUnknown(code, why))
 }
 
-// failQuarantined ends a request that must not be sent because of a part of its prompt.
+// failQuarantined ends a request that must not be sent because it is held back or suspected.
 func (c *callerRequest) failQuarantined(refusal *fleet.Refusal) {
 	if c.ran == fleet.NotRun && !c.stream.begun {
 		c.refuse(refusal)
@@ -217,7 +220,7 @@
 		Body: bytes.NewReader(c.body), ContentLength: int64(len(c.body)),
 		MaySend: func() bool {
 			return c.gateway.view.current.Load().acceptsWork(c.pool.ID, chosen.engine) &&
-				c.gateway.Moves.MaySend(c.pool.ID, chosen.upstream.Version) && c.gateway.Quarantine.MaySend(c.parts) &&
+				c.gateway.Moves.MaySend(c.pool.ID, chosen.upstream.Version) && c.gateway.Quarantine.MaySend(c.suspectParts()) &&
 				c.gateway.isWithinLimit(chosen)
 		},
 	})
--- a/node/gateway/suspects.go
+++ b/node/gateway/suspects.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"agateswitch/core/fleet"
@@ -35,25 +36,52 @@
 	return parts
 }
 
+// wholeRequest returns the id of the request as a whole.
+func (c *callerRequest) wholeRequest() quarantine.Part {
+	if c.whole == "" {
+		c.whole = quarantine.WholeRequest(c.gateway.QuarantineKey, quarantine.Request{
+			Method: c.request.Method, Host: c.request.Host, Target: c.request.RequestURI, Caller: c.teamName(), Body: c.body,
+		})
+	}
+	return c.whole
+}
+
+// suspectParts returns what may be guilty of an engine's end: the shared parts of the prompt, and the whole request if
+// any request is suspected. No digest is made otherwise.
+func (c *callerRequest) suspectParts() []quarantine.Part {
+	if c.whole == "" && !c.gateway.Quarantine.SuspectsRequests() {
+		return c.parts
+	}
+	return append(slices.Clip(c.parts), c.wholeRequest())
+}
+
 // permit asks for the permission to send the request. It returns a refusal if one of the parts is held back, or is a
 // suspect that another request works on.
 func (c *callerRequest) permit(ctx context.Context) (*node.Permit, *fleet.Refusal) {
-	permit := c.gateway.Quarantine.Admit(ctx, c.parts, c.engineEnded, c.deadline)
+	permit := c.gateway.Quarantine.Admit(ctx, c.suspectParts(), c.engineEnded, c.deadline)
 	for waited := time.Duration(0); c.engineEnded && permit.Denied != "" && !permit.Held && waited < repeatPatience; waited += repeatInterval {
 		if !pause(ctx, repeatInterval) {
 			break
 		}
-		permit = c.gateway.Quarantine.Admit(ctx, c.parts, true, c.deadline)
+		permit = c.gateway.Quarantine.Admit(ctx, c.suspectParts(), true, c.deadline)
 	}
 	switch {
 	case permit.Denied == "":
 		return permit, nil
 	case permit.Held:
 		c.gateway.Instruments.recordQuarantined(c.route.Name)
-		return nil, fleet.Refuse(fleet.CodeQuarantined, fmt.Sprintf("part %q of the prompt is held back: %d engines ended that worked on it", permit.Denied, permit.Ends), 0)
+		return nil, fleet.Refuse(fleet.CodeQuarantined, fmt.Sprintf("%s is held back: %d engines ended that worked on it", describeSuspect(permit.Denied), permit.Ends), 0)
 	}
 	retryAfter := suspectRetryAfter/2 + rand.N(suspectRetryAfter)
-	return nil, fleet.Refuse(fleet.CodeNoUpstream, fmt.Sprintf("part %q of the prompt is suspected after the ends of %d engines and in work", permit.Denied, permit.Ends), retryAfter)
+	return nil, fleet.Refuse(fleet.CodeNoUpstream, fmt.Sprintf("%s is suspected after the ends of %d engines and in work", describeSuspect(permit.Denied), permit.Ends), retryAfter)
+}
+
+// describeSuspect names a suspect for a refusal.
+func describeSuspect(part quarantine.Part) string {
+	if part.IsWholeRequest() {
+		return fmt.Sprintf("the request (%s)", part)
+	}
+	return fmt.Sprintf("part %q of the prompt", part)
 }
 
 // engineOf returns the incarnation of the upstream that was chosen.
@@ -63,16 +91,15 @@
 
 // recordEnd records that a connection ended on which the upstream worked on the request and had hardly begun to answer.
 func (c *callerRequest) recordEnd(chosen *choice) {
-	if len(c.parts) == 0 || c.request.Context().Err() != nil {
+	if c.request.Context().Err() != nil {
 		return
 	}
 	c.engineEnded = true
-	c.gateway.Quarantine.Ended(engineOf(chosen), c.parts)
+	c.wholeRequest()
+	c.gateway.Quarantine.Ended(engineOf(chosen), c.suspectParts(), chosen.permit, quarantine.Origin{Route: c.route.Name, Team: c.teamName()})
 }
 
 // recordAnswer records that the upstream has begun to answer the request.
 func (c *callerRequest) recordAnswer(chosen *choice) {
-	if len(c.parts) > 0 {
-		c.gateway.Quarantine.Answered(engineOf(chosen), c.parts, chosen.sentAt)
-	}
+	c.gateway.Quarantine.Answered(engineOf(chosen), c.suspectParts(), chosen.sentAt)
 }
--- a/node/quarantine/quarantine.go
+++ b/node/quarantine/quarantine.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -160,9 +161,26 @@
 	return true
 }
 
-// Ended records that an engine ended while it worked on a request with the given shared parts, to which no answer
-// had begun.
-func (s *Service) Ended(engine quarantine.Engine, parts []quarantine.Part) {
+// SuspectsRequests reports whether any whole request is a suspect or held back. Only then the ids of whole requests are
+// needed before an engine has ended.
+func (s *Service) SuspectsRequests() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.evidence.SuspectsRequests() {
+		return true
+	}
+	now := time.Now()
+	for part, h := range s.holds {
+		if part.IsWholeRequest() && h.InForce(now) {
+			return true
+		}
+	}
+	return false
+}
+
+// Ended records that an engine ended while it worked on a request with the given parts, to which no answer had begun. The
+// request was sent with the given permit.
+func (s *Service) Ended(engine quarantine.Engine, parts []quarantine.Part, permit *Permit, origin quarantine.Origin) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := time.Now()
@@ -170,7 +188,7 @@
 		if now.Sub(s.answeredAt[part]) < recentAnswerTime {
 			continue
 		}
-		end := quarantine.End{Part: part, Engine: engine, At: now}
+		end := quarantine.End{Part: part, Engine: engine, At: now, Alone: slices.Contains(permit.taken, part), Origin: origin}
 		if s.addEnd(end) {
 			s.news.ends = append(s.news.ends, end)
 			s.notify()
@@ -184,7 +202,8 @@
 	if !s.evidence.AddEnd(end, now) {
 		return false
 	}
-	s.log.Info("engine ended while it worked on a part of a prompt", "part", end.Part, "upstream", end.Engine.ID,
+	s.log.Info("engine ended while it worked on a part of a prompt or a request", "part", end.Part, "route", end.Origin.Route, "team", end.Origin.Team,
+		"alone", end.Alone, "upstream", end.Engine.ID,
 		"incarnation", end.Engine.Incarnation, "age", now.Sub(end.At).Round(time.Millisecond), "ends", s.evidence.Ends(end.Part))
 	if s.evidence.Standing(end.Part, false) == quarantine.Held && !s.isHeld(end.Part) {
 		s.hold(end.Part, now)
@@ -194,11 +213,12 @@
 
 // hold holds a part back. The caller holds mu.
 func (s *Service) hold(part quarantine.Part, now time.Time) {
-	h := quarantine.Hold{Part: part, Since: now, Router: s.self}
+	h := quarantine.Hold{Part: part, Since: now, Router: s.self, Origin: s.evidence.Origin(part)}
 	for _, engine := range s.evidence.Engines(part) {
 		h.Engines = append(h.Engines, engine.ID)
 	}
-	s.log.Warn("part of a prompt held back because engines end that work on it", "part", part, "engines", h.Engines)
+	s.log.Warn("part of a prompt or request held back because engines end that work on it", "part", part, "route", h.Route,
+		"team", h.Team, "engines", h.Engines)
 	s.change(h)
 }
 
--- a/node/quarantine/quarantine_test.go
+++ b/node/quarantine/quarantine_test.go
@@ -143,7 +143,7 @@
 func endEngines(services []*Service, part quarantine.Part, count int) {
 	for i := range count {
 		s := services[i%len(services)]
-		s.Ended(engine(i), []quarantine.Part{part})
+		s.Ended(engine(i), []quarantine.Part{part}, &Permit{}, quarantine.Origin{})
 		s.tell(context.Background())
 		time.Sleep(time.Second)
 	}
@@ -242,12 +242,36 @@
 	})
 }
 
+// A whole request is held once an engine ends on which it was alone, with its route and team, and no sooner.
+func TestWholeRequestIsHeldAfterAnEndAlone(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		_, services := newFleet(3)
+		whole := quarantine.WholeRequest([]byte("key"), quarantine.Request{Method: "POST", Target: "/slots/1"})
+		endEngines(services, whole, 5)
+		must.True(t, services[0].SuspectsRequests())
+		must.False(t, isHeldBy(services[1], whole))
+		synctest.Wait()
+		permit := services[1].Admit(context.Background(), []quarantine.Part{whole}, false, deadline())
+		must.Eq(t, "", permit.Denied)
+		origin := quarantine.Origin{Route: "slots", Team: "team-one"}
+		services[1].Ended(engine(9), []quarantine.Part{whole}, permit, origin)
+		services[1].Return(permit)
+		services[1].tell(context.Background())
+		synctest.Wait()
+		for _, s := range services {
+			must.True(t, isHeldBy(s, whole))
+			must.Eq(t, quarantine.Held, s.evidence.Standing(whole, false))
+			must.Len(t, 1, s.Holds())
+		}
+	})
+}
+
 // Connections that are reset end no engine.
 func TestResetConnectionsHoldNothingBack(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		_, services := newFleet(3)
 		for i := range 8 {
-			services[i%3].Ended(engine(i), []quarantine.Part{"p"})
+			services[i%3].Ended(engine(i), []quarantine.Part{"p"}, &Permit{}, quarantine.Origin{})
 			time.Sleep(100 * time.Millisecond)
 			services[i%3].Answered(engine(i), []quarantine.Part{"5e55", "other"}, time.Now().Add(-50*time.Millisecond))
 			services[i%3].tell(context.Background())
--- a/node/quarantine/share.go
+++ b/node/quarantine/share.go
@@ -38,6 +38,8 @@
 	Part   quarantine.Part   `msgpack:"p"`
 	Engine quarantine.Engine `msgpack:"e"`
 	AgeMs  int64             `msgpack:"a"`
+	Alone  bool              `msgpack:"l,omitempty"`
+	Origin quarantine.Origin `msgpack:"o,omitempty"`
 }
 
 // refutedNews is an engine that has answered a request sent to it some time ago.
@@ -68,13 +70,15 @@
 func endsAt(now time.Time, ends []quarantine.End) []endNews {
 	all := make([]endNews, 0, len(ends))
 	for _, end := range ends {
-		all = append(all, endNews{Part: end.Part, Engine: end.Engine, AgeMs: now.Sub(end.At).Milliseconds()})
+		all = append(all, endNews{
+			Part: end.Part, Engine: end.Engine, AgeMs: now.Sub(end.At).Milliseconds(), Alone: end.Alone, Origin: end.Origin,
+		})
 	}
 	return all
 }
 
 func (n endNews) end(now time.Time) quarantine.End {
-	return quarantine.End{Part: n.Part, Engine: n.Engine, At: ago(now, n.AgeMs)}
+	return quarantine.End{Part: n.Part, Engine: n.Engine, At: ago(now, n.AgeMs), Alone: n.Alone, Origin: n.Origin}
 }
 
 func ago(now time.Time, ageMs int64) time.Time {
