List the rate limits that upstreams state for operators

Cause: which limits are in force, how old they are and who keeps a bucket could only be put together from logs. No decision changes.

--- a/node/edge/edge.go
+++ b/node/edge/edge.go
@@ -86,9 +86,10 @@
 	if err != nil {
 		return nil, err
 	}
+	limits := ratelimit.New(self.ID, r.mesh, r.presence, r.workload, logger)
 	r.gateway = gateway.New(gateway.Dependencies{
 		Edge: external, Freshness: r.replica, Fleet: r.presence, Workload: r.workload, Moves: r.moves, Quarantine: r.held, QuarantineKey: []byte(s.PeerKey),
-		RateLimits:  ratelimit.New(self.ID, r.mesh, r.presence, r.workload, logger),
+		RateLimits:  limits,
 		Instruments: instruments, Log: logger,
 	}, retryLimits(s))
 	r.replica.Subscribe(r.presence.Observe)
@@ -101,6 +102,7 @@
 	reports.Handle(survey.Path, health)
 	reports.Handle(quarantine.Path, r.held)
 	reports.Handle(quarantine.Path+"/", r.held)
+	reports.Handle(ratelimit.Path, limits)
 	reports.Handle("/", metrics.Handler())
 	directory, readiness := external.Entries(port.EntryList{Addresses: r.addresses, TTL: r.ttl, Ready: r.ready})
 	r.servers = &servers{
--- a/node/ratelimit/ratelimit.go
+++ b/node/ratelimit/ratelimit.go
@@ -62,6 +62,8 @@
 	RateLimit(upstream fleet.UpstreamID, incarnation int64) (perSecond float64, limited bool)
 	RateLimitMark(upstream fleet.UpstreamID, incarnation int64) (ratelimit.Mark, bool)
 	LearnRateLimits(marks []ratelimit.Mark)
+	// RateLimits returns the limits in force.
+	RateLimits() []ratelimit.Mark
 }
 
 // Service draws tokens, and keeps the buckets of some upstreams for all routers. It is safe for concurrent use.
--- a/node/ratelimit/ratelimit_test.go
+++ b/node/ratelimit/ratelimit_test.go
@@ -2,9 +2,12 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"io"
 	"math/rand/v2"
+	"net/http"
+	"net/http/httptest"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -144,6 +147,12 @@
 	}
 }
 
+func (m *member) RateLimits() []ratelimit.Mark {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.marks.InForce(time.Now())
+}
+
 // state tells the routers a limit.
 func (m *mesh) state(upstream fleet.UpstreamID, perSecond float64) {
 	m.mu.Lock()
@@ -435,3 +444,25 @@
 		must.MapLen(t, 1, service.upstreams)
 	})
 }
+
+// The list names each upstream's limit, its age and the router that keeps its bucket.
+func TestOperatorsListLimits(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m := newMesh(4)
+		m.state("e2", 3)
+		m.state("e1", 0.5)
+		time.Sleep(200 * time.Millisecond)
+		service := m.members["front-0"].service
+		recorder := httptest.NewRecorder()
+		service.ServeHTTP(recorder, httptest.NewRequest(http.MethodGet, Path, nil))
+		var limits []Limit
+		must.NoError(t, json.Unmarshal(recorder.Body.Bytes(), &limits))
+		must.Eq(t, []Limit{
+			{Upstream: "e1", Incarnation: incarnation, PerSecond: 0.5, StatedAgoMs: 200, Keeper: m.keeperOf("e1")},
+			{Upstream: "e2", Incarnation: incarnation, PerSecond: 3, StatedAgoMs: 200, Keeper: m.keeperOf("e2")},
+		}, limits)
+		recorder = httptest.NewRecorder()
+		service.ServeHTTP(recorder, httptest.NewRequest(http.MethodPost, Path, nil))
+		must.Eq(t, http.StatusMethodNotAllowed, recorder.Code)
+	})
+}
--- a/node/workload/ratelimits.go
+++ b/node/workload/ratelimits.go
@@ -46,6 +46,13 @@
 	return w.limits.Mark(upstream, incarnation, time.Now())
 }
 
+// RateLimits returns the limits in force.
+func (w *Workload) RateLimits() []ratelimit.Mark {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.limits.InForce(time.Now())
+}
+
 // RateLimited returns the incarnations of upstreams that have a limit. The map must not be changed.
 func (w *Workload) RateLimited() map[fleet.UpstreamID]int64 {
 	w.mu.Lock()
