Do not leave a bucket's keeper alone because a caller has left

Cause: a draw whose caller left, or whose time for draws was over, counted as one that the keeper did not answer. The router then used another bucket for a second. Class: the end of the asker's context taken for silence of the one asked. Change: such a draw ends without a token and says nothing of the keeper; a mark that can't be used limits nothing.

--- a/node/ratelimit/ratelimit.go
+++ b/node/ratelimit/ratelimit.go
@@ -6,7 +6,6 @@
 
 import (
 	"context"
-	"math"
 	"slices"
 	"sync"
 	"time"
@@ -34,17 +33,10 @@
 	// two checks for that.
 	idleTime      = time.Minute
 	pruneInterval = 10 * time.Second
-	// chargeTime is how long a token is remembered, to be charged to a keeper that takes over, and maxGrants bounds
-	// those of one upstream.
-	chargeTime = 4 * time.Second
-	maxGrants  = 64
 	// rankCount is the number of ranks that are told apart. Less urgent ones count as the last.
 	rankCount = 4
 )
 
-// methodDraw requests a token from the router that keeps an upstream's bucket.
-const methodDraw = "ratelimit.draw"
-
 // keyPrefix distinguishes the rendezvous order from others of the same upstream.
 const keyPrefix = "ratelimit/"
 
@@ -95,13 +87,6 @@
 	dryUntil [rankCount]time.Time
 }
 
-// grant is a token that this router got.
-type grant struct {
-	at time.Time
-	// known holds the keepers whose buckets have counted it.
-	known []fleet.HostID
-}
-
 // New returns the service of a router and registers its peer method.
 func New(self fleet.HostID, transport port.Peers, others Fleet, limits Limits, logger *log.Logger) *Service {
 	s := &Service{
@@ -125,6 +110,8 @@
 	SourceWait   Source = "wait"
 	// SourceFallback means that no router that keeps the bucket answered.
 	SourceFallback Source = "fallback"
+	// SourceNoTime means that the caller's context ended first.
+	SourceNoTime Source = "no_time"
 )
 
 // Draw is the answer to a draw.
@@ -155,14 +142,14 @@
 
 // Draw asks whether a request of the given rank may be sent to an upstream.
 func (s *Service) Draw(ctx context.Context, id fleet.UpstreamID, incarnation int64, rank int) Draw {
-	perSecond, limited := s.limits.RateLimit(id, incarnation)
-	if !limited {
+	mark, found := s.limits.RateLimitMark(id, incarnation)
+	if !found || mark.PerSecond == 0 {
 		return Draw{Granted: true}
 	}
+	perSecond := mark.PerSecond
 	if time.Now().Before(s.DryUntil(id, incarnation, rank)) {
 		return Draw{Source: SourceWait, PerSecond: perSecond}
 	}
-	mark, _ := s.limits.RateLimitMark(id, incarnation)
 	for _, keeper := range s.keepers(id) {
 		uncounted := s.takeUncounted(id, incarnation, keeper)
 		response, answered := s.drawFrom(ctx, keeper, drawRequest{Mark: mark, Rank: rank, ChargeAgesMs: agesMs(uncounted)})
@@ -175,7 +162,7 @@
 		}
 		s.putBack(uncounted, keeper)
 		if ctx.Err() != nil {
-			break
+			return Draw{Source: SourceNoTime, PerSecond: perSecond}
 		}
 	}
 	return s.drawFallback(id, incarnation, rank, perSecond)
@@ -194,6 +181,10 @@
 		s.limits.LearnRateLimits([]ratelimit.Mark{response.Mark})
 		return response, true
 	}
+	if ctx.Err() != nil {
+		// That the caller has left says nothing of the keeper.
+		return drawResponse{}, false
+	}
 	s.log.Info("router gave no answer on an upstream's rate limit; not asking it for a while", "peer", keeper,
 		"upstream", request.Mark.Upstream, "leaving", response.Leaving, "left_alone", silentTime, "err", err)
 	s.mu.Lock()
@@ -244,49 +235,6 @@
 	return Draw{Granted: granted, Source: SourceFallback, PerSecond: perSecond}
 }
 
-// agesMs returns the ages of tokens in milliseconds.
-func agesMs(grants []*grant) []int64 {
-	var ages []int64
-	for _, g := range grants {
-		ages = append(ages, time.Since(g.at).Milliseconds())
-	}
-	return ages
-}
-
-// takeUncounted returns the tokens that this router got lately and that a keeper's bucket has not counted. From then on
-// they are regarded as counted.
-func (s *Service) takeUncounted(id fleet.UpstreamID, incarnation int64, keeper fleet.HostID) []*grant {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	var uncounted []*grant
-	for _, g := range s.state(id, incarnation, time.Now()).grants {
-		if !slices.Contains(g.known, keeper) {
-			uncounted = append(uncounted, g)
-			g.known = append(g.known, keeper)
-		}
-	}
-	return uncounted
-}
-
-// putBack undoes takeUncounted for a keeper that did not answer.
-func (s *Service) putBack(uncounted []*grant, keeper fleet.HostID) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	for _, g := range uncounted {
-		g.known = slices.DeleteFunc(g.known, func(known fleet.HostID) bool { return known == keeper })
-	}
-}
-
-// recordGrant records a token that this router got, and the keepers that know of it.
-func (s *Service) recordGrant(id fleet.UpstreamID, incarnation int64, known ...fleet.HostID) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	now := time.Now()
-	u := s.state(id, incarnation, now)
-	u.grants = slices.DeleteFunc(u.grants, func(g *grant) bool { return now.Sub(g.at) > chargeTime })
-	u.grants = append(u.grants[max(0, len(u.grants)-maxGrants+1):], &grant{at: now, known: known})
-}
-
 // recordDry records that there is no token for requests of a rank, and of less urgent ones, for some time.
 func (s *Service) recordDry(id fleet.UpstreamID, incarnation int64, rank int, wait time.Duration) {
 	if wait <= 0 {
@@ -323,63 +271,4 @@
 	return u
 }
 
-// deal takes a token from the bucket that this router keeps.
-func (s *Service) deal(request drawRequest) drawResponse {
-	id, incarnation := request.Mark.Upstream, request.Mark.Incarnation
-	s.limits.LearnRateLimits([]ratelimit.Mark{request.Mark})
-	mark, found := s.limits.RateLimitMark(id, incarnation)
-	if !found {
-		mark = request.Mark
-	}
-	if mark.PerSecond == 0 {
-		return drawResponse{Granted: true, Mark: mark}
-	}
-	now := time.Now()
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	bucket := &s.state(id, incarnation, now).bucket
-	for _, age := range request.ChargeAgesMs[:min(len(request.ChargeAgesMs), maxGrants)] {
-		bucket.Charge(now.Add(-time.Duration(age)*time.Millisecond), mark.PerSecond)
-	}
-	granted, wait := bucket.Take(now, mark.PerSecond, request.Rank)
-	return drawResponse{Granted: granted, WaitMs: int64(math.Ceil(float64(wait) / float64(time.Millisecond))), Mark: mark}
-}
-
-// drawRequest requests a token. Mark is what the sender knows of the limit.
-type drawRequest struct {
-	Mark ratelimit.Mark `msgpack:"m"`
-	Rank int            `msgpack:"r"`
-	// ChargeAgesMs are the ages of requests that the sender has sent lately without a token of the receiver.
-	ChargeAgesMs []int64 `msgpack:"c,omitempty"`
-}
-
-// drawResponse is the answer of the router that keeps the bucket.
-type drawResponse struct {
-	Granted bool `msgpack:"g"`
-	// WaitMs is how long it takes until there is a token, if none was granted.
-	WaitMs int64 `msgpack:"w,omitempty"`
-	// Leaving is true if the router leaves and keeps no buckets any more.
-	Leaving bool `msgpack:"x,omitempty"`
-	// Mark is what the router knows of the limit.
-	Mark ratelimit.Mark `msgpack:"m"`
-}
-
-func (r drawResponse) wait() time.Duration {
-	if r.Granted {
-		return 0
-	}
-	return time.Duration(min(r.WaitMs, maxWait.Milliseconds())) * time.Millisecond
-}
-
-func (s *Service) handleDraw(_ context.Context, _ fleet.HostID, decode port.Decode) (any, error) {
-	var request drawRequest
-	if err := decode(&request); err != nil {
-		return nil, err
-	}
-	if s.fleet.Leaving() {
-		return drawResponse{Leaving: true, Mark: request.Mark}, nil
-	}
-	return s.deal(request), nil
-}
-
 func rankIndex(rank int) int { return min(max(rank, 0), rankCount-1) }
--- a/node/ratelimit/ratelimit_test.go
+++ b/node/ratelimit/ratelimit_test.go
@@ -97,6 +97,9 @@
 		return port.ErrPeerUnreachable
 	}
 	time.Sleep(callTime)
+	if ctx.Err() != nil {
+		return port.ErrPeerUnreachable
+	}
 	body, err := msgpack.Marshal(request)
 	if err != nil {
 		return err
@@ -407,6 +410,25 @@
 	})
 }
 
+// Callers that leave while their router waits for an answer do not make it use another bucket.
+func TestCallersThatLeaveDoNotSilenceAKeeper(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m := newMesh(6)
+		m.state("e", 5)
+		for name, router := range m.members {
+			if name == m.keeperOf("e") {
+				continue
+			}
+			ctx, cancel := context.WithTimeout(context.Background(), callTime/2)
+			draw := router.service.Draw(ctx, "e", incarnation, 0)
+			cancel()
+			must.False(t, draw.Granted)
+			must.Eq(t, SourceNoTime, draw.Source)
+			must.MapEmpty(t, router.service.silentUntil)
+		}
+	})
+}
+
 // A router that was told that there is no token does not ask again before there may be one.
 func TestRefusedDrawIsNotRepeatedAtOnce(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
