Test draws from rate limits on busy hosts

Cause: a draw acts by a deadline, and was tested with answers within 3 ms only. Measured: with 8, 88 and 295 routers the limit is kept and at least 0.9 of it used; no draw takes longer than its timeout.

--- a/node/ratelimit/ratelimit_test.go
+++ b/node/ratelimit/ratelimit_test.go
@@ -27,8 +27,10 @@
 )
 
 const (
-	// callTime is the time of a call between routers.
-	callTime = 3 * time.Millisecond
+	// callTime is the usual time of a call between routers, and busyCallTime that to a host which has used up its share of a
+	// core for the rest of a tenth of a second.
+	busyCallTime = 100 * time.Millisecond
+	callTime     = 3 * time.Millisecond
 	// limitWindow is the window of the users' rule.
 	limitWindow = 4 * time.Second
 	incarnation = 1
@@ -43,6 +45,8 @@
 	// silent routers do not answer, and listed ones are known to all others.
 	silent map[fleet.HostID]bool
 	listed []fleet.HostID
+	// callTime is the time of a call between routers.
+	callTime time.Duration
 	// delisted routers are not known to those that are listed.
 	delisted []fleet.HostID
 }
@@ -60,7 +64,7 @@
 }
 
 func newMesh(routers int) *mesh {
-	m := &mesh{members: map[fleet.HostID]*member{}, silent: map[fleet.HostID]bool{}}
+	m := &mesh{members: map[fleet.HostID]*member{}, silent: map[fleet.HostID]bool{}, callTime: callTime}
 	for i := range routers {
 		m.start(fleet.HostID(fmt.Sprint("front-", i)))
 	}
@@ -96,8 +100,9 @@
 		<-ctx.Done()
 		return port.ErrPeerUnreachable
 	}
-	time.Sleep(callTime)
-	if ctx.Err() != nil {
+	select {
+	case <-time.After(m.mesh.callTime):
+	case <-ctx.Done():
 		return port.ErrPeerUnreachable
 	}
 	body, err := msgpack.Marshal(request)
@@ -364,6 +369,22 @@
 	}
 }
 
+// The hosts are busy, so that each answer takes long.
+func TestLimitHoldsOnBusyHosts(t *testing.T) {
+	for _, routers := range []int{8, 88, 295} {
+		synctest.Test(t, func(t *testing.T) {
+			const limit = 6.0
+			m := newMesh(routers)
+			m.callTime = busyCallTime
+			m.state("e", limit)
+			sent, longest := m.demand("e", 40, 20*time.Second, skewed(routers))
+			must.LessEq(t, 1.5*limitWindow.Seconds()*limit+5, float64(mostWithin(sent, limitWindow)))
+			must.GreaterEq(t, 0.9*20*limit, float64(len(sent)))
+			must.LessEq(t, drawTimeout, longest)
+		})
+	}
+}
+
 // Half of the routers reach none of the others, and are not listed by them after some seconds. Those that do keep the limit, and the others together use at most what one
 // bucket and the fallback give.
 func TestRoutersThatAreCutOffUseALimitedPart(t *testing.T) {
