Remember the last answer to a part as long as ends may be told

Callers would see nearly all requests refused: a part that all share was held back although it is answered all the time. Seen in TestPartThatCrashesEnginesIsHeldBack only. Cause: records without ends were forgotten 50 ms after their last answer, whenever evidence for a new part came. Since whole requests have evidence, that is all the time; ends from before the answer that are told late, with a permit for instance, counted again. That the flaky test failed for this is suspected, not shown. Change: such records are kept as long as an end counts. Measured: TestLateEndDoesNotCountAfterOtherEvidence fails without the change.

--- a/core/quarantine/quarantine.go
+++ b/core/quarantine/quarantine.go
@@ -275,7 +275,8 @@
 	for part, r := range e.parts {
 		r.ends = slices.DeleteFunc(r.ends, func(end engineEnd) bool { return now.Sub(end.at) > maxEndAge })
 		e.updateSuspect(part)
-		if len(r.ends) == 0 && now.Sub(r.clearedAt) > sameCauseWindow {
+		// Ends from before an answer may still be told.
+		if len(r.ends) == 0 && now.Sub(r.clearedAt) > maxEndAge {
 			delete(e.parts, part)
 		}
 	}
--- a/core/quarantine/quarantine_test.go
+++ b/core/quarantine/quarantine_test.go
@@ -268,3 +268,12 @@
 		})
 	}
 }
+
+// An end from before an answer that is told late does not count, even if other requests have left evidence meanwhile.
+func TestLateEndDoesNotCountAfterOtherEvidence(t *testing.T) {
+	e := NewEvidence()
+	end(e, "p", 1, 1)
+	e.AddAnswer([]Part{"p"}, start.Add(2*time.Second))
+	end(e, wholeRequest(1), 2, 5)
+	must.False(t, end(e, "p", 3, 1.5))
+}
