Reproduce routers that have lost their path to upstreams

Callers of such a router saw refusals, or waited for connections that hang, although each other router reached the upstreams. Cause: a router sends over its own connections only.

--- a/internal/pipenet/pipenet.go
+++ b/internal/pipenet/pipenet.go
@@ -25,6 +25,7 @@
 	open      []*connection
 	dials     int
 	links     map[string]*link
+	cuts      []cut
 }
 
 // chunkBytes is how much of a write is transmitted at a time. Concurrent writes take turns.
@@ -66,7 +67,34 @@
 }
 
 // Dial connects to an address.
-func (n *Network) Dial(ctx context.Context, _, address string) (net.Conn, error) {
+func (n *Network) Dial(ctx context.Context, network, address string) (net.Conn, error) {
+	return Host{network: n}.Dial(ctx, network, address)
+}
+
+// Host is a named host of the network, whose connections can be cut.
+type Host struct {
+	network *Network
+	name    string
+}
+
+// Host returns a host by its name.
+func (n *Network) Host(name string) Host { return Host{network: n, name: name} }
+
+// Dial connects to an address.
+func (h Host) Dial(ctx context.Context, _, address string) (net.Conn, error) {
+	n := h.network
+	n.mu.Lock()
+	effect, isCut := n.cutOf(h.name, address)
+	n.mu.Unlock()
+	if isCut && effect == Silent {
+		ctx, cancel := context.WithTimeout(ctx, silentDialTimeout)
+		defer cancel()
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
+	if isCut {
+		return nil, errors.Trace(ErrRefused)
+	}
 	n.mu.Lock()
 	target, found := n.listeners[address]
 	n.dials++
@@ -78,6 +106,7 @@
 	}
 	near, far := net.Pipe()
 	nearEnd, farEnd := newConnection(near), newConnection(far)
+	nearEnd.from, nearEnd.to, farEnd.from, farEnd.to = h.name, address, h.name, address
 	farEnd.link = hostLink
 	select {
 	case target.accepted <- farEnd:
@@ -152,6 +181,8 @@
 	net.Conn
 	// link is nil on an end that is not throttled.
 	link *link
+	// from is the name of the host that has dialled, and to the address.
+	from, to string
 
 	mu         sync.Mutex
 	blackholed bool
