Send requests through other routers while a router has no path to their upstreams

Callers of a router that had lost its links to the upstreams got refusals, or waited for connections that hang, while every other router reached them. Cause: a router knew one way to an upstream, its own connection; failed connections of many upstreams were judged one by one, and callers' requests were the trials. Change: a request that finds no connection goes through another router, at most MaxAsked of them, over HTTP on the authenticated port of the routers, streams included. A connection has 200 ms while there is another way. Paths in doubt are checked by the router, one at a time a pool, so that no caller is the trial. An upstream that answers others stays in the ranking, so that a router that reaches one engine does not give it all.

--- a/adapter/peer/connection.go
+++ b/adapter/peer/connection.go
@@ -58,7 +58,7 @@
 	counted := countedConn{Conn: raw, mesh: l.mesh}
 	// The handshake is aborted when ctx ends.
 	cancel := context.AfterFunc(ctx, func() { raw.Close() })
-	err = clientHandshake(counted, l.mesh.key, l.mesh.self, l.to)
+	err = clientHandshake(counted, l.mesh.key, hello{From: l.mesh.self, To: l.to})
 	if !cancel() && err == nil {
 		err = ctx.Err()
 	}
--- a/adapter/peer/handshake.go
+++ b/adapter/peer/handshake.go
@@ -26,12 +26,16 @@
 	From    fleet.HostID `msgpack:"f"`
 	To      fleet.HostID `msgpack:"t"`
 	Nonce   []byte       `msgpack:"n"`
+	// Use is what the connection carries: frames if it is empty, or HTTP.
+	Use string `msgpack:"u,omitempty"`
 }
 
 // challenge is the response to a hello: the called router's proof, and a nonce for the caller's.
 type challenge struct {
 	Nonce []byte `msgpack:"n"`
 	Proof []byte `msgpack:"p"`
+	// Use repeats that of the hello. A router that does not know it repeats nothing.
+	Use string `msgpack:"u,omitempty"`
 }
 
 // proof is the last frame of the handshake: the calling router's proof.
@@ -49,7 +53,11 @@
 // its length.
 func computeProof(key []byte, role string, greeting hello, nonce []byte) []byte {
 	mac := hmac.New(sha256.New, key)
-	for _, part := range [][]byte{[]byte(role), []byte(greeting.From), []byte(greeting.To), greeting.Nonce, nonce} {
+	parts := [][]byte{[]byte(role), []byte(greeting.From), []byte(greeting.To), greeting.Nonce, nonce}
+	if greeting.Use != "" {
+		parts = append(parts, []byte(greeting.Use))
+	}
+	for _, part := range parts {
 		mac.Write([]byte{byte(len(part) >> 8), byte(len(part))})
 		mac.Write(part)
 	}
@@ -63,11 +71,11 @@
 	return nonce
 }
 
-// clientHandshake performs the calling side of the handshake.
-func clientHandshake(connection net.Conn, key []byte, self, to fleet.HostID) error {
+// clientHandshake performs the calling side of the handshake. It completes the greeting.
+func clientHandshake(connection net.Conn, key []byte, greeting hello) error {
 	connection.SetDeadline(time.Now().Add(handshakeTimeout))
 	defer connection.SetDeadline(time.Time{})
-	greeting := hello{Version: protocolVersion, From: self, To: to, Nonce: newNonce()}
+	greeting.Version, greeting.Nonce = protocolVersion, newNonce()
 	if err := writeFrame(connection, greeting); err != nil {
 		return err
 	}
@@ -78,34 +86,40 @@
 	if !hmac.Equal(received.Proof, computeProof(key, roleCalled, greeting, received.Nonce)) {
 		return errors.Trace(errUnauthenticated)
 	}
+	if received.Use != greeting.Use {
+		return errors.Errorf("peer does not support connections for %q", greeting.Use)
+	}
 	return writeFrame(connection, proof{Proof: computeProof(key, roleCaller, greeting, received.Nonce)})
 }
 
-// serverHandshake performs the called side of the handshake and returns the calling router's id.
-func serverHandshake(connection net.Conn, key []byte, self fleet.HostID) (fleet.HostID, error) {
+// serverHandshake performs the called side of the handshake and returns the calling router's greeting.
+func serverHandshake(connection net.Conn, key []byte, self fleet.HostID) (hello, error) {
 	connection.SetDeadline(time.Now().Add(handshakeTimeout))
 	defer connection.SetDeadline(time.Time{})
 	var greeting hello
 	if err := readFrame(connection, maxHandshakeFrame, &greeting); err != nil {
-		return "", errors.Annotate(err, "reading the hello")
+		return hello{}, errors.Annotate(err, "reading the hello")
 	}
 	if greeting.Version != protocolVersion {
-		return "", errors.Errorf("unsupported protocol version %d, want %d", greeting.Version, protocolVersion)
+		return hello{}, errors.Errorf("unsupported protocol version %d, want %d", greeting.Version, protocolVersion)
+	}
+	if greeting.Use != "" && greeting.Use != useHTTP {
+		return hello{}, errors.Errorf("connections for %q are not supported", greeting.Use)
 	}
 	if greeting.To != self || len(greeting.Nonce) != nonceBytes {
-		return "", errors.Errorf("hello is for router %q or its nonce has a wrong length", greeting.To)
+		return hello{}, errors.Errorf("hello is for router %q or its nonce has a wrong length", greeting.To)
 	}
-	sent := challenge{Nonce: newNonce()}
+	sent := challenge{Nonce: newNonce(), Use: greeting.Use}
 	sent.Proof = computeProof(key, roleCalled, greeting, sent.Nonce)
 	if err := writeFrame(connection, sent); err != nil {
-		return "", err
+		return hello{}, err
 	}
 	var received proof
 	if err := readFrame(connection, maxHandshakeFrame, &received); err != nil {
-		return "", errors.Annotate(err, "reading the proof")
+		return hello{}, errors.Annotate(err, "reading the proof")
 	}
 	if !hmac.Equal(received.Proof, computeProof(key, roleCaller, greeting, sent.Nonce)) {
-		return "", errors.Trace(errUnauthenticated)
+		return hello{}, errors.Trace(errUnauthenticated)
 	}
-	return greeting.From, nil
+	return greeting, nil
 }
--- a/adapter/peer/mesh.go
+++ b/adapter/peer/mesh.go
@@ -39,6 +39,7 @@
 	log       *log.Logger
 	dial      Dial
 	handlers  map[string]port.PeerHandler
+	http      *httpListener
 
 	// mu guards links, which concurrent calls share.
 	mu    sync.Mutex
@@ -58,6 +59,7 @@
 	return &Mesh{
 		self: self, directory: directory, key: []byte(key), log: logger, dial: dial,
 		handlers: map[string]port.PeerHandler{}, links: map[fleet.HostID]*link{},
+		http: &httpListener{accepted: make(chan net.Conn), closed: make(chan struct{}), address: peerAddr(self)},
 	}
 }
 
--- a/adapter/peer/peer_test.go
+++ b/adapter/peer/peer_test.go
@@ -212,7 +212,7 @@
 				b := newPair(t, testKey)
 				connection, err := b.network.Dial(t.Context(), "tcp", "b:1")
 				must.NoError(t, err)
-				must.NoError(t, clientHandshake(connection, []byte(testKey), "c", "b"))
+				must.NoError(t, clientHandshake(connection, []byte(testKey), hello{From: "c", To: "b"}))
 				connection.Write(sent)
 				var answer envelope
 				must.Error(t, readFrame(connection, MaxFrameBytes, &answer))
--- a/adapter/peer/serve.go
+++ b/adapter/peer/serve.go
@@ -64,12 +64,17 @@
 	defer cancel()
 	context.AfterFunc(ctx, func() { accepted.Close() })
 	counted := countedConn{Conn: accepted, mesh: m}
-	from, err := serverHandshake(counted, m.key, m.self)
+	greeting, err := serverHandshake(counted, m.key, m.self)
 	handshakeDone()
 	if err != nil {
 		m.log.Warn("peer refused: handshake failed", "address", accepted.RemoteAddr(), "err", err)
 		return
 	}
+	from := greeting.From
+	if greeting.Use == useHTTP {
+		m.serveHTTP(ctx, counted, from)
+		return
+	}
 	s := &incomingConnection{Conn: counted, mesh: m, from: from, callSemaphore: make(chan struct{}, maxCallsPerConnection), writeSemaphore: make(chan struct{}, 1)}
 	if err := s.run(ctx, cancel); err != io.EOF && ctx.Err() == nil {
 		m.log.Warn("peer connection closed after an error", "peer", from, "address", accepted.RemoteAddr(), "err", err)
--- a/adapter/upstreamhttp/client.go
+++ b/adapter/upstreamhttp/client.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"io"
 	"net"
 	"net/http"
 	"net/http/httptrace"
@@ -161,7 +162,7 @@
 	if call.Fresh {
 		client = c.fresh
 	}
-	return c.do(ctx, client, request, call.Request, call.MaySend)
+	return c.do(ctx, client, request, call.Request, &callTracker{maySend: call.MaySend, connectTimeout: call.ConnectTimeout})
 }
 
 // clientFor returns the client with pooled connections, unless the upstream's pool is bypassed
@@ -189,14 +190,18 @@
 
 // do sends a request. It returns the answer only if it carries the request's id and its end can be
 // detected.
-func (c *Client) do(ctx context.Context, client *http.Client, request *http.Request, id fleet.RequestID, maySend func() bool) (port.UpstreamAnswer, *port.UpstreamError) {
-	tracker := callTracker{maySend: maySend}
+func (c *Client) do(ctx context.Context, client *http.Client, request *http.Request, id fleet.RequestID, tracker *callTracker) (port.UpstreamAnswer, *port.UpstreamError) {
 	request.Header.Set(c.idHeader, string(id))
+	ctx, cancel := context.WithCancelCause(ctx)
+	stop := tracker.boundConnect(cancel)
 	answer, err := client.Do(request.WithContext(httptrace.WithClientTrace(ctx, tracker.trace())))
+	stop()
 	if err != nil {
-		return port.UpstreamAnswer{}, newSendError(ctx, &tracker, err)
+		defer cancel(nil)
+		return port.UpstreamAnswer{}, newSendError(ctx, tracker, err)
 	}
 	if err := c.checkAnswer(answer, id); err != nil {
+		defer cancel(nil)
 		// The request's own answer may still arrive on this connection, so the connection must not
 		// be reused. After an answer without a body it is already in the pool, which can only
 		// close all its idle connections together.
@@ -210,7 +215,7 @@
 		return port.UpstreamAnswer{}, &port.UpstreamError{Cause: err, Ran: fleet.RanUnknown, Fault: fault}
 	}
 	return port.UpstreamAnswer{
-		Status: answer.StatusCode, Header: answer.Header, Body: answer.Body,
+		Status: answer.StatusCode, Header: answer.Header, Body: cancellingBody{ReadCloser: answer.Body, cancel: cancel},
 		Length:  answer.ContentLength,
 		Trailer: func() http.Header { return answer.Trailer },
 	}, nil
@@ -229,12 +234,27 @@
 	if tracker.abort() {
 		failure.Ran = fleet.RanUnknown
 	}
-	if ctx.Err() != nil {
+	switch {
+	case errors.Is(context.Cause(ctx), port.ErrConnectTimeout):
+		failure.Fault, failure.Cause = exchange.FaultUnreachable, errors.Trace(port.ErrConnectTimeout)
+	case ctx.Err() != nil:
 		failure.Fault = exchange.FaultCancelled
 	}
 	return failure
 }
 
+// cancellingBody releases the call's context when it is closed.
+type cancellingBody struct {
+	io.ReadCloser
+	cancel context.CancelCauseFunc
+}
+
+// Close implements io.Closer.
+func (b cancellingBody) Close() error {
+	defer b.cancel(nil)
+	return b.ReadCloser.Close()
+}
+
 // checkAnswer checks that an answer carries the request's id and that its end can be detected.
 func (c *Client) checkAnswer(answer *http.Response, id fleet.RequestID) error {
 	if answer.Header.Get(c.idHeader) != string(id) {
@@ -274,7 +294,7 @@
 			Cause: errors.Trace(err), Ran: fleet.RanUnknown, Fault: exchange.FaultMalformed,
 		}
 	}
-	answer, failure := c.do(ctx, c.fresh, request, id, nil)
+	answer, failure := c.do(ctx, c.fresh, request, id, &callTracker{})
 	if failure != nil {
 		// This call only reads the completion. The request itself was sent earlier and may have run.
 		failure.Ran = fleet.RanUnknown
--- a/adapter/upstreamhttp/connection.go
+++ b/adapter/upstreamhttp/connection.go
@@ -1,9 +1,13 @@
 package upstreamhttp
 
 import (
+	"context"
 	"net"
 	"net/http/httptrace"
 	"sync"
+	"time"
+
+	"agateswitch/port"
 
 	"github.com/juju/errors"
 )
@@ -57,10 +61,31 @@
 type callTracker struct {
 	// maySend is port.UpstreamCall.MaySend. It may be nil.
 	maySend func() bool
+	// connectTimeout is port.UpstreamCall.ConnectTimeout.
+	connectTimeout time.Duration
 
 	mu          sync.Mutex
 	connections []*trackedConn
 	withdrawn   bool
+	// expired is true once connectTimeout has passed without a connection. One that comes then is not used.
+	expired bool
+}
+
+// boundConnect cancels the call if it has no connection within connectTimeout. The returned function ends that.
+func (t *callTracker) boundConnect(cancel context.CancelCauseFunc) (stop func()) {
+	if t.connectTimeout <= 0 {
+		return func() {}
+	}
+	timer := time.AfterFunc(t.connectTimeout, func() {
+		t.mu.Lock()
+		t.expired = len(t.connections) == 0
+		expired := t.expired
+		t.mu.Unlock()
+		if expired {
+			cancel(errors.Trace(port.ErrConnectTimeout))
+		}
+	})
+	return func() { timer.Stop() }
 }
 
 // trace returns the hook that adds each connection of the call to the tracker.
@@ -77,6 +102,9 @@
 		}
 		t.mu.Lock()
 		defer t.mu.Unlock()
+		if t.expired {
+			connection.seal()
+		}
 		t.connections = append(t.connections, connection)
 		t.withdrawn = t.withdrawn || withdrawn
 	}}
--- a/core/outlier/outlier.go
+++ b/core/outlier/outlier.go
@@ -62,6 +62,11 @@
 	t.failures++
 }
 
+// ObserveConnection records that a connection was established. It ends an ejection.
+func (t *Tracker) ObserveConnection() {
+	t.connectionFailures, t.ejections, t.ejectedUntil = 0, 0, time.Time{}
+}
+
 func (t *Tracker) eject(now time.Time) {
 	if t.Ejected(now) {
 		return
--- a/node/edge/edge.go
+++ b/node/edge/edge.go
@@ -4,6 +4,7 @@
 import (
 	"cmp"
 	"context"
+	"net"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -11,9 +12,11 @@
 
 	"agateswitch/adapter/peer"
 	"agateswitch/adapter/telemetry"
+	"agateswitch/adapter/upstreamhttp"
 	"agateswitch/core/fleet"
 	"agateswitch/core/fleethealth"
 	"agateswitch/core/rollout"
+	"agateswitch/node/detour"
 	"agateswitch/node/gateway"
 	"agateswitch/node/presence"
 	"agateswitch/node/quarantine"
@@ -82,13 +85,16 @@
 	if err := observeRestores(metrics.Meter(), r.replica.Restores); err != nil {
 		return nil, err
 	}
+	detours := detour.New(r.presence, upstreamhttp.NewWithOptions(r.dialRouter, upstreamhttp.Options{
+		IDHeader: detour.HeaderRequestID, IdleTimeout: detourIdleTimeout,
+	}), s.Capacity.Cores)
 	instruments, err := gateway.NewInstruments(metrics.Meter())
 	if err != nil {
 		return nil, err
 	}
 	limits := ratelimit.New(self.ID, r.mesh, r.presence, r.workload, logger)
 	r.gateway = gateway.New(gateway.Dependencies{
-		Edge: external, Freshness: r.replica, Fleet: r.presence, Workload: r.workload, Moves: r.moves, Quarantine: r.held, QuarantineKey: []byte(s.PeerKey),
+		Edge: external, Freshness: r.replica, Fleet: r.presence, Workload: r.workload, Moves: r.moves, Quarantine: r.held, Detours: detours, QuarantineKey: []byte(s.PeerKey),
 		RateLimits:  limits,
 		Instruments: instruments, Log: logger,
 	}, retryLimits(s))
@@ -106,7 +112,7 @@
 	reports.Handle("/", metrics.Handler())
 	directory, readiness := external.Entries(port.EntryList{Addresses: r.addresses, TTL: r.ttl, Ready: r.ready})
 	r.servers = &servers{
-		gateway: r.gateway, listen: network.Listen, callers: s.Listen.Callers, leave: r.presence.Leave,
+		gateway: r.gateway, listen: network.Listen, routers: r.mesh.HTTPListener(), callers: s.Listen.Callers, leave: r.presence.Leave,
 		handlers: map[string]http.Handler{
 			s.Listen.Directory: directory, s.Listen.Readiness: readiness, s.Listen.Metrics: reports,
 		},
@@ -142,6 +148,15 @@
 	r.moves.SetExposure(exposure(s))
 }
 
+// dialRouter opens a connection for HTTP to the router with an address of node/detour.
+func (r *Router) dialRouter(ctx context.Context, _, address string) (net.Conn, error) {
+	id, err := detour.ParseAddress(address)
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	return r.mesh.DialHTTP(ctx, id)
+}
+
 // addresses returns the addresses at which the routers of the fleet accept callers.
 func (r *Router) addresses() []string {
 	routers := r.presence.Routers()
@@ -182,7 +197,7 @@
 	}
 	runContext, stop := context.WithCancel(forced)
 	var services sync.WaitGroup
-	for _, run := range []func(context.Context){r.replica.Run, r.presence.Run, r.workload.Run, r.moves.Run, r.held.Run, r.traffic.run, r.bootstrap} {
+	for _, run := range []func(context.Context){r.replica.Run, r.presence.Run, r.workload.Run, r.moves.Run, r.held.Run, r.traffic.run, r.gateway.Run, r.bootstrap} {
 		services.Go(func() { run(runContext) })
 	}
 	services.Go(func() {
--- a/node/edge/server.go
+++ b/node/edge/server.go
@@ -39,6 +39,8 @@
 	gateway *gateway.Gateway
 	listen  Listen
 	callers string
+	// routers accepts the connections of other routers for their requests.
+	routers net.Listener
 	// handlers holds the handlers of the other servers by their listen address.
 	handlers map[string]http.Handler
 	// leave is called once when the router begins to leave the fleet.
@@ -86,20 +88,23 @@
 		others = append(others, server)
 		group.Go(func() error { return s.serve(server) })
 	}
+	routers := s.newRouterServer()
+	others = append(others, routers)
+	group.Go(func() error { return ignoreClosed(routers.Serve(s.routers)) })
 	group.Go(func() error {
 		defer func() {
 			for _, server := range others {
 				server.Close()
 			}
 		}()
-		return s.serveCallers(ctx, groupContext)
+		return s.serveCallers(ctx, groupContext, routers)
 	})
 	return group.Wait()
 }
 
 // serveCallers serves callers from the start. A request that arrives before the first desired state
 // gets a refusal with a retry delay, which a refused connection would not give.
-func (s *servers) serveCallers(ctx, groupContext context.Context) error {
+func (s *servers) serveCallers(ctx, groupContext context.Context, routers *http.Server) error {
 	server := &http.Server{
 		Addr: s.callers, Handler: s.gateway, IdleTimeout: idleTimeout,
 		ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes,
@@ -115,14 +120,14 @@
 	case <-groupContext.Done():
 		return server.Close()
 	case <-ctx.Done():
-		s.stop(server)
+		s.stop(server, routers)
 		return nil
 	}
 }
 
 // stop shuts the callers' server down gracefully: requests that finish within the grace period are
 // completed.
-func (s *servers) stop(server *http.Server) {
+func (s *servers) stop(server, routers *http.Server) {
 	grace := s.grace()
 	s.log.Info("leaving the fleet; finishing running requests", "grace", grace)
 	deadline := time.Now().Add(grace - exitMargin)
@@ -133,12 +138,20 @@
 	defer cancel()
 	err := server.Shutdown(ctx)
 	s.log.Info("shut down the server for callers", "err", err)
+	if err := routers.Shutdown(ctx); err != nil {
+		s.log.Info("requests of other routers were cut off", "err", err)
+	}
 }
 
 // serve serves at the server's address until the server is closed.
 func (s *servers) serve(server *http.Server) error {
-	if err := server.Serve(s.sockets[server.Addr]); !errors.Is(err, http.ErrServerClosed) {
-		return errors.Trace(err)
+	return ignoreClosed(server.Serve(s.sockets[server.Addr]))
+}
+
+// ignoreClosed returns the error of a server unless it has ended because it was closed.
+func ignoreClosed(err error) error {
+	if errors.Is(err, http.ErrServerClosed) {
+		return nil
 	}
-	return nil
+	return errors.Trace(err)
 }
--- a/node/gateway/buffered.go
+++ b/node/gateway/buffered.go
@@ -50,16 +50,16 @@
 		c.recordEnd(chosen)
 	}
 	if err != nil || !engineAnswer.Signed {
-		chosen.engine.recordResult(time.Now(), outlier.Failure)
+		chosen.recordResult(time.Now(), outlier.Failure)
 		return attemptResult{sent: true, ran: fleet.RanUnknown, cause: describeIncomplete(err)}
 	}
 	complete := &answer{chosen: chosen, status: head.Status, header: head.Header, body: body}
 	if head.Status >= http.StatusInternalServerError {
-		chosen.engine.recordResult(time.Now(), outlier.Failure)
+		chosen.recordResult(time.Now(), outlier.Failure)
 		c.failureAnswer = complete
 		return attemptResult{sent: true, ran: fleet.DidRun, cause: "the upstream answered " + strconv.Itoa(head.Status)}
 	}
-	chosen.engine.recordResult(time.Now(), outlier.Success)
+	chosen.recordResult(time.Now(), outlier.Success)
 	c.deliver(complete)
 	return attemptResult{delivered: true}
 }
@@ -87,11 +87,11 @@
 	if engineAnswer.Misdirected {
 		// The address belongs to another upstream, so the intended one did not receive the request.
 		c.sentCount--
-		chosen.engine.recordResult(time.Now(), outlier.Unreachable)
+		chosen.recordResult(time.Now(), outlier.Unreachable)
 		return attemptResult{ran: fleet.NotRun, cause: "another upstream has the address"}
 	}
 	if engineAnswer.Pause == 0 {
-		chosen.engine.recordResult(time.Now(), outlier.Failure)
+		chosen.recordResult(time.Now(), outlier.Failure)
 	}
 	return attemptResult{sent: true, ran: fleet.NotRun, cause: "the upstream refused with " + strconv.Itoa(status)}
 }
--- a/node/gateway/choose.go
+++ b/node/gateway/choose.go
@@ -12,6 +12,7 @@
 	"agateswitch/core/pace"
 	"agateswitch/core/routing"
 	"agateswitch/core/warmth"
+	"agateswitch/node/detour"
 	"agateswitch/node/quarantine"
 	"agateswitch/node/ratelimit"
 	"agateswitch/node/versionmove"
@@ -38,6 +39,12 @@
 	uncached int
 	// fetchFrom is the address of an engine that has more of the prompt cached; empty means none.
 	fetchFrom string
+	// via is the router through which the request is sent, which then chooses the upstream; empty for this one. report is
+	// its word on the request.
+	via    fleet.HostID
+	report *detour.Report
+	// hasAlternative is true if the request may be sent another way than to the upstream from here.
+	hasAlternative bool
 	// permit is the quarantine's permission for the attempt.
 	permit *quarantine.Permit
 	ticket *workload.Ticket
@@ -76,7 +83,11 @@
 	tried map[*engine]bool
 	// alone is true if the request must be the only one of its kind.
 	alone bool
-	now   time.Time
+	// mayDetour is true if another router may be asked to send the request, and sendsForOther if this one was asked.
+	mayDetour, sendsForOther bool
+	now                      time.Time
+	// pathless holds the candidates to which this router has no path.
+	pathless map[*engine]bool
 	// drawsLeft is how many more rate limits may be asked for a token.
 	drawsLeft int
 }
@@ -90,6 +101,7 @@
 	s.drawsLeft = maxDraws
 	current, pool, prompt, now := s.current, s.pool, s.prompt, s.now
 	var preferred, usable, ejected candidates
+	pathless := map[*engine]bool{}
 	total := promptTokens(prompt)
 	cached := g.Workload.CachedTokens(prompt)
 	sources := findFetchSources(current, pool.ID, cached, now)
@@ -116,7 +128,13 @@
 		if source, found := sources.bestExcluding(e); found && source.tokens >= cached[e.id]+minCopyTokens {
 			candidate.Fetchable = float64(source.tokens - cached[e.id])
 		}
+		isPathLost := s.mayDetour && status.isPathLost
+		pathless[e] = isPathLost
 		switch {
+		case isPathLost:
+			usable.add(e, candidate)
+		case status.path == pathSilent || s.sendsForOther && status.path != pathUsable:
+			// The router checks the path itself.
 		case status.ejected:
 			ejected.add(e, candidate)
 		case versions.Prefer != "" && status.upstream.Version == versions.Prefer:
@@ -125,16 +143,22 @@
 			usable.add(e, candidate)
 		}
 	}
+	groups := []candidates{preferred, usable}
+	if !s.mayDetour && !s.sendsForOther {
+		groups = append(groups, ejected)
+	}
+	s.pathless = pathless
 	var chosen *choice
-	for _, group := range []candidates{preferred, usable, ejected} {
+	for _, group := range groups {
 		if chosen = g.bestAdmitted(ctx, group, &s); chosen != nil {
 			break
 		}
 	}
-	if chosen == nil {
+	if chosen == nil || pathless[chosen.engine] {
 		g.Moves.Reached(&versions, "")
-		return nil
+		return chosen
 	}
+	chosen.hasAlternative = s.mayDetour || s.sendsForOther || len(preferred.engines)+len(usable.engines)+len(ejected.engines) > 1
 	g.Moves.Reached(&versions, chosen.upstream.Version)
 	chosen.versions = versions
 	if source, found := sources.bestExcluding(chosen.engine); found && source.tokens >= cached[chosen.engine.id]+minCopyTokens {
@@ -169,6 +193,9 @@
 	ranking := g.rankCandidates(group, s)
 	for _, i := range ranking.Order {
 		e, candidate := group.engines[i], group.properties[i]
+		if s.pathless[e] {
+			return &choice{engine: e, upstream: e.upstream(), ranking: ranking}
+		}
 		if e.status(s.now).rateLimited {
 			routers := g.Fleet.Count()
 			if !e.admit(s.now, g.rateShare(e, s.pool.ColdRate, routers), g.rateShare(e, recoveryRatePerSecond, routers)) {
--- a/node/gateway/engine.go
+++ b/node/gateway/engine.go
@@ -20,6 +20,8 @@
 	// recoveryRatePerSecond is how many requests per second all routers together send to an
 	// upstream that was unreachable and has not reported since then whether it is cold.
 	recoveryRatePerSecond = 8
+	// pathLostTime is how long an answer to another router shows that an upstream without a path from here is alive.
+	pathLostTime = 5 * time.Second
 )
 
 // engine is one incarnation of an upstream, which may also be a plain service, and its state as
@@ -39,6 +41,10 @@
 	assumedColdUntil time.Time
 	// unreachableAt is when a connection to it last failed; zero once it has reported since then.
 	unreachableAt time.Time
+	// path is what the last connection to the upstream says of the path.
+	path pathState
+	// aliveElsewhereAt is when the upstream last answered a request that another router had sent for this one.
+	aliveElsewhereAt time.Time
 	// leaving is true once the upstream, or another router, has said that it leaves.
 	leaving bool
 	pause   pace.Pause
@@ -48,6 +54,17 @@
 	smoothedLoad balance.SmoothedLoad
 }
 
+// pathState is what a router knows of its path to an upstream.
+type pathState int
+
+const (
+	pathUsable pathState = iota
+	// pathRefused means that the last connection was refused or reset.
+	pathRefused
+	// pathSilent means that it took too long.
+	pathSilent
+)
+
 func newEngine(entry port.EngineEntry) *engine {
 	return &engine{
 		id: entry.Upstream.ID, hash: rendezvous.Hash(string(entry.Upstream.ID)), incarnation: entry.Incarnation,
@@ -126,8 +143,46 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.tracker.Observe(now, result)
-	if result == outlier.Unreachable {
+	switch result {
+	case outlier.Unreachable:
 		e.unreachableAt = now
+	case outlier.Success:
+		e.path = pathUsable
+	}
+}
+
+// recordNoConnection records that no connection to the upstream was established.
+func (e *engine) recordNoConnection(now time.Time, path pathState) {
+	e.recordResult(now, outlier.Unreachable)
+	e.setPath(path)
+}
+
+// setPath records what a connection says of the path.
+func (e *engine) setPath(path pathState) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.path = path
+}
+
+// recordConnection records that a connection to the upstream was established. One that has answered others meanwhile has not
+// restarted.
+func (e *engine) recordConnection() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.tracker.ObserveConnection()
+	e.path = pathUsable
+	if e.aliveElsewhereAt.After(e.unreachableAt) {
+		e.unreachableAt = time.Time{}
+	}
+}
+
+// recordAliveElsewhere records that the upstream has answered another router, so that it has not restarted.
+func (e *engine) recordAliveElsewhere(now time.Time) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.aliveElsewhereAt = now
+	if e.path != pathUsable {
+		e.unreachableAt = time.Time{}
 	}
 }
 
@@ -148,6 +203,11 @@
 	// rateLimited upstreams get requests at a limited rate, because they are cold or assumed to be,
 	// or were unreachable.
 	rateLimited bool
+	path        pathState
+	// isRecovering is true if the upstream was unreachable and has not reported since then.
+	isRecovering bool
+	// isPathLost is true if the path is not usable although the upstream answers other routers.
+	isPathLost bool
 	// paused upstreams have asked for a pause that is not over.
 	paused bool
 }
@@ -156,7 +216,8 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	return engineStatus{
-		upstream: e.upstreamLocked(), slots: e.entry.Slots, failureRate: e.tracker.FailureRate(now), ejected: e.tracker.Ejected(now),
+		path: e.path, isRecovering: !e.unreachableAt.IsZero(), isPathLost: e.path != pathUsable && now.Sub(e.aliveElsewhereAt) < pathLostTime,
+		upstream: e.upstreamLocked(), slots: e.entry.Slots, failureRate: e.tracker.FailureRate(now), ejected: e.path == pathSilent || e.tracker.Ejected(now),
 		rateLimited: e.isRateLimited(now), paused: e.pause.Active(now),
 	}
 }
--- a/node/gateway/gateway.go
+++ b/node/gateway/gateway.go
@@ -13,6 +13,7 @@
 	"agateswitch/core/fleet"
 	"agateswitch/core/pace"
 	"agateswitch/core/routing"
+	"agateswitch/node/detour"
 	"agateswitch/node/quarantine"
 	"agateswitch/node/ratelimit"
 	"agateswitch/node/replica"
@@ -54,6 +55,8 @@
 	Fleet     Fleet
 	Workload  *workload.Workload
 	Moves     *versionmove.Service
+	// Detours sends requests through other routers.
+	Detours *detour.Service
 	// RateLimits divides the rate limits that upstreams state.
 	RateLimits *ratelimit.Service
 	// Quarantine holds back requests that crash engines, and QuarantineKey is the key of the digests by which it
@@ -75,6 +78,8 @@
 	held heldBytes
 	// running counts the running requests of callers.
 	running sync.WaitGroup
+	// checksDue is notified when a path to an upstream has come into doubt.
+	checksDue chan struct{}
 
 	mu           sync.Mutex
 	retryBudgets map[fleet.PoolID]*pace.WindowedRetryBudget
@@ -83,7 +88,7 @@
 // New returns a gateway. Its Observe method must be subscribed to the replica.
 func New(dependencies Dependencies, limits RetryLimits) *Gateway {
 	g := &Gateway{
-		Dependencies: dependencies, retryBudgets: map[fleet.PoolID]*pace.WindowedRetryBudget{},
+		Dependencies: dependencies, checksDue: make(chan struct{}, 1), retryBudgets: map[fleet.PoolID]*pace.WindowedRetryBudget{},
 		view: newView(dependencies.Codec, dependencies.Workload.RemoveCached, dependencies.Workload.Leaves, dependencies.Log),
 	}
 	dependencies.Workload.OnLeaving(g.view.markLeaving)
--- a/node/gateway/instruments.go
+++ b/node/gateway/instruments.go
@@ -19,6 +19,7 @@
 	signals        metric.Int64Counter
 	draws          metric.Int64Counter
 	quarantined    metric.Int64Counter
+	detours        metric.Int64Counter
 	firstByte      metric.Float64Histogram
 }
 
@@ -50,6 +51,10 @@
 		metric.WithDescription("Requests refused because a part of their prompt crashes engines, by route")); err != nil {
 		return i, errors.Trace(err)
 	}
+	if i.detours, err = meter.Int64Counter("agateswitch_detours",
+		metric.WithDescription("Requests offered to another router because this one has no path to an upstream, by outcome")); err != nil {
+		return i, errors.Trace(err)
+	}
 	i.firstByte, err = meter.Float64Histogram("agateswitch_first_byte_seconds", metric.WithUnit("s"),
 		metric.WithDescription("Time from a request to its answer's first byte, by route"),
 		metric.WithExplicitBucketBoundaries(0.025, 0.05, 0.1, 0.2, 0.3, 0.5, 1, 2, 5))
@@ -79,6 +84,10 @@
 	i.draws.Add(context.Background(), 1, metric.WithAttributes(attribute.String("source", string(draw.Source)), attribute.Bool("granted", draw.Granted)))
 }
 
+func (i Instruments) recordDetour(outcome string) {
+	i.detours.Add(context.Background(), 1, metric.WithAttributes(attribute.String("outcome", outcome)))
+}
+
 func (i Instruments) recordFailedAttempt(route string) {
 	i.failedAttempts.Add(context.Background(), 1, metric.WithAttributes(attribute.String("route", route)))
 }
--- a/node/gateway/report.go
+++ b/node/gateway/report.go
@@ -48,7 +48,7 @@
 	c.gateway.Instruments.recordFailedAttempt(c.route.Name)
 	c.gateway.Log.Info("attempt on an upstream failed", "request", c.call.ID, "route", c.route.Name, "upstream", chosen.upstream.ID,
 		"version", chosen.upstream.Version, "reason", chosen.ranking.Reason, "load", chosen.load.Running, "pending_prefill", chosen.load.PendingPrefill,
-		"limit", chosen.draw.PerSecond, "drawn_from", chosen.draw.Source, "incarnation", chosen.engine.incarnation, "parts", partIDs(c.sharedParts()), "whole", c.whole, "alone", chosen.permit.Alone, "events", chosen.eventCount,
+		"limit", chosen.draw.PerSecond, "drawn_from", chosen.draw.Source, "incarnation", chosen.incarnation(), "via", chosen.via, "from", c.from, "parts", partIDs(c.sharedParts()), "whole", c.whole, "alone", chosen.permit.Alone, "events", chosen.eventCount,
 		"sent", result.sent, "ran", result.ran, "cause", result.cause, "retry", retry, "took", time.Since(c.began))
 }
 
@@ -73,7 +73,7 @@
 	c.gateway.Log.Info("request answered", "request", c.call.ID, "route", c.route.Name, "team", c.teamName(),
 		"upstream", chosen.upstream.ID, "version", chosen.upstream.Version, "reason", chosen.ranking.Reason,
 		"load", chosen.load.Running, "pending_prefill", chosen.load.PendingPrefill, "bound", chosen.ranking.LoadBound,
-		"uncached", chosen.uncached, "fetch_from", chosen.fetchFrom, "limit", chosen.draw.PerSecond, "drawn_from", chosen.draw.Source, "state", c.stateVersion(),
+		"via", chosen.via, "from", c.from, "uncached", chosen.uncached, "fetch_from", chosen.fetchFrom, "limit", chosen.draw.PerSecond, "drawn_from", chosen.draw.Source, "state", c.stateVersion(),
 		"status", status, "first", firstByteTime, "events", events, "took", time.Since(c.began))
 }
 
--- a/node/gateway/request.go
+++ b/node/gateway/request.go
@@ -16,6 +16,8 @@
 	"agateswitch/core/routing"
 	"agateswitch/core/warmth"
 	"agateswitch/port"
+
+	"github.com/juju/errors"
 )
 
 // Limits on the wait for the desired state, and retry delays for refused callers.
@@ -51,6 +53,13 @@
 	// prompt lists the parts of the request's prompt, and parts those that other requests may share.
 	prompt []warmth.Part
 	parts  []quarantine.Part
+	// asked lists the routers that the request was offered to, and from is the one that has asked this router to send it.
+	asked []fleet.HostID
+	from  fleet.HostID
+	// connectFailed is true if the last attempt found no connection to its upstream.
+	connectFailed bool
+	// unreached is the number of attempts that found no connection.
+	unreached int
 	// whole is the id of the request as a whole; empty until it is needed.
 	whole quarantine.Part
 	// engineEnded is true once an engine has ended while it worked on the request.
@@ -98,24 +107,21 @@
 // attempt is allowed.
 func (c *callerRequest) forward(ctx context.Context) {
 	for {
-		permit, refusal := c.permit(ctx)
+		chosen, refusal := c.choose(ctx)
 		if refusal != nil {
 			c.failQuarantined(refusal)
 			return
 		}
-		c.current = c.gateway.view.current.Load()
-		chosen := c.gateway.chooseUpstream(ctx, selection{
-			current: c.current, pool: c.pool, prompt: c.prompt, rank: c.rank(), tried: c.tried, alone: permit.Alone, now: time.Now(),
-		})
 		if chosen == nil {
-			c.gateway.Quarantine.Return(permit)
 			c.failRequest(fleet.CodeNoUpstream, "no upstream can take the request now")
 			return
 		}
-		chosen.permit = permit
-		c.tried[chosen.engine] = true
 		result := c.attempt(ctx, chosen)
-		c.gateway.Quarantine.Return(permit)
+		c.gateway.Quarantine.Return(chosen.permit)
+		if result.refusal != nil {
+			c.failQuarantined(result.refusal)
+			return
+		}
 		if result.delivered {
 			return
 		}
@@ -146,11 +152,15 @@
 // maxUnreachableAttempts is how many upstreams a request may fail to reach before it is refused.
 const maxUnreachableAttempts = 4
 
+// connectPatience is how long a request waits for a connection while there is another way. A connection takes some
+// milliseconds; a busy host with a share of a core may stand still for a tenth of a second.
+const connectPatience = 200 * time.Millisecond
+
 // decideRetry returns RetryAllowed if the request may be sent to another upstream, and otherwise the
 // reason why not.
 func (c *callerRequest) decideRetry(result attemptResult) admission.RetryReason {
 	switch {
-	case !result.sent && len(c.tried) < maxUnreachableAttempts+c.sentCount:
+	case !result.sent && c.unreached < maxUnreachableAttempts:
 		return admission.RetryAllowed
 	case !result.sent:
 		return admission.RetryAttemptsExhausted
@@ -207,6 +217,9 @@
 // callUpstream sends the call of an attempt. A non-empty resumeAfter requests only the events after
 // that event.
 func (c *callerRequest) callUpstream(ctx context.Context, chosen *choice, resumeAfter string) (port.UpstreamAnswer, *port.UpstreamError) {
+	if chosen.via != "" {
+		return c.callThroughRouter(ctx, chosen, resumeAfter)
+	}
 	call := port.EngineCall{
 		ID: c.call.ID, Upstream: chosen.upstream.ID, TimeLeft: time.Until(c.deadline), Rank: c.rank(), ResumeAfter: resumeAfter,
 		FetchFrom: chosen.fetchFrom,
@@ -214,8 +227,13 @@
 	if c.team != nil {
 		call.Team = c.team.Name
 	}
+	patience := time.Duration(0)
+	if chosen.hasAlternative {
+		patience = connectPatience
+	}
 	return c.gateway.Upstreams.Send(ctx, port.UpstreamCall{
-		Upstream: chosen.upstream, Request: c.call.ID, Method: c.request.Method, Path: c.request.RequestURI,
+		ConnectTimeout: patience,
+		Upstream:       chosen.upstream, Request: c.call.ID, Method: c.request.Method, Path: c.request.RequestURI,
 		Host: c.request.Host, Header: c.gateway.Engines.Header(c.request.Header, call),
 		Body: bytes.NewReader(c.body), ContentLength: int64(len(c.body)),
 		MaySend: func() bool {
@@ -235,20 +253,20 @@
 	ran  fleet.Ran
 	// cause describes the failure when the answer was not delivered.
 	cause string
+	// refusal is set if another router has found that the request must not be sent now.
+	refusal *fleet.Refusal
 }
 
 // attempt sends the request to one upstream and its answer to the caller.
 func (c *callerRequest) attempt(ctx context.Context, chosen *choice) attemptResult {
+	if chosen.via != "" {
+		return c.attemptThroughRouter(ctx, chosen)
+	}
 	chosen.ticket = c.gateway.Workload.Start(chosen.engine.id, chosen.uncached, c.sharedParts())
 	defer chosen.ticket.End()
 	stratum := rollout.Stratum{Route: c.route.Name, Cold: chosen.isCold()}
 	c.gateway.Moves.Start(c.pool.ID, chosen.upstream.Version, stratum)
-	chosen.sentAt = time.Now()
-	send := c.attemptBuffered
-	if c.route.Kind == routing.Streaming {
-		send = c.attemptStream
-	}
-	result := send(ctx, chosen)
+	result := c.exchange(ctx, chosen)
 	if !result.delivered && !result.sent {
 		c.gateway.Moves.Reached(&chosen.versions, "")
 	}
@@ -261,22 +279,44 @@
 	return result
 }
 
+// exchange sends the request and passes on the answer, as the route's kind requires.
+func (c *callerRequest) exchange(ctx context.Context, chosen *choice) attemptResult {
+	chosen.sentAt = time.Now()
+	if c.route.Kind == routing.Streaming {
+		return c.attemptStream(ctx, chosen)
+	}
+	return c.attemptBuffered(ctx, chosen)
+}
+
 // handleSendFailure evaluates a call that returned no answer. It counts the failure against the
 // upstream unless the caller disconnected.
 func (c *callerRequest) handleSendFailure(ctx context.Context, chosen *choice, failure *port.UpstreamError) attemptResult {
+	if chosen.via != "" {
+		return c.handleDetourFailure(chosen, failure)
+	}
 	result := attemptResult{sent: failure.Ran != fleet.NotRun, ran: failure.Ran, cause: failure.Error()}
 	if result.sent {
 		c.sentCount++
 	}
+	c.connectFailed = !result.sent && failure.Fault == exchange.FaultUnreachable
+	if !result.sent {
+		c.unreached++
+	}
+	if errors.Is(failure.Cause, port.ErrConnectTimeout) {
+		chosen.engine.setPath(pathSilent)
+		c.gateway.checkPaths()
+		return result
+	}
 	if result.sent && failure.Fault == exchange.FaultLost {
 		c.recordEnd(chosen)
 	}
 	if failure.Fault != exchange.FaultWithdrawn && (ctx.Err() == nil || time.Now().After(c.deadline)) {
-		verdict := outlier.Failure
-		if !result.sent {
-			verdict = outlier.Unreachable
+		if result.sent {
+			chosen.engine.recordResult(time.Now(), outlier.Failure)
+			return result
 		}
-		chosen.engine.recordResult(time.Now(), verdict)
+		chosen.engine.recordNoConnection(time.Now(), pathRefused)
+		c.gateway.checkPaths()
 	}
 	return result
 }
--- a/node/gateway/signals.go
+++ b/node/gateway/signals.go
@@ -13,7 +13,7 @@
 // applySignals applies what an upstream says of itself in the header of an answer: that it leaves, that
 // it wants a pause, or how many requests it takes. An answer from another upstream at the same address says nothing of it.
 func (c *callerRequest) applySignals(chosen *choice, answer port.EngineAnswer) {
-	if answer.Misdirected {
+	if answer.Misdirected || chosen.engine == nil {
 		return
 	}
 	e := chosen.engine
--- a/node/gateway/stream.go
+++ b/node/gateway/stream.go
@@ -51,7 +51,7 @@
 		return c.handleNotRun(chosen, head.Status, engineAnswer)
 	}
 	if !engineAnswer.Signed {
-		chosen.engine.recordResult(time.Now(), outlier.Failure)
+		chosen.recordResult(time.Now(), outlier.Failure)
 		return attemptResult{sent: true, ran: fleet.RanUnknown, cause: describeIncomplete(nil)}
 	}
 	if head.Status != http.StatusOK {
@@ -59,7 +59,7 @@
 	}
 	err := c.copyEvents(chosen, head, watchdog)
 	if err == nil {
-		chosen.engine.recordResult(time.Now(), outlier.Success)
+		chosen.recordResult(time.Now(), outlier.Success)
 		c.recordAnswer(chosen)
 		c.logAnswer(chosen, head.Status, c.stream.firstByteTime, c.stream.eventCount)
 		return attemptResult{delivered: true}
@@ -69,7 +69,7 @@
 		return attemptResult{delivered: true}
 	}
 	if c.request.Context().Err() == nil {
-		chosen.engine.recordResult(time.Now(), outlier.Failure)
+		chosen.recordResult(time.Now(), outlier.Failure)
 	}
 	if chosen.eventCount < provenEvents && attempt.Err() == nil && !errors.Is(err, sse.ErrTooLarge) {
 		c.recordEnd(chosen)
@@ -124,7 +124,7 @@
 		}
 		watchdog.Reset(c.nextEventTimeout())
 		c.writeStreamHeader(head)
-		chosen.ticket.EndPrefill()
+		chosen.endPrefill()
 		if chosen.eventCount == 0 {
 			chosen.firstByteTime = time.Since(chosen.sentAt)
 		}
@@ -162,7 +162,7 @@
 // handleNonStream evaluates an answer with an error status, which has no stream of events.
 func (c *callerRequest) handleNonStream(chosen *choice, head port.UpstreamAnswer) attemptResult {
 	body, err := c.holding.readComplete(head.Body)
-	chosen.engine.recordResult(time.Now(), outlier.Failure)
+	chosen.recordResult(time.Now(), outlier.Failure)
 	if err != nil {
 		return attemptResult{sent: true, ran: fleet.RanUnknown, cause: describeIncomplete(err)}
 	}
--- a/node/gateway/suspects.go
+++ b/node/gateway/suspects.go
@@ -91,7 +91,7 @@
 
 // recordEnd records that a connection ended on which the upstream worked on the request and had hardly begun to answer.
 func (c *callerRequest) recordEnd(chosen *choice) {
-	if c.request.Context().Err() != nil {
+	if chosen.via != "" || c.request.Context().Err() != nil {
 		return
 	}
 	c.engineEnded = true
@@ -101,5 +101,8 @@
 
 // recordAnswer records that the upstream has begun to answer the request.
 func (c *callerRequest) recordAnswer(chosen *choice) {
+	if chosen.via != "" {
+		return
+	}
 	c.gateway.Quarantine.Answered(engineOf(chosen), c.suspectParts(), chosen.sentAt)
 }
--- a/node/presence/routers.go
+++ b/node/presence/routers.go
@@ -74,7 +74,12 @@
 
 // Nearest returns the other routers in random order, those of this one's data centre first.
 func (p *Presence) Nearest() []fleet.HostID {
-	var near, far []fleet.HostID
+	near, far := p.Neighbours()
+	return append(near, far...)
+}
+
+// Neighbours returns the other routers of this one's data centre, and those of others, in random order.
+func (p *Presence) Neighbours() (near, far []fleet.HostID) {
 	for _, host := range p.Routers() {
 		switch {
 		case host.ID == p.self.ID:
@@ -86,7 +91,7 @@
 	}
 	rand.Shuffle(len(near), func(i, j int) { near[i], near[j] = near[j], near[i] })
 	rand.Shuffle(len(far), func(i, j int) { far[i], far[j] = far[j], far[i] })
-	return append(near, far...)
+	return near, far
 }
 
 // Watchers returns the routers from which this one pulls the changes of the store, or reports that it
--- a/port/edge.go
+++ b/port/edge.go
@@ -186,7 +186,9 @@
 	Callers   CallerProtocol
 	Engines   EngineProtocol
 	Upstreams Upstreams
-	Caches    PromptCache
+	// Connect opens a connection to an upstream and closes it again, to find whether there is a path.
+	Connect func(ctx context.Context, upstream fleet.Upstream) error
+	Caches  PromptCache
 	// Entries returns the handlers for an entry list: the directory that callers query, and the
 	// readiness check.
 	Entries func(EntryList) (directory, readiness http.Handler)
--- a/port/upstream.go
+++ b/port/upstream.go
@@ -4,9 +4,12 @@
 	"context"
 	"io"
 	"net/http"
+	"time"
 
 	"agateswitch/core/exchange"
 	"agateswitch/core/fleet"
+
+	"github.com/juju/errors"
 )
 
 // HeaderRequestID is the header with the request id. An upstream must return it in its answer.
@@ -30,8 +33,14 @@
 	// MaySend, if set, is called when a connection is available, before the first byte is sent. The
 	// call is withdrawn if it returns false: it fails with exchange.FaultWithdrawn and has not run.
 	MaySend func() bool
+	// ConnectTimeout bounds the wait for a connection; zero means no bound beside that of the dialer. The call then
+	// fails with ErrConnectTimeout and has not run. A dial that is under way goes on, for later calls.
+	ConnectTimeout time.Duration
 }
 
+// ErrConnectTimeout is the cause of a call's failure after its ConnectTimeout.
+const ErrConnectTimeout = errors.ConstError("no connection in time")
+
 // UpstreamAnswer is an upstream's answer with its body still unread. The caller must close Body.
 type UpstreamAnswer struct {
 	Status int
