Divide the room of brittle upstreams among all routers

Callers would see an upstream fall over, and those of its neighbours after it, when it says that it can't bear to turn away many requests. Cause: no router read Server-Brittle, and each sent what it liked: an upstream's room was counted by nobody. Change: the brittleness is learnt, told and ended as rate limits are; while a pool has a brittle upstream, each request to it needs a place. The places of an upstream (core/room) are kept by one router, the first in its rendezvous order (node/keeper, taken out of node/ratelimit); as many as slots, fewer after it has turned a request away, none once half of what it bears in a second was turned away. Without a keeper each router uses its part of half of them. A request without a place goes to another upstream or is refused at once.

--- /dev/null
+++ b/core/room/room.go
@@ -0,0 +1,110 @@
+// Package room bounds how many requests of all routers are in work on a brittle upstream: one that falls over when it has to
+// turn away more than some requests in a second. The load that it answers is a pool at or above its capacity behind many
+// routers, each of which would fill an upstream by itself.
+package room
+
+import (
+	"slices"
+	"time"
+)
+
+const (
+	// unknownSlots is assumed for an upstream that does not state its slots.
+	unknownSlots = 4
+	// backoff is the part of the bound that stays after the upstream has turned a request away, and backoffInterval the least time
+	// between two reductions: those at the same moment have the same cause.
+	backoff         = 0.8
+	backoffInterval = 200 * time.Millisecond
+	// recoveryTime is how long the bound takes to grow back from nothing.
+	recoveryTime = 5 * time.Second
+	// turnAwayShare is the part of the requests that the upstream may turn away in turnAwayWindow after which it gets none.
+	turnAwayShare  = 0.5
+	turnAwayWindow = time.Second
+	// urgentRank is the last rank that may use all places, and reservedShare the part of them kept free of others.
+	urgentRank    = 1
+	reservedShare = 0.1
+)
+
+// Need is what a request needs, and what is known of the upstream.
+type Need struct {
+	// Slots is the number of requests that the upstream runs concurrently; 0 if unknown.
+	Slots int
+	// PerSecond is how many requests it turns away in a second without falling over.
+	PerSecond float64
+	// Rank is the request's urgency; 0 is the most urgent.
+	Rank int
+	// Lasts is how long the request is in work at most.
+	Lasts time.Duration
+}
+
+// Room is the room of one upstream. It is not safe for concurrent use. The zero value has no requests in work.
+type Room struct {
+	// expiries holds until when each place is taken at most.
+	expiries   map[uint64]time.Time
+	lastPlace  uint64
+	turnedAway []time.Time
+	// reduced is how many of the slots must stay free because the upstream has turned requests away.
+	reduced              float64
+	updatedAt, reducedAt time.Time
+}
+
+// Take takes a place, or reports false if there is none.
+func (r *Room) Take(now time.Time, need Need) (place uint64, granted bool) {
+	r.expire(now)
+	slots := float64(need.Slots)
+	if slots <= 0 {
+		slots = unknownSlots
+	}
+	r.recover(now, slots)
+	bound := max(1, slots-r.reduced)
+	if need.Rank > urgentRank {
+		bound = max(1, bound-float64(int(slots*reservedShare)))
+	}
+	allowed := max(1, need.PerSecond*turnAwayShare)
+	if float64(len(r.expiries)) >= bound || float64(len(r.turnedAway)) >= allowed {
+		return 0, false
+	}
+	r.lastPlace++
+	r.expiries[r.lastPlace] = now.Add(need.Lasts)
+	return r.lastPlace, true
+}
+
+// Return gives a place back.
+func (r *Room) Return(place uint64) { delete(r.expiries, place) }
+
+// TurnedAway records that the upstream has turned a request away for want of room.
+func (r *Room) TurnedAway(now time.Time, slots int) {
+	r.expire(now)
+	r.turnedAway = append(r.turnedAway, now)
+	if slots <= 0 {
+		slots = unknownSlots
+	}
+	r.recover(now, float64(slots))
+	if now.Sub(r.reducedAt) >= backoffInterval {
+		r.reducedAt = now
+		r.reduced = float64(slots) - max(1, backoff*(float64(slots)-r.reduced))
+	}
+}
+
+// InWork returns how many places are taken.
+func (r *Room) InWork() int { return len(r.expiries) }
+
+// recover lets the bound grow back.
+func (r *Room) recover(now time.Time, slots float64) {
+	if !r.updatedAt.IsZero() {
+		r.reduced = max(0, r.reduced-slots*now.Sub(r.updatedAt).Seconds()/recoveryTime.Seconds())
+	}
+	r.updatedAt = now
+}
+
+func (r *Room) expire(now time.Time) {
+	if r.expiries == nil {
+		r.expiries = map[uint64]time.Time{}
+	}
+	for place, until := range r.expiries {
+		if !now.Before(until) {
+			delete(r.expiries, place)
+		}
+	}
+	r.turnedAway = slices.DeleteFunc(r.turnedAway, func(at time.Time) bool { return now.Sub(at) >= turnAwayWindow })
+}
--- /dev/null
+++ b/core/room/room_test.go
@@ -0,0 +1,93 @@
+package room
+
+import (
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+	"pgregory.net/rapid"
+)
+
+var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+// No order of takes, returns, expiries and refusals gives more places than there are slots, or any after half of the
+// refusals that the upstream bears in a second.
+func TestNoMorePlacesThanSlots(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var r Room
+		now := start
+		need := Need{
+			Slots: rapid.IntRange(1, 64).Draw(t, "slots"), PerSecond: float64(rapid.IntRange(0, 12).Draw(t, "per second")),
+			Lasts: time.Duration(rapid.IntRange(20, 5000).Draw(t, "lasts")) * time.Millisecond,
+		}
+		until := map[uint64]time.Time{}
+		var refusals []time.Time
+		for range rapid.IntRange(1, 200).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 60).Draw(t, "gap")) * time.Millisecond)
+			recent := 0
+			for _, at := range refusals {
+				if now.Sub(at) < time.Second {
+					recent++
+				}
+			}
+			for place, end := range until {
+				if !now.Before(end) {
+					delete(until, place)
+				}
+			}
+			switch rapid.IntRange(0, 5).Draw(t, "step") {
+			case 0:
+				for place := range until {
+					r.Return(place)
+					delete(until, place)
+					break
+				}
+			case 1:
+				if rapid.IntRange(0, 9).Draw(t, "refused") == 0 {
+					r.TurnedAway(now, need.Slots)
+					refusals = append(refusals, now)
+				}
+			default:
+				need.Rank = rapid.IntRange(0, 5).Draw(t, "rank")
+				if place, granted := r.Take(now, need); granted {
+					must.Less(t, max(1, need.PerSecond/2), float64(recent))
+					until[place] = now.Add(need.Lasts)
+				}
+			}
+			must.LessEq(t, need.Slots, len(until))
+		}
+	})
+}
+
+func TestBoundGrowsBackAfterRefusals(t *testing.T) {
+	var r Room
+	need := Need{Slots: 20, PerSecond: 4, Lasts: time.Minute}
+	take := func(now time.Time) int {
+		count := 0
+		for range need.Slots {
+			if _, granted := r.Take(now, need); granted {
+				count++
+			}
+		}
+		return count
+	}
+	for i := range 3 {
+		r.TurnedAway(start.Add(time.Duration(i)*backoffInterval), need.Slots)
+	}
+	must.Zero(t, take(start.Add(2*backoffInterval)))
+	must.Between(t, need.Slots/2, take(start.Add(2*time.Second)), need.Slots-1)
+	take(start.Add(recoveryTime + time.Second))
+	must.Eq(t, need.Slots, r.InWork())
+}
+
+func TestUrgentRequestsFindAPlaceLonger(t *testing.T) {
+	var r Room
+	need := Need{Slots: 20, PerSecond: 4, Lasts: time.Minute, Rank: 5}
+	for range need.Slots {
+		r.Take(start, need)
+	}
+	must.Eq(t, 18, r.InWork())
+	need.Rank = 0
+	_, granted := r.Take(start, need)
+	must.True(t, granted)
+}
--- a/node/edge/edge.go
+++ b/node/edge/edge.go
@@ -22,6 +22,7 @@
 	"agateswitch/node/quarantine"
 	"agateswitch/node/ratelimit"
 	"agateswitch/node/replica"
+	"agateswitch/node/room"
 	"agateswitch/node/survey"
 	"agateswitch/node/versionmove"
 	"agateswitch/node/workload"
@@ -96,6 +97,7 @@
 	r.gateway = gateway.New(gateway.Dependencies{
 		Edge: external, Freshness: r.replica, Fleet: r.presence, Workload: r.workload, Moves: r.moves, Quarantine: r.held, Detours: detours, QuarantineKey: []byte(s.PeerKey),
 		RateLimits:  limits,
+		Room:        room.New(self.ID, r.mesh, r.presence, logger),
 		Instruments: instruments, Log: logger,
 	}, retryLimits(s))
 	r.replica.Subscribe(r.presence.Observe)
--- a/node/gateway/choose.go
+++ b/node/gateway/choose.go
@@ -15,6 +15,7 @@
 	"agateswitch/node/detour"
 	"agateswitch/node/quarantine"
 	"agateswitch/node/ratelimit"
+	"agateswitch/node/room"
 	"agateswitch/node/versionmove"
 	"agateswitch/node/workload"
 )
@@ -50,6 +51,8 @@
 	ticket *workload.Ticket
 	// draw is what allowed the request within the upstream's rate limit.
 	draw ratelimit.Draw
+	// place is the request's place on a brittle upstream; nil on others.
+	place *room.Place
 	// versions is what the pool's version move allowed for the attempt.
 	versions versionmove.Versions
 	// sentAt is when the attempt began, and firstByteTime the time from then to the first byte of
@@ -88,6 +91,10 @@
 	now                      time.Time
 	// pathless holds the candidates to which this router has no path.
 	pathless map[*engine]bool
+	// brittle is how many requests per second the pool's upstreams turn away without falling over; 0 if they are not brittle.
+	brittle float64
+	// lasts is how long the request is in work at most.
+	lasts time.Duration
 	// drawsLeft is how many more rate limits may be asked for a token.
 	drawsLeft int
 }
@@ -147,7 +154,7 @@
 	if !s.mayDetour && !s.sendsForOther {
 		groups = append(groups, ejected)
 	}
-	s.pathless = pathless
+	s.pathless, s.brittle = pathless, g.brittleness(current, pool.ID)
 	var chosen *choice
 	for _, group := range groups {
 		if chosen = g.bestAdmitted(ctx, group, &s); chosen != nil {
@@ -202,12 +209,19 @@
 				continue
 			}
 		}
+		place, isAdmitted := g.takePlace(ctx, e, s)
+		if !isAdmitted {
+			continue
+		}
 		draw := g.drawToken(ctx, e, s)
 		if !draw.Granted {
+			if place != nil {
+				place.Return(false)
+			}
 			continue
 		}
 		return &choice{
-			engine: e, upstream: e.upstream(), ranking: ranking, uncached: int(candidate.Uncached), draw: draw,
+			place: place, engine: e, upstream: e.upstream(), ranking: ranking, uncached: int(candidate.Uncached), draw: draw,
 			load: workload.Load{Running: int(candidate.Running), PendingPrefill: int(candidate.PendingPrefill)},
 		}
 	}
--- a/node/gateway/gateway.go
+++ b/node/gateway/gateway.go
@@ -17,6 +17,7 @@
 	"agateswitch/node/quarantine"
 	"agateswitch/node/ratelimit"
 	"agateswitch/node/replica"
+	"agateswitch/node/room"
 	"agateswitch/node/versionmove"
 	"agateswitch/node/workload"
 	"agateswitch/port"
@@ -59,6 +60,8 @@
 	Detours *detour.Service
 	// RateLimits divides the rate limits that upstreams state.
 	RateLimits *ratelimit.Service
+	// Room divides the room of brittle upstreams.
+	Room *room.Service
 	// Quarantine holds back requests that crash engines, and QuarantineKey is the key of the digests by which it
 	// knows whole requests.
 	Quarantine    *quarantine.Service
--- a/node/gateway/request.go
+++ b/node/gateway/request.go
@@ -239,7 +239,7 @@
 		MaySend: func() bool {
 			return c.gateway.view.current.Load().acceptsWork(c.pool.ID, chosen.engine) &&
 				c.gateway.Moves.MaySend(c.pool.ID, chosen.upstream.Version) && c.gateway.Quarantine.MaySend(c.suspectParts()) &&
-				c.gateway.isWithinLimit(chosen)
+				c.gateway.isWithinLimit(chosen) && c.gateway.hasPlace(c.pool.ID, chosen)
 		},
 	})
 }
@@ -267,6 +267,9 @@
 	stratum := rollout.Stratum{Route: c.route.Name, Cold: chosen.isCold()}
 	c.gateway.Moves.Start(c.pool.ID, chosen.upstream.Version, stratum)
 	result := c.exchange(ctx, chosen)
+	if chosen.place != nil {
+		chosen.place.Return(result.sent && result.ran == fleet.NotRun)
+	}
 	if !result.delivered && !result.sent {
 		c.gateway.Moves.Reached(&chosen.versions, "")
 	}
--- a/node/gateway/signals.go
+++ b/node/gateway/signals.go
@@ -31,6 +31,7 @@
 			"asked", answer.Pause, "reason", reason, "remaining", time.Until(until).Round(time.Millisecond))
 	}
 	c.applyRateLimit(chosen, answer)
+	c.applyBrittleness(chosen, answer)
 }
 
 // applyRateLimit applies what an answer says of the upstream's rate limit.
--- a/node/ratelimit/http.go
+++ b/node/ratelimit/http.go
@@ -37,7 +37,7 @@
 
 func (s *Service) describe(mark ratelimit.Mark) Limit {
 	limit := Limit{Upstream: mark.Upstream, Incarnation: mark.Incarnation, PerSecond: mark.PerSecond, StatedAgoMs: mark.AgeMs}
-	if keepers := s.keepers(mark.Upstream); len(keepers) > 0 {
+	if keepers := s.keepers.Of(mark.Upstream); len(keepers) > 0 {
 		limit.Keeper = keepers[0]
 	}
 	return limit
--- a/node/ratelimit/ratelimit.go
+++ b/node/ratelimit/ratelimit.go
@@ -6,13 +6,12 @@
 
 import (
 	"context"
-	"slices"
 	"sync"
 	"time"
 
 	"agateswitch/core/fleet"
 	"agateswitch/core/ratelimit"
-	"agateswitch/core/rendezvous"
+	"agateswitch/node/keeper"
 	"agateswitch/port"
 
 	"github.com/charmbracelet/log"
@@ -22,10 +21,6 @@
 const (
 	// drawTimeout bounds a draw from another router.
 	drawTimeout = 150 * time.Millisecond
-	// silentTime is how long a router that did not answer is not asked again.
-	silentTime = time.Second
-	// maxKeepers is how many routers may be asked for one upstream's tokens.
-	maxKeepers = 2
 	// minWait and maxWait bound how long a router that got no token does not ask again.
 	minWait = 10 * time.Millisecond
 	maxWait = 2 * time.Second
@@ -64,13 +59,12 @@
 	transport port.Peers
 	fleet     Fleet
 	limits    Limits
+	keepers   *keeper.Order
 	log       *log.Logger
 
 	mu        sync.Mutex
 	upstreams map[fleet.UpstreamID]*upstream
-	// silentUntil holds routers that did not answer, and until when they are not asked.
-	silentUntil map[fleet.HostID]time.Time
-	prunedAt    time.Time
+	prunedAt  time.Time
 }
 
 // upstream is the state of one incarnation of an upstream. Service.mu guards it.
@@ -91,7 +85,7 @@
 func New(self fleet.HostID, transport port.Peers, others Fleet, limits Limits, logger *log.Logger) *Service {
 	s := &Service{
 		self: self, transport: transport, fleet: others, limits: limits, log: logger,
-		upstreams: map[fleet.UpstreamID]*upstream{}, silentUntil: map[fleet.HostID]time.Time{},
+		upstreams: map[fleet.UpstreamID]*upstream{}, keepers: keeper.NewOrder(self, others, keyPrefix),
 	}
 	transport.Handle(methodDraw, s.handleDraw)
 	return s
@@ -150,17 +144,17 @@
 	if time.Now().Before(s.DryUntil(id, incarnation, rank)) {
 		return Draw{Source: SourceWait, PerSecond: perSecond}
 	}
-	for _, keeper := range s.keepers(id) {
-		uncounted := s.takeUncounted(id, incarnation, keeper)
-		response, answered := s.drawFrom(ctx, keeper, drawRequest{Mark: mark, Rank: rank, ChargeAgesMs: agesMs(uncounted)})
+	for _, first := range s.keepers.Of(id) {
+		uncounted := s.takeUncounted(id, incarnation, first)
+		response, answered := s.drawFrom(ctx, first, drawRequest{Mark: mark, Rank: rank, ChargeAgesMs: agesMs(uncounted)})
 		if answered {
 			if response.Granted {
-				s.recordGrant(id, incarnation, keeper)
+				s.recordGrant(id, incarnation, first)
 			}
 			s.recordDry(id, incarnation, rank, response.wait())
 			return Draw{Granted: response.Granted, Source: SourceBucket, PerSecond: perSecond}
 		}
-		s.putBack(uncounted, keeper)
+		s.putBack(uncounted, first)
 		if ctx.Err() != nil {
 			return Draw{Source: SourceNoTime, PerSecond: perSecond}
 		}
@@ -169,14 +163,14 @@
 }
 
 // drawFrom draws a token from a router. It returns false if that has not answered or is leaving.
-func (s *Service) drawFrom(ctx context.Context, keeper fleet.HostID, request drawRequest) (drawResponse, bool) {
-	if keeper == s.self {
+func (s *Service) drawFrom(ctx context.Context, from fleet.HostID, request drawRequest) (drawResponse, bool) {
+	if from == s.self {
 		return s.deal(request), true
 	}
 	call, cancel := context.WithTimeout(ctx, drawTimeout)
 	defer cancel()
 	var response drawResponse
-	err := s.transport.Call(call, keeper, methodDraw, request, &response)
+	err := s.transport.Call(call, from, methodDraw, request, &response)
 	if err == nil && !response.Leaving {
 		s.limits.LearnRateLimits([]ratelimit.Mark{response.Mark})
 		return response, true
@@ -185,42 +179,12 @@
 		// That the caller has left says nothing of the keeper.
 		return drawResponse{}, false
 	}
-	s.log.Info("router gave no answer on an upstream's rate limit; not asking it for a while", "peer", keeper,
-		"upstream", request.Mark.Upstream, "leaving", response.Leaving, "left_alone", silentTime, "err", err)
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.silentUntil[keeper] = time.Now().Add(silentTime)
+	s.log.Info("router gave no answer on an upstream's rate limit; not asking it for a while", "peer", from,
+		"upstream", request.Mark.Upstream, "leaving", response.Leaving, "left_alone", keeper.SilentTime, "err", err)
+	s.keepers.SetSilent(from)
 	return drawResponse{}, false
 }
 
-// keepers returns the routers from which an upstream's tokens may be drawn, in this order: the first ones of its rendezvous
-// order among those that accept callers, without those that are silent.
-func (s *Service) keepers(id fleet.UpstreamID) []fleet.HostID {
-	var names []string
-	if !s.fleet.Leaving() {
-		names = append(names, string(s.self))
-	}
-	for _, other := range s.fleet.Others() {
-		names = append(names, string(other))
-	}
-	var keepers []fleet.HostID
-	now := time.Now()
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	for range maxKeepers {
-		first, found := rendezvous.First(keyPrefix+string(id), names)
-		if !found {
-			break
-		}
-		if !now.Before(s.silentUntil[fleet.HostID(first)]) {
-			delete(s.silentUntil, fleet.HostID(first))
-			keepers = append(keepers, fleet.HostID(first))
-		}
-		names = slices.DeleteFunc(names, func(name string) bool { return name == first })
-	}
-	return keepers
-}
-
 // drawFallback draws a token from this router's own part of the limit.
 func (s *Service) drawFallback(id fleet.UpstreamID, incarnation int64, rank int, perSecond float64) Draw {
 	now, routers := time.Now(), s.fleet.Count()
--- a/node/ratelimit/ratelimit_test.go
+++ b/node/ratelimit/ratelimit_test.go
@@ -19,6 +19,7 @@
 	"agateswitch/core/pace"
 	"agateswitch/core/ratelimit"
 	"agateswitch/core/rendezvous"
+	"agateswitch/node/keeper"
 	"agateswitch/port"
 
 	"github.com/charmbracelet/log"
@@ -34,6 +35,7 @@
 	// limitWindow is the window of the users' rule.
 	limitWindow = 4 * time.Second
 	incarnation = 1
+	keeperCount = keeper.MaxKeepers
 	// listingTime is how long routers that are cut off are still listed.
 	listingTime = 3 * time.Second
 )
@@ -362,7 +364,7 @@
 					})
 					must.LessEq(t, 1.5*limitWindow.Seconds()*limit+5, float64(mostWithin(sent, limitWindow)))
 					must.GreaterEq(t, 0.85*20*limit, float64(len(sent)))
-					must.LessEq(t, maxKeepers*drawTimeout+4*callTime, longest)
+					must.LessEq(t, keeperCount*drawTimeout+4*callTime, longest)
 				})
 			})
 		}
@@ -445,7 +447,7 @@
 			cancel()
 			must.False(t, draw.Granted)
 			must.Eq(t, SourceNoTime, draw.Source)
-			must.MapEmpty(t, router.service.silentUntil)
+			must.SliceEmpty(t, router.service.keepers.Silent())
 		}
 	})
 }
--- /dev/null
+++ b/node/room/room.go
@@ -0,0 +1,274 @@
+// Package room divides the room of brittle upstreams among all routers. The places of each upstream (core/room) are kept by one
+// router, the first in the upstream's rendezvous order; the others ask it for one before each request. A router that gets no
+// answer asks the next one in that order, and as a last resort uses its equal part of half of the places.
+package room
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"agateswitch/core/fleet"
+	"agateswitch/core/pace"
+	"agateswitch/core/room"
+	"agateswitch/node/keeper"
+	"agateswitch/port"
+
+	"github.com/charmbracelet/log"
+)
+
+const (
+	// takeTimeout bounds the wait for another router's answer.
+	takeTimeout = 150 * time.Millisecond
+	// fullTime is how long a router that got no place does not ask again.
+	fullTime = 2 * time.Millisecond
+	// fallbackShare is the part of the places that all routers use which reach no keeper.
+	fallbackShare = 0.5
+	// idleTime is how long the state of an upstream is kept without requests.
+	idleTime = time.Minute
+	// keyPrefix distinguishes the rendezvous order from others of the same upstream.
+	keyPrefix = "room/"
+)
+
+// Methods of the peer protocol.
+const (
+	methodTake   = "room.take"
+	methodReturn = "room.return"
+)
+
+// Fleet provides the routers.
+type Fleet interface {
+	keeper.Fleet
+	// Count returns the number of routers that may send to upstreams, and Rank this one's position among them for a key.
+	Count() int
+	Rank(key string) int
+}
+
+// Service takes places, and keeps those of some upstreams for all routers. It is safe for concurrent use.
+type Service struct {
+	self      fleet.HostID
+	transport port.Peers
+	fleet     Fleet
+	keepers   *keeper.Order
+	log       *log.Logger
+
+	mu        sync.Mutex
+	upstreams map[Upstream]*state
+}
+
+// Upstream is one incarnation of an upstream.
+type Upstream struct {
+	ID          fleet.UpstreamID `msgpack:"u"`
+	Incarnation int64            `msgpack:"i"`
+}
+
+// state is the state of one upstream. Service.mu guards it.
+type state struct {
+	usedAt time.Time
+	// room holds the places of all routers, if this one keeps them.
+	room room.Room
+	// own counts the places that this router has taken without a keeper.
+	own int
+	// fullUntil is until when no place is asked for.
+	fullUntil time.Time
+}
+
+// New returns the service of a router and registers its peer methods.
+func New(self fleet.HostID, transport port.Peers, others Fleet, logger *log.Logger) *Service {
+	s := &Service{
+		self: self, transport: transport, fleet: others, keepers: keeper.NewOrder(self, others, keyPrefix), log: logger,
+		upstreams: map[Upstream]*state{},
+	}
+	transport.Handle(methodTake, s.handleTake)
+	transport.Handle(methodReturn, s.handleReturn)
+	return s
+}
+
+// Place is a place for one request in work on an upstream.
+type Place struct {
+	service  *Service
+	upstream Upstream
+	slots    int
+	// keeper is the router that has given the place; empty if none has answered.
+	keeper fleet.HostID
+	number uint64
+}
+
+type takeRequest struct {
+	Upstream  Upstream `msgpack:"u"`
+	Slots     int      `msgpack:"s"`
+	PerSecond float64  `msgpack:"p"`
+	Rank      int      `msgpack:"r"`
+	LastsMs   int64    `msgpack:"l"`
+}
+
+type takeResponse struct {
+	Granted bool   `msgpack:"g"`
+	Number  uint64 `msgpack:"n,omitempty"`
+	// Leaving is true if the router leaves and keeps nothing any more.
+	Leaving bool `msgpack:"x,omitempty"`
+}
+
+type returnRequest struct {
+	Upstream   Upstream `msgpack:"u"`
+	Number     uint64   `msgpack:"n"`
+	Slots      int      `msgpack:"s"`
+	TurnedAway bool     `msgpack:"t,omitempty"`
+}
+
+// Take takes a place on an upstream, or returns nil if there is none.
+func (s *Service) Take(ctx context.Context, upstream Upstream, need room.Need) *Place {
+	if s.isFull(upstream) {
+		return nil
+	}
+	request := takeRequest{
+		Upstream: upstream, Slots: need.Slots, PerSecond: need.PerSecond, Rank: need.Rank, LastsMs: need.Lasts.Milliseconds(),
+	}
+	for _, id := range s.keepers.Of(upstream.ID) {
+		response, answered := s.takeFrom(ctx, id, request)
+		switch {
+		case answered && response.Granted:
+			return &Place{service: s, upstream: upstream, slots: need.Slots, keeper: id, number: response.Number}
+		case answered:
+			s.setFull(upstream)
+			return nil
+		case ctx.Err() != nil:
+			return nil
+		}
+	}
+	return s.takeAlone(upstream, need)
+}
+
+// takeFrom asks a router for a place. It returns false if that has not answered or is leaving.
+func (s *Service) takeFrom(ctx context.Context, from fleet.HostID, request takeRequest) (takeResponse, bool) {
+	if from == s.self {
+		return s.give(request), true
+	}
+	call, cancel := context.WithTimeout(ctx, takeTimeout)
+	defer cancel()
+	var response takeResponse
+	err := s.transport.Call(call, from, methodTake, request, &response)
+	if err == nil && !response.Leaving {
+		return response, true
+	}
+	if ctx.Err() != nil {
+		return takeResponse{}, false
+	}
+	s.log.Info("router gave no answer on an upstream's room; not asking it for a while", "peer", from, "upstream", request.Upstream.ID,
+		"leaving", response.Leaving, "left_alone", keeper.SilentTime, "err", err)
+	s.keepers.SetSilent(from)
+	return takeResponse{}, false
+}
+
+// give gives a place that this router keeps.
+func (s *Service) give(request takeRequest) takeResponse {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := time.Now()
+	number, granted := s.state(request.Upstream, now).room.Take(now, room.Need{
+		Slots: request.Slots, PerSecond: request.PerSecond, Rank: request.Rank, Lasts: time.Duration(request.LastsMs) * time.Millisecond,
+	})
+	return takeResponse{Granted: granted, Number: number}
+}
+
+// takeAlone takes a place from this router's own part while no keeper answers.
+func (s *Service) takeAlone(upstream Upstream, need room.Need) *Place {
+	share := pace.Share(float64(need.Slots)*fallbackShare, s.fleet.Count(), s.fleet.Rank(string(upstream.ID)))
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	u := s.state(upstream, time.Now())
+	if u.own >= share {
+		return nil
+	}
+	u.own++
+	return &Place{service: s, upstream: upstream, slots: need.Slots}
+}
+
+// Return gives the place back. turnedAway is true if the upstream has turned the request away for want of room.
+func (p *Place) Return(turnedAway bool) {
+	s := p.service
+	if turnedAway {
+		s.setFull(p.upstream)
+	}
+	request := returnRequest{Upstream: p.upstream, Number: p.number, Slots: p.slots, TurnedAway: turnedAway}
+	switch p.keeper {
+	case "":
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.state(p.upstream, time.Now()).own--
+	case s.self:
+		s.takeBack(request)
+	default:
+		go func() {
+			ctx, cancel := context.WithTimeout(context.Background(), takeTimeout)
+			defer cancel()
+			var none struct{}
+			if err := s.transport.Call(ctx, p.keeper, methodReturn, request, &none); err != nil {
+				s.log.Debug("failed to return a place; it expires", "peer", p.keeper, "upstream", p.upstream.ID, "err", err)
+			}
+		}()
+	}
+}
+
+// takeBack takes a place back that this router keeps.
+func (s *Service) takeBack(request returnRequest) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := time.Now()
+	u := s.state(request.Upstream, now)
+	u.room.Return(request.Number)
+	if request.TurnedAway {
+		u.room.TurnedAway(now, request.Slots)
+		s.log.Info("brittle upstream turned a request away", "upstream", request.Upstream.ID, "in_work", u.room.InWork())
+	}
+}
+
+func (s *Service) isFull(upstream Upstream) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	u, found := s.upstreams[upstream]
+	return found && time.Now().Before(u.fullUntil)
+}
+
+func (s *Service) setFull(upstream Upstream) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := time.Now()
+	s.state(upstream, now).fullUntil = now.Add(fullTime)
+}
+
+// state returns the state of an upstream. The caller holds mu.
+func (s *Service) state(upstream Upstream, now time.Time) *state {
+	u, found := s.upstreams[upstream]
+	if !found {
+		for other, u := range s.upstreams {
+			if now.Sub(u.usedAt) > idleTime {
+				delete(s.upstreams, other)
+			}
+		}
+		u = &state{}
+		s.upstreams[upstream] = u
+	}
+	u.usedAt = now
+	return u
+}
+
+func (s *Service) handleTake(_ context.Context, _ fleet.HostID, decode port.Decode) (any, error) {
+	var request takeRequest
+	if err := decode(&request); err != nil {
+		return nil, err
+	}
+	if s.fleet.Leaving() {
+		return takeResponse{Leaving: true}, nil
+	}
+	return s.give(request), nil
+}
+
+func (s *Service) handleReturn(_ context.Context, _ fleet.HostID, decode port.Decode) (any, error) {
+	var request returnRequest
+	if err := decode(&request); err != nil {
+		return nil, err
+	}
+	s.takeBack(request)
+	return struct{}{}, nil
+}
--- a/node/workload/learn.go
+++ b/node/workload/learn.go
@@ -17,6 +17,8 @@
 	CachedParts  []warmth.CachedPart `msgpack:"placements"`
 	// RateLimits lists the rate limits in force.
 	RateLimits []ratelimit.Mark `msgpack:"limits,omitempty"`
+	// Brittle lists the upstreams that are brittle.
+	Brittle []ratelimit.Mark `msgpack:"brittle,omitempty"`
 }
 
 // maxBootstrapPeers is how many routers a starting one queries. A response has about 100 kB, and
@@ -39,6 +41,7 @@
 		w.mu.Lock()
 		w.warm.Merge(response.CachedParts, time.Now())
 		w.learnRateLimits(response.RateLimits, false)
+		w.learnBrittle(response.Brittle, false)
 		w.bootstrapped = w.bootstrapped || response.Bootstrapped
 		w.mu.Unlock()
 		if response.Bootstrapped {
@@ -69,5 +72,5 @@
 func (w *Workload) handleBootstrap(context.Context, fleet.HostID, port.Decode) (any, error) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	return bootstrapResponse{Bootstrapped: w.bootstrapped, CachedParts: w.warm.All(time.Now()), RateLimits: w.limits.InForce(time.Now())}, nil
+	return bootstrapResponse{Bootstrapped: w.bootstrapped, CachedParts: w.warm.All(time.Now()), RateLimits: w.limits.InForce(time.Now()), Brittle: w.brittle.InForce(time.Now())}, nil
 }
--- a/node/workload/publish.go
+++ b/node/workload/publish.go
@@ -17,7 +17,7 @@
 	now := time.Now()
 	return message{
 		Load: maps.Clone(w.own), Full: true, CachedParts: w.takePendingParts(), Leaving: w.leaving.Told(now),
-		RateLimits: w.limits.TakeNews(now),
+		RateLimits: w.limits.TakeNews(now), Brittle: w.brittle.TakeNews(now),
 	}
 }
 
@@ -29,11 +29,11 @@
 	now := time.Now()
 	m := message{
 		Load: map[fleet.UpstreamID]Load{}, Full: full, CachedParts: w.takePendingParts(), Leaving: w.leaving.Told(now),
-		RateLimits: w.limits.TakeNews(now),
+		RateLimits: w.limits.TakeNews(now), Brittle: w.brittle.TakeNews(now),
 	}
 	if full {
 		// A message with the news may have been lost.
-		m.RateLimits = w.limits.Recent(now)
+		m.RateLimits, m.Brittle = w.limits.Recent(now), w.brittle.Recent(now)
 		for upstream := range w.own {
 			w.changed[upstream] = true
 		}
@@ -84,6 +84,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.learnRateLimits(m.RateLimits, false)
+	w.learnBrittle(m.Brittle, false)
 	w.applyMessage(from, m, false)
 	if !w.isDirect {
 		w.recentParts.add(m.CachedParts)
--- a/node/workload/relay.go
+++ b/node/workload/relay.go
@@ -76,6 +76,8 @@
 	Leaving []departure.Mark `msgpack:"d,omitempty"`
 	// RateLimits lists the rate limits of upstreams that have changed lately.
 	RateLimits []ratelimit.Mark `msgpack:"r,omitempty"`
+	// Brittle lists the upstreams that have become brittle lately, or sound again.
+	Brittle []ratelimit.Mark `msgpack:"b,omitempty"`
 }
 
 // exchangeWithRelay sends this router's load and cached parts to a relay, and gets the load of all
@@ -94,6 +96,7 @@
 	w.relayRetryAt[relay] = time.Now().Add(relayRetryDelay)
 	w.enqueueParts(m.CachedParts...)
 	w.limits.Retell(m.RateLimits)
+	w.brittle.Retell(m.Brittle)
 }
 
 // pickRelay returns the first relay whose last exchange succeeded or that may be tried again.
@@ -134,6 +137,7 @@
 	w.cursor = response.Cursor
 	w.warm.Merge(response.CachedParts, time.Now())
 	w.learnRateLimits(response.RateLimits, false)
+	w.learnBrittle(response.Brittle, false)
 	return true
 }
 
@@ -146,6 +150,7 @@
 	w.learnLeaving(request.Message.Leaving)
 	w.mu.Lock()
 	w.learnRateLimits(request.Message.RateLimits, true)
+	w.learnBrittle(request.Message.Brittle, true)
 	w.applyMessage(from, request.Message, true)
 	w.enqueueParts(request.Message.CachedParts...)
 	response := relayResponse{Total: map[fleet.UpstreamID]Load{}}
@@ -161,7 +166,8 @@
 		}
 	}
 	response.CachedParts, response.Cursor = w.recentParts.since(request.Cursor)
-	response.Leaving, response.RateLimits = w.leaving.Told(time.Now()), w.limits.Recent(time.Now())
+	response.Leaving = w.leaving.Told(time.Now())
+	response.RateLimits, response.Brittle = w.limits.Recent(time.Now()), w.brittle.Recent(time.Now())
 	w.mu.Unlock()
 	w.notifyChange()
 	return response, nil
--- a/node/workload/workload.go
+++ b/node/workload/workload.go
@@ -74,6 +74,8 @@
 	Leaving []departure.Mark `msgpack:"d,omitempty"`
 	// RateLimits lists the rate limits of upstreams that have changed.
 	RateLimits []ratelimit.Mark `msgpack:"r,omitempty"`
+	// Brittle lists the upstreams that have become brittle, or sound again.
+	Brittle []ratelimit.Mark `msgpack:"b,omitempty"`
 }
 
 // Peers provides the other routers.
@@ -116,6 +118,8 @@
 	onLeaving func(departure.Mark)
 	// limits holds the rate limits that upstreams have stated to any router.
 	limits ratelimit.Marks
+	// brittle holds how many requests per second brittle upstreams turn away without falling over.
+	brittle ratelimit.Marks
 	// changed and pendingParts hold what the next message is to contain.
 	changed      map[fleet.UpstreamID]bool
 	pendingParts []warmth.CachedPart
--- a/port/edge.go
+++ b/port/edge.go
@@ -70,12 +70,14 @@
 	Pause time.Duration
 	// RateLimit is how many requests the upstream takes.
 	RateLimit RateLimit
+	// Brittle is how many requests the upstream turns away without falling over.
+	Brittle RateLimit
 	// Signed is true when the answer was written by an upstream and not by an intermediary.
 	Signed bool
 }
 
-// RateLimit is the number of requests per second that an upstream takes from all routers together, as it
-// states in an answer. It holds until an answer states none.
+// RateLimit is a number of requests per second, from all routers together, that an upstream states in an answer. It holds until
+// an answer states none.
 type RateLimit struct {
 	Stated bool
 	// PerSecond is NaN if what is stated is no number.
