--- a/core/fleethealth/fleethealth.go
+++ b/core/fleethealth/fleethealth.go
@@ -26,6 +26,8 @@
 	CopyAge, StateAge time.Duration
 	// WatchesStore is true when the router watches the store, and LostStore while the store does not answer it.
 	WatchesStore, LostStore bool
+	// Pathless lists the pools of which the router reaches no upstream itself, although it should.
+	Pathless []fleet.PoolID
 }
 
 // Doubt is a router that needs an operator's attention, and why.
@@ -48,6 +50,8 @@
 	// Watching routers watch the store, and Cut ones get no answer from it.
 	Watching int `json:"watching"`
 	Cut      int `json:"cut"`
+	// Pathless routers reach no upstream of some pool, and send its requests through others.
+	Pathless int `json:"pathless"`
 	// OldestCopyMs is the largest age of a router's copy of the store.
 	OldestCopyMs int64 `json:"oldest_copy_ms"`
 }
@@ -120,6 +124,7 @@
 	count(&d.Leaving, report.Leaving)
 	count(&d.Watching, report.WatchesStore)
 	count(&d.Cut, report.LostStore)
+	count(&d.Pathless, len(report.Pathless) > 0)
 	d.OldestCopyMs = max(d.OldestCopyMs, report.CopyAge.Milliseconds())
 }
 
@@ -138,6 +143,8 @@
 	switch {
 	case report.Silent:
 		return doubt(0, "does not answer")
+	case len(report.Pathless) > 0:
+		return doubt(1, "reaches no upstream of %v", report.Pathless)
 	case report.Version == 0:
 		return doubt(1, "has no desired state")
 	case report.CopyAge > maxCopyAge && report.LostStore:
--- a/node/edge/edge.go
+++ b/node/edge/edge.go
@@ -128,7 +128,7 @@
 	watches, lostStore := r.replica.Watches()
 	return fleethealth.Report{
 		Leaving: r.presence.Leaving(), Version: r.gateway.Version(), CopyAge: r.replica.Age(), StateAge: r.replica.DesiredAge(),
-		WatchesStore: watches, LostStore: lostStore,
+		WatchesStore: watches, LostStore: lostStore, Pathless: r.gateway.Pathless(),
 	}
 }
 
--- a/node/gateway/paths.go
+++ b/node/gateway/paths.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -100,6 +101,34 @@
 	return true
 }
 
+// Pathless returns the pools with upstreams that accept work, of which this router reaches none.
+func (g *Gateway) Pathless() []fleet.PoolID {
+	current := g.view.current.Load()
+	if current == nil {
+		return nil
+	}
+	var pathless []fleet.PoolID
+	now := time.Now()
+	for pool, engines := range current.engines {
+		live, reached := 0, 0
+		for _, e := range engines {
+			status := e.status(now)
+			if status.upstream.State != fleet.Live {
+				continue
+			}
+			live++
+			if status.path == pathUsable {
+				reached++
+			}
+		}
+		if live > 0 && reached == 0 {
+			pathless = append(pathless, pool)
+		}
+	}
+	slices.Sort(pathless)
+	return pathless
+}
+
 // pathInDoubt returns an upstream of a pool whose path is in doubt, at random, or nil if there is none.
 func (g *Gateway) pathInDoubt(pool fleet.PoolID) *engine {
 	now := time.Now()
--- a/node/survey/survey.go
+++ b/node/survey/survey.go
@@ -41,6 +41,8 @@
 	StateAgeMs   int64 `msgpack:"state_age_ms"`
 	WatchesStore bool  `msgpack:"watches_store,omitempty"`
 	LostStore    bool  `msgpack:"lost_store,omitempty"`
+
+	Pathless []fleet.PoolID `msgpack:"pathless,omitempty"`
 }
 
 // Fleet provides the routers to ask.
@@ -63,7 +65,7 @@
 		r := own()
 		return report{
 			Leaving: r.Leaving, Version: r.Version, CopyAgeMs: r.CopyAge.Milliseconds(), StateAgeMs: r.StateAge.Milliseconds(),
-			WatchesStore: r.WatchesStore, LostStore: r.LostStore,
+			WatchesStore: r.WatchesStore, LostStore: r.LostStore, Pathless: r.Pathless,
 		}, nil
 	})
 	return &Survey{
@@ -106,7 +108,7 @@
 	return fleethealth.Report{
 		Host: router.ID, DataCentre: router.DataCentre, Leaving: answer.Leaving, Version: answer.Version,
 		CopyAge:  time.Duration(answer.CopyAgeMs) * time.Millisecond,
-		StateAge: time.Duration(answer.StateAgeMs) * time.Millisecond, WatchesStore: answer.WatchesStore, LostStore: answer.LostStore,
+		StateAge: time.Duration(answer.StateAgeMs) * time.Millisecond, WatchesStore: answer.WatchesStore, LostStore: answer.LostStore, Pathless: answer.Pathless,
 	}
 }
 
