Keep what an upstream has said, and what was found of it, while its entry is gone

Callers' requests reached an upstream within a pause that it had asked for. Cause: the pause was a field of the router's value for the upstream, which ended with the upstream's entry in the store: an entry that lapsed, or could not be decoded for a moment, came back as a new upstream. Class: what an incarnation says of itself was bound to the life of its entry; leave marks had the same fault before. Ejections, the state of the path, recovery after lost connections and cold times ended with it, too. Evidence: TestPauseOutlivesTheEntryOfAnUpstream; the users' record has two routers that send again within 85 ms of each other, as after an event in common. Change: an upstream without a valid entry is remembered for as long as the longest pause, and taken up again with all of its state when an entry of the same incarnation at the same address returns. Its path is checked then if it was in doubt.

--- a/node/gateway/gateway.go
+++ b/node/gateway/gateway.go
@@ -111,7 +111,11 @@
 }
 
 // Observe applies changes of the store apart from the desired state.
-func (g *Gateway) Observe(changes []replica.Change) { g.view.applyChanges(changes) }
+func (g *Gateway) Observe(changes []replica.Change) {
+	g.view.applyChanges(changes)
+	// An upstream may have returned whose path is in doubt.
+	g.checkPaths()
+}
 
 // ObserveDesired puts a desired state in force.
 func (g *Gateway) ObserveDesired(entry port.Entry) { g.view.applyDesired(entry) }
--- a/node/gateway/view.go
+++ b/node/gateway/view.go
@@ -51,6 +51,7 @@
 	mu             sync.Mutex
 	table          *routing.Table
 	engines        map[string]*engine
+	absent         absentEngines
 	dataCentresOut map[string]fleet.DataCentre
 }
 
@@ -121,7 +122,12 @@
 	e, found := v.engines[key]
 	if !found || e.incarnation != entry.Incarnation || e.upstream().Address != entry.Upstream.Address {
 		v.onCacheReset(entry.Upstream.ID)
-		e = newEngine(entry)
+		if !found {
+			e, found = v.absent.take(entry, now)
+		}
+		if !found || e.incarnation != entry.Incarnation || e.upstream().Address != entry.Upstream.Address {
+			e = newEngine(entry)
+		}
 		if v.leaves(entry.Upstream.ID, entry.Incarnation) {
 			e.markLeaving()
 		}
@@ -176,6 +182,7 @@
 	if e, found := v.engines[key]; found {
 		v.log.Info("upstream removed because it has no valid store entry", "upstream", e.id)
 		v.onCacheReset(e.id)
+		v.absent.put(e, time.Now())
 		delete(v.engines, key)
 	}
 }
