Do not count a connection that timed out as the end of an engine

Callers of sound routers got refusals of requests that share a part of a prompt, for seconds after other routers had lost their paths to the engines. Cause: a connection on a lost path times out after some seconds, each at another moment; the router told all others that an engine had ended while it worked on the request. Change: a connection that fails because nothing was heard on it is reported as silent, not as lost; only a connection that the other side has closed says that the engine may have ended. The tests' network times silent connections out.

--- a/adapter/upstreamhttp/client.go
+++ b/adapter/upstreamhttp/client.go
@@ -230,6 +230,8 @@
 		failure.Fault = exchange.FaultUnreachable
 	case tracker.wasWithdrawn():
 		failure.Fault = exchange.FaultWithdrawn
+	case port.IsTimeout(err):
+		failure.Fault = exchange.FaultSilent
 	}
 	if tracker.abort() {
 		failure.Ran = fleet.RanUnknown
--- a/internal/pipenet/cut.go
+++ b/internal/pipenet/cut.go
@@ -48,7 +48,7 @@
 			continue
 		}
 		open.blackhole()
-		time.AfterFunc(silentTimeout, func() { open.Conn.Close() })
+		time.AfterFunc(silentTimeout, open.timeOut)
 	}
 }
 
@@ -74,3 +74,9 @@
 	}
 	return 0, false
 }
+
+// timeOut makes an end of a silent connection fail as the network stack does that gives it up.
+func (c *connection) timeOut() {
+	// A pipe returns a timeout once its deadline has passed, which is never an error.
+	_ = c.Conn.SetDeadline(pastDeadline)
+}
--- a/node/gateway/buffered.go
+++ b/node/gateway/buffered.go
@@ -46,7 +46,7 @@
 	switch {
 	case err == nil && engineAnswer.Signed:
 		c.recordAnswer(chosen)
-	case err != nil && len(body) == 0 && attempt.Err() == nil:
+	case err != nil && len(body) == 0 && attempt.Err() == nil && !port.IsTimeout(err):
 		c.recordEnd(chosen)
 	}
 	if err != nil || !engineAnswer.Signed {
--- a/node/gateway/stream.go
+++ b/node/gateway/stream.go
@@ -71,7 +71,7 @@
 	if c.request.Context().Err() == nil {
 		chosen.recordResult(time.Now(), outlier.Failure)
 	}
-	if chosen.eventCount < provenEvents && attempt.Err() == nil && !errors.Is(err, sse.ErrTooLarge) {
+	if chosen.eventCount < provenEvents && attempt.Err() == nil && !errors.Is(err, sse.ErrTooLarge) && !port.IsTimeout(err) {
 		c.recordEnd(chosen)
 	}
 	return attemptResult{sent: true, ran: fleet.RanUnknown, cause: "the stream broke off: " + err.Error()}
--- a/port/upstream.go
+++ b/port/upstream.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"net"
 	"net/http"
 	"time"
 
@@ -38,6 +39,13 @@
 	ConnectTimeout time.Duration
 }
 
+// IsTimeout reports whether a connection has failed because nothing was heard on it: the path or the upstream is silent, and
+// nothing says that the upstream has ended.
+func IsTimeout(err error) bool {
+	var failure net.Error
+	return errors.As(err, &failure) && failure.Timeout()
+}
+
 // ErrConnectTimeout is the cause of a call's failure after its ConnectTimeout.
 const ErrConnectTimeout = errors.ConstError("no connection in time")
 
