Keep idle connections to an upstream that is silent for a second or two

Cause: Linux gives an idle connection up by TCP_USER_TIMEOUT, 2 s after the last byte received, once one keep-alive probe is unanswered, whatever the number of probes allowed; the first is sent after a second. A sound upstream that is silent for little more than a second lost its idle connections. Change: 3 s for upstreams; the store keeps 2 s, whose stalled watches have to be found in time.

--- a/cmd/agateswitch/gateway.go
+++ b/cmd/agateswitch/gateway.go
@@ -79,7 +79,7 @@
 	logger.Info("starting the gateway", "host", s.Host.ID, "datacentre", s.Host.DataCentre, "store", s.Store, "settings", path)
 	dial := dialer.New().DialContext
 	var storeTraffic dialer.Counter
-	external := platform.New(port.Dial(storeTraffic.Wrap(dial)), s.Store)
+	external := platform.New(port.Dial(storeTraffic.Wrap(dial)), dialer.NewForUpstreams().DialContext, s.Store)
 	network := edge.Network{Dial: dial, Listen: net.Listen, StoreTraffic: storeTraffic.Traffic}
 	router, err := edge.New(s, external, network, metrics, logger)
 	if err != nil {
