Do not hold back a part for the ends that the next part of its prompts explains

Callers saw nearly all requests of a service refused: a part that all prompts begin with was held back beside the part that crashes engines. Cause: the ends of an engine count against all parts of the request. At the start of traffic, while no answer has cleared the common part, four ends under one and the same following part held both. A router that is responsible for the common part's permits was even told its ends before those of the following part. Change: an end carries the next part; a part whose ends all came of requests with the same next part, which is held for them, stays a suspect, which the first answer clears. A part is judged, told and learnt after the ones that follow it. TestCommonPartIsNotHeldForTheNextOne is new and was not run on the old code, whose ends have no next part.

--- a/core/quarantine/quarantine.go
+++ b/core/quarantine/quarantine.go
@@ -6,6 +6,7 @@
 package quarantine
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 	"time"
@@ -45,6 +46,8 @@
 	Part   Part
 	Engine Engine
 	At     time.Time
+	// Next is the part after this one in the prompt, if others share that, too.
+	Next Part
 	// Alone is true if no other request with the part was in work.
 	Alone bool
 	// Origin tells operators of the request.
@@ -81,6 +84,7 @@
 type engineEnd struct {
 	engine Engine
 	at     time.Time
+	next   Part
 	alone  bool
 }
 
@@ -116,7 +120,7 @@
 	if isKnown || !end.At.After(r.clearedAt) || end.At.Before(e.refuted[end.Engine]) || len(r.ends) >= maxEnds {
 		return false
 	}
-	r.ends = append(r.ends, engineEnd{engine: end.Engine, at: end.At, alone: end.Alone})
+	r.ends = append(r.ends, engineEnd{engine: end.Engine, at: end.At, next: end.Next, alone: end.Alone})
 	if r.origin == (Origin{}) {
 		r.origin = end.Origin
 	}
@@ -242,7 +246,7 @@
 func (e *Evidence) Standing(part Part, isRepeat bool) Standing {
 	ends := e.Ends(part)
 	switch {
-	case ends >= holdEnds && (!part.IsWholeRequest() || e.endedAlone(part)):
+	case ends >= holdEnds && !e.isExplained(part) && (!part.IsWholeRequest() || e.endedAlone(part)):
 		return Held
 	case ends >= suspectEnds, isRepeat && ends > 0:
 		return Suspect
@@ -250,6 +254,17 @@
 	return Clear
 }
 
+// isExplained reports whether all ends that count against a part came of requests with one and the same next part, which is
+// held for them. That the part crashes engines without the next one, nothing shows.
+func (e *Evidence) isExplained(part Part) bool {
+	ends := e.parts[part].ends
+	next := ends[0].next
+	if next == "" || e.Ends(next) < holdEnds {
+		return false
+	}
+	return !slices.ContainsFunc(ends, func(end engineEnd) bool { return end.next != next })
+}
+
 // endedAlone reports whether an engine ended while no other request with the part was in work. A whole request needs such an
 // end to be held: answers to it are not remembered before it is a suspect, so that a popular one may have been in work on
 // several engines that end one after the other.
@@ -257,19 +272,49 @@
 	return slices.ContainsFunc(e.parts[part].ends, func(end engineEnd) bool { return end.alone })
 }
 
-// Known returns all ends that count, for a router that starts.
+// Known returns all ends that count, for a router that starts. Those of a part follow those of its next one.
 func (e *Evidence) Known(now time.Time) []End {
 	var all []End
 	for part, r := range e.parts {
 		for _, end := range r.ends {
 			if now.Sub(end.at) <= maxEndAge {
-				all = append(all, End{Part: part, Engine: end.engine, At: end.at, Alone: end.alone, Origin: r.origin})
+				all = append(all, End{Part: part, Engine: end.engine, At: end.at, Next: end.next, Alone: end.alone, Origin: r.origin})
 			}
 		}
 	}
+	slices.SortStableFunc(all, func(a, b End) int { return cmp.Compare(e.depth(a.Part), e.depth(b.Part)) })
 	return all
 }
 
+// Following returns a part and those that followed it in the prompts that ended engines.
+func (e *Evidence) Following(part Part) []Part {
+	following := []Part{part}
+	for i := 0; i < len(following) && len(following) < maxEnds; i++ {
+		if r, found := e.parts[following[i]]; found {
+			for _, end := range r.ends {
+				if end.next != "" && !slices.Contains(following, end.next) {
+					following = append(following, end.next)
+				}
+			}
+		}
+	}
+	return following
+}
+
+// depth returns how many parts follow a part in the prompts that ended engines.
+func (e *Evidence) depth(part Part) int {
+	depth := 0
+	for depth < maxEnds {
+		r, found := e.parts[part]
+		if !found || len(r.ends) == 0 || r.ends[0].next == "" {
+			break
+		}
+		part = r.ends[0].next
+		depth++
+	}
+	return depth
+}
+
 // prune removes evidence that is too old, and parts without any.
 func (e *Evidence) prune(now time.Time) {
 	for part, r := range e.parts {
--- a/core/quarantine/quarantine_test.go
+++ b/core/quarantine/quarantine_test.go
@@ -277,3 +277,21 @@
 	end(e, wholeRequest(1), 2, 5)
 	must.False(t, end(e, "p", 3, 1.5))
 }
+
+// A part that all prompts begin with used to be held beside the part that crashes engines, while no answer had come yet.
+func TestCommonPartIsNotHeldForTheNextOne(t *testing.T) {
+	e := NewEvidence()
+	add := func(part, next Part, engine int) {
+		at := start.Add(time.Duration(engine) * time.Second)
+		e.AddEnd(End{Part: part, Next: next, Engine: engineOf(engine), At: at}, at)
+	}
+	for engine := range holdEnds {
+		add("common", "guilty", engine)
+		add("guilty", "", engine)
+	}
+	must.Eq(t, Held, e.Standing("guilty", false))
+	must.Eq(t, Suspect, e.Standing("common", false))
+	// An engine ends under a prompt without the other part.
+	add("common", "another", holdEnds)
+	must.Eq(t, Held, e.Standing("common", false))
+}
--- a/node/quarantine/quarantine.go
+++ b/node/quarantine/quarantine.go
@@ -184,11 +184,12 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := time.Now()
-	for _, part := range parts {
+	// A part is judged after the next one, whose ends may explain its own.
+	for i, part := range slices.Backward(parts) {
 		if now.Sub(s.answeredAt[part]) < recentAnswerTime {
 			continue
 		}
-		end := quarantine.End{Part: part, Engine: engine, At: now, Alone: slices.Contains(permit.taken, part), Origin: origin}
+		end := quarantine.End{Part: part, Engine: engine, At: now, Next: nextPart(parts, i), Alone: slices.Contains(permit.taken, part), Origin: origin}
 		if s.addEnd(end) {
 			s.news.ends = append(s.news.ends, end)
 			s.notify()
@@ -196,6 +197,14 @@
 	}
 }
 
+// nextPart returns the part of a prompt after the one at an index, or nothing if that is the last one that others share.
+func nextPart(parts []quarantine.Part, at int) quarantine.Part {
+	if at+1 >= len(parts) || parts[at+1].IsWholeRequest() {
+		return ""
+	}
+	return parts[at+1]
+}
+
 // addEnd adds an end to the evidence, and holds the part back if that is enough. The caller holds mu.
 func (s *Service) addEnd(end quarantine.End) bool {
 	now := time.Now()
--- a/node/quarantine/share.go
+++ b/node/quarantine/share.go
@@ -39,6 +39,7 @@
 	Engine quarantine.Engine `msgpack:"e"`
 	AgeMs  int64             `msgpack:"a"`
 	Alone  bool              `msgpack:"l,omitempty"`
+	Next   quarantine.Part   `msgpack:"x,omitempty"`
 	Origin quarantine.Origin `msgpack:"o,omitempty"`
 }
 
@@ -71,14 +72,14 @@
 	all := make([]endNews, 0, len(ends))
 	for _, end := range ends {
 		all = append(all, endNews{
-			Part: end.Part, Engine: end.Engine, AgeMs: now.Sub(end.At).Milliseconds(), Alone: end.Alone, Origin: end.Origin,
+			Part: end.Part, Engine: end.Engine, AgeMs: now.Sub(end.At).Milliseconds(), Next: end.Next, Alone: end.Alone, Origin: end.Origin,
 		})
 	}
 	return all
 }
 
 func (n endNews) end(now time.Time) quarantine.End {
-	return quarantine.End{Part: n.Part, Engine: n.Engine, At: ago(now, n.AgeMs), Alone: n.Alone, Origin: n.Origin}
+	return quarantine.End{Part: n.Part, Engine: n.Engine, At: ago(now, n.AgeMs), Next: n.Next, Alone: n.Alone, Origin: n.Origin}
 }
 
 func ago(now time.Time, ageMs int64) time.Time {
@@ -226,12 +227,14 @@
 	return response.Granted
 }
 
-// evident returns the ends that count against a part, of which the responsible router may not have been told yet.
+// evident returns the ends that count against a part, of which the responsible router may not have been told yet, and those of
+// the parts after it, which may explain them.
 func (s *Service) evident(part quarantine.Part) []endNews {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := time.Now()
-	ends := slices.DeleteFunc(s.evidence.Known(now), func(end quarantine.End) bool { return end.Part != part })
+	following := s.evidence.Following(part)
+	ends := slices.DeleteFunc(s.evidence.Known(now), func(end quarantine.End) bool { return !slices.Contains(following, end.Part) })
 	return endsAt(now, ends)
 }
 
