Do not wait for the only upstream's connection while other routers may have a path

Callers of a pool with one upstream waited 1.2 s for a connection that hangs before their requests went through another router; a handshake with a busy router was given up after 200 ms, although both hosts may stand still for a tenth of a second each. Cause: other routers counted as an alternative only once a path was in doubt, and both kinds of connection had the same patience. Change: in a fleet of several routers a connection to an upstream always has 200 ms; one to a router has 400 ms. Measured: TestRouterWithoutAPathToTheOnlyUpstreamServesItsCallersSoon failed with 1.21 s (allowed 0.5 s) and passes. No test plays a router that stands still.

--- a/node/gateway/choose.go
+++ b/node/gateway/choose.go
@@ -165,7 +165,7 @@
 		g.Moves.Reached(&versions, "")
 		return chosen
 	}
-	chosen.hasAlternative = s.mayDetour || s.sendsForOther || len(preferred.engines)+len(usable.engines)+len(ejected.engines) > 1
+	chosen.hasAlternative = g.Fleet.Count() > 1 || len(preferred.engines)+len(usable.engines)+len(ejected.engines) > 1
 	g.Moves.Reached(&versions, chosen.upstream.Version)
 	chosen.versions = versions
 	if source, found := sources.bestExcluding(chosen.engine); found && source.tokens >= cached[chosen.engine.id]+minCopyTokens {
--- a/node/gateway/detour.go
+++ b/node/gateway/detour.go
@@ -14,6 +14,10 @@
 	"agateswitch/port"
 )
 
+// routerPatience is how long a request waits for a connection to another router. Its handshake needs that router's processor,
+// which may stand still for a tenth of a second on a busy host, as this one's may.
+const routerPatience = 400 * time.Millisecond
+
 // choose chooses where to send the request: an upstream, or another router if this one has no path. It returns nil if
 // there is neither.
 func (c *callerRequest) choose(ctx context.Context) (*choice, *fleet.Refusal) {
@@ -112,7 +116,7 @@
 	answer, report, failure := c.gateway.Detours.Send(ctx, chosen.via, order, port.UpstreamCall{
 		Request: c.call.ID, Method: c.request.Method, Path: c.request.RequestURI, Host: c.request.Host,
 		Header: c.gateway.Engines.Header(c.request.Header, call), Body: bytes.NewReader(c.body), ContentLength: int64(len(c.body)),
-		ConnectTimeout: connectPatience,
+		ConnectTimeout: routerPatience,
 	})
 	chosen.report = report
 	if report != nil {
