--- /dev/null
+++ b/node/room/room_test.go
@@ -0,0 +1,174 @@
+package room
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"slices"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"agateswitch/core/fleet"
+	"agateswitch/core/room"
+	"agateswitch/port"
+
+	"github.com/charmbracelet/log"
+	"github.com/shoenig/test/must"
+	"github.com/vmihailenco/msgpack/v5"
+)
+
+// busyCallTime is the time of a call to a host that has used up its share of a core for the rest of a tenth of a second.
+const busyCallTime = 100 * time.Millisecond
+
+var (
+	engine = Upstream{ID: "e", Incarnation: 1}
+	need   = room.Need{Slots: 6, PerSecond: 4, Lasts: time.Minute}
+)
+
+// mesh connects the services of a test.
+type mesh struct {
+	mu       sync.Mutex
+	members  []*member
+	silent   map[fleet.HostID]bool
+	callTime time.Duration
+}
+
+// member is one router. It implements port.Peers and Fleet.
+type member struct {
+	mesh     *mesh
+	self     fleet.HostID
+	handlers map[string]port.PeerHandler
+	service  *Service
+}
+
+func newMesh(routers int) *mesh {
+	m := &mesh{silent: map[fleet.HostID]bool{}, callTime: time.Millisecond}
+	for i := range routers {
+		router := &member{mesh: m, self: fleet.HostID(fmt.Sprint("front-", i)), handlers: map[string]port.PeerHandler{}}
+		router.service = New(router.self, router, router, log.New(io.Discard))
+		m.members = append(m.members, router)
+	}
+	return m
+}
+
+func (m *member) Handle(method string, handler port.PeerHandler) { m.handlers[method] = handler }
+
+func (m *member) Call(ctx context.Context, to fleet.HostID, method string, request, response any) error {
+	other := m.mesh.members[slices.IndexFunc(m.mesh.members, func(other *member) bool { return other.self == to })]
+	m.mesh.mu.Lock()
+	silent := m.mesh.silent[to]
+	m.mesh.mu.Unlock()
+	if silent {
+		<-ctx.Done()
+		return port.ErrPeerUnreachable
+	}
+	time.Sleep(m.mesh.callTime)
+	body, err := msgpack.Marshal(request)
+	if err != nil {
+		return err
+	}
+	answer, err := other.handlers[method](ctx, m.self, func(into any) error { return msgpack.Unmarshal(body, into) })
+	if err != nil {
+		return err
+	}
+	if body, err = msgpack.Marshal(answer); err != nil {
+		return err
+	}
+	return msgpack.Unmarshal(body, response)
+}
+
+func (m *member) Others() []fleet.HostID {
+	var others []fleet.HostID
+	for _, other := range m.mesh.members {
+		if other != m {
+			others = append(others, other.self)
+		}
+	}
+	return others
+}
+
+func (m *member) Leaving() bool { return false }
+func (m *member) Count() int    { return len(m.mesh.members) }
+func (m *member) Rank(string) int {
+	return slices.Index(m.mesh.members, m)
+}
+
+// takeAll lets each router take places until it gets none.
+func (m *mesh) takeAll() []*Place {
+	var mu sync.Mutex
+	var places []*Place
+	var routers sync.WaitGroup
+	for _, router := range m.members {
+		routers.Go(func() {
+			for {
+				place := router.service.Take(context.Background(), engine, need)
+				if place == nil {
+					return
+				}
+				mu.Lock()
+				places = append(places, place)
+				mu.Unlock()
+			}
+		})
+	}
+	routers.Wait()
+	return places
+}
+
+func TestAllRoutersTogetherTakeNoMorePlacesThanSlots(t *testing.T) {
+	for _, routers := range []int{1, 8, 300} {
+		for _, callTime := range []time.Duration{time.Millisecond, busyCallTime} {
+			synctest.Test(t, func(t *testing.T) {
+				m := newMesh(routers)
+				m.callTime = callTime
+				places := m.takeAll()
+				must.Len(t, need.Slots, places)
+				for _, place := range places {
+					place.Return(false)
+				}
+				time.Sleep(time.Second)
+				must.Len(t, need.Slots, m.takeAll())
+			})
+		}
+	}
+}
+
+// With both keepers silent, each router uses its own part of half of the places, in a large fleet mostly none.
+func TestPlacesWithoutAKeeperStayWithinHalf(t *testing.T) {
+	for _, routers := range []int{3, 8, 300} {
+		synctest.Test(t, func(t *testing.T) {
+			m := newMesh(routers)
+			for _, keeper := range m.members[0].service.keepers.Of(engine.ID) {
+				m.silent[keeper] = true
+			}
+			var places []*Place
+			for _, router := range m.members {
+				// A silent router sends nothing either.
+				if m.silent[router.self] {
+					continue
+				}
+				for place := router.service.Take(context.Background(), engine, need); place != nil; {
+					places = append(places, place)
+					place = router.service.Take(context.Background(), engine, need)
+				}
+			}
+			must.LessEq(t, need.Slots/2, len(places))
+			must.Positive(t, len(places))
+		})
+	}
+}
+
+func TestRefusalsOfTheUpstreamStopAllRouters(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m := newMesh(8)
+		places := m.takeAll()
+		places[0].Return(true)
+		places[1].Return(true)
+		time.Sleep(10 * time.Millisecond)
+		must.SliceEmpty(t, m.takeAll())
+		time.Sleep(time.Second)
+		must.Positive(t, len(m.takeAll()))
+	})
+}
