--- a/node/workload/brittle.go
+++ b/node/workload/brittle.go
@@ -10,24 +10,12 @@
 // StateBrittle records that an answer of an upstream says that it falls over when it has to turn away more than a number of
 // requests per second, and tells the other routers. It reports whether that is news.
 func (w *Workload) StateBrittle(upstream fleet.UpstreamID, incarnation int64, perSecond float64) bool {
-	w.mu.Lock()
-	isNew := w.brittle.State(upstream, incarnation, perSecond, time.Now())
-	w.mu.Unlock()
-	if isNew {
-		w.notifyChange()
-	}
-	return isNew
+	return w.stateMark(&w.brittle, upstream, incarnation, perSecond)
 }
 
 // EndBrittle records that an answer to a request that was sent at sentAt does not say so. It reports whether that is news.
 func (w *Workload) EndBrittle(upstream fleet.UpstreamID, incarnation int64, sentAt time.Time) bool {
-	w.mu.Lock()
-	isNew := w.brittle.End(upstream, incarnation, sentAt, time.Now())
-	w.mu.Unlock()
-	if isNew {
-		w.notifyChange()
-	}
-	return isNew
+	return w.endMark(&w.brittle, upstream, incarnation, sentAt)
 }
 
 // Brittle returns how many requests per second an incarnation of an upstream turns away without falling over, or false if it
--- a/node/workload/ratelimits.go
+++ b/node/workload/ratelimits.go
@@ -10,8 +10,19 @@
 // StateRateLimit records the rate limit that an answer of an upstream states, and tells the other routers. It reports
 // whether that is news.
 func (w *Workload) StateRateLimit(upstream fleet.UpstreamID, incarnation int64, perSecond float64) bool {
+	return w.stateMark(&w.limits, upstream, incarnation, perSecond)
+}
+
+// EndRateLimit records that an answer to a request that was sent at sentAt states no limit. It reports whether that is
+// news.
+func (w *Workload) EndRateLimit(upstream fleet.UpstreamID, incarnation int64, sentAt time.Time) bool {
+	return w.endMark(&w.limits, upstream, incarnation, sentAt)
+}
+
+// stateMark records what an answer states, and tells the other routers news.
+func (w *Workload) stateMark(marks *ratelimit.Marks, upstream fleet.UpstreamID, incarnation int64, perSecond float64) (isNew bool) {
 	w.mu.Lock()
-	isNew := w.limits.State(upstream, incarnation, perSecond, time.Now())
+	isNew = marks.State(upstream, incarnation, perSecond, time.Now())
 	w.mu.Unlock()
 	if isNew {
 		w.notifyChange()
@@ -19,11 +30,10 @@
 	return isNew
 }
 
-// EndRateLimit records that an answer to a request that was sent at sentAt states no limit. It reports whether that is
-// news.
-func (w *Workload) EndRateLimit(upstream fleet.UpstreamID, incarnation int64, sentAt time.Time) bool {
+// endMark records that an answer does not state it any more, and tells the other routers news.
+func (w *Workload) endMark(marks *ratelimit.Marks, upstream fleet.UpstreamID, incarnation int64, sentAt time.Time) (isNew bool) {
 	w.mu.Lock()
-	isNew := w.limits.End(upstream, incarnation, sentAt, time.Now())
+	isNew = marks.End(upstream, incarnation, sentAt, time.Now())
 	w.mu.Unlock()
 	if isNew {
 		w.notifyChange()
