Show that two engines work on a stream whose router is cut off from the one that sends it

A router that can't reach an engine sends a stream through another one. Cut off from that, it resumes the stream elsewhere, while the other goes on reading it.

--- /dev/null
+++ b/review/harness/engine.go
@@ -0,0 +1,116 @@
+package harness
+
+import (
+	"fmt"
+	"net"
+	"net/http"
+	"slices"
+	"strconv"
+	"sync"
+	"time"
+)
+
+// Engine stands in for a model engine. It answers with a stream of events, goes on after Last-Event-Id, and drops a request when
+// its connection closes.
+type Engine struct {
+	ID, Address string
+	events      int
+	interval    time.Duration
+
+	mu   sync.Mutex
+	runs []*Run
+}
+
+// Run is a request that an engine works on.
+type Run struct {
+	Engine, ID  string
+	Resumed     bool
+	Began       time.Time
+	Ended       time.Time
+	Complete    bool
+	PromptParts string
+}
+
+// NewEngine starts an engine whose streams have the given number of events.
+func NewEngine(id string, events int, interval time.Duration) *Engine {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	check(err)
+	e := &Engine{ID: id, Address: listener.Addr().String(), events: events, interval: interval}
+	go func() { _ = http.Serve(listener, e) }()
+	return e
+}
+
+// ServeHTTP implements http.Handler.
+func (e *Engine) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	id := r.Header.Get("Attempt-Id")
+	w.Header().Set("Attempt-Id", id)
+	if expected := r.Header.Get("Expect-Instance"); expected != e.ID || id == "" {
+		w.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
+	last, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
+	run := &Run{Engine: e.ID, ID: id, Resumed: last > 0, Began: time.Now(), PromptParts: r.Header.Get("Prompt-Prefix")}
+	e.mu.Lock()
+	e.runs = append(e.runs, run)
+	e.mu.Unlock()
+	complete := e.stream(w, r, last)
+	e.mu.Lock()
+	run.Ended, run.Complete = time.Now(), complete
+	e.mu.Unlock()
+	if !complete {
+		panic(http.ErrAbortHandler)
+	}
+}
+
+func (e *Engine) stream(w http.ResponseWriter, r *http.Request, last int) (complete bool) {
+	w.Header().Set("Engine-Signature", "signed-"+e.ID)
+	w.Header().Set("Content-Type", "text/event-stream")
+	control := http.NewResponseController(w)
+	for event := last + 1; event <= e.events; event++ {
+		select {
+		case <-time.After(e.interval):
+		case <-r.Context().Done():
+			return false
+		}
+		if _, err := fmt.Fprintf(w, "id: %d\ndata: piece %d\n\n", event, event); err != nil {
+			return false
+		}
+		if err := control.Flush(); err != nil {
+			return false
+		}
+	}
+	return true
+}
+
+// Runs returns copies of the runs so far. One that has not ended has a zero end.
+func (e *Engine) Runs() []Run {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	runs := make([]Run, 0, len(e.runs))
+	for _, run := range e.runs {
+		runs = append(runs, *run)
+	}
+	return runs
+}
+
+// RunsByID returns the runs of several engines by request, in the order of their beginning.
+func RunsByID(engines []*Engine) map[string][]Run {
+	byID := map[string][]Run{}
+	for _, e := range engines {
+		for _, run := range e.Runs() {
+			byID[run.ID] = append(byID[run.ID], run)
+		}
+	}
+	for _, runs := range byID {
+		slices.SortFunc(runs, func(a, b Run) int { return a.Began.Compare(b.Began) })
+	}
+	return byID
+}
+
+// Register writes the engine's entry as engines do.
+func (e *Engine) Register(f *Fleet, service string, seq int, born time.Time) {
+	f.Store.Put("servers/"+e.ID, map[string]any{
+		"service": service, "address": e.Address, "zone": "arima", "version": "1", "slots": 64, "state": "ready",
+		"cold_remaining_ms": 0, "seq": seq, "born": born.UnixMilli(),
+	})
+}
