--- a/review/harness/engine.go
+++ b/review/harness/engine.go
@@ -16,9 +16,17 @@
 	ID, Address string
 	events      int
 	interval    time.Duration
+	// SlowFirst is how long the first event of a stream takes in the first SlowFor after a crash.
+	SlowFirst, SlowFor time.Duration
 
-	mu   sync.Mutex
-	runs []*Run
+	mu     sync.Mutex
+	runs   []*Run
+	server *http.Server
+	down   bool
+	// crashed is true from the first crash on.
+	crashed bool
+	born    time.Time
+	seq     int
 }
 
 // Run is a request that an engine works on.
@@ -36,10 +44,42 @@
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	check(err)
 	e := &Engine{ID: id, Address: listener.Addr().String(), events: events, interval: interval}
-	go func() { _ = http.Serve(listener, e) }()
+	e.serve(listener)
 	return e
 }
 
+// serve serves as a new incarnation.
+func (e *Engine) serve(listener net.Listener) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.server, e.down, e.born, e.seq = &http.Server{Handler: e}, false, time.Now(), 0
+	server := e.server
+	go func() { _ = server.Serve(listener) }()
+}
+
+// Crash ends the engine, and starts it again at the same address after some time.
+func (e *Engine) Crash(downFor time.Duration) {
+	e.mu.Lock()
+	server := e.server
+	e.down, e.crashed = true, true
+	e.mu.Unlock()
+	server.Close()
+	time.Sleep(downFor)
+	listener, err := net.Listen("tcp", e.Address)
+	check(err)
+	e.serve(listener)
+}
+
+// firstDelay returns how long the first event of a stream takes.
+func (e *Engine) firstDelay() time.Duration {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.crashed && time.Since(e.born) < e.SlowFor {
+		return e.SlowFirst
+	}
+	return e.interval
+}
+
 // ServeHTTP implements http.Handler.
 func (e *Engine) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	id := r.Header.Get("Attempt-Id")
@@ -66,9 +106,10 @@
 	w.Header().Set("Engine-Signature", "signed-"+e.ID)
 	w.Header().Set("Content-Type", "text/event-stream")
 	control := http.NewResponseController(w)
+	delay := e.firstDelay()
 	for event := last + 1; event <= e.events; event++ {
 		select {
-		case <-time.After(e.interval):
+		case <-time.After(delay):
 		case <-r.Context().Done():
 			return false
 		}
@@ -78,6 +119,7 @@
 		if err := control.Flush(); err != nil {
 			return false
 		}
+		delay = e.interval
 	}
 	return true
 }
@@ -107,10 +149,29 @@
 	return byID
 }
 
-// Register writes the engine's entry as engines do.
-func (e *Engine) Register(f *Fleet, service string, seq int, born time.Time) {
+// Register writes the engine's entry as engines do. One that is down writes nothing.
+func (e *Engine) Register(f *Fleet, service string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.down {
+		return
+	}
+	e.seq++
 	f.Store.Put("servers/"+e.ID, map[string]any{
 		"service": service, "address": e.Address, "zone": "arima", "version": "1", "slots": 64, "state": "ready",
-		"cold_remaining_ms": 0, "seq": seq, "born": born.UnixMilli(),
+		"cold_remaining_ms": 0, "seq": e.seq, "born": e.born.UnixMilli(),
 	})
 }
+
+// Heartbeats writes the entries of engines again and again.
+func Heartbeats(f *Fleet, service string, engines []*Engine) {
+	for {
+		for _, e := range engines {
+			e.Register(f, service)
+		}
+		time.Sleep(heartbeat)
+	}
+}
+
+// heartbeat is the time between two writes of an engine.
+const heartbeat = 1200 * time.Millisecond
--- a/review/harness/fleet.go
+++ b/review/harness/fleet.go
@@ -124,7 +124,7 @@
   "listen": {"callers": "%[2]s:7001", "readiness": "%[2]s:7002", "directory": "%[2]s:7003", "peers": "%[2]s:7004", "metrics": "%[2]s:7005"},
   "store": %[3]q,
   "peer_key": "agateswitch routers on the users' platform",
-  "first_start": true,
+  "first_start": false,
   "grace": "8s", "max_directory_ttl": "5s", "change_deadline": "2000ms",
   "retries": {"ratio": 0.2, "extra": 56, "window": "10s"},
   "exposure": {"share": 0.1, "slack": 50},
@@ -144,7 +144,7 @@
 }
 
 func (f *Fleet) start(r *Router) {
-	output, err := os.Create(filepath.Join(f.folder, r.Name+".log"))
+	output, err := os.OpenFile(filepath.Join(f.folder, r.Name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	check(err)
 	r.command = exec.Command("target/agateswitch", "gateway")
 	r.command.Env = append(os.Environ(), "AGATESWITCH_NODE_FILE="+filepath.Join(f.folder, r.Name), "AGATESWITCH_LOAD_BOUND_FACTOR=2")
@@ -155,6 +155,18 @@
 // Signal sends a signal to a router.
 func (r *Router) Signal(signal syscall.Signal) { _ = r.command.Process.Signal(signal) }
 
+// KillAll kills all routers, and starts them again after some time.
+func (f *Fleet) KillAll(downFor time.Duration) {
+	for _, r := range f.Routers {
+		r.Signal(syscall.SIGKILL)
+		_ = r.command.Wait()
+	}
+	time.Sleep(downFor)
+	for _, r := range f.Routers {
+		f.start(r)
+	}
+}
+
 // AwaitReady waits until all routers say that they are ready.
 func (f *Fleet) AwaitReady() {
 	deadline := time.Now().Add(15 * time.Second)
