--- a/review/harness/caller.go
+++ b/review/harness/caller.go
@@ -47,7 +47,7 @@
 func Desired(routes ...map[string]any) map[string]any {
 	return map[string]any{
 		"version": 1, "routes": routes,
-		"services": []any{map[string]any{"name": "farrier-lm", "engine": map[string]any{"slots": 64, "kv_capacity_tokens": 345666}}},
+		"services": []any{map[string]any{"name": "farrier-lm", "cold_start_s": 3, "cold_per_s": 12, "engine": map[string]any{"slots": 64, "kv_capacity_tokens": 345666}}},
 		"limits":   map[string]any{"max_header_bytes": 65536, "max_body_bytes": 4194304, "header_timeout_ms": 5000, "idle_timeout_ms": 10000},
 		"tenants":  []any{map[string]any{"name": "tenant-one", "api_keys": []string{Key}}},
 	}
--- a/review/harness/engine.go
+++ b/review/harness/engine.go
@@ -74,12 +74,20 @@
 func (e *Engine) firstDelay() time.Duration {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if e.crashed && time.Since(e.born) < e.SlowFor {
+	if e.slowRemaining() > 0 {
 		return e.SlowFirst
 	}
 	return e.interval
 }
 
+// slowRemaining returns for how long the engine remains slow after its start. The caller holds mu.
+func (e *Engine) slowRemaining() time.Duration {
+	if !e.crashed {
+		return 0
+	}
+	return max(0, e.SlowFor-time.Since(e.born))
+}
+
 // ServeHTTP implements http.Handler.
 func (e *Engine) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	id := r.Header.Get("Attempt-Id")
@@ -159,7 +167,7 @@
 	e.seq++
 	f.Store.Put("servers/"+e.ID, map[string]any{
 		"service": service, "address": e.Address, "zone": "arima", "version": "1", "slots": 64, "state": "ready",
-		"cold_remaining_ms": 0, "seq": e.seq, "born": e.born.UnixMilli(),
+		"cold_remaining_ms": e.slowRemaining().Milliseconds(), "seq": e.seq, "born": e.born.UnixMilli(),
 	})
 }
 
--- a/review/harness/fleet.go
+++ b/review/harness/fleet.go
@@ -12,6 +12,7 @@
 	"net/http"
 	"os"
 	"os/exec"
+	"os/signal"
 	"path/filepath"
 	"slices"
 	"strings"
@@ -29,19 +30,48 @@
 	ExitNotRun = 2
 )
 
+// processes are those that the case has started.
+var processes struct {
+	sync.Mutex
+	all     []*os.Process
+	folders []string
+}
+
+// cleanUp ends all processes of the case and removes its files.
+func cleanUp() {
+	processes.Lock()
+	defer processes.Unlock()
+	for _, process := range processes.all {
+		_ = process.Kill()
+	}
+	for _, folder := range processes.folders {
+		os.RemoveAll(folder)
+	}
+}
+
 // check ends the case if it can't run.
 func check(err error) {
 	if err != nil {
-		panic(err)
+		Abort(err.Error())
 	}
 }
 
+// Abort ends a case that can't run, from any goroutine.
+func Abort(cause string) {
+	log.Print("the case could not run: ", cause)
+	cleanUp()
+	os.Exit(ExitNotRun)
+}
+
+// maxDuration is how long a case may take.
+const maxDuration = 115 * time.Second
+
 // Main runs a case and exits with its code. Its record goes to the file that the first argument names.
 func Main(run func(record *log.Logger, trouble bool) int) {
 	os.Exit(protected(run))
 }
 
-func protected(run func(record *log.Logger, trouble bool) int) (code int) {
+func protected(run func(record *log.Logger, trouble bool) int) int {
 	if len(os.Args) != 2 {
 		fmt.Fprintln(os.Stderr, "the argument is the file for the record")
 		return ExitNotRun
@@ -52,13 +82,13 @@
 		return ExitNotRun
 	}
 	defer file.Close()
+	defer cleanUp()
+	log.SetOutput(io.MultiWriter(file, os.Stderr))
+	time.AfterFunc(maxDuration, func() { Abort("it takes too long") })
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	go func() { Abort("signal " + (<-signals).String()) }()
 	record := log.New(io.MultiWriter(file, os.Stdout), "", log.Ltime|log.Lmicroseconds)
-	defer func() {
-		if cause := recover(); cause != nil {
-			record.Printf("the case could not run: %v", cause)
-			code = ExitNotRun
-		}
-	}()
 	trouble := os.Getenv("TROUBLE") != "0"
 	record.Printf("disruption: %v", trouble)
 	return run(record, trouble)
@@ -86,6 +116,9 @@
 func NewFleet(routers int, entries map[string]any) *Fleet {
 	folder, err := os.MkdirTemp("", "review")
 	check(err)
+	processes.Lock()
+	processes.folders = append(processes.folders, folder)
+	processes.Unlock()
 	f := &Fleet{Store: standin.NewStore(), folder: folder, links: map[string]map[string]*Link{}}
 	for _, key := range slices.Sorted(maps.Keys(entries)) {
 		f.Store.Put(key, entries[key])
@@ -114,7 +147,8 @@
 			return host
 		}
 	}
-	panic("no free ports")
+	Abort("no free ports")
+	return ""
 }
 
 // settingsText is deploy/settings.jsonc, filled in for a small deployment.
@@ -150,6 +184,9 @@
 	r.command.Env = append(os.Environ(), "AGATESWITCH_NODE_FILE="+filepath.Join(f.folder, r.Name), "AGATESWITCH_LOAD_BOUND_FACTOR=2")
 	r.command.Stdout, r.command.Stderr = output, output
 	check(r.command.Start())
+	processes.Lock()
+	processes.all = append(processes.all, r.command.Process)
+	processes.Unlock()
 }
 
 // Signal sends a signal to a router.
@@ -173,7 +210,7 @@
 	for _, r := range f.Routers {
 		for !isReady(r) {
 			if time.Now().After(deadline) {
-				panic(r.Name + " is not ready")
+				Abort(r.Name + " is not ready")
 			}
 			time.Sleep(50 * time.Millisecond)
 		}
