Remove entries of routers that fail soon after their start, or in a fleet that has shrunk

Cause: a router registered for 60 s during its first 5 s, whatever the size of the fleet, and a fleet that had been large kept such leases down to 13 routers, while only fleets above 16 remove silent neighbours. Ruled out: naming only live routers whenever half are silent, which would empty the directory of a router that is cut off from the others. Change: a router registers with the short lease until it knows more than 16 others. Entries state their lease; neighbours remove silent routers whose entry has a long one in a fleet of any size. Earlier builds ignore the new field, and entries without it are handled as before.

--- a/node/presence/lease.go
+++ b/node/presence/lease.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"time"
 
+	"agateswitch/core/fleet"
 	"agateswitch/port"
 
 	"github.com/juju/errors"
@@ -20,9 +21,6 @@
 	// failed is removed by its neighbours. The calls to the store would grow with the fleet.
 	largeFleetTTL     = 60 * time.Second
 	largeFleetRenewal = 18 * time.Second
-	// sizeKnownAfter is the time after the start when the size of the fleet is known. A router
-	// registers with the TTL of a large one before.
-	sizeKnownAfter = 5 * time.Second
 	// smallAgainSize is the size up to which a fleet that was large counts as small.
 	smallAgainSize = maxDirectFleetSize * 3 / 4
 )
@@ -32,23 +30,28 @@
 	lease     port.LeaseID
 	ttl       time.Duration
 	renewedAt time.Time
-	startedAt time.Time
 	// isLarge is the last result of wantedTTL.
 	isLarge bool
 }
 
-// wantedTTL returns the TTL of the lease for the size of the fleet.
+// routerEntry is a router's entry in the store.
+type routerEntry struct {
+	fleet.Host
+	// LeaseSeconds is the TTL of the entry's lease, in seconds. Routers of earlier builds do not state it.
+	LeaseSeconds float64 `json:",omitempty"`
+}
+
+// outlives reports whether the entry may stay in the store for long after its router has failed.
+func (e routerEntry) outlives() bool { return e.LeaseSeconds > smallFleetTTL.Seconds() }
+
+// wantedTTL returns the TTL of the lease for the size of the fleet. A router that does not know the others yet
+// registers with the short one, so that its entry does not outlive it if it fails before it does.
 func (p *Presence) wantedTTL() time.Duration {
 	r := &p.registration
-	if r.startedAt.IsZero() {
-		r.startedAt, r.isLarge = time.Now(), true
-	}
-	if time.Since(r.startedAt) >= sizeKnownAfter {
-		p.mu.Lock()
-		size := len(p.listed)
-		p.mu.Unlock()
-		r.isLarge = size > maxDirectFleetSize || r.isLarge && size > smallAgainSize
-	}
+	p.mu.Lock()
+	size := len(p.listed)
+	p.mu.Unlock()
+	r.isLarge = size > maxDirectFleetSize || r.isLarge && size > smallAgainSize
 	if r.isLarge {
 		return largeFleetTTL
 	}
@@ -82,7 +85,7 @@
 	}
 	if p.isEntryLost() {
 		p.log.Info("router entry is gone; writing it again", "lease", r.lease)
-		if p.writeEntry(ctx, r.lease) == nil {
+		if p.writeEntry(ctx, r.lease, r.ttl) == nil {
 			return
 		}
 		p.register(ctx, r.ttl)
@@ -127,7 +130,7 @@
 		p.log.Warn("failed to acquire a router lease", "err", err)
 		return
 	}
-	if err := p.writeEntry(ctx, lease); err != nil {
+	if err := p.writeEntry(ctx, lease, ttl); err != nil {
 		return
 	}
 	r := &p.registration
@@ -135,9 +138,9 @@
 	p.log.Info("router registered", "lease", lease, "ttl", ttl)
 }
 
-// writeEntry writes the router's entry under a lease.
-func (p *Presence) writeEntry(ctx context.Context, lease port.LeaseID) error {
-	value, err := json.Marshal(p.self)
+// writeEntry writes the router's entry under a lease with a TTL.
+func (p *Presence) writeEntry(ctx context.Context, lease port.LeaseID, ttl time.Duration) error {
+	value, err := json.Marshal(routerEntry{Host: p.self, LeaseSeconds: ttl.Seconds()})
 	if err != nil {
 		panic("encode router entry: " + err.Error())
 	}
--- a/node/presence/monitor.go
+++ b/node/presence/monitor.go
@@ -8,7 +8,7 @@
 	"agateswitch/port"
 )
 
-// Parameters of the removal of routers that have failed, in a large fleet.
+// Parameters of the removal of routers that have failed and whose entries outlive them, as they do in a large fleet.
 const (
 	// lastCheckTimeout bounds the last heartbeat to a silent router before it is removed: longer than
 	// the others, for a host whose processor is busy.
@@ -34,7 +34,8 @@
 	now := time.Now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if len(p.listed) <= maxDirectFleetSize || p.leaving.Load() {
+	isLarge := len(p.listed) > maxDirectFleetSize
+	if !isLarge && len(p.outliving) == 0 || p.leaving.Load() {
 		return nil
 	}
 	ids := make([]fleet.HostID, 0, len(p.listed))
@@ -51,6 +52,10 @@
 		}
 		monitored[id] = since
 		heardAt := p.heartbeats[id].receivedAt
+		// In a small fleet the store removes the others by itself.
+		if !isLarge && !p.outliving[id] {
+			continue
+		}
 		if now.Sub(since) > unresponsiveTimeout && now.Sub(heardAt) > unresponsiveTimeout && !p.suspected[id] {
 			p.suspected[id], silent[id] = true, rank
 		}
--- a/node/presence/presence.go
+++ b/node/presence/presence.go
@@ -68,8 +68,10 @@
 	// router.
 	listed     map[fleet.HostID]fleet.Host
 	heartbeats map[fleet.HostID]receivedHeartbeat
-	// revisions holds the revisions of the entries in the store.
+	// revisions holds the revisions of the entries in the store, and outliving those that may stay there for long after
+	// their router has failed.
 	revisions map[fleet.HostID]revision.Revision
+	outliving map[fleet.HostID]bool
 	// monitored holds since when each neighbour has been sent heartbeats, and suspected those that
 	// are being checked because they do not answer.
 	monitored map[fleet.HostID]time.Time
@@ -91,7 +93,7 @@
 func New(self fleet.Host, store port.Store, logger *log.Logger) *Presence {
 	return &Presence{
 		self: self, store: store, log: logger, listed: map[fleet.HostID]fleet.Host{}, heartbeats: map[fleet.HostID]receivedHeartbeat{},
-		revisions: map[fleet.HostID]revision.Revision{}, monitored: map[fleet.HostID]time.Time{}, suspected: map[fleet.HostID]bool{},
+		revisions: map[fleet.HostID]revision.Revision{}, outliving: map[fleet.HostID]bool{}, monitored: map[fleet.HostID]time.Time{}, suspected: map[fleet.HostID]bool{},
 		removedAt:    map[fleet.HostID]time.Time{},
 		leaveStarted: make(chan struct{}),
 	}
@@ -117,11 +119,14 @@
 			p.log.Info("router no longer listed", "peer", id, "revision", change.Entry.Revision)
 			delete(p.listed, fleet.HostID(id))
 			delete(p.revisions, fleet.HostID(id))
+			delete(p.outliving, fleet.HostID(id))
 			p.entryLost = p.entryLost || fleet.HostID(id) == p.self.ID
 			continue
 		}
-		var host fleet.Host
-		if err := json.Unmarshal(change.Entry.Value, &host); err != nil || string(host.ID) != id {
+		var entry routerEntry
+		err := json.Unmarshal(change.Entry.Value, &entry)
+		host := entry.Host
+		if err != nil || string(host.ID) != id {
 			p.log.Warn("failed to decode a router entry; ignoring it", "key", change.Entry.Key, "err", err)
 			continue
 		}
@@ -133,6 +138,10 @@
 			p.log.Info("router listed", "peer", id, "address", host.HTTPAddress, "revision", change.Entry.Revision)
 		}
 		p.listed[host.ID], p.revisions[host.ID] = host, change.Entry.Revision
+		delete(p.outliving, host.ID)
+		if entry.outlives() {
+			p.outliving[host.ID] = true
+		}
 		p.entryLost = p.entryLost && host.ID != p.self.ID
 	}
 }
