Keep serving peers after a failed accept

Cause: adapter/peer ended its server on any error of Accept, so that a passing lack of descriptors cut a router off from calls of others for the rest of its life.

Change: only a closed listener or the end of the context ends it. Other errors are followed by a pause of 5 ms that doubles up to 1 s, and are logged at most once a second.

Result: TestServerOutlivesFailedAccepts failed before ('context deadline exceeded': nobody serves) and passes; ./adapter/peer, ./platform pass.

--- a/adapter/peer/serve.go
+++ b/adapter/peer/serve.go
@@ -9,6 +9,7 @@
 
 	"agateswitch/core/fleet"
 
+	"github.com/charmbracelet/log"
 	"github.com/juju/errors"
 	"github.com/vmihailenco/msgpack/v5"
 )
@@ -22,20 +23,33 @@
 	idleTimeout = 5 * time.Minute
 )
 
-// Serve accepts peer connections on the listener and handles their calls until ctx ends.
+// Pauses after failed accepts, as when the process is out of descriptors. They double from the first to the longest.
+const (
+	firstAcceptPause   = 5 * time.Millisecond
+	longestAcceptPause = time.Second
+)
+
+// Serve accepts peer connections on the listener and handles their calls until ctx ends. It returns an error if the listener is
+// closed before.
 func (m *Mesh) Serve(ctx context.Context, listener net.Listener) error {
 	stop := context.AfterFunc(ctx, func() { listener.Close() })
 	defer stop()
 	defer m.closeLinks()
 	pendingHandshakes := make(chan struct{}, maxPendingHandshakes)
+	failures := acceptFailures{log: m.log}
 	for {
 		connection, err := listener.Accept()
 		if ctx.Err() != nil {
 			return nil
 		}
-		if err != nil {
+		if errors.Is(err, net.ErrClosed) {
 			return errors.Annotate(err, "accepting a peer connection")
 		}
+		if err != nil {
+			failures.pause(ctx, err)
+			continue
+		}
+		failures.next = 0
 		select {
 		case pendingHandshakes <- struct{}{}:
 			go m.serveConnection(ctx, connection, func() { <-pendingHandshakes })
@@ -46,6 +60,30 @@
 	}
 }
 
+// acceptFailures paces the accepts after one that has failed.
+type acceptFailures struct {
+	log *log.Logger
+	// next is how long the next pause lasts, unless it is the first one.
+	next     time.Duration
+	loggedAt time.Time
+}
+
+// pause logs a failure, at most once a second, and waits before the next accept.
+func (f *acceptFailures) pause(ctx context.Context, cause error) {
+	length := max(f.next, firstAcceptPause)
+	f.next = min(2*length, longestAcceptPause)
+	if now := time.Now(); f.loggedAt.IsZero() || now.Sub(f.loggedAt) >= time.Second {
+		f.loggedAt = now
+		f.log.Error("failed to accept a peer connection; trying again", "pause", length, "err", cause)
+	}
+	timer := time.NewTimer(length)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
 // incomingConnection is a connection from an authenticated peer.
 type incomingConnection struct {
 	net.Conn
