Forward the request target byte for byte

Cause: net/url read the path again for the call to the upstream. It escaped bytes outside of RFC 3986, and a number sign cut the path. Between routers it happened twice.

Change: the target goes into the request unparsed. Two leading slashes, which net/http takes for an authority there, lose the scheme that it puts before them when the request line is written. A path without a leading slash, or with a space or a control byte, is not sent (not run).

--- a/adapter/upstreamhttp/client.go
+++ b/adapter/upstreamhttp/client.go
@@ -142,7 +142,7 @@
 
 // Send implements port.Upstreams.
 func (c *Client) Send(ctx context.Context, call port.UpstreamCall) (port.UpstreamAnswer, *port.UpstreamError) {
-	request, err := http.NewRequest(call.Method, "http://"+call.Upstream.Address+call.Path, call.Body)
+	request, err := newRequest(call)
 	if err != nil {
 		return port.UpstreamAnswer{}, &port.UpstreamError{
 			Cause: errors.Trace(err), Ran: fleet.NotRun, Fault: exchange.FaultMalformed,
@@ -167,7 +167,7 @@
 	if call.Fresh || c.recent.has(call.Upstream.Address, call.Request) {
 		client = c.fresh
 	}
-	answer, failure := c.do(ctx, client, request, call.Request, &callTracker{maySend: call.MaySend, connectTimeout: call.ConnectTimeout})
+	answer, failure := c.do(ctx, client, request, call.Request, &callTracker{maySend: call.MaySend, connectTimeout: call.ConnectTimeout, strip: absolutePrefix(request)})
 	if failure == nil || failure.Ran != fleet.NotRun {
 		c.recent.add(call.Upstream.Address, call.Request)
 	}
--- a/adapter/upstreamhttp/connection.go
+++ b/adapter/upstreamhttp/connection.go
@@ -1,10 +1,12 @@
 package upstreamhttp
 
 import (
+	"bytes"
 	"context"
 	"net"
 	"net/http/httptrace"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -25,6 +27,8 @@
 	mu      sync.Mutex
 	written bool
 	sealed  bool
+	// strip is the beginning of the current call's request line, up to a scheme that must not be sent.
+	strip string
 }
 
 // Write implements net.Conn.
@@ -35,8 +39,23 @@
 		return 0, errSealed
 	}
 	c.written = true
+	strip := c.strip
+	c.strip = ""
 	c.mu.Unlock()
-	return c.Conn.Write(buffer)
+	if strip == "" || !bytes.HasPrefix(buffer, []byte(strip)) {
+		return c.Conn.Write(buffer)
+	}
+	return c.writeWithoutScheme(buffer, strip)
+}
+
+// writeWithoutScheme writes the beginning of a request without the scheme at the end of strip.
+func (c *trackedConn) writeWithoutScheme(buffer []byte, strip string) (int, error) {
+	line := append([]byte(strings.TrimSuffix(strip, scheme+":")), buffer[len(strip):]...)
+	n, err := c.Conn.Write(line)
+	if err != nil {
+		return min(n, len(buffer)), err
+	}
+	return len(buffer), nil
 }
 
 // begin marks the start of a call. The transport assigns a connection to one call at a time, and
@@ -47,6 +66,13 @@
 	c.written = false
 }
 
+// setStrip sets strip for the call that has begun.
+func (c *trackedConn) setStrip(strip string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.strip = strip
+}
+
 // mayBeWritten reports whether bytes of the current call may have been written.
 func (c *trackedConn) mayBeWritten() bool {
 	c.mu.Lock()
@@ -71,6 +97,8 @@
 	maySend func() bool
 	// connectTimeout is port.UpstreamCall.ConnectTimeout.
 	connectTimeout time.Duration
+	// strip is that of the call's connections.
+	strip string
 
 	mu          sync.Mutex
 	connections []*trackedConn
@@ -104,6 +132,7 @@
 			panic("upstreamhttp: the transport used a connection that the client's dialer did not create")
 		}
 		connection.begin()
+		connection.setStrip(t.strip)
 		withdrawn := t.maySend != nil && !t.maySend()
 		if withdrawn {
 			connection.seal()
