--- a/core/routing/routing.go
+++ b/core/routing/routing.go
@@ -89,6 +89,15 @@
 	ColdRate float64
 	// Model is set for pools of model engines.
 	Model *Model
+	// Scaling is set for pools whose number of engines is ordered.
+	Scaling *Scaling
+}
+
+// Scaling bounds the number of a pool's engines in each data centre.
+type Scaling struct {
+	Min, Max int
+	// Boot is the time from an order to the first request of a new engine.
+	Boot time.Duration
 }
 
 // Model describes the engines of a model.
--- /dev/null
+++ b/core/scaling/decide.go
@@ -0,0 +1,212 @@
+package scaling
+
+import (
+	"math"
+	"time"
+
+	"agateswitch/core/fleet"
+)
+
+// Parameters of the default policy.
+const (
+	// upShare is the part of the boot time for which more engines must have been needed.
+	upShare = 0.25
+	// downMargin is the part of the need by which a smaller order exceeds it.
+	downMargin = 0.1
+	// maxDrop is the part of the engines that one order takes away at most. The prompts in their caches are read again elsewhere.
+	maxDrop = 0.25
+	// minDrop is the part of the engines that one order takes away at least, unless it reaches the minimum.
+	minDrop = 0.05
+	// minWindow bounds the windows from below, for engines that start at once.
+	minWindow = time.Second
+	// maxGap is the longest time between two decisions after which the seconds before still count.
+	maxGap = 2 * time.Second
+)
+
+// Policy says how long a need must have lasted before it is answered.
+type Policy struct {
+	// Up is how long more engines must have been needed, and Down how long fewer must have been enough.
+	Up, Down time.Duration
+	// Ahead is how far the trend of the need is extrapolated; zero for not at all.
+	Ahead time.Duration
+	// Margin is the part of the need by which a smaller order exceeds it.
+	Margin float64
+	// MaxDrop is the part of the engines that one order takes away at most.
+	MaxDrop float64
+}
+
+// NewPolicy returns the policy for engines that take the given times to start and to become warm.
+func NewPolicy(boot, coldStart time.Duration) Policy {
+	return Policy{
+		Up: max(minWindow, time.Duration(upShare*float64(boot))), Down: max(minWindow, boot+coldStart), Margin: downMargin, MaxDrop: maxDrop,
+	}
+}
+
+// Reason says why a number of engines is ordered or kept.
+type Reason string
+
+// Reasons of decisions.
+const (
+	// ReasonSteady means that the order in force fits.
+	ReasonSteady Reason = "steady"
+	// ReasonMore means that more engines were needed throughout the up window.
+	ReasonMore Reason = "more demand"
+	// ReasonLess means that fewer were enough throughout the down window.
+	ReasonLess Reason = "less demand"
+	// ReasonLimits means that the order in force, or the number of engines, is outside the limits.
+	ReasonLimits Reason = "limits"
+	// ReasonWatching means that the need was not known for long enough.
+	ReasonWatching Reason = "watching"
+	// ReasonUnknown means that the need is not known.
+	ReasonUnknown Reason = "unknown"
+)
+
+// Decision is the number of engines to order.
+type Decision struct {
+	Engines int
+	// Order is true if Engines differs from what was ordered last.
+	Order  bool
+	Reason Reason
+	// Wanted is the number of engines that the need of this moment asks for, without regard to the limits.
+	Wanted float64
+}
+
+// sample is what was known at a time.
+type sample struct {
+	at time.Time
+	// wanted is the number of engines that were wanted, listed the number that were registered, and lost how many of those in
+	// force were not able to work.
+	wanted float64
+	listed int
+	lost   float64
+}
+
+// Decider decides for one data centre. It is not safe for concurrent use.
+type Decider struct {
+	samples []sample
+	// seenAt is when it was last asked.
+	seenAt time.Time
+	// ordered is the number of engines in force. Until it has ordered, isAdopted is true and it is the most that were registered.
+	ordered   int
+	isAdopted bool
+	// isUnsure is true if an order may not have taken effect.
+	isUnsure bool
+	// changedAt is when ordered changed, and downAt when fewer may be ordered.
+	changedAt, downAt time.Time
+}
+
+// Unknown records that the need is not known now. What was needed before says nothing of the time after.
+func (d *Decider) Unknown(now time.Time) Decision {
+	d.see(now)
+	d.samples = nil
+	return Decision{Engines: d.ordered, Reason: ReasonUnknown}
+}
+
+// Decide returns the number of engines to order in a data centre now. After a gap it begins anew, because another router may have
+// ordered meanwhile.
+func (d *Decider) Decide(now time.Time, policy Policy, limits Limits, pool Pool, here fleet.DataCentre) Decision {
+	d.see(now)
+	if listed := pool.Supply[here].Listed; d.isAdopted && listed > d.ordered {
+		d.ordered, d.changedAt = listed, now
+	}
+	d.add(sample{at: now, listed: pool.Supply[here].Listed, lost: max(0, float64(d.ordered)-pool.Supply[here].Able)}, policy)
+	wanted := d.wanted(now, policy, limits, pool, here)
+	d.samples[len(d.samples)-1].wanted = wanted
+	decision := Decision{Engines: d.ordered, Reason: ReasonSteady, Wanted: wanted}
+	watched := now.Sub(d.samples[0].at)
+	more, less := limits.Clamp(ceil(d.least(now, policy))), d.fewer(policy, limits)
+	switch {
+	case watched >= policy.Up && more > d.ordered && ceil(d.least(now, policy)) > d.ordered:
+		decision.Engines, decision.Reason = more, ReasonMore
+	case watched < policy.Down:
+		decision.Reason = ReasonWatching
+	case limits.Clamp(d.ordered) != d.ordered:
+		decision.Engines, decision.Reason = limits.Clamp(d.ordered), ReasonLimits
+	case d.isWorthwhile(less, limits) && !now.Before(d.downAt):
+		decision.Engines, decision.Reason = less, ReasonLess
+	}
+	decision.Order = decision.Engines != d.ordered || d.isUnsure
+	return decision
+}
+
+// see makes it forget everything after a gap.
+func (d *Decider) see(now time.Time) {
+	if now.Sub(d.seenAt) > maxGap {
+		*d = Decider{isAdopted: true}
+	}
+	d.seenAt = now
+}
+
+// Ordered records that an order is in force.
+func (d *Decider) Ordered(now time.Time, policy Policy, engines int) {
+	d.ordered, d.isAdopted, d.isUnsure, d.changedAt, d.downAt = engines, false, false, now, now.Add(policy.Down)
+}
+
+// Unsure records that an order may be in force or not. The next decision is an order in any case.
+func (d *Decider) Unsure(now time.Time, policy Policy, engines int) {
+	d.Ordered(now, policy, engines)
+	d.isUnsure = true
+}
+
+// fewer returns how many engines are enough after the down window, within the step that one order may take. Engines of two versions may be
+// registered side by side for a while, so that the step of an adopted number begins at the fewest registered.
+func (d *Decider) fewer(policy Policy, limits Limits) int {
+	most, base := 0.0, d.ordered
+	for _, s := range d.samples {
+		most = max(most, s.wanted)
+		if d.isAdopted {
+			base = min(base, s.listed)
+		}
+	}
+	return limits.Clamp(max(ceil(most*(1+policy.Margin)), ceil(float64(base)*(1-policy.MaxDrop))))
+}
+
+// wanted returns how many engines the need asks for, and in place of those that have not been able to work for as long as others would take to
+// replace them.
+func (d *Decider) wanted(now time.Time, policy Policy, limits Limits, pool Pool, here fleet.DataCentre) float64 {
+	part := pool.PartOf(here, limits)
+	if pool.Supply[here].Out || now.Sub(d.samples[0].at) < policy.Down {
+		return part
+	}
+	lost := math.Inf(1)
+	for _, s := range d.samples {
+		lost = min(lost, s.lost)
+	}
+	return part + lost
+}
+
+// isWorthwhile reports whether a number of engines is so far below the order in force that it is worth an order.
+func (d *Decider) isWorthwhile(engines int, limits Limits) bool {
+	dropped := d.ordered - engines
+	return dropped > 0 && (engines == limits.Min || float64(dropped) >= minDrop*float64(d.ordered))
+}
+
+// add adds a sample and removes those that no window needs.
+func (d *Decider) add(s sample, policy Policy) {
+	d.samples = append(d.samples, s)
+	for len(d.samples) > 1 && s.at.Sub(d.samples[1].at) >= policy.Down {
+		d.samples = d.samples[1:]
+	}
+}
+
+// least returns what was wanted throughout the up window, or will be if the trend goes on.
+func (d *Decider) least(now time.Time, policy Policy) float64 {
+	least, first := math.Inf(1), sample{}
+	for i := len(d.samples) - 1; i >= 0; i-- {
+		first = d.samples[i]
+		least = min(least, first.wanted)
+		if now.Sub(first.at) >= policy.Up {
+			break
+		}
+	}
+	last := d.samples[len(d.samples)-1]
+	span := last.at.Sub(first.at)
+	if policy.Ahead > 0 && span > 0 {
+		slope := (last.wanted - first.wanted) / span.Seconds()
+		return max(least, last.wanted+slope*policy.Ahead.Seconds())
+	}
+	return least
+}
+
+// ceil rounds up, with room for the error of a sum.
+func ceil(engines float64) int { return int(math.Ceil(min(engines, math.MaxInt32) - 1e-9)) }
--- a/node/workload/relay.go
+++ b/node/workload/relay.go
@@ -78,6 +78,8 @@
 	Cursor      uint64                    `msgpack:"c"`
 	// Incomplete is true if the relay has not got the load of all others yet.
 	Incomplete bool `msgpack:"i,omitempty"`
+	// Unheard is the number of other relays whose load is not in Total. Relays of earlier versions do not say.
+	Unheard int `msgpack:"u,omitempty"`
 	// Leaving lists the upstreams that have said lately that they leave.
 	Leaving []departure.Mark `msgpack:"d,omitempty"`
 	// RateLimits lists the rate limits of upstreams that have changed lately.
@@ -168,7 +170,7 @@
 	w.setCountedBy(relay)
 	// The role may have changed meanwhile.
 	if !response.Incomplete && !w.isRelay {
-		w.total, w.updatedAt = response.Total, time.Now()
+		w.total, w.updatedAt, w.unheardByRelay = response.Total, time.Now(), response.Unheard
 		if w.total == nil {
 			w.total = map[fleet.UpstreamID]Load{}
 		}
@@ -222,7 +224,7 @@
 	w.setRelay(true, time.Now())
 	w.applyMessage(from, request.Message, true)
 	w.enqueueParts(request.Message.CachedParts...)
-	response := relayResponse{Total: map[fleet.UpstreamID]Load{}, Incomplete: w.isCompleting(time.Now())}
+	response := relayResponse{Total: map[fleet.UpstreamID]Load{}, Incomplete: w.isCompleting(time.Now()), Unheard: w.countUnheard()}
 	senderLoad := w.peerLoads[from].load
 	for upstream, load := range w.total {
 		if sum := load.plus(w.own[upstream]).minus(senderLoad[upstream]); sum != (Load{}) {
--- a/node/workload/workload.go
+++ b/node/workload/workload.go
@@ -141,6 +141,8 @@
 	// countedBy is the relay that counts this router's load, and formerRelay one that still does although another one has
 	// taken over. They are empty if there is none.
 	countedBy, formerRelay fleet.HostID
+	// unheardByRelay is the number of relays that this router's relay does not hear.
+	unheardByRelay int
 	// publishedTo are the relays to which this router has published last, and formerPeers those that still count what it
 	// published as a relay although it no longer is one.
 	publishedTo, formerPeers []fleet.HostID
