--- a/cmd/agatectl/experiment.go
+++ b/cmd/agatectl/experiment.go
@@ -47,6 +47,7 @@
 		"policies to compare: "+strings.Join(enginemodel.PolicyNames(), ", "))
 	command.Flags().Uint64Var(&flags.seed, "seed", 1, "seed of the load")
 	command.Flags().StringVar(&flags.plot, "plot", "", "file for a plot of the times to the first event: .svg, .png or .pdf")
+	command.AddCommand(experimentScalingCommand(o))
 	return command
 }
 
--- a/cmd/agatectl/experiment_test.go
+++ b/cmd/agatectl/experiment_test.go
@@ -7,6 +7,8 @@
 	"path/filepath"
 	"testing"
 
+	"agateswitch/enginemodel/supply"
+
 	"github.com/shoenig/test/must"
 )
 
@@ -44,3 +46,22 @@
 		must.StrContains(t, stderr, args[len(args)-1])
 	}
 }
+
+func TestExperimentScalingPrintsResultsAndPlot(t *testing.T) {
+	plot := filepath.Join(t.TempDir(), "plot.svg")
+	code, stdout, stderr := runOffline(t, "experiment", "scaling", "--load", "step-down", "--plot", plot, "-o", "json")
+	must.Eq(t, 0, code, must.Sprint(stderr))
+	var results []supplyResult
+	must.NoError(t, json.Unmarshal([]byte(stdout), &results))
+	must.SliceContainsAll(t, supply.PolicyNames(), []string{results[0].Policy, results[1].Policy, results[2].Policy, results[3].Policy})
+	drawn, err := os.ReadFile(plot)
+	must.NoError(t, err)
+	must.StrContains(t, string(drawn), "lasting")
+	_, stdout, _ = runOffline(t, "experiment", "scaling", "--policies", "lasting")
+	must.StrContains(t, stdout, "engine seconds")
+	for _, args := range [][]string{{"--load", "flood"}, {"--policies", "guess"}} {
+		code, _, stderr = runOffline(t, append([]string{"experiment", "scaling"}, args...)...)
+		must.Eq(t, exitUsage, code)
+		must.StrContains(t, stderr, args[1])
+	}
+}
--- a/core/scaling/decide.go
+++ b/core/scaling/decide.go
@@ -74,11 +74,11 @@
 // sample is what was known at a time.
 type sample struct {
 	at time.Time
-	// wanted is the number of engines that were wanted, listed the number that were registered, and lost how many of those in
-	// force were not able to work.
-	wanted float64
-	listed int
-	lost   float64
+	// wanted is the number of engines that were wanted, listed the number that were registered, and ordered the number in force.
+	wanted          float64
+	listed, ordered int
+	// lost is how many of the engines that have had the time to start were not able to work.
+	lost float64
 }
 
 // Decider decides for one data centre. It is not safe for concurrent use.
@@ -109,9 +109,8 @@
 	if listed := pool.Supply[here].Listed; d.isAdopted && listed > d.ordered {
 		d.ordered, d.changedAt = listed, now
 	}
-	d.add(sample{at: now, listed: pool.Supply[here].Listed, lost: max(0, float64(d.ordered)-pool.Supply[here].Able)}, policy)
+	d.add(sample{at: now, listed: pool.Supply[here].Listed, ordered: d.ordered}, policy)
 	wanted := d.wanted(now, policy, limits, pool, here)
-	d.samples[len(d.samples)-1].wanted = wanted
 	decision := Decision{Engines: d.ordered, Reason: ReasonSteady, Wanted: wanted}
 	watched := now.Sub(d.samples[0].at)
 	more, less := limits.Clamp(ceil(d.least(now, policy))), d.fewer(policy, limits)
@@ -161,18 +160,29 @@
 	return limits.Clamp(max(ceil(most*(1+policy.Margin)), ceil(float64(base)*(1-policy.MaxDrop))))
 }
 
-// wanted returns how many engines the need asks for, and in place of those that have not been able to work for as long as others would take to
-// replace them.
+// wanted completes the newest sample. It returns how many engines the need asks for, and in place of those that are lost: at once if the
+// others are crowded, and otherwise once they have been lost for as long as it takes to replace them.
 func (d *Decider) wanted(now time.Time, policy Policy, limits Limits, pool Pool, here fleet.DataCentre) float64 {
-	part := pool.PartOf(here, limits)
-	if pool.Supply[here].Out || now.Sub(d.samples[0].at) < policy.Down {
-		return part
+	newest := &d.samples[len(d.samples)-1]
+	newest.wanted = pool.PartOf(here, limits)
+	if pool.Supply[here].Out {
+		return newest.wanted
 	}
-	lost := math.Inf(1)
+	established, lasting := d.ordered, math.Inf(1)
 	for _, s := range d.samples {
-		lost = min(lost, s.lost)
+		established = min(established, s.ordered)
 	}
-	return part + lost
+	newest.lost = max(0, float64(established)-pool.Supply[here].Able)
+	for _, s := range d.samples {
+		lasting = min(lasting, s.lost)
+	}
+	switch {
+	case pool.IsCrowded():
+		newest.wanted += newest.lost
+	case now.Sub(d.samples[0].at) >= policy.Down:
+		newest.wanted += lasting
+	}
+	return newest.wanted
 }
 
 // isWorthwhile reports whether a number of engines is so far below the order in force that it is worth an order.
--- a/core/scaling/measure.go
+++ b/core/scaling/measure.go
@@ -16,6 +16,8 @@
 	// ComfortablePending is the number of prompt tokens that an engine has to read. Reading them takes 80 ms, a quarter of
 	// the shortest target latency.
 	ComfortablePending = 4096
+	// crowdedFactor times the engines that can work is the need above which callers are soon refused.
+	crowdedFactor = 1.5
 )
 
 // Limits bounds the number of engines of a pool in each data centre.
@@ -111,6 +113,17 @@
 	return 1
 }
 
+// IsCrowded reports whether the engines that can work are nearly full.
+func (p Pool) IsCrowded() bool {
+	able := 0.0
+	for _, supply := range p.Supply {
+		if !supply.Out {
+			able += supply.Able
+		}
+	}
+	return p.Need > crowdedFactor*able
+}
+
 // PartOf returns the part of the pool's need that falls to a data centre: an equal part of what data centres in use need, and of what
 // others can't serve because they have lost engines below the minimum.
 func (p Pool) PartOf(here fleet.DataCentre, limits Limits) float64 {
--- a/enginemodel/supply/supply_test.go
+++ b/enginemodel/supply/supply_test.go
@@ -96,6 +96,15 @@
 	must.Less(t, 1.02*wave.EngineSeconds, crash.EngineSeconds)
 }
 
+// Nobody knows whether they come back, and callers are refused meanwhile.
+func TestCrashedEnginesAreReplacedAtOnceWhileTheOthersAreFull(t *testing.T) {
+	const crash = 40 * time.Second
+	r := play(t, "crowded-crash")
+	for _, place := range places {
+		must.LessEq(t, crash+boot/4, since(r, place, crash)[0].At)
+	}
+}
+
 func TestLostEnginesAreReplaced(t *testing.T) {
 	r := play(t, "lost")
 	must.Eq(t, 1, share(r.served(80*time.Second), r.offered(80*time.Second)))
