--- a/core/scaling/decide.go
+++ b/core/scaling/decide.go
@@ -64,7 +64,9 @@
 // Decision is the number of engines to order.
 type Decision struct {
 	Engines int
-	// Order is true if Engines differs from what was ordered last.
+	// InForce is the number that was ordered last, or adopted.
+	InForce int
+	// Order is true if Engines has to be ordered.
 	Order  bool
 	Reason Reason
 	// Wanted is the number of engines that the need of this moment asks for, without regard to the limits.
@@ -99,7 +101,7 @@
 func (d *Decider) Unknown(now time.Time) Decision {
 	d.see(now)
 	d.samples = nil
-	return Decision{Engines: d.ordered, Reason: ReasonUnknown}
+	return Decision{Engines: d.ordered, InForce: d.ordered, Reason: ReasonUnknown}
 }
 
 // Decide returns the number of engines to order in a data centre now. After a gap it begins anew, because another router may have
@@ -111,7 +113,7 @@
 	}
 	d.add(sample{at: now, listed: pool.Supply[here].Listed, ordered: d.ordered}, policy)
 	wanted := d.wanted(now, policy, limits, pool, here)
-	decision := Decision{Engines: d.ordered, Reason: ReasonSteady, Wanted: wanted}
+	decision := Decision{Engines: d.ordered, InForce: d.ordered, Reason: ReasonSteady, Wanted: wanted}
 	watched := now.Sub(d.samples[0].at)
 	more, less := limits.Clamp(ceil(d.least(now, policy))), d.fewer(policy, limits)
 	switch {
--- a/node/workload/views_test.go
+++ b/node/workload/views_test.go
@@ -202,3 +202,39 @@
 		w.mustKnow(t, "e1", running)
 	})
 }
+
+// A decision for the whole fleet must not rest on a part of its load.
+func TestMissingRoutersAndRelaysAreNoticed(t *testing.T) {
+	for routers, wantRelays := range map[int]bool{6: false, 120: true} {
+		synctest.Test(t, func(t *testing.T) {
+			w := newNetwork(routers)
+			defer w.run()()
+			time.Sleep(3 * time.Second)
+			for _, n := range w.nodes {
+				count, throughRelays := n.Unheard()
+				must.Eq(t, 0, count, must.Sprint(n.id))
+				must.Eq(t, wantRelays, throughRelays)
+			}
+			_, relays := w.members()
+			lost := w.node(0)
+			if wantRelays {
+				lost = relays[0]
+			}
+			w.disconnect(lost)
+			for _, n := range w.nodes {
+				w.setView(n, func(plan dissemination.RelayPlan) dissemination.RelayPlan {
+					if plan.IsRelay() {
+						plan.Others = append(plan.Others, lost.id)
+					}
+					return plan
+				})
+			}
+			time.Sleep(3 * time.Second)
+			for _, n := range w.nodes {
+				if count, _ := n.Unheard(); n != lost {
+					must.Positive(t, count, must.Sprint(n.id))
+				}
+			}
+		})
+	}
+}
