Do singleton duties by leases in the store, and report usage

The platform wants each window's usage from one router at a time; nothing sent it, and a window left out is priced.

core/duty decides on claims, tokens and leases, node/duty runs duties on it, node/usage counts what upstreams begin and reports it, and platform/duties.go makes the calls. All of it is off without the section duties of the settings, which the template has only where the platform offers such calls.

TestTemplateHasOnlyFieldsThatAnEarlierVersionKnows took any new field for an error, since builds before do not start with one. The test now renders the template: without the platform's section it may have only the earlier fields, as before; with it, only those and the listed optional ones. TestDeployedTemplateIsValid checks both forms, and each value of the section.

--- a/cmd/agateswitch/gateway.go
+++ b/cmd/agateswitch/gateway.go
@@ -87,6 +87,9 @@
 	dial := dialer.New().DialContext
 	var storeTraffic dialer.Counter
 	external := platform.New(port.Dial(storeTraffic.Wrap(dial)), dialer.NewForUpstreams().DialContext, s.Store)
+	if s.Duties.Address != "" {
+		external.Duties, external.DutyKinds = platform.NewDuties(dial, s.Duties.Address), platform.DutyKinds(s.Duties.Calls)
+	}
 	network := edge.Network{Dial: dial, Listen: net.Listen, StoreTraffic: storeTraffic.Traffic}
 	router, err := edge.New(s, external, network, metrics, logger)
 	if err != nil {
--- a/node/edge/edge.go
+++ b/node/edge/edge.go
@@ -18,6 +18,7 @@
 	"agateswitch/core/fleethealth"
 	"agateswitch/core/rollout"
 	"agateswitch/node/detour"
+	"agateswitch/node/duty"
 	"agateswitch/node/gateway"
 	"agateswitch/node/presence"
 	"agateswitch/node/quarantine"
@@ -25,6 +26,7 @@
 	"agateswitch/node/replica"
 	"agateswitch/node/room"
 	"agateswitch/node/survey"
+	"agateswitch/node/usage"
 	"agateswitch/node/versionmove"
 	"agateswitch/node/workload"
 	"agateswitch/port"
@@ -53,9 +55,12 @@
 	workload *workload.Workload
 	moves    *versionmove.Service
 	held     *quarantine.Service
-	mesh     *peer.Mesh
-	traffic  trafficReport
-	servers  *servers
+	// duties and usage are nil where the platform wants no calls of singleton duties.
+	duties  *duty.Service
+	usage   *usage.Service
+	mesh    *peer.Mesh
+	traffic trafficReport
+	servers *servers
 }
 
 // New assembles a router.
@@ -90,6 +95,9 @@
 	if err := observeQuarantine(metrics.Meter(), r.held.Holds); err != nil {
 		return nil, err
 	}
+	if err := r.addDuties(self.ID, s, external, metrics, logger); err != nil {
+		return nil, err
+	}
 	detours := detour.New(r.presence, upstreamhttp.NewWithOptions(r.dialRouter, upstreamhttp.Options{
 		IDHeader: detour.HeaderRequestID, IdleTimeout: detourIdleTimeout,
 	}), s.Capacity.Cores)
@@ -102,6 +110,7 @@
 		Edge: external, Freshness: r.replica, Fleet: r.presence, Workload: r.workload, Moves: r.moves, Quarantine: r.held, Detours: detours, QuarantineKey: []byte(s.PeerKey),
 		RateLimits:  limits,
 		Room:        room.New(self.ID, r.mesh, r.presence, r.heldBy, logger),
+		Begin:       r.recordBegin(),
 		Instruments: instruments, Log: logger,
 	}, retryLimits(s), loadBound(s))
 	r.replica.Subscribe(r.presence.Observe)
@@ -116,10 +125,13 @@
 	reports.Handle(quarantine.Path+"/", r.held)
 	reports.Handle(ratelimit.Path, limits)
 	reports.Handle(EvidencePath, serveEvidence(r.moves.Beliefs, r.held.Beliefs, limits.Beliefs))
+	if r.duties != nil {
+		reports.Handle(duty.Path, r.duties)
+	}
 	reports.Handle("/", metrics.Handler())
 	directory, readiness := external.Entries(port.EntryList{Addresses: r.addresses, TTL: r.ttl, Ready: r.ready})
 	r.servers = &servers{
-		gateway: r.gateway, listen: network.Listen, routers: r.mesh.HTTPListener(), callers: s.Listen.Callers, leave: r.presence.Leave,
+		gateway: r.gateway, listen: network.Listen, routers: r.mesh.HTTPListener(), callers: s.Listen.Callers, leave: r.leave,
 		handlers: map[string]http.Handler{
 			s.Listen.Directory: directory, s.Listen.Readiness: readiness, s.Listen.Metrics: reports,
 		},
@@ -212,7 +224,14 @@
 	}
 	runContext, stop := context.WithCancel(forced)
 	var services sync.WaitGroup
-	for _, run := range []func(context.Context){r.replica.Run, r.presence.Run, r.workload.Run, r.moves.Run, r.held.Run, r.traffic.run, r.gateway.Run, r.bootstrap} {
+	runs := []func(context.Context){r.replica.Run, r.presence.Run, r.workload.Run, r.moves.Run, r.held.Run, r.traffic.run, r.gateway.Run, r.bootstrap}
+	if r.duties != nil {
+		runs = append(runs, r.duties.Run)
+	}
+	if r.usage != nil {
+		runs = append(runs, r.usage.Run)
+	}
+	for _, run := range runs {
 		services.Go(func() { run(runContext) })
 	}
 	services.Go(func() {
@@ -221,6 +240,9 @@
 		}
 	})
 	err = r.servers.run(ctx)
+	if r.usage != nil {
+		r.usage.Flush(runContext)
+	}
 	stop()
 	services.Wait()
 	r.log.Info("gateway stopped", "err", err)
--- a/node/gateway/buffered.go
+++ b/node/gateway/buffered.go
@@ -38,6 +38,9 @@
 		drain(head.Body)
 		return c.handleNotRun(chosen, head.Status, engineAnswer)
 	}
+	if engineAnswer.Signed && head.Status < http.StatusInternalServerError {
+		c.recordBegin()
+	}
 	var body []byte
 	var err error
 	if engineAnswer.Signed {
--- a/node/gateway/gateway.go
+++ b/node/gateway/gateway.go
@@ -67,6 +67,8 @@
 	// knows whole requests.
 	Quarantine    *quarantine.Service
 	QuarantineKey []byte
+	// Begin is called once for each request that an upstream has begun to run; nil if nobody wants to know.
+	Begin func(team fleet.Team)
 	// Instruments records the gateway's metrics.
 	Instruments Instruments
 	Log         *log.Logger
--- a/node/gateway/request.go
+++ b/node/gateway/request.go
@@ -69,6 +69,8 @@
 	sentCount int
 	// ran states whether the request may have run on any of them.
 	ran fleet.Ran
+	// hasBegun is true once an upstream has begun to run the request.
+	hasBegun bool
 	// failureAnswer is an upstream's error answer. The caller receives it if no upstream returns
 	// another answer.
 	failureAnswer *answer
--- a/node/gateway/stream.go
+++ b/node/gateway/stream.go
@@ -162,6 +162,7 @@
 		watchdog.Reset(c.nextEventTimeout())
 		c.writeStreamHeader(head)
 		chosen.endPrefill()
+		c.recordBegin()
 		if chosen.eventCount == 0 {
 			chosen.firstByteTime = time.Since(chosen.sentAt)
 		}
@@ -208,6 +209,7 @@
 		return attemptResult{sent: true, ran: fleet.RanUnknown, cause: describeIncomplete(err)}
 	}
 	chosen.recordResult(time.Now(), outlier.Success)
+	c.recordBegin()
 	c.recordAnswer(chosen)
 	c.deliver(&answer{chosen: chosen, status: head.Status, header: head.Header, body: body})
 	return attemptResult{delivered: true}
--- a/node/presence/routers.go
+++ b/node/presence/routers.go
@@ -164,3 +164,22 @@
 	}
 	return rank
 }
+
+// First returns the first routers, at most count, in the rendezvous order of a key: the listed ones and this one.
+func (p *Presence) First(key string, count int) []fleet.HostID {
+	p.mu.Lock()
+	names := make([]string, 0, len(p.listed)+1)
+	for id := range p.listed {
+		names = append(names, string(id))
+	}
+	if _, listed := p.listed[p.self.ID]; !listed {
+		names = append(names, string(p.self.ID))
+	}
+	p.mu.Unlock()
+	ordered := rendezvous.Order(key, names)
+	first := make([]fleet.HostID, 0, count)
+	for _, name := range ordered[:min(count, len(ordered))] {
+		first = append(first, fleet.HostID(name))
+	}
+	return first
+}
--- a/port/duties.go
+++ b/port/duties.go
@@ -13,8 +13,20 @@
 	Holder fleet.HostID
 	// Token is the holder's fencing token. It is above the token of every earlier holder of the same duty and subject.
 	Token uint64
+	// Check returns an error if the holder may no longer act. It is called right before the call is written, since the process
+	// may have been suspended after Send had allowed it. Nil means that there is nothing to check.
+	Check func() error
 }
 
+// DutyKind is a kind of calls of singleton duties.
+type DutyKind string
+
+// Kinds of calls.
+const (
+	DutyUsage   DutyKind = "usage"
+	DutyEngines DutyKind = "engines"
+)
+
 // UsageReport is the usage of one window by team.
 type UsageReport struct {
 	// Window is the number of the window: its start since 1970 divided by its length.
--- a/port/edge.go
+++ b/port/edge.go
@@ -202,4 +202,7 @@
 	// Entries returns the handlers for an entry list: the directory that callers query, and the
 	// readiness check.
 	Entries func(EntryList) (directory, readiness http.Handler)
+	// Duties makes the calls of singleton duties, and DutyKinds lists those that the platform wants. Duties is nil if it wants none.
+	Duties    Duties
+	DutyKinds []DutyKind
 }
--- a/settings/gateway.go
+++ b/settings/gateway.go
@@ -41,6 +41,8 @@
 	Exposure Exposure `json:"exposure"`
 	// LoadBound limits what one upstream holds. LoadBoundFactorVariable gives the default of its factor.
 	LoadBound LoadBound `json:"load_bound"`
+	// Duties are the calls to the platform that one router at a time makes. Without an address none are made.
+	Duties Duties `json:"duties"`
 	Log       Log       `json:"log"`
 }
 
@@ -187,6 +189,7 @@
 	d.require(g.Exposure.Slack >= 0, "exposure.slack", "must be 0 or more")
 	d.require(g.LoadBound.Factor >= 1, "load_bound.factor", "must be 1 or more")
 	d.require(g.LoadBound.Slack >= 0, "load_bound.slack", "must be 0 or more")
+	d.checkDuties(g.Duties)
 	d.oneOf("log.level", g.Log.Level, "debug", "info", "warn", "error")
 	d.oneOf("log.format", g.Log.Format, "text", "json")
 }
