--- a/node/edge/edge.go
+++ b/node/edge/edge.go
@@ -128,6 +128,9 @@
 	if r.duties != nil {
 		reports.Handle(duty.Path, r.duties)
 	}
+	if err := r.addScaling(s, external, metrics, reports, logger); err != nil {
+		return nil, err
+	}
 	reports.Handle("/", metrics.Handler())
 	directory, readiness := external.Entries(port.EntryList{Addresses: r.addresses, TTL: r.ttl, Ready: r.ready})
 	r.servers = &servers{
