Hold the duty that orders engines once for all pools and data centres

One holder for all needs one lease. Orders of a round are sent side by side, each within 1.5 s.

go test ./node/scaling: passed.

--- a/node/scaling/plan.go
+++ b/node/scaling/plan.go
@@ -1,10 +1,10 @@
 package scaling
 
 import (
+	"cmp"
 	"encoding/json"
 	"net/http"
 	"slices"
-	"strings"
 	"time"
 
 	"agateswitch/core/fleet"
@@ -76,8 +76,8 @@
 	At      time.Time `json:"at"`
 }
 
-// look returns the plan of a subject without a decision.
-func (s *Service) look(pool routing.Pool, subject subject) Plan {
+// look returns the plan of a pool in a data centre without a decision.
+func (s *Service) look(pool routing.Pool, at place) Plan {
 	engines, out := s.Pools.PoolEngines(pool.ID)
 	places := s.placesOf(pool.ID)
 	for dataCentre := range places {
@@ -86,11 +86,11 @@
 	measured := scaling.Measure(engines, places, policyOf(pool).Down)
 	age, isKnown := s.Loads.Age()
 	unheard, throughRelays := s.Loads.Unheard()
-	copyAge, supply := s.CopyAge(), measured.Supply[subject.dataCentre]
+	copyAge, supply := s.CopyAge(), measured.Supply[at.dataCentre]
 	plan := Plan{
-		Pool: pool.ID, DataCentre: subject.dataCentre, Min: pool.Scaling.Min, Max: pool.Scaling.Max, Listed: supply.Listed, Able: supply.Able,
+		Pool: pool.ID, DataCentre: at.dataCentre, Min: pool.Scaling.Min, Max: pool.Scaling.Max, Listed: supply.Listed, Able: supply.Able,
 		Out: supply.Out, PoolNeed: measured.Need, PoolRunning: measured.Running, PoolPending: measured.Pending,
-		Wanted: measured.PartOf(subject.dataCentre, limitsOf(pool)), CopyAgeMs: copyAge.Milliseconds(), Unheard: unheard, pool: measured,
+		Wanted: measured.PartOf(at.dataCentre, limitsOf(pool)), CopyAgeMs: copyAge.Milliseconds(), Unheard: unheard, pool: measured,
 	}
 	isAlone := s.Fleet.Count() <= 1
 	if isKnown {
@@ -143,30 +143,30 @@
 	}
 }
 
-// Plans returns what this router would order now, by pool and data centre. A subject that it holds has its last decision.
+// Plans returns what this router would order now, by pool and data centre. As the holder it returns its last decisions.
 func (s *Service) Plans() []Plan {
 	plans := []Plan{}
 	for _, pool := range s.Pools.ScaledPools() {
 		for dataCentre := range s.placesOf(pool.ID) {
-			plan := s.look(pool, subject{pool.ID, dataCentre})
-			if held, found := s.lastPlan(subject{pool.ID, dataCentre}); found {
+			plan := s.look(pool, place{pool.ID, dataCentre})
+			if held, found := s.lastPlan(place{pool.ID, dataCentre}); found {
 				plan = held
 			}
 			plans = append(plans, plan)
 		}
 	}
 	slices.SortFunc(plans, func(a, b Plan) int {
-		return strings.Compare(subject{a.Pool, a.DataCentre}.String(), subject{b.Pool, b.DataCentre}.String())
+		return cmp.Or(cmp.Compare(a.Pool, b.Pool), cmp.Compare(a.DataCentre, b.DataCentre))
 	})
 	return plans
 }
 
-// lastPlan returns the last decision for a subject that this router holds.
-func (s *Service) lastPlan(subject subject) (Plan, bool) {
+// lastPlan returns the last decision of this router as the holder.
+func (s *Service) lastPlan(at place) (Plan, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	h, found := s.holdings[subject]
-	if !found || time.Since(h.decidedAt) > 2*retryDelay {
+	h, found := s.holdings[at]
+	if !found || time.Since(h.decidedAt) > 2*sendTimeout {
 		return Plan{}, false
 	}
 	return h.plan, true
--- a/node/scaling/scaling.go
+++ b/node/scaling/scaling.go
@@ -5,8 +5,6 @@
 import (
 	"context"
 	"maps"
-	"slices"
-	"strings"
 	"sync"
 	"time"
 
@@ -20,8 +18,12 @@
 	"github.com/juju/errors"
 )
 
-// Name is the name of the duty.
-const Name = "engines"
+// Name is the name of the duty, and Subject its only subject. One holder for all pools and data centres costs the store less than one for
+// each, and sees the orders for all of them.
+const (
+	Name    = "engines"
+	Subject = "all"
+)
 
 // Intervals.
 const (
@@ -31,7 +33,9 @@
 	// retryDelay is the time until an order that failed is decided again, and rejectedDelay the one after the platform has rejected it.
 	retryDelay    = time.Second
 	rejectedDelay = 30 * time.Second
-	// quietTime is the least time between two log lines on why nothing is ordered for a subject.
+	// sendTimeout bounds one order, so that decisions don't pause for longer than core/scaling bridges.
+	sendTimeout = 1500 * time.Millisecond
+	// quietTime is the least time between two log lines on why nothing is ordered for a place.
 	quietTime = 5 * time.Second
 )
 
@@ -64,14 +68,12 @@
 	Log        *log.Logger
 }
 
-// subject is a pool in a data centre.
-type subject struct {
+// place is a pool in a data centre.
+type place struct {
 	pool       fleet.PoolID
 	dataCentre fleet.DataCentre
 }
 
-func (s subject) String() string { return string(s.pool) + "/" + string(s.dataCentre) }
-
 // Service implements duty.Duty. It is safe for concurrent use.
 type Service struct {
 	Dependencies
@@ -80,10 +82,10 @@
 	mu sync.Mutex
 	// places holds the data centres in which each pool has had engines, and holdings what this router has decided as a holder.
 	places   map[fleet.PoolID]map[fleet.DataCentre]bool
-	holdings map[subject]*holding
+	holdings map[place]*holding
 }
 
-// holding is what a holder keeps for a subject.
+// holding is what a holder keeps for a pool in a data centre.
 type holding struct {
 	decider scaling.Decider
 	// plan is the last decision, at decidedAt.
@@ -98,25 +100,21 @@
 
 // New returns a service that orders through d.Duties.
 func New(d Dependencies) *Service {
-	return &Service{Dependencies: d, places: map[fleet.PoolID]map[fleet.DataCentre]bool{}, holdings: map[subject]*holding{}}
+	return &Service{Dependencies: d, places: map[fleet.PoolID]map[fleet.DataCentre]bool{}, holdings: map[place]*holding{}}
 }
 
 // Name implements duty.Duty.
 func (s *Service) Name() string { return Name }
 
-// Subjects implements duty.Duty. A data centre that has lost all engines of a pool stays one of its subjects.
+// Subjects implements duty.Duty.
 func (s *Service) Subjects() []string {
-	var subjects []string
-	for _, pool := range s.Pools.ScaledPools() {
-		for dataCentre := range s.placesOf(pool.ID) {
-			subjects = append(subjects, subject{pool.ID, dataCentre}.String())
-		}
+	if len(s.Pools.ScaledPools()) == 0 {
+		return nil
 	}
-	slices.Sort(subjects)
-	return subjects
+	return []string{Subject}
 }
 
-// placesOf returns the data centres of a pool.
+// placesOf returns the data centres of a pool. One that has lost all engines stays one of them.
 func (s *Service) placesOf(pool fleet.PoolID) map[fleet.DataCentre]bool {
 	engines, _ := s.Pools.PoolEngines(pool)
 	s.mu.Lock()
@@ -130,32 +128,32 @@
 	return maps.Clone(s.places[pool])
 }
 
-// find returns the pool and the data centre of a subject.
-func (s *Service) find(name string) (routing.Pool, subject, bool) {
+// Work implements duty.Duty.
+func (s *Service) Work(ctx context.Context, _ string, grant duty.Grant) time.Duration {
+	next := maxInterval
+	var sending sync.WaitGroup
 	for _, pool := range s.Pools.ScaledPools() {
-		if dataCentre, found := strings.CutPrefix(name, string(pool.ID)+"/"); found && s.placesOf(pool.ID)[fleet.DataCentre(dataCentre)] {
-			return pool, subject{pool.ID, fleet.DataCentre(dataCentre)}, true
+		next = min(next, interval(pool))
+		for dataCentre := range s.placesOf(pool.ID) {
+			plan, h, isDue := s.decide(pool, place{pool.ID, dataCentre})
+			if isDue {
+				sending.Go(func() { s.order(ctx, h, plan, policyOf(pool), grant) })
+			}
 		}
 	}
-	return routing.Pool{}, subject{}, false
+	sending.Wait()
+	return next
 }
 
-// Work implements duty.Duty.
-func (s *Service) Work(ctx context.Context, name string, grant duty.Grant) time.Duration {
-	pool, subject, found := s.find(name)
-	if !found {
-		return maxInterval
-	}
-	now := time.Now()
-	interval := interval(pool)
-	plan, policy := s.look(pool, subject), policyOf(pool)
-	h := s.holding(subject)
+// decide decides for a pool in a data centre, and reports whether to order that now.
+func (s *Service) decide(pool routing.Pool, at place) (Plan, *holding, bool) {
+	plan, h, now := s.look(pool, at), s.holding(at), time.Now()
 	s.mu.Lock()
 	var decision scaling.Decision
 	if plan.Problem != "" {
 		decision = h.decider.Unknown(now)
 	} else {
-		decision = h.decider.Decide(now, policy, limitsOf(pool), plan.pool, subject.dataCentre)
+		decision = h.decider.Decide(now, policyOf(pool), limitsOf(pool), plan.pool, at.dataCentre)
 	}
 	plan.take(decision)
 	plan.LastOrder = h.plan.LastOrder
@@ -164,13 +162,14 @@
 	s.mu.Unlock()
 	if !isDue {
 		s.logQuiet(h, plan, now)
-		return interval
 	}
-	return max(interval, s.order(ctx, h, plan, policy, grant))
+	return plan, h, isDue
 }
 
-// order sends an order, and returns after how long the subject is to be decided again.
-func (s *Service) order(ctx context.Context, h *holding, plan Plan, policy scaling.Policy, grant duty.Grant) time.Duration {
+// order sends an order.
+func (s *Service) order(ctx context.Context, h *holding, plan Plan, policy scaling.Policy, grant duty.Grant) {
+	ctx, cancel := context.WithTimeout(ctx, sendTimeout)
+	defer cancel()
 	order := port.EngineOrder{Pool: plan.Pool, DataCentre: plan.DataCentre, Engines: plan.Engines}
 	var token uint64
 	startedAt := time.Now()
@@ -202,7 +201,6 @@
 	default:
 		s.Log.Warn("failed to order engines", append(fields, "retry_after", delay, "err", err)...)
 	}
-	return delay
 }
 
 // Outcomes of orders.
@@ -246,13 +244,13 @@
 	}
 }
 
-func (s *Service) holding(subject subject) *holding {
+func (s *Service) holding(at place) *holding {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.holdings[subject] == nil {
-		s.holdings[subject] = &holding{}
+	if s.holdings[at] == nil {
+		s.holdings[at] = &holding{}
 	}
-	return s.holdings[subject]
+	return s.holdings[at]
 }
 
 func limitsOf(pool routing.Pool) scaling.Limits {
--- a/node/scaling/scaling_test.go
+++ b/node/scaling/scaling_test.go
@@ -24,7 +24,6 @@
 const (
 	pool    = fleet.PoolID("farrier-lm")
 	here    = fleet.DataCentre("arima")
-	name    = "farrier-lm/arima"
 	boot    = 8 * time.Second
 	upTime  = boot/4 + maxInterval
 	downFor = boot + 3*time.Second + maxInterval
@@ -89,14 +88,14 @@
 // hold has the service work as the holder for some time.
 func hold(t *testing.T, s *Service, g grant, length time.Duration) {
 	for end := time.Now().Add(length); time.Now().Before(end); {
-		time.Sleep(s.Work(t.Context(), name, g))
+		time.Sleep(s.Work(t.Context(), Subject, g))
 	}
 }
 
 func TestHolderOrdersOnceWhatTheLoadNeeds(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f, s := newFixture()
-		must.Eq(t, []string{name}, s.Subjects())
+		must.Eq(t, []string{Subject}, s.Subjects())
 		hold(t, s, 7, downFor)
 		must.SliceEmpty(t, f.calls)
 		f.running = 80 * 16
