End work for another router with a lease, and go on elsewhere after that only

Cause: a router that was cut off from the one that sent a stream for it resumed the stream at a second engine, while the other router went on with it at the first one until its connection failed or the deadline came. An order that the network held up could begin after that, too.

Change: an order has a lease, which the router that took the request renews each 200 ms, one call for a pair of routers. It holds for 800 ms by the clock of the router that works, counted from a stamp of that clock which is sent back with each renewal. That router ends its work with the lease, and checks it at the moment of sending; a lease that has run out never comes back. The other router resumes or retries once it has that router's word, or 900 ms after the arrival of the last stamp. Work that is done nowhere else is not begun without a lease, but not broken off.

--- a/adapter/peer/mesh.go
+++ b/adapter/peer/mesh.go
@@ -84,6 +84,9 @@
 	if err != nil {
 		return errors.WithType(errors.Annotatef(err, "calling %s on %s", method, to), port.ErrPeerUnreachable)
 	}
+	if answer.Error == unknownMethod+method {
+		return errors.Annotatef(port.ErrUnknownMethod, "%s on %s", method, to)
+	}
 	if answer.Error != "" {
 		return errors.Errorf("%s on %s: %s", method, to, answer.Error)
 	}
--- a/adapter/peer/serve.go
+++ b/adapter/peer/serve.go
@@ -23,6 +23,9 @@
 	idleTimeout = 5 * time.Minute
 )
 
+// unknownMethod is what a router answers, followed by the method's name, to a call of a method that it does not have.
+const unknownMethod = "unknown method "
+
 // Pauses after failed accepts, as when the process is out of descriptors. They double from the first to the longest.
 const (
 	firstAcceptPause   = 5 * time.Millisecond
@@ -177,7 +180,7 @@
 	answer := envelope{Kind: kindResponse, ID: message.ID}
 	handler, found := m.handlers[message.Method]
 	if !found {
-		answer.Error = "unknown method " + message.Method
+		answer.Error = unknownMethod + message.Method
 		return answer
 	}
 	value, err := handler(ctx, from, func(into any) error { return decode(message.Body, into) })
--- a/node/detour/detour.go
+++ b/node/detour/detour.go
@@ -6,6 +6,7 @@
 import (
 	"encoding/hex"
 	"encoding/json"
+	"math/rand/v2"
 	"net/http"
 	"strings"
 	"sync"
@@ -46,6 +47,8 @@
 	ResumeAfter string `json:"resume_after,omitempty"`
 	// EngineEnded is true if an engine has ended while it worked on the request.
 	EngineEnded bool `json:"engine_ended,omitempty"`
+	// Lease limits how long the work may go on without news of the router that wants it. Routers of earlier versions set none.
+	Lease *Grant `json:"lease,omitempty"`
 }
 
 // Report is what the router that sends a request tells of it. Unless Failed, the rest of the answer is the upstream's.
@@ -77,7 +80,10 @@
 	fleet     Fleet
 	upstreams port.Upstreams
 	// limit is how many requests of other routers are in work at most.
-	limit int
+	limit   int
+	workers *workers
+	// leases is nil before Join.
+	leases *leases
 
 	mu     sync.Mutex
 	peers  *detour.Peers
@@ -86,7 +92,7 @@
 
 // New returns the service of a router. upstreams sends calls to the addresses that Address returns, with HeaderRequestID.
 func New(others Fleet, upstreams port.Upstreams, cores float64) *Service {
-	return &Service{fleet: others, upstreams: upstreams, limit: detour.Limit(cores), peers: detour.NewPeers()}
+	return &Service{fleet: others, upstreams: upstreams, limit: detour.Limit(cores), peers: detour.NewPeers(), workers: newWorkers(rand.Uint64())}
 }
 
 // Address returns the address by which an HTTP client knows a router.
--- a/node/edge/edge.go
+++ b/node/edge/edge.go
@@ -93,6 +93,7 @@
 	detours := detour.New(r.presence, upstreamhttp.NewWithOptions(r.dialRouter, upstreamhttp.Options{
 		IDHeader: detour.HeaderRequestID, IdleTimeout: detourIdleTimeout,
 	}), s.Capacity.Cores)
+	detours.Join(r.mesh, logger)
 	instruments, err := gateway.NewInstruments(metrics.Meter())
 	if err != nil {
 		return nil, err
--- a/node/gateway/choose.go
+++ b/node/gateway/choose.go
@@ -50,6 +50,8 @@
 	// its word on the request.
 	via    fleet.HostID
 	report *detour.Report
+	// lease is what lets that router have an upstream work on the request; nil if it knows no leases.
+	lease *detour.Lease
 	// hasAlternative is true if the request may be sent another way than to the upstream from here.
 	hasAlternative bool
 	// permit is the quarantine's permission for the attempt.
--- a/node/gateway/detour.go
+++ b/node/gateway/detour.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"agateswitch/core/detour"
+	"agateswitch/core/exchange"
 	"agateswitch/core/fleet"
 	"agateswitch/core/outlier"
 	node "agateswitch/node/detour"
@@ -86,6 +87,7 @@
 // attemptThroughRouter has another router send the request, and passes on the answer.
 func (c *callerRequest) attemptThroughRouter(ctx context.Context, chosen *choice) attemptResult {
 	result := c.exchange(ctx, chosen)
+	chosen.lease.End()
 	outcome, hints := detour.Silent, []fleet.HostID(nil)
 	if chosen.report != nil {
 		outcome, hints = chosen.report.Outcome, chosen.report.Hints
@@ -112,6 +114,11 @@
 			order.Tried = append(order.Tried, e.id)
 		}
 	}
+	lease, err := c.lease(ctx, chosen.via)
+	if err != nil {
+		return port.UpstreamAnswer{}, &port.UpstreamError{Cause: err, Ran: fleet.NotRun, Fault: exchange.FaultUnreachable}
+	}
+	chosen.lease, order.Lease = lease, lease.Grant()
 	call := port.EngineCall{ID: c.call.ID, TimeLeft: order.TimeLeft, Rank: order.Rank}
 	answer, report, failure := c.gateway.Detours.Send(ctx, chosen.via, order, port.UpstreamCall{
 		Request: c.call.ID, Method: c.request.Method, Path: c.request.RequestURI, Host: c.request.Host,
@@ -125,6 +132,20 @@
 	return answer, failure
 }
 
+// lease returns a lease for a router that is going to send the request. Work that is sent nowhere else goes on without news.
+func (c *callerRequest) lease(ctx context.Context, via fleet.HostID) (*node.Lease, error) {
+	ctx, cancel := context.WithTimeout(ctx, routerPatience)
+	defer cancel()
+	return c.gateway.Detours.Lease(ctx, via, !c.route.Repeatable())
+}
+
+// awaitStop waits until no upstream works on the request any longer for the router that an attempt went through. It reports false
+// if ctx ends before.
+func (c *callerRequest) awaitStop(ctx context.Context, chosen *choice, result attemptResult) bool {
+	hasEnded := !result.sent || result.ran != fleet.RanUnknown || chosen.report != nil && chosen.report.Failed
+	return hasEnded || chosen.lease.Stop(ctx)
+}
+
 // applyReport applies what another router tells of the upstream that it has sent the request to.
 func (c *callerRequest) applyReport(chosen *choice, report *node.Report) {
 	chosen.upstream = fleet.Upstream{ID: report.Upstream, Version: report.Version, Pool: c.pool.ID}
--- a/node/gateway/detour_serve.go
+++ b/node/gateway/detour_serve.go
@@ -38,15 +38,29 @@
 		return
 	}
 	defer end()
+	if order.Lease != nil && !c.beginWork(*order.Lease) {
+		c.reportFailure(node.Report{Outcome: detour.Busy, Ran: fleet.NotRun, Cause: "the lease has ended"})
+		return
+	}
+	if c.work != nil {
+		defer c.work.End()
+	}
 	if report := c.prepareDetour(order); report != nil {
 		c.reportFailure(*report)
 		return
 	}
-	ctx, cancel := context.WithDeadline(r.Context(), c.deadline)
+	ctx, cancel := context.WithDeadline(c.request.Context(), c.deadline)
 	defer cancel()
 	c.sendForOther(ctx)
 }
 
+// beginWork takes the lease of a request of another router. The end of the lease is like the leaving of a caller.
+func (c *callerRequest) beginWork(grant node.Grant) bool {
+	ctx, work, isGood := c.gateway.Detours.BeginWork(c.request.Context(), c.from, grant)
+	c.request, c.work = c.request.WithContext(ctx), work
+	return isGood
+}
+
 // prepareDetour sets up a request of another router. It returns a report if it can't be sent.
 func (c *callerRequest) prepareDetour(order node.Order) *node.Report {
 	c.ran, c.tried, c.engineEnded = fleet.NotRun, map[*engine]bool{}, order.EngineEnded
--- a/node/gateway/request.go
+++ b/node/gateway/request.go
@@ -15,6 +15,7 @@
 	"agateswitch/core/rollout"
 	"agateswitch/core/routing"
 	"agateswitch/core/warmth"
+	"agateswitch/node/detour"
 	"agateswitch/port"
 
 	"github.com/juju/errors"
@@ -56,6 +57,8 @@
 	// asked lists the routers that the request was offered to, and from is the one that has asked this router to send it.
 	asked []fleet.HostID
 	from  fleet.HostID
+	// work is the lease under which this router sends the request for from; nil if it has none.
+	work *detour.Work
 	// connectFailed is true if the last attempt found no connection to its upstream.
 	connectFailed bool
 	// unreached is the number of attempts that found no connection.
@@ -146,6 +149,10 @@
 			c.failRequest(fleet.CodeUpstreamFailed, result.cause)
 			return
 		}
+		if !c.awaitStop(ctx, chosen, result) {
+			c.failRequest(fleet.CodeDeadline, "no answer in time")
+			return
+		}
 	}
 }
 
@@ -237,7 +244,7 @@
 		Host: c.request.Host, Header: c.gateway.Engines.Header(c.request.Header, call),
 		Body: bytes.NewReader(c.body), ContentLength: int64(len(c.body)),
 		MaySend: func() bool {
-			return c.gateway.view.current.Load().acceptsWork(c.pool.ID, chosen.engine) &&
+			return (c.work == nil || c.work.MaySend()) && c.gateway.view.current.Load().acceptsWork(c.pool.ID, chosen.engine) &&
 				c.gateway.Moves.MaySend(c.pool.ID, chosen.upstream.Version) && c.gateway.Quarantine.MaySend(c.suspectParts()) &&
 				c.gateway.isWithinLimit(chosen) && c.gateway.hasPlace(c.pool.ID, chosen)
 		},
--- a/port/peers.go
+++ b/port/peers.go
@@ -11,6 +11,9 @@
 // ErrPeerUnreachable is returned when a peer did not answer. It may have handled the call.
 const ErrPeerUnreachable = errors.ConstError("peer unreachable")
 
+// ErrUnknownMethod is returned when a peer does not know the method, as one of an earlier version.
+const ErrUnknownMethod = errors.ConstError("unknown method")
+
 // Decode decodes a request of the peer protocol into a value.
 type Decode func(into any) error
 
