Take no comment for the progress of a stream

Cause: a stalled engine that sent a comment now and then kept its stream: each block of lines counted as an event, and put off the time after which another engine goes on with it, until the route's timeout.

Change: only an event with an id or data counts.

--- a/node/gateway/stream.go
+++ b/node/gateway/stream.go
@@ -159,7 +159,9 @@
 		if !follows(id, c.stream.lastEventID) {
 			return errors.Trace(errNotFollowing)
 		}
-		watchdog.Reset(c.nextEventTimeout())
+		if id != "" || sse.HasData(raw) {
+			watchdog.Reset(c.nextEventTimeout())
+		}
 		c.writeStreamHeader(head)
 		chosen.endPrefill()
 		if chosen.eventCount == 0 {
--- a/sse/raw.go
+++ b/sse/raw.go
@@ -74,3 +74,13 @@
 		}
 	}
 }
+
+// HasData reports whether the bytes of an event hold data. Without, as with comments only, a receiver takes them for no event.
+func HasData(raw []byte) bool {
+	for line := range bytes.Lines(raw) {
+		if line = bytes.TrimRight(line, "\r\n"); bytes.Equal(line, []byte("data")) || bytes.HasPrefix(line, []byte("data:")) {
+			return true
+		}
+	}
+	return false
+}
