Read the requests of the last connections before a planned stop shuts down

Cause: http.Server.Shutdown drops a request that it has not read yet when it begins, on a connection that was just accepted.

Change: the socket for callers is closed 300 ms before that.

--- a/node/edge/server.go
+++ b/node/edge/server.go
@@ -27,6 +27,9 @@
 	// lingerTime is how long a leaving router continues to accept connections, because callers cache
 	// the directory's answers.
 	lingerTime = 3 * time.Second
+	// readTime is how long the first request of a connection may take to be read after no more are accepted. http.Server.Shutdown
+	// drops those that it finds unread.
+	readTime = 300 * time.Millisecond
 	// exitMargin is the part of the grace period that is reserved for the exit of the process.
 	exitMargin = 400 * time.Millisecond
 )
@@ -134,6 +137,10 @@
 	s.gateway.Leave()
 	s.leave()
 	time.Sleep(min(lingerTime, grace/2))
+	if err := s.sockets[s.callers].Close(); err != nil {
+		s.log.Warn("failed to close the socket for callers", "err", err)
+	}
+	time.Sleep(min(readTime, grace/8))
 	ctx, cancel := context.WithDeadline(context.Background(), deadline)
 	defer cancel()
 	err := server.Shutdown(ctx)
