Weigh the ends of engines against their base rate, and try what is held back

Cause: a part that all prompts share is in work wherever an engine ends. Four ends held it for 24 hours, over a restart of all routers, and only an answer to a request that was never sent could release it.

Change: routers count what they send by part and pool, and tell the share with each end. Each hold has a next trial: at once after a wave if it is in doubt, else spaced and further apart; a trial that ends within a wave is repeated. The hold's evidence is in its entry; a hold without any, as of earlier builds, is in doubt.

--- a/core/quarantine/doubt.go
+++ b/core/quarantine/doubt.go
@@ -9,6 +9,17 @@
 // ended for another reason than what they worked on.
 const companyWindow = time.Second
 
+// waveEnds is how many engines make a wave when they end at about the same time.
+const waveEnds = 2
+
+// Limits of the time without a wave of ends. waveLength is the time over which the ends of a wave are compared.
+const (
+	minQuietTime = time.Second
+	maxQuietTime = 5 * time.Second
+	quietGaps    = 3
+	waveLength   = 10 * time.Second
+)
+
 // Accompanied returns how many of the ends that count against a part had company: an engine on which the part was not in
 // work ended at about the same time.
 func (e *Evidence) Accompanied(part Part) int {
@@ -27,8 +38,8 @@
 
 // hasCompany reports whether an engine that is not in the record ended at about a time.
 func (e *Evidence) hasCompany(r *record, at time.Time) bool {
-	for engine, endedAt := range e.ended {
-		if endedAt.Sub(at).Abs() <= companyWindow && !slices.ContainsFunc(r.ends, func(end engineEnd) bool { return end.engine == engine }) {
+	for engine, ended := range e.ended {
+		if ended.at.Sub(at).Abs() <= companyWindow && !r.has(engine) {
 			return true
 		}
 	}
@@ -36,21 +47,62 @@
 }
 
 // IsDoubtful reports whether the ends that count against a part may well have another cause: those without company would not even
-// make it a suspect. In a wave of ends a sound part that is in use meets as many as a guilty one.
-func (e *Evidence) IsDoubtful(part Part) bool {
-	r, found := e.parts[part]
-	return found && len(r.ends) > 0 && len(r.ends)-e.Accompanied(part) < suspectEnds
+// make it a suspect, or a sound part with its share of the requests may meet as many. In a wave of ends a sound part that is in use
+// meets as many as a guilty one.
+func (e *Evidence) IsDoubtful(part Part) bool { return e.Weigh(part).Doubtful }
+
+// lacksOwnEnds reports whether the ends without company would not make the part a suspect.
+func (e *Evidence) lacksOwnEnds(r *record) bool {
+	own := 0
+	for _, end := range r.ends {
+		if !e.hasCompany(r, end.at) {
+			own++
+		}
+	}
+	return own < suspectEnds
+}
+
+// QuietTime returns how long hardly any engine must have ended before a wave of ends counts as over: several times the usual time between two
+// ends of the wave.
+func (e *Evidence) QuietTime() time.Duration {
+	var last time.Time
+	times := make([]time.Time, 0, len(e.ended))
+	for _, ended := range e.ended {
+		times = append(times, ended.at)
+		if ended.at.After(last) {
+			last = ended.at
+		}
+	}
+	times = slices.DeleteFunc(times, func(at time.Time) bool { return last.Sub(at) > waveLength })
+	slices.SortFunc(times, time.Time.Compare)
+	times = slices.CompactFunc(times, func(a, b time.Time) bool { return a.Sub(b).Abs() < sameCauseWindow })
+	if len(times) <= waveEnds {
+		return minQuietTime
+	}
+	gap := times[len(times)-1].Sub(times[0]) / time.Duration(len(times)-1)
+	return min(max(quietGaps*gap, minQuietTime), maxQuietTime)
+}
+
+// IsWave reports whether the end of an engine is one of a wave of ends, whatever the others worked on.
+func (e *Evidence) IsWave(end End) bool {
+	window, others := e.QuietTime(), 0
+	for engine, ended := range e.ended {
+		if engine != end.Engine && ended.at.Sub(end.At).Abs() <= window {
+			others++
+		}
+	}
+	return others >= waveEnds
 }
 
 // QuietSince returns since when no engine, or a single one, has ended.
 func (e *Evidence) QuietSince() time.Time {
 	var last, beforeLast time.Time
-	for _, at := range e.ended {
+	for _, ended := range e.ended {
 		switch {
-		case at.After(last):
-			last, beforeLast = at, last
-		case at.After(beforeLast):
-			beforeLast = at
+		case ended.at.After(last):
+			last, beforeLast = ended.at, last
+		case ended.at.After(beforeLast):
+			beforeLast = ended.at
 		}
 	}
 	return beforeLast
--- a/core/quarantine/hold.go
+++ b/core/quarantine/hold.go
@@ -2,7 +2,6 @@
 
 import (
 	"encoding/json"
-	"slices"
 	"time"
 
 	"agateswitch/core/fleet"
@@ -29,13 +28,18 @@
 	// Released is true once an operator, or an answer to a request with the part, has released it, and while it is on trial. The
 	// entry stays until it expires, so that a release is not taken for a loss.
 	Released bool `json:"released,omitempty"`
-	// OnTrial is true while one request with the part may be in work at a time, because the hold is in doubt. An answer
-	// releases the part, and the end of an engine holds it back again.
+	// OnTrial is true while one request with the part may be in work at a time. An answer releases the part, and the end of
+	// an engine holds it back again.
 	OnTrial bool `json:"on_trial,omitempty"`
-	// Tried is true if an engine ended on trial. There is no other trial.
-	Tried bool `json:"tried,omitempty"`
+	// Tried is true if an engine ended on trial, FailedTrials are when, and Disturbed is true if the last one was in a wave of ends.
+	Tried        bool        `json:"tried,omitempty"`
+	FailedTrials []time.Time `json:"failed_trials,omitempty"`
+	Disturbed    bool        `json:"disturbed,omitempty"`
 	// Accompanied is how many of the ends had company (Evidence.Accompanied).
 	Accompanied int `json:"accompanied,omitempty"`
+	// Pool is the pool of the engines that ended, and Weight what their ends proved.
+	Pool   fleet.PoolID `json:"pool,omitempty"`
+	Weight *Weight      `json:"weight,omitempty"`
 	// Reason says why the part was released.
 	Reason string `json:"reason,omitempty"`
 }
@@ -53,23 +57,12 @@
 // IsOnTrial reports whether the part is on trial.
 func (h Hold) IsOnTrial(now time.Time) bool { return h.Released && h.OnTrial && !h.Expired(now) }
 
-// Try returns the entry of a part that is held back and now on trial.
-func (h Hold) Try() Hold {
-	h.Released, h.OnTrial, h.Reason = true, true, "on trial: other engines ended at the same times"
-	return h
-}
-
 // Release returns the entry of a part that is released, with the reason.
 func (h Hold) Release(reason string) Hold {
 	h.Released, h.OnTrial, h.Reason = true, false, reason
 	return h
 }
 
-// Convict returns the entry of a part that was on trial when an engine ended, for a hold by a router since now.
-func (h Hold) Convict(engine fleet.UpstreamID, router fleet.HostID, now time.Time) Hold {
-	return Hold{Part: h.Part, Since: h.Next(now), Engines: append(slices.Clip(h.Engines), engine), Router: router, Origin: h.Origin, Tried: true, Accompanied: h.Accompanied}
-}
-
 // Next returns the time of a later hold of the part. The clocks of routers differ, so that it may be after now.
 func (h Hold) Next(now time.Time) time.Time {
 	if earliest := h.Since.Add(time.Millisecond); now.Before(earliest) {
--- a/core/quarantine/quarantine.go
+++ b/core/quarantine/quarantine.go
@@ -29,7 +29,9 @@
 	maxEndAge = 10 * time.Minute
 	// maxParts bounds the parts with evidence, and maxEnds the ends kept of each.
 	maxParts = 1024
-	maxEnds  = 16
+	// maxEndings bounds the engines whose end is remembered.
+	maxEndings = 4096
+	maxEnds    = 16
 )
 
 // Part is the id of what may be guilty: a part of a prompt, or a whole request (WholeRequest).
@@ -54,8 +56,25 @@
 	Alone bool
 	// Origin tells operators of the request.
 	Origin Origin
+	// Pool is the pool of the engine, Load how many requests the engine worked on, and Share the part's share of the pool's
+	// requests. Routers of earlier builds don't tell them: empty and zero mean unknown.
+	Pool  fleet.PoolID
+	Load  int
+	Share Share
+	// Manner is how the end showed.
+	Manner Manner
 }
 
+// Manner is how the end of an engine showed to the router that worked with it. A refused connection is no end: nothing was in work.
+type Manner string
+
+// Manners of ends.
+const (
+	// NoAnswer means that the connection ended before an answer began, and BrokenAnswer that it ended within the answer.
+	NoAnswer     Manner = "no answer"
+	BrokenAnswer Manner = "broken answer"
+)
+
 // Origin is where a request came from.
 type Origin struct {
 	Route string     `json:"route,omitempty" msgpack:"r,omitempty"`
@@ -81,6 +100,33 @@
 	// clearedAt is the time of the last answer. Earlier ends don't count.
 	clearedAt time.Time
 	origin    Origin
+	// weight is what the ends proved after weighedAt changes of the evidence.
+	weight    Weight
+	weighedAt int
+}
+
+// share returns the part's share of the pool's requests, as the routers at which it ended engines have counted it.
+func (r *record) share() Share {
+	var share Share
+	for _, end := range r.ends {
+		share = share.plus(end.share)
+	}
+	return share
+}
+
+// pool returns the pool of the engines that ended; empty if it is unknown.
+func (r *record) pool() fleet.PoolID {
+	for _, end := range r.ends {
+		if end.pool != "" {
+			return end.pool
+		}
+	}
+	return ""
+}
+
+// has reports whether the end of an engine counts against the part.
+func (r *record) has(engine Engine) bool {
+	return slices.ContainsFunc(r.ends, func(end engineEnd) bool { return end.engine == engine })
 }
 
 type engineEnd struct {
@@ -88,14 +134,26 @@
 	at     time.Time
 	next   Part
 	alone  bool
+	pool   fleet.PoolID
+	load   int
+	share  Share
+	manner Manner
+}
+
+// ending is the end of an engine, whatever it worked on.
+type ending struct {
+	at   time.Time
+	pool fleet.PoolID
+	load int
 }
 
 // Evidence is what a router knows about the ends of engines. It is not safe for concurrent use.
 type Evidence struct {
 	parts map[Part]*record
-	// ended holds when each engine with evidence has ended, and refuted when a request was sent to which an
+	// ended holds the end of each engine with evidence, and refuted when a request was sent to which an
 	// engine that seemed to have ended has answered.
-	ended, refuted map[Engine]time.Time
+	ended   map[Engine]ending
+	refuted map[Engine]time.Time
 	// suspectRequests holds the whole requests with suspectEnds ends or more.
 	suspectRequests map[Part]bool
 	// changes counts the ends that were added or refuted.
@@ -105,7 +163,7 @@
 // NewEvidence returns evidence of nothing.
 func NewEvidence() *Evidence {
 	return &Evidence{
-		parts: map[Part]*record{}, ended: map[Engine]time.Time{}, refuted: map[Engine]time.Time{}, suspectRequests: map[Part]bool{},
+		parts: map[Part]*record{}, ended: map[Engine]ending{}, refuted: map[Engine]time.Time{}, suspectRequests: map[Part]bool{}, changes: 1,
 	}
 }
 
@@ -120,31 +178,62 @@
 		r = &record{}
 		e.parts[end.Part] = r
 	}
-	isKnown := slices.ContainsFunc(r.ends, func(known engineEnd) bool { return known.engine == end.Engine })
-	if isKnown || e.endedBefore(end) || !end.At.After(r.clearedAt) || end.At.Before(e.refuted[end.Engine]) || len(r.ends) >= maxEnds {
+	if r.has(end.Engine) || e.endedBefore(end) || !end.At.After(r.clearedAt) || end.At.Before(e.refuted[end.Engine]) || len(r.ends) >= maxEnds {
 		return false
 	}
-	r.ends = append(r.ends, engineEnd{engine: end.Engine, at: end.At, next: end.Next, alone: end.Alone})
+	r.ends = append(r.ends, engineEnd{
+		engine: end.Engine, at: end.At, next: end.Next, alone: end.Alone, pool: end.Pool, load: end.Load, share: end.Share, manner: end.Manner,
+	})
 	if r.origin == (Origin{}) {
 		r.origin = end.Origin
 	}
 	slices.SortFunc(r.ends, func(a, b engineEnd) int { return a.at.Compare(b.at) })
-	if endedAt, found := e.ended[end.Engine]; !found || end.At.Before(endedAt) {
-		e.ended[end.Engine] = end.At
-	}
+	e.AddEnding(end)
 	e.updateSuspect(end.Part)
 	e.changes++
 	return true
 }
 
+// AddEnding adds the end of an engine, whatever it worked on, and reports whether it is new. An end from before an answer that is told late
+// doesn't count.
+func (e *Evidence) AddEnding(end End) bool {
+	known, found := e.ended[end.Engine]
+	if end.At.Before(e.refuted[end.Engine]) || !found && len(e.ended) >= maxEndings {
+		return false
+	}
+	if !found || end.At.Before(known.at) {
+		known.at = end.At
+	}
+	if known.pool == "" {
+		known.pool = end.Pool
+	}
+	known.load = max(known.load, end.Load)
+	e.ended[end.Engine] = known
+	if !found {
+		e.changes++
+	}
+	return !found
+}
+
+// Endings returns the ends of all engines, for a router that starts.
+func (e *Evidence) Endings(now time.Time) []End {
+	var all []End
+	for engine, ended := range e.ended {
+		if now.Sub(ended.at) <= maxEndAge {
+			all = append(all, End{Engine: engine, At: ended.at, Pool: ended.pool, Load: ended.load})
+		}
+	}
+	return all
+}
+
 // Changes returns a number that differs after an end was added or refuted.
 func (e *Evidence) Changes() int { return e.changes }
 
 // endedBefore reports whether the engine had ended before, and has answered no request since. Its end was that of another part,
 // and it breaks off whatever reaches it.
 func (e *Evidence) endedBefore(end End) bool {
-	endedAt, found := e.ended[end.Engine]
-	return found && end.At.Sub(endedAt) > sameEndWindow
+	ended, found := e.ended[end.Engine]
+	return found && end.At.Sub(ended.at) > sameEndWindow
 }
 
 // HasEnded reports whether an engine has ended and answered no request since.
@@ -213,6 +302,7 @@
 		if r, found := e.parts[part]; found && at.After(r.clearedAt) {
 			r.clearedAt = at
 			r.ends = slices.DeleteFunc(r.ends, func(end engineEnd) bool { return !end.at.After(at) })
+			r.weighedAt = 0
 			e.updateSuspect(part)
 		}
 	}
@@ -224,8 +314,8 @@
 	if len(e.refuted) < maxParts {
 		e.refuted[engine] = sentAt
 	}
-	endedAt, found := e.ended[engine]
-	if !found || !sentAt.After(endedAt) {
+	ended, found := e.ended[engine]
+	if !found || !sentAt.After(ended.at) {
 		return false
 	}
 	delete(e.ended, engine)
@@ -266,10 +356,18 @@
 }
 
 // Standing returns what the evidence says of a part. The standard is stricter for a request that has already been
-// in work on an engine that ended.
+// in work on an engine that ended. A part that most requests have is in work wherever engines end: it is never held, and a suspect only if
+// the ends convict it.
 func (e *Evidence) Standing(part Part, isRepeat bool) Standing {
 	ends := e.Ends(part)
 	switch {
+	case ends == 0:
+		return Clear
+	case e.TakesMost(part):
+		if e.Weigh(part).Convicts() {
+			return Suspect
+		}
+		return Clear
 	case ends >= holdEnds && !e.isExplained(part) && (!part.IsWholeRequest() || e.endedAlone(part)):
 		return Held
 	case ends >= suspectEnds, isRepeat && ends > 0:
@@ -302,7 +400,7 @@
 	for part, r := range e.parts {
 		for _, end := range r.ends {
 			if now.Sub(end.at) <= maxEndAge {
-				all = append(all, End{Part: part, Engine: end.engine, At: end.at, Next: end.next, Alone: end.alone, Origin: r.origin})
+				all = append(all, end.told(part, r.origin))
 			}
 		}
 	}
@@ -310,6 +408,13 @@
 	return all
 }
 
+func (end engineEnd) told(part Part, origin Origin) End {
+	return End{
+		Part: part, Engine: end.engine, At: end.at, Next: end.next, Alone: end.alone, Origin: origin, Pool: end.pool, Load: end.load, Share: end.share,
+		Manner: end.manner,
+	}
+}
+
 // Following returns a part and those that followed it in the prompts that ended engines.
 func (e *Evidence) Following(part Part) []Part {
 	following := []Part{part}
@@ -343,13 +448,13 @@
 func (e *Evidence) prune(now time.Time) {
 	for part, r := range e.parts {
 		r.ends = slices.DeleteFunc(r.ends, func(end engineEnd) bool { return now.Sub(end.at) > maxEndAge })
+		r.weighedAt = 0
 		e.updateSuspect(part)
 		// Ends from before an answer may still be told.
 		if len(r.ends) == 0 && now.Sub(r.clearedAt) > maxEndAge {
 			delete(e.parts, part)
 		}
 	}
-	isOld := func(_ Engine, at time.Time) bool { return now.Sub(at) > maxEndAge }
-	maps.DeleteFunc(e.ended, isOld)
-	maps.DeleteFunc(e.refuted, isOld)
+	maps.DeleteFunc(e.ended, func(_ Engine, ended ending) bool { return now.Sub(ended.at) > maxEndAge })
+	maps.DeleteFunc(e.refuted, func(_ Engine, at time.Time) bool { return now.Sub(at) > maxEndAge })
 }
--- a/node/gateway/buffered.go
+++ b/node/gateway/buffered.go
@@ -8,6 +8,7 @@
 
 	"agateswitch/core/fleet"
 	"agateswitch/core/outlier"
+	"agateswitch/core/quarantine"
 	"agateswitch/core/routing"
 	"agateswitch/port"
 )
@@ -47,7 +48,7 @@
 	case err == nil && engineAnswer.Signed:
 		c.recordAnswer(chosen)
 	case err != nil && len(body) == 0 && attempt.Err() == nil && !port.IsTimeout(err):
-		c.recordEnd(chosen)
+		c.recordEnd(chosen, quarantine.BrokenAnswer)
 	}
 	if err != nil || !engineAnswer.Signed {
 		chosen.recordResult(time.Now(), outlier.Failure)
--- a/node/gateway/request.go
+++ b/node/gateway/request.go
@@ -266,6 +266,7 @@
 	defer chosen.ticket.End()
 	stratum := rollout.Stratum{Route: c.route.Name, Cold: chosen.isCold()}
 	c.gateway.Moves.Start(c.pool.ID, chosen.upstream.Version, stratum)
+	c.recordSent(chosen)
 	result := c.exchange(ctx, chosen)
 	if chosen.place != nil {
 		chosen.place.Return(result.sent && result.ran == fleet.NotRun)
@@ -311,7 +312,7 @@
 		return result
 	}
 	if result.sent && failure.Fault == exchange.FaultLost {
-		c.recordEnd(chosen)
+		c.recordEnd(chosen, quarantine.NoAnswer)
 	}
 	if failure.Fault != exchange.FaultWithdrawn && (ctx.Err() == nil || time.Now().After(c.deadline)) {
 		if result.sent {
--- a/node/gateway/stream.go
+++ b/node/gateway/stream.go
@@ -10,6 +10,7 @@
 
 	"agateswitch/core/fleet"
 	"agateswitch/core/outlier"
+	"agateswitch/core/quarantine"
 	"agateswitch/port"
 	"agateswitch/sse"
 
@@ -76,7 +77,7 @@
 		chosen.recordResult(time.Now(), outlier.Failure)
 	}
 	if chosen.eventCount < provenEvents && attempt.Err() == nil && isLostConnection(err) {
-		c.recordEnd(chosen)
+		c.recordEnd(chosen, quarantine.BrokenAnswer)
 	}
 	return attemptResult{sent: true, ran: fleet.RanUnknown, cause: "the stream broke off: " + err.Error()}
 }
--- a/node/gateway/suspects.go
+++ b/node/gateway/suspects.go
@@ -19,6 +19,9 @@
 // engines have stopped to end.
 const doubtRetryAfter = 3 * time.Second
 
+// trialSpread is the part of the time to the next trial, as a divisor, over which callers come back after it.
+const trialSpread = 10
+
 // provenEvents is how many events of a stream show that the upstream survives the request. An engine may end as it
 // writes the first one.
 const provenEvents = 2
@@ -76,9 +79,10 @@
 		c.gateway.Instruments.recordQuarantined(c.route.Name)
 		why := fmt.Sprintf("%s is held back: %d engines ended that worked on it", describeSuspect(permit.Denied), permit.Ends)
 		if permit.InDoubt {
-			return nil, fleet.Refuse(fleet.CodeQuarantined, why+", but others ended beside them", doubtRetryAfter/2+rand.N(doubtRetryAfter))
+			return nil, fleet.Refuse(fleet.CodeQuarantined, why+", which may be chance", doubtRetryAfter/2+rand.N(doubtRetryAfter))
 		}
-		return nil, fleet.Refuse(fleet.CodeQuarantined, why, 0)
+		// Callers that come back together would all but one be refused again.
+		return nil, fleet.Refuse(fleet.CodeQuarantined, why, permit.NextTrial+rand.N(permit.NextTrial/trialSpread+time.Second))
 	}
 	retryAfter := suspectRetryAfter/2 + rand.N(suspectRetryAfter)
 	return nil, fleet.Refuse(fleet.CodeNoUpstream, fmt.Sprintf("%s is suspected after the ends of %d engines and in work", describeSuspect(permit.Denied), permit.Ends), retryAfter)
@@ -103,13 +107,19 @@
 	return quarantine.Engine{ID: chosen.engine.id, Incarnation: chosen.engine.incarnation}
 }
 
+// recordSent records that the request is sent to the upstream.
+func (c *callerRequest) recordSent(chosen *choice) {
+	c.gateway.Quarantine.Sent(chosen.permit, c.pool.ID, chosen.load.Running+1, c.suspectParts())
+}
+
 // recordEnd records that a connection ended on which the upstream worked on the request and had hardly begun to answer.
-func (c *callerRequest) recordEnd(chosen *choice) {
+func (c *callerRequest) recordEnd(chosen *choice, manner quarantine.Manner) {
 	if chosen.via != "" || c.request.Context().Err() != nil {
 		return
 	}
 	c.engineEnded = true
 	c.wholeRequest()
+	chosen.permit.Manner = manner
 	c.gateway.Quarantine.Ended(engineOf(chosen), c.suspectParts(), chosen.permit, quarantine.Origin{Route: c.route.Name, Team: c.teamName()})
 }
 
--- a/node/quarantine/quarantine.go
+++ b/node/quarantine/quarantine.go
@@ -64,11 +64,12 @@
 
 	mu       sync.Mutex
 	evidence *quarantine.Evidence
+	// sent counts the requests that this router has sent, and wanted also those that it has refused because of a hold.
+	sent, wanted *quarantine.Exposure
+	schedule     quarantine.Schedule
 	// answeredAt is when an answer to a request with a part last began on this router.
 	answeredAt map[quarantine.Part]time.Time
 	holds      map[quarantine.Part]*hold
-	// weighed are the changes of the evidence and of holds after which no hold is in doubt.
-	weighed, holdChanges int
 	// permits holds until when some router may work on a suspect part for which this router is responsible.
 	permits map[quarantine.Part]time.Time
 	news    news
@@ -79,11 +80,11 @@
 	quarantine.Hold
 	// revision is that of the entry in the store; zero while there is none.
 	revision revision.Revision
-	// changedAt is when this router learned of the content, and written whether the store has it.
+	// changedAt is when this router may write the content at the earliest, and written whether the store has it.
 	changedAt time.Time
 	written   bool
-	// trialSince is when this router learned that the part is on trial.
-	trialSince time.Time
+	// learnedAt is when this router learned of the content, and trialSince when it learned that the part is on trial.
+	learnedAt, trialSince time.Time
 }
 
 // set sets the content. The store does not have it yet.
@@ -91,14 +92,15 @@
 	if content.OnTrial && !(h.OnTrial && h.Since.Equal(content.Since)) {
 		h.trialSince = now
 	}
-	h.Hold, h.changedAt, h.written = content, now, false
+	h.Hold, h.learnedAt, h.changedAt, h.written = content, now, now, false
 }
 
 // New returns the quarantine of a router and registers its peer methods.
 func New(self fleet.HostID, store port.Store, transport port.Peers, others Fleet, logger *log.Logger) *Service {
 	s := &Service{
 		self: self, store: store, transport: transport, fleet: others, log: logger, dirty: make(chan struct{}, 1),
-		evidence: quarantine.NewEvidence(), answeredAt: map[quarantine.Part]time.Time{},
+		evidence: quarantine.NewEvidence(), sent: quarantine.NewExposure(), wanted: quarantine.NewExposure(),
+		schedule: quarantine.Schedule{TrialsPerHour: quarantine.DefaultTrials}, answeredAt: map[quarantine.Part]time.Time{},
 		holds: map[quarantine.Part]*hold{}, permits: map[quarantine.Part]time.Time{},
 	}
 	transport.Handle(methodTell, s.handleTell)
@@ -112,22 +114,31 @@
 type Permit struct {
 	// Denied is the part because of which the request must not be sent; empty means that it may. Held is
 	// true if the part is held back, and false if another request with it is in work. InDoubt is true if the part is held back and
-	// will be on trial.
+	// will be tried once engines have stopped to end.
 	Denied        quarantine.Part
 	Held, InDoubt bool
+	// NextTrial is how long a part that is held back waits for its next trial.
+	NextTrial time.Duration
 	// Ends is how many ends of engines count against the part.
 	Ends int
 	// Alone is true if no other request with a suspect part may be in work meanwhile.
 	Alone bool
+	// Manner is how the end of the engine showed, if it ended.
+	Manner quarantine.Manner
 
 	// taken are the suspect parts for which permission was given.
 	taken []quarantine.Part
+	// pool is the pool to which the request was sent, and load how many requests its engine worked on.
+	pool fleet.PoolID
+	load int
+	// isRepeat is true for a request that was in work on an engine that ended.
+	isRepeat bool
 }
 
 // Admit returns the permission for a request with the given shared parts. A repeat is a request that was in work
 // on an engine that ended. Callers end the permit with Return.
 func (s *Service) Admit(ctx context.Context, parts []quarantine.Part, isRepeat bool, deadline time.Time) *Permit {
-	permit := &Permit{}
+	permit := &Permit{isRepeat: isRepeat}
 	for _, part := range parts {
 		standing, ends := s.standing(part, isRepeat)
 		if standing == quarantine.Clear {
@@ -139,7 +150,9 @@
 			continue
 		}
 		permit.Denied, permit.Held, permit.Ends = part, standing == quarantine.Held, ends
-		permit.InDoubt = permit.Held && s.isInDoubt(part)
+		if permit.Held {
+			permit.InDoubt, permit.NextTrial = s.awaitTrial(part)
+		}
 		s.Return(permit)
 		return permit
 	}
@@ -163,18 +176,40 @@
 	return false
 }
 
+// Sent records that a request with the given parts is sent to an engine of a pool, which works on load requests of all routers. Repeats
+// after an end are not counted: they have what is suspected more often than others.
+func (s *Service) Sent(permit *Permit, pool fleet.PoolID, load int, parts []quarantine.Part) {
+	permit.pool, permit.load = pool, load
+	if permit.isRepeat {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := time.Now()
+	s.sent.Add(pool, parts, now)
+	s.wanted.Add(pool, parts, now)
+}
+
 // Ended records that an engine ended while it worked on a request with the given parts, to which no answer had begun. The
 // request was sent with the given permit.
 func (s *Service) Ended(engine quarantine.Engine, parts []quarantine.Part, permit *Permit, origin quarantine.Origin) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := time.Now()
+	ending := quarantine.End{Engine: engine, At: now, Pool: permit.pool, Load: permit.load, Manner: permit.Manner}
+	if s.evidence.AddEnding(ending) {
+		s.news.endings = append(s.news.endings, ending)
+		s.notify()
+	}
 	// A part is judged after the next one, whose ends may explain its own.
 	for i, part := range slices.Backward(parts) {
 		if now.Sub(s.answeredAt[part]) < recentAnswerTime {
 			continue
 		}
-		end := quarantine.End{Part: part, Engine: engine, At: now, Next: nextPart(parts, i), Alone: slices.Contains(permit.taken, part), Origin: origin}
+		end := quarantine.End{
+			Part: part, Engine: engine, At: now, Next: nextPart(parts, i), Alone: slices.Contains(permit.taken, part), Origin: origin,
+			Pool: permit.pool, Load: permit.load, Share: s.shareWithout(permit, part, now), Manner: permit.Manner,
+		}
 		if s.addEnd(end) {
 			s.news.ends = append(s.news.ends, end)
 			s.notify()
@@ -182,6 +217,17 @@
 	}
 }
 
+// shareWithout returns a part's share of the requests that this router has sent, but for the one with the permit: an end is told only by
+// a router that has sent a request with the part. The caller holds mu.
+func (s *Service) shareWithout(permit *Permit, part quarantine.Part, now time.Time) quarantine.Share {
+	share := s.sent.Share(permit.pool, part, now)
+	if !permit.isRepeat && share.With > 0 {
+		share.With--
+		share.Of--
+	}
+	return share
+}
+
 // nextPart returns the part of a prompt after the one at an index, or nothing if that is the last one that others share.
 func nextPart(parts []quarantine.Part, at int) quarantine.Part {
 	if at+1 >= len(parts) || parts[at+1].IsWholeRequest() {
@@ -197,20 +243,42 @@
 		return false
 	}
 	s.log.Info("engine ended while it worked on a part of a prompt or a request", "part", end.Part, "route", end.Origin.Route, "team", end.Origin.Team,
-		"alone", end.Alone, "upstream", end.Engine.ID,
+		"alone", end.Alone, "manner", end.Manner, "pool", end.Pool, "load", end.Load, "upstream", end.Engine.ID,
 		"incarnation", end.Engine.Incarnation, "age", now.Sub(end.At).Round(time.Millisecond), "ends", s.evidence.Ends(end.Part))
 	switch {
 	case s.isOnTrial(end.Part):
 		s.endTrial(end, now)
-	case s.evidence.Standing(end.Part, false) == quarantine.Held && !s.isHeld(end.Part):
+	case s.evidence.Standing(end.Part, false) == quarantine.Held && !s.isHeld(end.Part) && !s.isTooCostly(end.Part):
 		s.hold(end.Part, now)
 	}
 	return true
 }
 
+// isTooCostly reports whether a hold that would be in doubt would, with the others in doubt, take most requests of the pool. The caller
+// holds mu.
+func (s *Service) isTooCostly(part quarantine.Part) bool {
+	weight := s.evidence.Weigh(part)
+	if !weight.Doubtful || weight.Requests == 0 {
+		return false
+	}
+	now, pool := time.Now(), s.evidence.Pool(part)
+	total, _ := weight.Share().Bounds()
+	for _, h := range s.holds {
+		if h.InForce(now) && h.Pool == pool && h.Part != part && h.Weight != nil && h.Weight.Doubtful {
+			low, _ := h.Weight.Share().Bounds()
+			total += low
+		}
+	}
+	return total > quarantine.MaxHoldShare
+}
+
 // hold holds a part back. The caller holds mu.
 func (s *Service) hold(part quarantine.Part, now time.Time) {
-	h := quarantine.Hold{Part: part, Since: now, Router: s.self, Origin: s.evidence.Origin(part), Accompanied: s.evidence.Accompanied(part)}
+	weight := s.evidence.Weigh(part)
+	h := quarantine.Hold{
+		Part: part, Since: now, Router: s.self, Origin: s.evidence.Origin(part), Accompanied: s.evidence.Accompanied(part),
+		Pool: s.evidence.Pool(part), Weight: &weight,
+	}
 	if earlier, found := s.holds[part]; found {
 		h.Since = earlier.Next(now)
 	}
@@ -218,7 +286,8 @@
 		h.Engines = append(h.Engines, engine.ID)
 	}
 	s.log.Warn("part of a prompt or request held back because engines end that work on it", "part", part, "route", h.Route,
-		"team", h.Team, "engines", h.Engines, "accompanied", h.Accompanied)
+		"team", h.Team, "engines", h.Engines, "accompanied", h.Accompanied, "pool", h.Pool, "ends", weight.Ends, "pool_ends", weight.PoolEnds,
+		"with", weight.With, "requests", weight.Requests, "base_rate", weight.BaseRate, "factor", weight.Factor, "doubtful", weight.Doubtful)
 	s.change(h)
 }
 
@@ -232,7 +301,6 @@
 		s.holds[content.Part] = current
 	}
 	current.set(content, time.Now())
-	s.holdChanges++
 	s.news.holds = append(s.news.holds, content)
 	s.notify()
 }
--- a/node/quarantine/share.go
+++ b/node/quarantine/share.go
@@ -31,6 +31,8 @@
 	Answered []quarantine.Part `msgpack:"answered,omitempty"`
 	Refuted  []refutedNews     `msgpack:"refuted,omitempty"`
 	Holds    []quarantine.Hold `msgpack:"holds,omitempty"`
+	// Endings are the ends of engines without regard to parts. Routers of earlier builds neither tell nor read them.
+	Endings []endNews `msgpack:"endings,omitempty"`
 }
 
 // endNews is the end of an engine on which a part was in work.
@@ -41,6 +43,12 @@
 	Alone  bool              `msgpack:"l,omitempty"`
 	Next   quarantine.Part   `msgpack:"x,omitempty"`
 	Origin quarantine.Origin `msgpack:"o,omitempty"`
+	Pool   fleet.PoolID      `msgpack:"w,omitempty"`
+	Load   int               `msgpack:"n,omitempty"`
+	// With of Of requests to the pool had the part.
+	With   int               `msgpack:"s,omitempty"`
+	Of     int               `msgpack:"f,omitempty"`
+	Manner quarantine.Manner `msgpack:"m,omitempty"`
 }
 
 // refutedNews is an engine that has answered a request sent to it some time ago.
@@ -51,7 +59,8 @@
 
 // news is what the other routers have not been told yet.
 type news struct {
-	ends []quarantine.End
+	// ends count against a part, and endings against none.
+	ends, endings []quarantine.End
 	// answered holds suspect parts to which an answer has begun.
 	answered []quarantine.Part
 	// refuted holds when requests were sent to engines that have answered them after they seemed to have ended.
@@ -61,7 +70,7 @@
 
 // message returns the news as they are sent at a time.
 func (n news) message(now time.Time) message {
-	m := message{Ends: endsAt(now, n.ends), Answered: n.answered, Holds: n.holds}
+	m := message{Ends: endsAt(now, n.ends), Endings: endsAt(now, n.endings), Answered: n.answered, Holds: n.holds}
 	for engine, sentAt := range n.refuted {
 		m.Refuted = append(m.Refuted, refutedNews{Engine: engine, SentAgeMs: now.Sub(sentAt).Milliseconds()})
 	}
@@ -73,13 +82,17 @@
 	for _, end := range ends {
 		all = append(all, endNews{
 			Part: end.Part, Engine: end.Engine, AgeMs: now.Sub(end.At).Milliseconds(), Next: end.Next, Alone: end.Alone, Origin: end.Origin,
+			Pool: end.Pool, Load: end.Load, With: end.Share.With, Of: end.Share.Of, Manner: end.Manner,
 		})
 	}
 	return all
 }
 
 func (n endNews) end(now time.Time) quarantine.End {
-	return quarantine.End{Part: n.Part, Engine: n.Engine, At: ago(now, n.AgeMs), Next: n.Next, Alone: n.Alone, Origin: n.Origin}
+	return quarantine.End{
+		Part: n.Part, Engine: n.Engine, At: ago(now, n.AgeMs), Next: n.Next, Alone: n.Alone, Origin: n.Origin,
+		Pool: n.Pool, Load: n.Load, Share: quarantine.Share{With: n.With, Of: n.Of}, Manner: n.Manner,
+	}
 }
 
 func ago(now time.Time, ageMs int64) time.Time {
@@ -118,6 +131,9 @@
 // apply applies what another router has told. The caller holds mu.
 func (s *Service) apply(told message) {
 	now := time.Now()
+	for _, one := range told.Endings {
+		s.evidence.AddEnding(one.end(now))
+	}
 	for _, one := range told.Ends {
 		end := one.end(now)
 		if !s.answeredAt[end.Part].After(end.At) {
@@ -148,7 +164,6 @@
 	s.log.Warn("part of a prompt held back or released by another router", "part", content.Part, "router", content.Router,
 		"released", content.Released, "on_trial", content.OnTrial, "tried", content.Tried, "engines", content.Engines)
 	current.set(content, time.Now())
-	s.holdChanges++
 	if content.Released {
 		s.evidence.AddAnswer([]quarantine.Part{content.Part}, time.Now())
 	}
@@ -193,7 +208,7 @@
 	defer s.mu.Unlock()
 	var known message
 	now := time.Now()
-	known.Ends = endsAt(now, s.evidence.Known(now))
+	known.Ends, known.Endings = endsAt(now, s.evidence.Known(now)), endsAt(now, s.evidence.Endings(now))
 	for _, h := range s.holds {
 		known.Holds = append(known.Holds, h.Hold)
 	}
--- a/node/quarantine/standing.go
+++ b/node/quarantine/standing.go
@@ -18,7 +18,11 @@
 	if s.isOnTrial(part) {
 		return quarantine.Suspect, ends
 	}
-	return min(s.evidence.Standing(part, isRepeat), quarantine.Suspect), ends
+	standing := s.evidence.Standing(part, isRepeat)
+	if standing == quarantine.Held && s.isTooCostly(part) {
+		return quarantine.Clear, ends
+	}
+	return min(standing, quarantine.Suspect), ends
 }
 
 // isHeld reports whether a part is held back. The caller holds mu.
--- a/node/quarantine/store.go
+++ b/node/quarantine/store.go
@@ -42,7 +42,6 @@
 	}
 	current.set(content, time.Now())
 	current.written = true
-	s.holdChanges++
 	if content.Released {
 		s.evidence.AddAnswer([]quarantine.Part{part}, time.Now())
 	}
--- a/node/quarantine/trial.go
+++ b/node/quarantine/trial.go
@@ -6,9 +6,8 @@
 	"agateswitch/core/quarantine"
 )
 
-// quietTime is how long hardly any engine has ended before a part whose hold is in doubt is tried. Engines that end in a wave would end
-// the trial, too.
-const quietTime = time.Second
+// trialPatience is how long a trial that is due waits for the end of a wave of ends, which would end the trial, too.
+const trialPatience = 30 * time.Second
 
 // isOnTrial reports whether a part is on trial. The caller holds mu.
 func (s *Service) isOnTrial(part quarantine.Part) bool {
@@ -16,47 +15,77 @@
 	return found && h.IsOnTrial(time.Now())
 }
 
-// isInDoubt reports whether a part is held back and will be tried.
-func (s *Service) isInDoubt(part quarantine.Part) bool {
+// isInDoubt reports whether a part is held back with little against it. Ends that become known after the hold may show that it is. The
+// caller holds mu.
+func (s *Service) isInDoubt(h *hold) bool {
+	return h.IsDoubtful() || s.evidence.IsDoubtful(h.Part) || s.sharesMost(h)
+}
+
+// sharesMost reports whether most requests of the pool are refused because of a hold, whatever it was when the hold began. The caller holds mu.
+func (s *Service) sharesMost(h *hold) bool {
+	return h.Pool != "" && s.wanted.Share(h.Pool, h.Part, time.Now()).IsMost()
+}
+
+// nextTrial returns when a hold is tried, if hardly any engines end then. The caller holds mu.
+func (s *Service) nextTrial(h *hold) time.Time { return s.schedule.Next(h.Hold, s.isInDoubt(h)) }
+
+// awaitTrial returns how long a part that is held back waits for its next trial, and whether that comes once engines have stopped to end.
+// A refused request counts as one that is wanted.
+func (s *Service) awaitTrial(part quarantine.Part) (soon bool, wait time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	h, found := s.holds[part]
-	return found && !h.Tried && s.evidence.IsDoubtful(part)
+	if !found {
+		return false, 0
+	}
+	now := time.Now()
+	if h.Pool != "" {
+		s.wanted.Add(h.Pool, []quarantine.Part{part}, now)
+	}
+	wait = max(0, s.nextTrial(h).Sub(now))
+	return wait == 0, wait
 }
 
-// beginTrials puts the parts on trial whose holds are in doubt, once the ends of engines are over. The router with the lowest rank for a
+// beginTrials puts the parts on trial that are due, once the ends of engines are over. The router with the lowest rank for a
 // part does so first.
 func (s *Service) beginTrials() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	changes := s.evidence.Changes() + s.holdChanges
-	if changes == s.weighed {
+	if len(s.holds) == 0 {
 		return
 	}
 	now := time.Now()
 	quiet := now.Sub(s.evidence.QuietSince())
-	if quiet < quietTime {
-		return
-	}
-	s.weighed = changes
+	needed := s.evidence.QuietTime()
 	for part, h := range s.holds {
-		if !h.InForce(now) || h.Tried || !s.evidence.IsDoubtful(part) {
+		if !h.InForce(now) {
 			continue
 		}
-		if quiet < quietTime+time.Duration(s.fleet.Rank(KeyPrefix+string(part)))*takeoverDelay {
-			s.weighed = 0
+		due := s.nextTrial(h)
+		since := min(now.Sub(due), now.Sub(h.learnedAt))
+		if since < trialPatience {
+			since = min(since, quiet-needed)
+		}
+		if since < 0 || since < time.Duration(s.fleet.Rank(KeyPrefix+string(part)))*takeoverDelay {
 			continue
 		}
-		content := h.Try()
-		content.Accompanied = s.evidence.Accompanied(part)
-		s.log.Warn("part of a prompt or request on trial because other engines ended at the same times", "part", part, "route", h.Route,
-			"team", h.Team, "engines", h.Engines, "ends", s.evidence.Ends(part), "accompanied", content.Accompanied, "held_for", now.Sub(h.Since).Round(time.Millisecond),
-			"quiet_for", quiet.Round(time.Millisecond))
-		s.evidence.AddAnswer([]quarantine.Part{part}, now)
-		s.change(content)
+		s.beginTrial(h, now, quiet)
 	}
 }
 
+// beginTrial puts a part on trial. The caller holds mu.
+func (s *Service) beginTrial(h *hold, now time.Time, quiet time.Duration) {
+	content := h.Try()
+	if accompanied := s.evidence.Accompanied(h.Part); accompanied > 0 {
+		content.Accompanied = accompanied
+	}
+	s.log.Warn("part of a prompt or request on trial", "part", h.Part, "route", h.Route, "team", h.Team, "engines", h.Engines,
+		"ends", s.evidence.Ends(h.Part), "accompanied", content.Accompanied, "held_for", now.Sub(h.Since).Round(time.Millisecond),
+		"failed_trials", len(h.FailedTrials), "doubtful", s.isInDoubt(h), "quiet_for", quiet.Round(time.Millisecond))
+	s.evidence.AddAnswer([]quarantine.Part{h.Part}, now)
+	s.change(content)
+}
+
 // endTrial holds a part back again after the end of an engine that worked on it on trial. The caller holds mu.
 func (s *Service) endTrial(end quarantine.End, now time.Time) {
 	h := s.holds[end.Part]
@@ -64,7 +93,16 @@
 		return
 	}
 	content := h.Convict(end.Engine.ID, s.self, now)
+	content.Disturbed = s.evidence.IsWave(end)
 	s.log.Warn("part of a prompt or request held back again because an engine ended on trial", "part", content.Part, "route", content.Route,
-		"team", content.Team, "upstream", end.Engine.ID, "incarnation", end.Engine.Incarnation, "engines", content.Engines)
+		"team", content.Team, "upstream", end.Engine.ID, "incarnation", end.Engine.Incarnation, "engines", content.Engines,
+		"failed_trials", len(content.FailedTrials), "disturbed", content.Disturbed, "next_trial", s.schedule.Next(content, false))
 	s.change(content)
 }
+
+// SetSchedule sets how many engines an hour the trials of a part may cost.
+func (s *Service) SetSchedule(schedule quarantine.Schedule) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.schedule = schedule
+}
