Show operators why a part is held back, and bound its trials by a setting

Cause: the list named engines only; whether others ended meanwhile, and when a part would be tried, could not be seen.

Change: agatectl quarantine list has ends, share, base rate, odds and the next trial; setting quarantine.trials_per_hour; metric agateswitch_quarantine_decisions_total. Trials that are due wait for quiet before they are weighed.

--- a/adapter/operatorclient/quarantine.go
+++ b/adapter/operatorclient/quarantine.go
@@ -9,8 +9,8 @@
 )
 
 // Quarantine returns the parts of prompts that a fleet of gateways holds back, oldest first.
-func (c *Client) Quarantine(ctx context.Context) ([]quarantine.Hold, error) {
-	var holds []quarantine.Hold
+func (c *Client) Quarantine(ctx context.Context) ([]node.Listed, error) {
+	var holds []node.Listed
 	err := c.Do(ctx, c.base.New().Get(node.Path), &holds)
 	return holds, err
 }
--- a/cmd/agatectl/quarantine.go
+++ b/cmd/agatectl/quarantine.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"agateswitch/core/quarantine"
+	node "agateswitch/node/quarantine"
 
 	"github.com/spf13/cobra"
 )
@@ -27,7 +28,10 @@
 		Use:   "list",
 		Short: "List what is held back or on trial, with its route, its team and the engines that ended",
 		Long: "List what is held back or on trial, with its route, its team and the engines that ended.\n\n" +
-			"STATE is held, tried (held for good: an engine ended on trial) or trial. IN COMPANY is how many of the engines ended when others did, too.",
+			"STATE is held, tried (held again: an engine ended on trial) or trial. IN COMPANY is how many of the engines ended when others did, too.\n" +
+			"ENDS is how many times engines ended on the part, of all ends in its pool meanwhile; SHARE how many of the pool's requests had the part;\n" +
+			"BASE RATE how often a sound part with this share is in work on an engine that ends; ODDS how many times as likely the ends are if the\n" +
+			"part is guilty. NEXT TRIAL waits until engines have stopped to end.",
 		Example: "  agatectl quarantine list --server 10.1.0.4:7341",
 		Args:    cobra.NoArgs,
 		RunE: func(command *cobra.Command, _ []string) error {
@@ -53,22 +57,27 @@
 }
 
 // printHolds prints a line for each part.
-func printHolds(w io.Writer, holds []quarantine.Hold) {
+func printHolds(w io.Writer, holds []node.Listed) {
 	table := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
-	fmt.Fprintln(table, "PART\tSTATE\tSINCE\tBY\tROUTE\tTEAM\tIN COMPANY\tENDED ENGINES")
+	fmt.Fprintln(table, "PART\tSTATE\tSINCE\tBY\tROUTE\tTEAM\tIN COMPANY\tENDS\tSHARE\tBASE RATE\tODDS\tNEXT TRIAL\tENDED ENGINES")
 	for _, h := range holds {
-		fmt.Fprintf(table, "%s\t%s\t%s\t%s\t%s\t%s\t%d\t%v\n",
-			h.Part, holdState(h), h.Since.UTC().Format(time.RFC3339), h.Router, h.Route, h.Team, h.Accompanied, h.Engines)
+		fmt.Fprintf(table, "%s\t%s\t%s\t%s\t%s\t%s\t%d\t%s\t%s\t%v\n",
+			h.Part, h.State(), h.Since.UTC().Format(time.RFC3339), h.Router, h.Route, h.Team, h.Accompanied, describeWeight(h.Weight), describeTrial(h.NextTrial), h.Engines)
 	}
 	table.Flush()
 }
 
-func holdState(h quarantine.Hold) string {
-	switch {
-	case h.OnTrial:
-		return "trial"
-	case h.Tried:
-		return "tried"
+// describeWeight returns the columns of what the ends prove; routers of earlier builds don't tell it.
+func describeWeight(w *quarantine.Weight) string {
+	if w == nil {
+		return "-\t-\t-\t-"
 	}
-	return "held"
+	return fmt.Sprintf("%d/%d\t%d/%d\t%.2f\t%.3g", w.Ends, w.PoolEnds, w.With, w.Requests, w.BaseRate, w.Factor)
+}
+
+func describeTrial(at time.Time) string {
+	if at.IsZero() {
+		return "-"
+	}
+	return at.UTC().Format(time.RFC3339)
 }
--- a/core/quarantine/baserate.go
+++ b/core/quarantine/baserate.go
@@ -149,12 +149,16 @@
 func (e *Evidence) moments(r *record) []moment {
 	first, last := r.ends[0].at.Add(-companyWindow), r.ends[len(r.ends)-1].at.Add(companyWindow)
 	pool := r.pool()
-	var all []moment
+	counting := make(map[Engine]bool, len(r.ends))
+	for _, end := range r.ends {
+		counting[end.engine] = true
+	}
+	all := make([]moment, 0, len(e.ended))
 	for engine, ended := range e.ended {
 		if ended.at.Before(first) || ended.at.After(last) || pool != "" && ended.pool != "" && ended.pool != pool {
 			continue
 		}
-		all = append(all, moment{at: ended.at, load: ended.load, hasPart: r.has(engine)})
+		all = append(all, moment{at: ended.at, load: ended.load, hasPart: counting[engine]})
 	}
 	slices.SortFunc(all, func(a, b moment) int { return a.at.Compare(b.at) })
 	var merged []moment
--- a/core/quarantine/hold.go
+++ b/core/quarantine/hold.go
@@ -57,6 +57,19 @@
 // IsOnTrial reports whether the part is on trial.
 func (h Hold) IsOnTrial(now time.Time) bool { return h.Released && h.OnTrial && !h.Expired(now) }
 
+// State names the stage of the hold: held, trial, tried (held again after a trial) or released.
+func (h Hold) State() string {
+	switch {
+	case h.OnTrial:
+		return "trial"
+	case h.Released:
+		return "released"
+	case h.Tried:
+		return "tried"
+	}
+	return "held"
+}
+
 // Release returns the entry of a part that is released, with the reason.
 func (h Hold) Release(reason string) Hold {
 	h.Released, h.OnTrial, h.Reason = true, false, reason
--- a/core/quarantine/trial.go
+++ b/core/quarantine/trial.go
@@ -23,7 +23,7 @@
 
 // Schedule says when parts that are held back are tried.
 type Schedule struct {
-	// TrialsPerHour is how many engines an hour the trials of a part may cost.
+	// TrialsPerHour is how many engines an hour the trials of a part may cost. 0 means DefaultTrials.
 	TrialsPerHour int
 }
 
@@ -31,7 +31,10 @@
 // began, and further apart each time that an engine ends. A trial beside a wave of ends is soon followed by another one, within the
 // bound for an hour.
 func (s Schedule) Next(h Hold, isDoubtful bool) time.Time {
-	perHour := min(max(1, s.TrialsPerHour), MaxTrials)
+	perHour := min(s.TrialsPerHour, MaxTrials)
+	if perHour <= 0 {
+		perHour = DefaultTrials
+	}
 	interval := time.Hour / time.Duration(perHour)
 	failed := h.failures()
 	switch {
--- a/node/edge/edge.go
+++ b/node/edge/edge.go
@@ -16,6 +16,7 @@
 	"agateswitch/core/balance"
 	"agateswitch/core/fleet"
 	"agateswitch/core/fleethealth"
+	core "agateswitch/core/quarantine"
 	"agateswitch/core/rollout"
 	"agateswitch/node/detour"
 	"agateswitch/node/gateway"
@@ -77,6 +78,7 @@
 	r.workload = workload.New(self.ID, r.mesh, r.presence, logger)
 	r.moves = versionmove.New(external.Codec, external.Store, r.mesh, r.presence, exposure(s), time.Duration(s.ChangeDeadline), logger)
 	r.held = quarantine.New(self.ID, external.Store, r.mesh, r.presence, logger)
+	r.held.SetSchedule(trials(s))
 	r.traffic = trafficReport{store: network.StoreTraffic, routers: r.mesh.Traffic, log: logger}
 	if r.traffic.store == nil {
 		r.traffic.store = func() (sent, received int64) { return 0, 0 }
@@ -87,7 +89,7 @@
 	if err := observeRestores(metrics.Meter(), r.replica.Restores); err != nil {
 		return nil, err
 	}
-	if err := observeQuarantine(metrics.Meter(), r.held.Holds); err != nil {
+	if err := observeQuarantine(metrics.Meter(), r.held.Holds, r.held.Decided); err != nil {
 		return nil, err
 	}
 	detours := detour.New(r.presence, upstreamhttp.NewWithOptions(r.dialRouter, upstreamhttp.Options{
@@ -151,16 +153,21 @@
 	return balance.Bound{Factor: s.LoadBound.Factor, Slack: s.LoadBound.Slack}
 }
 
+func trials(s settings.Gateway) core.Schedule {
+	return core.Schedule{TrialsPerHour: s.Quarantine.TrialsPerHour}
+}
+
 // heldBy returns how many requests of all routers an upstream holds.
 func (r *Router) heldBy(upstream fleet.UpstreamID) int { return r.workload.Load(upstream).Running }
 
-// Apply applies changed settings: the retry limits, the bound on loads, the exposure, the directory's TTL and the grace
-// period.
+// Apply applies changed settings: the retry limits, the bound on loads, the exposure, the trials of the quarantine, the directory's TTL
+// and the grace period.
 func (r *Router) Apply(s settings.Gateway) {
 	r.settings.Store(&s)
 	r.gateway.SetRetryLimits(retryLimits(s))
 	r.gateway.SetLoadBound(loadBound(s))
 	r.moves.SetExposure(exposure(s))
+	r.held.SetSchedule(trials(s))
 }
 
 // dialRouter opens a connection for HTTP to the router with an address of node/detour.
--- a/node/quarantine/quarantine.go
+++ b/node/quarantine/quarantine.go
@@ -67,6 +67,8 @@
 	// sent counts the requests that this router has sent, and wanted also those that it has refused because of a hold.
 	sent, wanted *quarantine.Exposure
 	schedule     quarantine.Schedule
+	// decided counts the decisions of this router, by state.
+	decided map[string]int64
 	// answeredAt is when an answer to a request with a part last began on this router.
 	answeredAt map[quarantine.Part]time.Time
 	holds      map[quarantine.Part]*hold
@@ -99,7 +101,7 @@
 func New(self fleet.HostID, store port.Store, transport port.Peers, others Fleet, logger *log.Logger) *Service {
 	s := &Service{
 		self: self, store: store, transport: transport, fleet: others, log: logger, dirty: make(chan struct{}, 1),
-		evidence: quarantine.NewEvidence(), sent: quarantine.NewExposure(), wanted: quarantine.NewExposure(),
+		evidence: quarantine.NewEvidence(), decided: map[string]int64{}, sent: quarantine.NewExposure(), wanted: quarantine.NewExposure(),
 		schedule: quarantine.Schedule{TrialsPerHour: quarantine.DefaultTrials}, answeredAt: map[quarantine.Part]time.Time{},
 		holds: map[quarantine.Part]*hold{}, permits: map[quarantine.Part]time.Time{},
 	}
@@ -301,6 +303,7 @@
 		s.holds[content.Part] = current
 	}
 	current.set(content, time.Now())
+	s.decided[content.State()]++
 	s.news.holds = append(s.news.holds, content)
 	s.notify()
 }
--- a/node/quarantine/trial.go
+++ b/node/quarantine/trial.go
@@ -1,6 +1,7 @@
 package quarantine
 
 import (
+	"maps"
 	"time"
 
 	"agateswitch/core/quarantine"
@@ -58,11 +59,10 @@
 	quiet := now.Sub(s.evidence.QuietSince())
 	needed := s.evidence.QuietTime()
 	for part, h := range s.holds {
-		if !h.InForce(now) {
+		if !h.InForce(now) || quiet < needed && now.Sub(h.learnedAt) < trialPatience {
 			continue
 		}
-		due := s.nextTrial(h)
-		since := min(now.Sub(due), now.Sub(h.learnedAt))
+		since := min(now.Sub(s.nextTrial(h)), now.Sub(h.learnedAt))
 		if since < trialPatience {
 			since = min(since, quiet-needed)
 		}
@@ -100,6 +100,13 @@
 	s.change(content)
 }
 
+// Decided returns how often this router has held parts back, tried, held back after a trial, and released them.
+func (s *Service) Decided() map[string]int64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return maps.Clone(s.decided)
+}
+
 // SetSchedule sets how many engines an hour the trials of a part may cost.
 func (s *Service) SetSchedule(schedule quarantine.Schedule) {
 	s.mu.Lock()
--- a/settings/gateway.go
+++ b/settings/gateway.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"agateswitch/core/dissemination"
+	"agateswitch/core/quarantine"
 
 	"github.com/juju/errors"
 )
@@ -41,7 +42,9 @@
 	Exposure Exposure `json:"exposure"`
 	// LoadBound limits what one upstream holds. LoadBoundFactorVariable gives the default of its factor.
 	LoadBound LoadBound `json:"load_bound"`
-	Log       Log       `json:"log"`
+	// Quarantine limits what trials of requests that are held back may cost.
+	Quarantine Quarantine `json:"quarantine"`
+	Log        Log        `json:"log"`
 }
 
 // Capacity is what the host can bear. Routers with more do work for others first. 0, the default, means
@@ -98,6 +101,12 @@
 	Slack float64 `json:"slack"`
 }
 
+// Quarantine limits what trials of requests that are held back may cost.
+type Quarantine struct {
+	// TrialsPerHour is how many engines an hour the trials of one part of prompts, or of one request, may end. Range: 1 to 60.
+	TrialsPerHour int `json:"trials_per_hour"`
+}
+
 // DefaultLoadBound is the bound that the users require.
 var DefaultLoadBound = LoadBound{Factor: 2, Slack: 3}
 
@@ -129,6 +138,7 @@
 	parsed := Gateway{
 		Log: Log{Level: "info", Format: "text"}, DirectoryTTL: Duration(DefaultDirectoryTTL),
 		ChangeDeadline: Duration(dissemination.MinDeadline), Exposure: DefaultExposure, LoadBound: DefaultLoadBound,
+		Quarantine: Quarantine{TrialsPerHour: quarantine.DefaultTrials},
 	}
 	loadBoundFactorErr := numberFromEnvironment(LoadBoundFactorVariable, &parsed.LoadBound.Factor)
 	d := decode(name, content, &parsed)
@@ -187,6 +197,7 @@
 	d.require(g.Exposure.Slack >= 0, "exposure.slack", "must be 0 or more")
 	d.require(g.LoadBound.Factor >= 1, "load_bound.factor", "must be 1 or more")
 	d.require(g.LoadBound.Slack >= 0, "load_bound.slack", "must be 0 or more")
+	d.require(g.Quarantine.TrialsPerHour >= 1 && g.Quarantine.TrialsPerHour <= quarantine.MaxTrials, "quarantine.trials_per_hour", "must be 1 to %d", quarantine.MaxTrials)
 	d.oneOf("log.level", g.Log.Level, "debug", "info", "warn", "error")
 	d.oneOf("log.format", g.Log.Format, "text", "json")
 }
