--- /dev/null
+++ b/core/quarantine/endings.go
@@ -0,0 +1,82 @@
+package quarantine
+
+import (
+	"slices"
+	"time"
+
+	"agateswitch/core/fleet"
+)
+
+// share returns the part's share of the pool's requests, as the routers at which it ended engines have counted it.
+func (r *record) share() Share {
+	var share Share
+	for _, end := range r.ends {
+		share = share.plus(end.share)
+	}
+	return share
+}
+
+// pool returns the pool of the engines that ended; empty if it is unknown.
+func (r *record) pool() fleet.PoolID {
+	for _, end := range r.ends {
+		if end.pool != "" {
+			return end.pool
+		}
+	}
+	return ""
+}
+
+// has reports whether the end of an engine counts against the part.
+func (r *record) has(engine Engine) bool {
+	return slices.ContainsFunc(r.ends, func(end engineEnd) bool { return end.engine == engine })
+}
+
+type engineEnd struct {
+	engine Engine
+	at     time.Time
+	next   Part
+	alone  bool
+	pool   fleet.PoolID
+	load   int
+	share  Share
+	manner Manner
+}
+
+// ending is the end of an engine, whatever it worked on.
+type ending struct {
+	at   time.Time
+	pool fleet.PoolID
+	load int
+}
+
+// AddEnding adds the end of an engine, whatever it worked on, and reports whether it is new. An end from before an answer that is told late
+// doesn't count.
+func (e *Evidence) AddEnding(end End) bool {
+	known, found := e.ended[end.Engine]
+	if end.At.Before(e.refuted[end.Engine]) || !found && len(e.ended) >= maxEndings {
+		return false
+	}
+	if !found || end.At.Before(known.at) {
+		known.at = end.At
+	}
+	if known.pool == "" {
+		known.pool = end.Pool
+	}
+	known.load = max(known.load, end.Load)
+	e.ended[end.Engine] = known
+	if !found {
+		e.changes++
+	}
+	return !found
+}
+
+// Endings returns the ends of all engines, for a router that starts.
+func (e *Evidence) Endings(now time.Time) []End {
+	var all []End
+	for engine, ended := range e.ended {
+		if now.Sub(ended.at) <= maxEndAge {
+			all = append(all, End{Engine: engine, At: ended.at, Pool: ended.pool, Load: ended.load})
+		}
+	}
+	return all
+}
