--- a/settings/gateway.go
+++ b/settings/gateway.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"agateswitch/core/dissemination"
+	"agateswitch/core/quarantine"
 
 	"github.com/juju/errors"
 )
@@ -43,7 +44,9 @@
 	LoadBound LoadBound `json:"load_bound"`
 	// Duties are the calls to the platform that one router at a time makes. Without an address none are made.
 	Duties Duties `json:"duties"`
-	Log       Log       `json:"log"`
+	// Quarantine limits what trials of requests that are held back may cost.
+	Quarantine Quarantine `json:"quarantine"`
+	Log        Log        `json:"log"`
 }
 
 // Capacity is what the host can bear. Routers with more do work for others first. 0, the default, means
@@ -100,6 +103,12 @@
 	Slack float64 `json:"slack"`
 }
 
+// Quarantine limits what trials of requests that are held back may cost.
+type Quarantine struct {
+	// TrialsPerHour is how many engines an hour the trials of one part of prompts, or of one request, may end. Range: 1 to 60.
+	TrialsPerHour int `json:"trials_per_hour"`
+}
+
 // DefaultLoadBound is the bound that the users require.
 var DefaultLoadBound = LoadBound{Factor: 2, Slack: 3}
 
@@ -131,6 +140,7 @@
 	parsed := Gateway{
 		Log: Log{Level: "info", Format: "text"}, DirectoryTTL: Duration(DefaultDirectoryTTL),
 		ChangeDeadline: Duration(dissemination.MinDeadline), Exposure: DefaultExposure, LoadBound: DefaultLoadBound,
+		Quarantine: Quarantine{TrialsPerHour: quarantine.DefaultTrials},
 	}
 	loadBoundFactorErr := numberFromEnvironment(LoadBoundFactorVariable, &parsed.LoadBound.Factor)
 	d := decode(name, content, &parsed)
@@ -190,6 +200,7 @@
 	d.require(g.LoadBound.Factor >= 1, "load_bound.factor", "must be 1 or more")
 	d.require(g.LoadBound.Slack >= 0, "load_bound.slack", "must be 0 or more")
 	d.checkDuties(g.Duties)
+	d.require(g.Quarantine.TrialsPerHour >= 1 && g.Quarantine.TrialsPerHour <= quarantine.MaxTrials, "quarantine.trials_per_hour", "must be 1 to %d", quarantine.MaxTrials)
 	d.oneOf("log.level", g.Log.Level, "debug", "info", "warn", "error")
 	d.oneOf("log.format", g.Log.Format, "text", "json")
 }
