Look less often at held duties, tell those in line of a release, and list duties

Four candidates read the record of each held subject at four times a lease, which the platform charges: they look once in one or two leases now, which still lets a successor report within the lateness. A router that hands a subject over tells those in line.

--- a/cmd/agatectl/main.go
+++ b/cmd/agatectl/main.go
@@ -104,7 +104,7 @@
 	flags.StringVar(&o.server, "server", envOr("AGATE_SERVER", "127.0.0.1:8081"), "operators' ip:port of any router (AGATE_SERVER)")
 	flags.StringVar(&o.token, "token", "", "operator token; without it, AGATE_TOKEN counts")
 	flags.StringVarP(&o.output, "output", "o", "text", "output: text or json")
-	root.AddCommand(itemCommand(o, contractKind), itemCommand(o, poolKind), dataCentreCommand(o), versionCommand(o), orderCommand(o), statusCommand(o), surveyCommand(o), quarantineCommand(o), rateLimitsCommand(o), evidenceCommand(o), explainCommand(o), experimentCommand(o))
+	root.AddCommand(itemCommand(o, contractKind), itemCommand(o, poolKind), dataCentreCommand(o), versionCommand(o), orderCommand(o), statusCommand(o), surveyCommand(o), quarantineCommand(o), rateLimitsCommand(o), dutiesCommand(o), evidenceCommand(o), explainCommand(o), experimentCommand(o))
 	return root
 }
 
--- a/core/duty/duty.go
+++ b/core/duty/duty.go
@@ -48,8 +48,10 @@
 const (
 	// driftDivisor sets what is left unused of a lease for clocks that run at different rates.
 	driftDivisor = 10
-	// renewalsPerLease is the number of renewals per lease. Two of them may fail.
-	renewalsPerLease = 4
+	// renewalsPerLease is the number of renewals per lease. One of them may fail, and retries follow.
+	renewalsPerLease = 3
+	// patientRank is the rank from which candidates look half as often: those before them look in time.
+	patientRank = 2
 	// retriesPerLease is the number of retries per lease after a failed call to the store.
 	retriesPerLease = 12
 	// rankDelayDivisor sets, as a part of the lease, how much later each candidate claims than the one before it.
@@ -62,9 +64,21 @@
 // MinCall is the least time that has to be left to send a call.
 func (l Lease) MinCall() time.Duration { return l.Length / driftDivisor }
 
-// RenewInterval is the time between two renewals, and RetryInterval that after one that failed.
+// RenewInterval is the time between two renewals.
 func (l Lease) RenewInterval() time.Duration { return l.Length / renewalsPerLease }
 
+// LookInterval is the time between two looks of a candidate at a record that changes. A successor takes over within two leases of the
+// holder's last renewal and the delay of its rank.
+func (l Lease) LookInterval(rank int) time.Duration {
+	if rank >= patientRank {
+		return 2 * l.Length
+	}
+	return l.Length
+}
+
+// CallTimeout bounds a call to the store.
+func (l Lease) CallTimeout() time.Duration { return l.Length / renewalsPerLease }
+
 // RetryInterval is the time between two tries of a call to the store.
 func (l Lease) RetryInterval() time.Duration { return l.Length / retriesPerLease }
 
--- a/node/duty/seat.go
+++ b/node/duty/seat.go
@@ -136,7 +136,7 @@
 	}
 	at, _ := s.candidate.ClaimAt(s.lease(), rank)
 	if wait := at - s.now(); wait > 0 {
-		return min(wait, s.lease().RenewInterval())
+		return min(wait, s.lease().LookInterval(rank))
 	}
 	return s.claim(ctx, era, rank, record)
 }
@@ -179,7 +179,7 @@
 		return false
 	}
 	key := s.key(s.era)
-	writeContext, cancel := context.WithTimeout(ctx, s.lease().RenewInterval())
+	writeContext, cancel := context.WithTimeout(ctx, s.lease().CallTimeout())
 	defer cancel()
 	result, err := s.service.store.Commit(writeContext, port.Transaction{
 		Conditions: []port.Condition{{Key: key, Revision: s.written}}, Writes: []port.Write{{Key: key, Value: value}}, ReadConflicts: true,
@@ -239,24 +239,6 @@
 	s.service.log.Info("duty handed over", "duty", s.duty.Name(), "subject", s.subject, "token", s.record.Token, "cause", why, "at_once", atOnce && err == nil, "err", err)
 }
 
-// release writes that the subject is free, also after ctx has ended.
-func (s *seat) release(ctx context.Context, released duty.Record) error {
-	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), s.lease().RenewInterval())
-	defer cancel()
-	value, err := json.Marshal(released)
-	if err != nil {
-		return errors.Trace(err)
-	}
-	key := s.key(s.era)
-	result, err := s.service.store.Commit(ctx, port.Transaction{
-		Conditions: []port.Condition{{Key: key, Revision: s.written}}, Writes: []port.Write{{Key: key, Value: value}},
-	})
-	if err == nil && !result.Applied {
-		return errors.New("the record has changed")
-	}
-	return errors.Trace(err)
-}
-
 // lose gives up a subject that this router does not hold any longer.
 func (s *seat) lose(why string) {
 	held := s.holds()
@@ -270,7 +252,7 @@
 }
 
 func (s *seat) read(ctx context.Context, era int64) (port.Entry, error) {
-	ctx, cancel := context.WithTimeout(ctx, s.lease().RenewInterval())
+	ctx, cancel := context.WithTimeout(ctx, s.lease().CallTimeout())
 	defer cancel()
 	entry, err := s.service.store.Get(ctx, s.key(era))
 	return entry, errors.Trace(err)
--- a/node/duty/service.go
+++ b/node/duty/service.go
@@ -35,6 +35,8 @@
 type Fleet interface {
 	// Rank returns this router's position, from 0, in the rendezvous order of all routers for a key.
 	Rank(key string) int
+	// First returns the first routers in the rendezvous order of a key, this one included.
+	First(key string, count int) []fleet.HostID
 	// Leaving reports whether this router leaves the fleet.
 	Leaving() bool
 }
@@ -54,6 +56,7 @@
 	self        fleet.HostID
 	incarnation int64
 	store       port.Store
+	transport   port.Peers
 	fleet       Fleet
 	clock       Clock
 	options     Options
@@ -71,13 +74,15 @@
 
 type seatKey struct{ duty, subject string }
 
-// New returns a service without duties.
-func New(self fleet.HostID, store port.Store, routers Fleet, clock Clock, options Options, logger *log.Logger) *Service {
+// New returns a service without duties, and registers its method of the peer protocol.
+func New(self fleet.HostID, store port.Store, transport port.Peers, routers Fleet, clock Clock, options Options, logger *log.Logger) *Service {
 	now := time.Now()
-	return &Service{
-		self: self, incarnation: now.UnixNano(), store: store, fleet: routers, clock: clock, options: options, log: logger, started: now,
+	s := &Service{
+		self: self, incarnation: now.UnixNano(), store: store, transport: transport, fleet: routers, clock: clock, options: options, log: logger, started: now,
 		seats: map[seatKey]*seat{},
 	}
+	transport.Handle(methodReleased, s.handleReleased)
+	return s
 }
 
 // Register adds a duty. It must be called before Run.
--- /dev/null
+++ b/node/duty/wire_test.go
@@ -0,0 +1,11 @@
+package duty
+
+import (
+	"testing"
+
+	"agateswitch/internal/wiretest"
+)
+
+func TestMessagesOfEarlierVersionsAreUnderstood(t *testing.T) {
+	wiretest.Check(t, map[string]any{"released": &releasedMessage{}})
+}
--- a/node/edge/duties.go
+++ b/node/edge/duties.go
@@ -21,7 +21,7 @@
 	if external.Duties == nil || s.Duties.Lease <= 0 {
 		return nil
 	}
-	r.duties = duty.New(self, external.Store, r.presence, bootclock.Clock{}, duty.Options{
+	r.duties = duty.New(self, external.Store, r.mesh, r.presence, bootclock.Clock{}, duty.Options{
 		Lease:     coreduty.Lease{Length: time.Duration(s.Duties.Lease), Thaw: time.Duration(s.Duties.Thaw)},
 		PerSecond: s.Duties.CallsPerSecond,
 	}, logger)
--- a/node/usage/report.go
+++ b/node/usage/report.go
@@ -37,6 +37,7 @@
 	collect := s.options.Late / collectDivisor
 	now := s.Now()
 	last := s.windows.Of(now.Add(-collect)) - 1
+	failed := false
 	for window := s.windows.Of(now.Add(-s.options.Late)); window <= last; window++ {
 		if s.isDone(window) {
 			continue
@@ -44,9 +45,14 @@
 		if err := s.report(ctx, grant, window); err != nil {
 			s.counts.failed.Add(1)
 			s.log.Warn("failed to report the usage", "window", window, "due_in", s.windows.End(window).Add(s.options.Late).Sub(s.Now()), "err", err)
-			return retryInterval
+			if failed = true; ctx.Err() != nil || errors.Is(err, duty.ErrNotHeld) {
+				break
+			}
 		}
 	}
+	if failed {
+		return retryInterval
+	}
 	return min(maxWait, max(0, s.windows.End(last+1).Add(collect).Sub(s.Now())))
 }
 
