--- a/node/edge/duties.go
+++ b/node/edge/duties.go
@@ -21,7 +21,11 @@
 	if external.Duties == nil || s.Duties.Lease <= 0 {
 		return nil
 	}
-	r.duties = duty.New(self, external.Store, r.mesh, r.presence, bootclock.Clock{}, duty.Options{
+	clock := r.network.Clock
+	if clock == nil {
+		clock = bootclock.Clock{}
+	}
+	r.duties = duty.New(self, external.Store, r.mesh, r.presence, clock, duty.Options{
 		Lease:     coreduty.Lease{Length: time.Duration(s.Duties.Lease), Thaw: time.Duration(s.Duties.Thaw)},
 		PerSecond: s.Duties.CallsPerSecond,
 	}, logger)
@@ -29,7 +33,7 @@
 		return err
 	}
 	if slices.Contains(external.DutyKinds, port.DutyUsage) && s.Duties.Usage.Window > 0 {
-		r.usage = usage.New(self, external.Store, r.mesh, r.presence, external.Duties, bootclock.Clock{}, usage.Options{
+		r.usage = usage.New(self, external.Store, r.mesh, r.presence, external.Duties, clock, usage.Options{
 			Window: time.Duration(s.Duties.Usage.Window), Late: time.Duration(s.Duties.Usage.Late),
 		}, logger)
 		r.duties.Register(r.usage)
--- a/node/edge/edge.go
+++ b/node/edge/edge.go
@@ -42,6 +42,8 @@
 	Listen Listen
 	// StoreTraffic counts the traffic with the store. It is optional.
 	StoreTraffic Traffic
+	// Clock is never set and runs while the process is suspended. The default is the kernel's clock since boot.
+	Clock duty.Clock
 }
 
 // Router is one router process.
--- a/node/usage/report.go
+++ b/node/usage/report.go
@@ -34,7 +34,7 @@
 // Work implements duty.Duty. It reports the windows that have ended and can still be reported in time.
 func (s *Service) Work(ctx context.Context, _ string, grant duty.Grant) time.Duration {
 	s.noteEra()
-	collect := s.options.Late / collectDivisor
+	collect := s.collectTime()
 	now := s.Now()
 	last := s.windows.Of(now.Add(-collect)) - 1
 	failed := false
--- a/node/usage/usage.go
+++ b/node/usage/usage.go
@@ -53,8 +53,17 @@
 	Window, Late time.Duration
 }
 
-// collectDivisor sets, as a part of Late, how long after a window's end its report is made: the counts have to arrive.
-const collectDivisor = 5
+const (
+	// collectMargin is added to two intervals of tell, in which the counts of a window arrive after its end.
+	collectMargin = 200 * time.Millisecond
+	// collectDivisor bounds, as a part of Late, that time: a successor of the holder needs the rest.
+	collectDivisor = 3
+)
+
+// collectTime returns how long after a window's end its report is made.
+func (s *Service) collectTime() time.Duration {
+	return min(2*s.tellInterval()+collectMargin, s.options.Late/collectDivisor)
+}
 
 // Service counts and reports usage for one router. It is safe for concurrent use.
 type Service struct {
