Guard the fakes of usage tests for the race detector

The race detector found races in the fakes only: the list of routers that are down and the store that is restored were changed while routers ran.

--- a/node/duty/fakes_test.go
+++ b/node/duty/fakes_test.go
@@ -6,7 +6,6 @@
 	"io"
 	"maps"
 	"math/rand/v2"
-	"strings"
 	"sync"
 	"time"
 
@@ -398,16 +397,3 @@
 	r.set(func(r *testRouter) { r.gone = time.Now() })
 	r.stop()
 }
-
-// names of the records in the store.
-func (w *world) records() int {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	count := 0
-	for key := range w.items {
-		if strings.HasPrefix(key, KeyPrefix) {
-			count++
-		}
-	}
-	return count
-}
--- a/node/usage/usage_test.go
+++ b/node/usage/usage_test.go
@@ -5,6 +5,8 @@
 	"fmt"
 	"io"
 	"reflect"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -23,18 +25,35 @@
 // network joins services without a network. It also is what they use of the platform and of the other parts of a router.
 type network struct {
 	handlers map[fleet.HostID]map[string]port.PeerHandler
+	mu       sync.Mutex
 	down     map[fleet.HostID]bool
 	reports  []port.UsageReport
 	fails    bool
 }
 
+// setDown makes exactly these routers unreachable.
+func (n *network) setDown(ids ...fleet.HostID) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.down = map[fleet.HostID]bool{}
+	for _, id := range ids {
+		n.down[id] = true
+	}
+}
+
+func (n *network) isDown(id fleet.HostID) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.down[id]
+}
+
 type end struct {
 	*network
 	id fleet.HostID
 }
 
 func (e end) Call(ctx context.Context, to fleet.HostID, method string, request, response any) error {
-	if e.down[to] || e.down[e.id] {
+	if e.isDown(to) || e.isDown(e.id) {
 		return port.ErrPeerUnreachable
 	}
 	content, err := msgpack.Marshal(request)
@@ -65,7 +84,7 @@
 func (e end) First(_ string, count int) []fleet.HostID {
 	var first []fleet.HostID
 	for i := range len(e.handlers) {
-		if id := name(i); len(first) < count && !e.down[id] {
+		if id := name(i); len(first) < count && !e.isDown(id) {
 			first = append(first, id)
 		}
 	}
@@ -94,12 +113,34 @@
 
 // eraStore is a store that can be restored without its content.
 type eraStore struct {
-	*store.Direct
-	era *int64
+	port.Store
+	first  port.Store
+	second port.Store
+	era    atomic.Int64
+}
+
+func (s *eraStore) current() port.Store {
+	if s.era.Load() > 0 {
+		return s.second
+	}
+	return s.first
 }
 
-func (s eraStore) Era() int64     { return *s.era }
-func (s eraStore) LearnEra(int64) {}
+func (s *eraStore) Get(ctx context.Context, key string) (port.Entry, error) {
+	return s.current().Get(ctx, key)
+}
+
+func (s *eraStore) Commit(ctx context.Context, t port.Transaction) (port.CommitResult, error) {
+	return s.current().Commit(ctx, t)
+}
+
+func (s *eraStore) GrantLease(ctx context.Context, ttl time.Duration) (port.LeaseID, error) {
+	return s.current().GrantLease(ctx, ttl)
+}
+
+func (s *eraStore) Era() int64     { return s.era.Load() }
+func (s *eraStore) LearnEra(int64) {}
+func (s *eraStore) restoreEmpty()  { s.era.Store(1) }
 
 const window = 5 * time.Second
 
@@ -110,8 +151,8 @@
 		ctx, cancel := context.WithCancel(context.Background())
 		defer synctest.Wait()
 		defer cancel()
-		n := &network{handlers: map[fleet.HostID]map[string]port.PeerHandler{}, down: map[fleet.HostID]bool{}}
-		kept := &eraStore{store.NewDirect(), new(int64)}
+		n := &network{handlers: map[fleet.HostID]map[string]port.PeerHandler{}}
+		kept := &eraStore{first: store.NewDirect(), second: store.NewDirect()}
 		var services []*Service
 		for i := range routers {
 			e := end{n, name(i)}
@@ -147,9 +188,13 @@
 			}
 		}
 		time.Sleep(time.Second)
+		var down []fleet.HostID
 		for i := range services {
-			n.down[name(i)] = i != 4
+			if i != 4 {
+				down = append(down, name(i))
+			}
 		}
+		n.setDown(down...)
 		time.Sleep(window + 2*time.Second)
 		work(n, services[4])
 		must.Eq(t, 12*13/2, n.requests()[first])
@@ -187,11 +232,13 @@
 			first := services[0].windows.Of(time.Now())
 			services[0].Begin("team")
 			time.Sleep(window + 2*time.Second)
-			n.down[name(2)] = !isKnown
+			if !isKnown {
+				n.setDown(name(2))
+			}
 			work(n, services[0])
 			time.Sleep(time.Second)
-			n.down = map[fleet.HostID]bool{name(0): true, name(1): true}
-			kept.Direct, *kept.era = store.NewDirect(), 1
+			n.setDown(name(0), name(1))
+			kept.restoreEmpty()
 			time.Sleep(time.Second)
 			services[2].Begin("team")
 			services[2].mu.Lock()
