--- a/node/edge/duties.go
+++ b/node/edge/duties.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"context"
 	"slices"
 	"time"
 
@@ -50,6 +51,19 @@
 	return r.usage.Begin
 }
 
+// flushTimeout bounds the last message with counts. It is a part of exitMargin.
+const flushTimeout = exitMargin / 2
+
+// flushUsage tells other routers what this one has counted, before it stops.
+func (r *Router) flushUsage(ctx context.Context) {
+	if r.usage == nil {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, flushTimeout)
+	defer cancel()
+	r.usage.Flush(ctx)
+}
+
 // leave leaves the fleet, and hands the duties over.
 func (r *Router) leave() {
 	r.presence.Leave()
--- a/node/edge/edge.go
+++ b/node/edge/edge.go
@@ -242,9 +242,7 @@
 		}
 	})
 	err = r.servers.run(ctx)
-	if r.usage != nil {
-		r.usage.Flush(runContext)
-	}
+	r.flushUsage(runContext)
 	stop()
 	services.Wait()
 	r.log.Info("gateway stopped", "err", err)
