--- a/node/duty/seat.go
+++ b/node/duty/seat.go
@@ -114,7 +114,7 @@
 	entry, err := s.read(ctx, era)
 	if err != nil {
 		s.report("failed to read the record of a duty", err)
-		return s.lease().RetryInterval()
+		return s.lease().RenewInterval()
 	}
 	if s.service.era() != era {
 		return 0
