--- a/settings/gateway.go
+++ b/settings/gateway.go
@@ -43,7 +43,7 @@
 	LoadBound LoadBound `json:"load_bound"`
 	// Duties are the calls to the platform that one router at a time makes. Without an address none are made.
 	Duties Duties `json:"duties"`
-	Log       Log       `json:"log"`
+	Log    Log    `json:"log"`
 }
 
 // Capacity is what the host can bear. Routers with more do work for others first. 0, the default, means
