--- a/node/edge/duties.go
+++ b/node/edge/duties.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"context"
 	"slices"
 	"time"
 
@@ -21,7 +22,11 @@
 	if external.Duties == nil || s.Duties.Lease <= 0 {
 		return nil
 	}
-	r.duties = duty.New(self, external.Store, r.presence, bootclock.Clock{}, duty.Options{
+	clock := r.network.Clock
+	if clock == nil {
+		clock = bootclock.Clock{}
+	}
+	r.duties = duty.New(self, external.Store, r.mesh, r.presence, clock, duty.Options{
 		Lease:     coreduty.Lease{Length: time.Duration(s.Duties.Lease), Thaw: time.Duration(s.Duties.Thaw)},
 		PerSecond: s.Duties.CallsPerSecond,
 	}, logger)
@@ -29,7 +34,7 @@
 		return err
 	}
 	if slices.Contains(external.DutyKinds, port.DutyUsage) && s.Duties.Usage.Window > 0 {
-		r.usage = usage.New(self, external.Store, r.mesh, r.presence, external.Duties, bootclock.Clock{}, usage.Options{
+		r.usage = usage.New(self, external.Store, r.mesh, r.presence, external.Duties, clock, usage.Options{
 			Window: time.Duration(s.Duties.Usage.Window), Late: time.Duration(s.Duties.Usage.Late),
 		}, logger)
 		r.duties.Register(r.usage)
@@ -46,6 +51,19 @@
 	return r.usage.Begin
 }
 
+// flushTimeout bounds the last message with counts. It is a part of exitMargin.
+const flushTimeout = exitMargin / 2
+
+// flushUsage tells other routers what this one has counted, before it stops.
+func (r *Router) flushUsage(ctx context.Context) {
+	if r.usage == nil {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, flushTimeout)
+	defer cancel()
+	r.usage.Flush(ctx)
+}
+
 // leave leaves the fleet, and hands the duties over.
 func (r *Router) leave() {
 	r.presence.Leave()
--- a/node/edge/edge.go
+++ b/node/edge/edge.go
@@ -43,6 +43,8 @@
 	Listen Listen
 	// StoreTraffic counts the traffic with the store. It is optional.
 	StoreTraffic Traffic
+	// Clock is never set and runs while the process is suspended. The default is the kernel's clock since boot.
+	Clock duty.Clock
 }
 
 // Router is one router process.
@@ -251,9 +253,7 @@
 		}
 	})
 	err = r.servers.run(ctx)
-	if r.usage != nil {
-		r.usage.Flush(runContext)
-	}
+	r.flushUsage(runContext)
 	stop()
 	services.Wait()
 	r.log.Info("gateway stopped", "err", err)
