--- a/core/scaling/decide.go
+++ b/core/scaling/decide.go
@@ -93,8 +93,8 @@
 	isAdopted bool
 	// isUnsure is true if an order may not have taken effect.
 	isUnsure bool
-	// changedAt is when ordered changed, and downAt when fewer may be ordered.
-	changedAt, downAt time.Time
+	// downAt is when fewer may be ordered.
+	downAt time.Time
 }
 
 // Unknown records that the need is not known now. What was needed before says nothing of the time after.
@@ -109,16 +109,16 @@
 func (d *Decider) Decide(now time.Time, policy Policy, limits Limits, pool Pool, here fleet.DataCentre) Decision {
 	d.see(now)
 	if listed := pool.Supply[here].Listed; d.isAdopted && listed > d.ordered {
-		d.ordered, d.changedAt = listed, now
+		d.ordered = listed
 	}
 	d.add(sample{at: now, listed: pool.Supply[here].Listed, ordered: d.ordered}, policy)
 	wanted := d.wanted(now, policy, limits, pool, here)
 	decision := Decision{Engines: d.ordered, InForce: d.ordered, Reason: ReasonSteady, Wanted: wanted}
 	watched := now.Sub(d.samples[0].at)
-	more, less := limits.Clamp(ceil(d.least(now, policy))), d.fewer(policy, limits)
+	more, less := ceil(d.least(now, policy)), d.fewer(policy, limits)
 	switch {
-	case watched >= policy.Up && more > d.ordered && ceil(d.least(now, policy)) > d.ordered:
-		decision.Engines, decision.Reason = more, ReasonMore
+	case watched >= policy.Up && more > d.ordered && limits.Clamp(more) > d.ordered:
+		decision.Engines, decision.Reason = limits.Clamp(more), ReasonMore
 	case watched < policy.Down:
 		decision.Reason = ReasonWatching
 	case limits.Clamp(d.ordered) != d.ordered:
@@ -140,7 +140,7 @@
 
 // Ordered records that an order is in force.
 func (d *Decider) Ordered(now time.Time, policy Policy, engines int) {
-	d.ordered, d.isAdopted, d.isUnsure, d.changedAt, d.downAt = engines, false, false, now, now.Add(policy.Down)
+	d.ordered, d.isAdopted, d.isUnsure, d.downAt = engines, false, false, now.Add(policy.Down)
 }
 
 // Unsure records that an order may be in force or not. The next decision is an order in any case.
