--- a/core/scaling/scaling_test.go
+++ b/core/scaling/scaling_test.go
@@ -41,9 +41,10 @@
 	rapid.Check(t, func(t *rapid.T) {
 		mean := rapid.Float64Range(0, 150).Draw(t, "mean")
 		present := rapid.IntRange(1, 120).Draw(t, "present")
-		noise := rapid.SliceOfN(rapid.Float64Range(-downMargin/2.2, downMargin/2.2), 240, 240).Draw(t, "noise")
+		noise := rapid.SliceOfN(rapid.Float64Range(-downMargin/2.2, downMargin/2.2), 24, 24).Draw(t, "noise")
+		const held = 10 // ticks, longer than the up window
 		directions, last := map[bool]bool{}, present
-		for i, engines := range inOrder(play(&Decider{}, present, len(noise), func(i int) float64 { return mean * (1 + noise[i]) })) {
+		for i, engines := range inOrder(play(&Decider{}, present, held*len(noise), func(i int) float64 { return mean * (1 + noise[i/held]) })) {
 			if i > 0 || present >= limits.Min && present <= limits.Max {
 				directions[engines > last] = true
 			}
@@ -100,6 +101,23 @@
 	must.Eq(t, 0, pool.PartOf("c", limits))
 }
 
+// Engines that are back sooner than others would be need no replacement while the others have room.
+func TestLostEnginesAreReplacedOnceOthersWouldBeThere(t *testing.T) {
+	var d Decider
+	now := time.Unix(1000, 0)
+	for end := now.Add(2 * policy.Down); now.Before(end); now = now.Add(tick) {
+		d.Decide(now, policy, limits, Pool{Need: 45, Supply: map[fleet.DataCentre]Supply{here: {Listed: 47, Able: 47}}}, here)
+	}
+	lost := Pool{Need: 45, Supply: map[fleet.DataCentre]Supply{here: {Listed: 47, Able: 37}}}
+	for end := now.Add(policy.Down); now.Before(end); now = now.Add(tick) {
+		must.False(t, d.Decide(now, policy, limits, lost, here).Order)
+	}
+	for end := now.Add(policy.Up); now.Before(end); now = now.Add(tick) {
+		d.Decide(now, policy, limits, lost, here)
+	}
+	must.Eq(t, 55, d.Decide(now, policy, limits, lost, here).Engines)
+}
+
 func TestNothingIsOrderedFromBeforeAGap(t *testing.T) {
 	for name, interrupt := range map[string]func(*Decider, time.Time) time.Time{
 		"paused":  func(_ *Decider, now time.Time) time.Time { return now.Add(maxGap + tick) },
