--- a/core/scaling/decide.go
+++ b/core/scaling/decide.go
@@ -15,7 +15,7 @@
 	downMargin = 0.1
 	// maxDrop is the part of the engines that one order takes away at most. The prompts in their caches are read again elsewhere.
 	maxDrop = 0.25
-	// minDrop is the part of the engines that one order takes away at least, unless it reaches the minimum.
+	// minDrop is the part of the engines that one order takes away at least.
 	minDrop = 0.05
 	// minWindow bounds the windows from below, for engines that start at once.
 	minWindow = time.Second
@@ -123,7 +123,7 @@
 		decision.Reason = ReasonWatching
 	case limits.Clamp(d.ordered) != d.ordered:
 		decision.Engines, decision.Reason = limits.Clamp(d.ordered), ReasonLimits
-	case d.isWorthwhile(less, limits) && !now.Before(d.downAt):
+	case less < d.ordered && float64(d.ordered-less) >= minDrop*float64(d.ordered) && !now.Before(d.downAt):
 		decision.Engines, decision.Reason = less, ReasonLess
 	}
 	decision.Order = decision.Engines != d.ordered || d.isUnsure
@@ -187,12 +187,6 @@
 	return newest.wanted
 }
 
-// isWorthwhile reports whether a number of engines is so far below the order in force that it is worth an order.
-func (d *Decider) isWorthwhile(engines int, limits Limits) bool {
-	dropped := d.ordered - engines
-	return dropped > 0 && (engines == limits.Min || float64(dropped) >= minDrop*float64(d.ordered))
-}
-
 // add adds a sample and removes those that no window needs.
 func (d *Decider) add(s sample, policy Policy) {
 	d.samples = append(d.samples, s)
