Wait longer before a small excess of need is answered by new engines

Caches that were cold at the start of the traffic made 51 engines wanted where 47 were, for over two seconds; the new ones came when the need was at 12, and were taken away again. An excess below a quarter must now last for half of the boot time.

--- a/core/scaling/decide.go
+++ b/core/scaling/decide.go
@@ -9,8 +9,12 @@
 
 // Parameters of the default policy.
 const (
-	// upShare is the part of the boot time for which more engines must have been needed.
+	// upShare is the part of the boot time for which many more engines must have been needed.
 	upShare = 0.25
+	// manyMore is the part of the engines that makes a need for more urgent. A smaller one fits into the free slots meanwhile, and must have
+	// lasted patience times as long: caches that are cold at the start of a load, for one, are soon warm.
+	manyMore = 0.25
+	patience = 2
 	// downMargin is the part of the need by which a smaller order exceeds it.
 	downMargin = 0.1
 	// maxDrop is the part of the engines that one order takes away at most. The prompts in their caches are read again elsewhere.
@@ -25,7 +29,7 @@
 
 // Policy says how long a need must have lasted before it is answered.
 type Policy struct {
-	// Up is how long more engines must have been needed, and Down how long fewer must have been enough.
+	// Up is how long many more engines must have been needed, and Down how long fewer must have been enough.
 	Up, Down time.Duration
 	// Ahead is how far the trend of the need is extrapolated; zero for not at all.
 	Ahead time.Duration
@@ -49,7 +53,7 @@
 const (
 	// ReasonSteady means that the order in force fits.
 	ReasonSteady Reason = "steady"
-	// ReasonMore means that more engines were needed throughout the up window.
+	// ReasonMore means that more engines were needed throughout the up window, or one twice as long.
 	ReasonMore Reason = "more demand"
 	// ReasonLess means that fewer were enough throughout the down window.
 	ReasonLess Reason = "less demand"
@@ -115,10 +119,10 @@
 	wanted := d.wanted(now, policy, limits, pool, here)
 	decision := Decision{Engines: d.ordered, InForce: d.ordered, Reason: ReasonSteady, Wanted: wanted}
 	watched := now.Sub(d.samples[0].at)
-	more, less := ceil(d.least(now, policy)), d.fewer(policy, limits)
+	more, less := d.more(now, policy, limits), d.fewer(policy, limits)
 	switch {
-	case watched >= policy.Up && more > d.ordered && limits.Clamp(more) > d.ordered:
-		decision.Engines, decision.Reason = limits.Clamp(more), ReasonMore
+	case more > d.ordered:
+		decision.Engines, decision.Reason = more, ReasonMore
 	case watched < policy.Down:
 		decision.Reason = ReasonWatching
 	case limits.Clamp(d.ordered) != d.ordered:
@@ -195,21 +199,37 @@
 	}
 }
 
-// least returns what was wanted throughout the up window, or will be if the trend goes on.
-func (d *Decider) least(now time.Time, policy Policy) float64 {
+// more returns the number of engines that were needed for long enough; zero if none was.
+func (d *Decider) more(now time.Time, policy Policy, limits Limits) int {
+	more := 0
+	if lasting := ceil(d.least(now, policy.Up, policy.Ahead)); float64(lasting) >= (1+manyMore)*float64(d.ordered) {
+		more = lasting
+	} else if lasting = ceil(d.least(now, patience*policy.Up, policy.Ahead)); lasting > d.ordered {
+		more = lasting
+	}
+	if more <= d.ordered {
+		return 0
+	}
+	return limits.Clamp(more)
+}
+
+// least returns what was wanted throughout a time, or will be if the trend goes on for the time ahead; zero if that is not known.
+func (d *Decider) least(now time.Time, span, ahead time.Duration) float64 {
+	if now.Sub(d.samples[0].at) < span {
+		return 0
+	}
 	least, first := math.Inf(1), sample{}
 	for i := len(d.samples) - 1; i >= 0; i-- {
 		first = d.samples[i]
 		least = min(least, first.wanted)
-		if now.Sub(first.at) >= policy.Up {
+		if now.Sub(first.at) >= span {
 			break
 		}
 	}
-	last := d.samples[len(d.samples)-1]
-	span := last.at.Sub(first.at)
-	if policy.Ahead > 0 && span > 0 {
-		slope := (last.wanted - first.wanted) / span.Seconds()
-		return max(least, last.wanted+slope*policy.Ahead.Seconds())
+	if ahead > 0 && now.After(first.at) {
+		last := d.samples[len(d.samples)-1].wanted
+		slope := (last - first.wanted) / now.Sub(first.at).Seconds()
+		return max(least, last+slope*ahead.Seconds())
 	}
 	return least
 }
