--- a/core/scaling/decide.go
+++ b/core/scaling/decide.go
@@ -127,7 +127,7 @@
 		decision.Reason = ReasonWatching
 	case limits.Clamp(d.ordered) != d.ordered:
 		decision.Engines, decision.Reason = limits.Clamp(d.ordered), ReasonLimits
-	case less < d.ordered && float64(d.ordered-less) >= minDrop*float64(d.ordered) && !now.Before(d.downAt):
+	case less < d.ordered && !now.Before(d.downAt):
 		decision.Engines, decision.Reason = less, ReasonLess
 	}
 	decision.Order = decision.Engines != d.ordered || d.isUnsure
@@ -153,17 +153,23 @@
 	d.isUnsure = true
 }
 
-// fewer returns how many engines are enough after the down window, within the step that one order may take. Engines of two versions may be
-// registered side by side for a while, so that the step of an adopted number begins at the fewest registered.
+// fewer returns how many engines are enough after the down window, within the step that one order may take; the number in force if the step is too
+// small. The step begins at what there is: engines that others have added go with an order that doesn't count them. Engines of two versions may
+// be registered side by side for a while, so the fewest registered count.
 func (d *Decider) fewer(policy Policy, limits Limits) int {
-	most, base := 0.0, d.ordered
+	most, listed := 0.0, math.MaxInt
 	for _, s := range d.samples {
-		most = max(most, s.wanted)
-		if d.isAdopted {
-			base = min(base, s.listed)
-		}
+		most, listed = max(most, s.wanted), min(listed, s.listed)
+	}
+	base := listed
+	if !d.isAdopted {
+		base = max(listed, d.ordered)
+	}
+	fewer := limits.Clamp(max(ceil(most*(1+policy.Margin)), ceil(float64(base)*(1-policy.MaxDrop))))
+	if float64(base-fewer) < minDrop*float64(base) {
+		return d.ordered
 	}
-	return limits.Clamp(max(ceil(most*(1+policy.Margin)), ceil(float64(base)*(1-policy.MaxDrop))))
+	return fewer
 }
 
 // wanted completes the newest sample. It returns how many engines the need asks for, and in place of those that are lost: at once if the
--- a/core/scaling/scaling_test.go
+++ b/core/scaling/scaling_test.go
@@ -77,6 +77,24 @@
 	})
 }
 
+// The platform takes away engines that others have added as well, when it is ordered to have fewer.
+func TestEnginesThatOthersAddedCountForTheStep(t *testing.T) {
+	var d Decider
+	now := time.Unix(1000, 0)
+	for _, step := range []struct{ listed, want int }{{51, 39}, {66, 50}, {50, 39}} {
+		d.Ordered(now, policy, 51)
+		if step.listed == 50 {
+			d.Ordered(now, policy, 50)
+		}
+		idle := Pool{Supply: map[fleet.DataCentre]Supply{here: {Listed: step.listed, Able: float64(step.listed)}}}
+		var decision Decision
+		for end := now.Add(policy.Down + tick); now.Before(end); now = now.Add(tick) {
+			decision = d.Decide(now, policy, limits, idle, here)
+		}
+		must.Eq(t, step.want, decision.Engines)
+	}
+}
+
 func TestEnginesCountForWhatTheyCanDo(t *testing.T) {
 	const ready = boot + coldStart
 	sound := Engine{DataCentre: here, Running: 16, Slots: 32}
