--- a/core/scaling/decide.go
+++ b/core/scaling/decide.go
@@ -9,13 +9,17 @@
 
 // Parameters of the default policy.
 const (
-	// upShare is the part of the boot time for which more engines must have been needed.
+	// upShare is the part of the boot time for which many more engines must have been needed.
 	upShare = 0.25
+	// manyMore is the part of the engines that makes a need for more urgent. A smaller one fits into the free slots meanwhile, and must have
+	// lasted patience times as long: caches that are cold at the start of a load, for one, are soon warm.
+	manyMore = 0.25
+	patience = 2
 	// downMargin is the part of the need by which a smaller order exceeds it.
 	downMargin = 0.1
 	// maxDrop is the part of the engines that one order takes away at most. The prompts in their caches are read again elsewhere.
 	maxDrop = 0.25
-	// minDrop is the part of the engines that one order takes away at least, unless it reaches the minimum.
+	// minDrop is the part of the engines that one order takes away at least.
 	minDrop = 0.05
 	// minWindow bounds the windows from below, for engines that start at once.
 	minWindow = time.Second
@@ -25,7 +29,7 @@
 
 // Policy says how long a need must have lasted before it is answered.
 type Policy struct {
-	// Up is how long more engines must have been needed, and Down how long fewer must have been enough.
+	// Up is how long many more engines must have been needed, and Down how long fewer must have been enough.
 	Up, Down time.Duration
 	// Ahead is how far the trend of the need is extrapolated; zero for not at all.
 	Ahead time.Duration
@@ -49,7 +53,7 @@
 const (
 	// ReasonSteady means that the order in force fits.
 	ReasonSteady Reason = "steady"
-	// ReasonMore means that more engines were needed throughout the up window.
+	// ReasonMore means that more engines were needed throughout the up window, or one twice as long.
 	ReasonMore Reason = "more demand"
 	// ReasonLess means that fewer were enough throughout the down window.
 	ReasonLess Reason = "less demand"
@@ -93,8 +97,8 @@
 	isAdopted bool
 	// isUnsure is true if an order may not have taken effect.
 	isUnsure bool
-	// changedAt is when ordered changed, and downAt when fewer may be ordered.
-	changedAt, downAt time.Time
+	// downAt is when fewer may be ordered.
+	downAt time.Time
 }
 
 // Unknown records that the need is not known now. What was needed before says nothing of the time after.
@@ -109,21 +113,21 @@
 func (d *Decider) Decide(now time.Time, policy Policy, limits Limits, pool Pool, here fleet.DataCentre) Decision {
 	d.see(now)
 	if listed := pool.Supply[here].Listed; d.isAdopted && listed > d.ordered {
-		d.ordered, d.changedAt = listed, now
+		d.ordered = listed
 	}
 	d.add(sample{at: now, listed: pool.Supply[here].Listed, ordered: d.ordered}, policy)
 	wanted := d.wanted(now, policy, limits, pool, here)
 	decision := Decision{Engines: d.ordered, InForce: d.ordered, Reason: ReasonSteady, Wanted: wanted}
 	watched := now.Sub(d.samples[0].at)
-	more, less := limits.Clamp(ceil(d.least(now, policy))), d.fewer(policy, limits)
+	more, less := d.more(now, policy, limits), d.fewer(policy, limits)
 	switch {
-	case watched >= policy.Up && more > d.ordered && ceil(d.least(now, policy)) > d.ordered:
+	case more > d.ordered:
 		decision.Engines, decision.Reason = more, ReasonMore
 	case watched < policy.Down:
 		decision.Reason = ReasonWatching
 	case limits.Clamp(d.ordered) != d.ordered:
 		decision.Engines, decision.Reason = limits.Clamp(d.ordered), ReasonLimits
-	case d.isWorthwhile(less, limits) && !now.Before(d.downAt):
+	case less < d.ordered && !now.Before(d.downAt):
 		decision.Engines, decision.Reason = less, ReasonLess
 	}
 	decision.Order = decision.Engines != d.ordered || d.isUnsure
@@ -140,7 +144,7 @@
 
 // Ordered records that an order is in force.
 func (d *Decider) Ordered(now time.Time, policy Policy, engines int) {
-	d.ordered, d.isAdopted, d.isUnsure, d.changedAt, d.downAt = engines, false, false, now, now.Add(policy.Down)
+	d.ordered, d.isAdopted, d.isUnsure, d.downAt = engines, false, false, now.Add(policy.Down)
 }
 
 // Unsure records that an order may be in force or not. The next decision is an order in any case.
@@ -149,17 +153,23 @@
 	d.isUnsure = true
 }
 
-// fewer returns how many engines are enough after the down window, within the step that one order may take. Engines of two versions may be
-// registered side by side for a while, so that the step of an adopted number begins at the fewest registered.
+// fewer returns how many engines are enough after the down window, within the step that one order may take; the number in force if the step is too
+// small. The step begins at what there is: engines that others have added go with an order that doesn't count them. Engines of two versions may
+// be registered side by side for a while, so the fewest registered count.
 func (d *Decider) fewer(policy Policy, limits Limits) int {
-	most, base := 0.0, d.ordered
+	most, listed := 0.0, math.MaxInt
 	for _, s := range d.samples {
-		most = max(most, s.wanted)
-		if d.isAdopted {
-			base = min(base, s.listed)
-		}
+		most, listed = max(most, s.wanted), min(listed, s.listed)
+	}
+	base := listed
+	if !d.isAdopted {
+		base = max(listed, d.ordered)
+	}
+	fewer := limits.Clamp(max(ceil(most*(1+policy.Margin)), ceil(float64(base)*(1-policy.MaxDrop))))
+	if float64(base-fewer) < minDrop*float64(base) {
+		return d.ordered
 	}
-	return limits.Clamp(max(ceil(most*(1+policy.Margin)), ceil(float64(base)*(1-policy.MaxDrop))))
+	return fewer
 }
 
 // wanted completes the newest sample. It returns how many engines the need asks for, and in place of those that are lost: at once if the
@@ -187,12 +197,6 @@
 	return newest.wanted
 }
 
-// isWorthwhile reports whether a number of engines is so far below the order in force that it is worth an order.
-func (d *Decider) isWorthwhile(engines int, limits Limits) bool {
-	dropped := d.ordered - engines
-	return dropped > 0 && (engines == limits.Min || float64(dropped) >= minDrop*float64(d.ordered))
-}
-
 // add adds a sample and removes those that no window needs.
 func (d *Decider) add(s sample, policy Policy) {
 	d.samples = append(d.samples, s)
@@ -201,21 +205,37 @@
 	}
 }
 
-// least returns what was wanted throughout the up window, or will be if the trend goes on.
-func (d *Decider) least(now time.Time, policy Policy) float64 {
+// more returns the number of engines that were needed for long enough; zero if none was.
+func (d *Decider) more(now time.Time, policy Policy, limits Limits) int {
+	more := 0
+	if lasting := ceil(d.least(now, policy.Up, policy.Ahead)); float64(lasting) >= (1+manyMore)*float64(d.ordered) {
+		more = lasting
+	} else if lasting = ceil(d.least(now, patience*policy.Up, policy.Ahead)); lasting > d.ordered {
+		more = lasting
+	}
+	if more <= d.ordered {
+		return 0
+	}
+	return limits.Clamp(more)
+}
+
+// least returns what was wanted throughout a time, or will be if the trend goes on for the time ahead; zero if that is not known.
+func (d *Decider) least(now time.Time, span, ahead time.Duration) float64 {
+	if now.Sub(d.samples[0].at) < span {
+		return 0
+	}
 	least, first := math.Inf(1), sample{}
 	for i := len(d.samples) - 1; i >= 0; i-- {
 		first = d.samples[i]
 		least = min(least, first.wanted)
-		if now.Sub(first.at) >= policy.Up {
+		if now.Sub(first.at) >= span {
 			break
 		}
 	}
-	last := d.samples[len(d.samples)-1]
-	span := last.at.Sub(first.at)
-	if policy.Ahead > 0 && span > 0 {
-		slope := (last.wanted - first.wanted) / span.Seconds()
-		return max(least, last.wanted+slope*policy.Ahead.Seconds())
+	if ahead > 0 && now.After(first.at) {
+		last := d.samples[len(d.samples)-1].wanted
+		slope := (last - first.wanted) / now.Sub(first.at).Seconds()
+		return max(least, last+slope*ahead.Seconds())
 	}
 	return least
 }
