Bound what callers make a router hold

Cause: bodies were read whole and not counted against memory, connections and headers had no bound in sum, a body that no route wants could stay short of its end for ever, and answers that are not read held their connection. Ruled out: a limit for each place alone, whose product is no bound for a host. Change: connections, headers and bodies take from one account before memory is allocated (core/memory, node/intake); the client that holds the most for the longest without progress gives way with 503, not run. A gate closes the connection that has been silent for the longest. Limits follow from capacity.memory_mb and .descriptors of the settings, which the deployed template fills in.

--- /dev/null
+++ b/cmd/agateswitch/crowd_process_test.go
@@ -0,0 +1,158 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+)
+
+// Bounds of the gateway of a crowd test, which its settings state, and the crowds.
+const (
+	crowdMemoryMB    = 96
+	crowdDescriptors = 256
+	crowdBodyBytes   = 4 << 20
+	crowdBodies      = 60
+	crowdConnections = 400
+	crowdPipelined   = 20_000
+)
+
+// crowd is many clients that misbehave in one way.
+type crowd struct {
+	// port is that of the socket, at the gateway's address.
+	port string
+	// count is the number of connections, and send writes what one of them sends. The connection stays open.
+	count int
+	send  func(number int, connection net.Conn)
+}
+
+// head returns a request's header up to its last line.
+func head(number int, method, path, more string) string {
+	return fmt.Sprintf("%s %s HTTP/1.1\r\nHost: %s\r\nAttempt-Id: crowd-%d\r\nX-Api-Key: %s\r\n%s\r\n", method, path, gatewayHost, number, gatewayKey, more)
+}
+
+// write sends text, or as much of it as the gateway takes.
+func write(connection net.Conn, parts ...string) {
+	for _, part := range parts {
+		if _, err := io.WriteString(connection, part); err != nil {
+			return
+		}
+	}
+}
+
+func shortBody(path string, length int) func(int, net.Conn) {
+	return func(number int, connection net.Conn) {
+		write(connection, head(number, "POST", path, fmt.Sprintf("Content-Length: %d\r\n", length)), strings.Repeat("x", length-1))
+	}
+}
+
+func chunkedBody(path string, length, chunk int) func(int, net.Conn) {
+	return func(number int, connection net.Conn) {
+		write(connection, head(number, "POST", path, "Transfer-Encoding: chunked\r\n"))
+		part := fmt.Sprintf("%x\r\n%s\r\n", chunk, strings.Repeat("x", chunk))
+		for range length/chunk - 1 {
+			write(connection, part)
+		}
+	}
+}
+
+// manyFields returns fields of a header of about 15 KB.
+func manyFields() string {
+	var fields strings.Builder
+	for i := range 1800 {
+		fmt.Fprintf(&fields, "%s:\r\n", strconv.FormatInt(int64(i), 36)+"z")
+	}
+	return fields.String()
+}
+
+var crowds = map[string]crowd{
+	"bodies that stop short of their end": {port: "7001", count: crowdBodies, send: shortBody("/book/1", crowdBodyBytes)},
+	"chunked bodies that never end":       {port: "7001", count: crowdBodies, send: chunkedBody("/book/1", crowdBodyBytes, 64<<10)},
+	"bodies in tiny chunks":               {port: "7001", count: crowdBodies, send: chunkedBody("/book/1", 1<<20, 16)},
+	"bodies far over the limit":           {port: "7001", count: crowdBodies, send: shortBody("/book/1", 4*crowdBodyBytes)},
+	"bodies at a path without a route":    {port: "7001", count: crowdConnections, send: shortBody("/nowhere/1", 10_000)},
+	"bodies at the readiness path":        {port: "7002", count: crowdConnections, send: shortBody("/v1/ready", 10_000)},
+	"bodies at the directory":             {port: "7003", count: crowdConnections, send: shortBody("/v1/resolve", 10_000)},
+	"bodies at the metrics":               {port: "7005", count: crowdConnections, send: shortBody("/metrics", 10_000)},
+	"very many short fields": {port: "7001", count: 2 * crowdConnections, send: func(number int, connection net.Conn) {
+		write(connection, head(number, "POST", "/book/1", manyFields()+"Content-Length: 2\r\n"), "x")
+	}},
+	"headers without an end": {port: "7001", count: 2 * crowdConnections, send: func(_ int, connection net.Conn) {
+		write(connection, "GET /book/1 HTTP/1.1\r\n", manyFields(), manyFields(), manyFields())
+	}},
+	"connections that say nothing":             {port: "7001", count: 2 * crowdConnections, send: func(int, net.Conn) {}},
+	"silent connections to the readiness path": {port: "7002", count: 2 * crowdConnections, send: func(int, net.Conn) {}},
+	"requests ahead without reading": {port: "7001", count: 20, send: func(number int, connection net.Conn) {
+		connection.SetWriteDeadline(time.Now().Add(2 * time.Second))
+		write(connection, strings.Repeat(head(number, "GET", "/nowhere/1", ""), crowdPipelined))
+	}},
+}
+
+// status returns a field of the process's state in /proc, in bytes.
+func (p gatewayProcess) status(t *testing.T, field string) int {
+	t.Helper()
+	content, err := os.ReadFile(filepath.Join("/proc", strconv.Itoa(p.command.Process.Pid), "status"))
+	must.NoError(t, err)
+	for line := range strings.Lines(string(content)) {
+		if name, value, _ := strings.Cut(line, ":"); name == field {
+			kilobytes, err := strconv.Atoi(strings.Fields(value)[0])
+			must.NoError(t, err)
+			return kilobytes << 10
+		}
+	}
+	t.Fatalf("no field %s", field)
+	return 0
+}
+
+func (p gatewayProcess) descriptors(t *testing.T) int {
+	t.Helper()
+	entries, err := os.ReadDir(filepath.Join("/proc", strconv.Itoa(p.command.Process.Pid), "fd"))
+	must.NoError(t, err)
+	return len(entries)
+}
+
+// A crowd of clients that send much, or stop short of an end and stay, used to take a gateway's memory and descriptors.
+func TestCrowdIsKeptWithinTheHost(t *testing.T) {
+	for name, c := range crowds {
+		t.Run(name, func(t *testing.T) {
+			ctx, cancel := context.WithTimeout(t.Context(), processTimeout)
+			defer cancel()
+			f := newGatewayFleet(t)
+			f.capacity = fmt.Sprintf(`"capacity": {"memory_mb": %d, "descriptors": %d},`, crowdMemoryMB, crowdDescriptors)
+			f.bodyBytes = crowdBodyBytes
+			f.configure(2, gatewayKey)
+			p := f.start(ctx, t, 1)
+			var open []net.Conn
+			defer func() {
+				for _, connection := range open {
+					connection.Close()
+				}
+			}()
+			most := 0
+			for number := range c.count {
+				connection, err := net.DialTimeout("tcp", net.JoinHostPort(gatewayIP(1), c.port), time.Second)
+				if err != nil {
+					continue
+				}
+				open = append(open, connection)
+				c.send(number, connection)
+				most = max(most, p.descriptors(t))
+			}
+			status, _, err := p.send(ctx, "/book/ordinary")
+			must.NoError(t, err)
+			must.Eq(t, 200, status)
+			must.NoError(t, p.command.Process.Signal(syscall.Signal(0)))
+			must.LessEq(t, crowdDescriptors, max(most, p.descriptors(t)))
+			must.LessEq(t, crowdMemoryMB<<20, p.status(t, "VmHWM"))
+		})
+	}
+}
--- a/cmd/agateswitch/gateway.go
+++ b/cmd/agateswitch/gateway.go
@@ -6,6 +6,7 @@
 	stdlog "log"
 	"net"
 	"os"
+	"runtime/debug"
 
 	"agateswitch/adapter/dialer"
 	"agateswitch/adapter/telemetry"
@@ -64,6 +65,9 @@
 	return checked, nil
 }
 
+// heapShare is the part of the process's memory at which the runtime collects garbage however often it takes.
+const heapShare = 0.75
+
 // runGateway runs a gateway until a signal stops it, and reloads its settings file when it changes.
 func runGateway(s settings.Gateway, path string, hangups chan os.Signal) error {
 	logWriter := telemetry.NewAsyncWriter(os.Stdout)
@@ -84,6 +88,9 @@
 	stdlog.SetOutput(logger.StandardLog(log.StandardLogOptions{ForceLevel: log.DebugLevel}).Writer())
 	logger.Info("starting the gateway", "host", s.Host.ID, "datacentre", s.Host.DataCentre, "store", s.Store, "settings", path,
 		"load_bound_factor", s.LoadBound.Factor, "load_bound_slack", s.LoadBound.Slack)
+	if s.Capacity.MemoryMB > 0 {
+		debug.SetMemoryLimit(int64(s.Capacity.MemoryMB * (1 << 20) * heapShare))
+	}
 	dial := dialer.New().DialContext
 	var storeTraffic dialer.Counter
 	external := platform.New(port.Dial(storeTraffic.Wrap(dial)), dialer.NewForUpstreams().DialContext, s.Store)
--- a/cmd/agateswitch/gateway_process_test.go
+++ b/cmd/agateswitch/gateway_process_test.go
@@ -35,13 +35,16 @@
 	// plainAddress is the address of plain. plainHandler is the engine that currently serves there.
 	plainAddress string
 	plainHandler atomic.Pointer[standin.Engine]
+	// capacity is a line of the settings that states what the host can bear; empty for none. bodyBytes is the limit of bodies.
+	capacity  string
+	bodyBytes int
 }
 
 func newGatewayFleet(t *testing.T) *gatewayFleet {
 	t.Helper()
 	f := &gatewayFleet{
 		program: buildProgram(t), store: standin.NewStore(), plain: &standin.Engine{ID: "app-0"},
-		stream: &standin.Engine{ID: "lm-0", Stream: true, Events: 100, Interval: 10 * time.Millisecond},
+		stream: &standin.Engine{ID: "lm-0", Stream: true, Events: 100, Interval: 10 * time.Millisecond}, bodyBytes: 1 << 20,
 	}
 	f.plainHandler.Store(f.plain)
 	f.plainAddress = listenOn(t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { f.plainHandler.Load().ServeHTTP(w, r) }))
@@ -61,7 +64,7 @@
 		"version":  version,
 		"routes":   []any{route("book", "app", "non_idempotent"), route("plan", "lm", "streaming")},
 		"services": []any{map[string]any{"name": "app"}, map[string]any{"name": "lm", "engine": map[string]any{"slots": 8}}},
-		"limits":   map[string]any{"max_header_bytes": 16384, "max_body_bytes": 1 << 20},
+		"limits":   map[string]any{"max_header_bytes": 16384, "max_body_bytes": f.bodyBytes},
 		"tenants":  []any{map[string]any{"name": "team-one", "api_keys": []string{key}}},
 	})
 }
--- a/cmd/agateswitch/hangup_process_test.go
+++ b/cmd/agateswitch/hangup_process_test.go
@@ -40,11 +40,11 @@
 	t.Helper()
 	ip := gatewayIP(number)
 	return fmt.Appendf(nil, `{
-		"host": {"id": "front-%d", "datacentre": "arima", "region": "tt-north"},
+		"host": {"id": "front-%[1]d", "datacentre": "arima", "region": "tt-north"}, %[4]s
 		"listen": {"callers": "%[2]s:7001", "readiness": "%[2]s:7002", "directory": "%[2]s:7003", "peers": "%[2]s:7004", "metrics": "%[2]s:7005"},
 		"store": %[3]q, "peer_key": "process-test-peer-key-of-32-characters", "grace": "30s", "max_directory_ttl": "5s",
 		"retries": {"ratio": 0.2, "extra": 50, "window": "10s"}, "log": {"format": "json"}
-	}`, number, ip, listenOn(t, f.store.HandlerFor(ip)))
+	}`, number, ip, listenOn(t, f.store.HandlerFor(ip)), f.capacity)
 }
 
 // gatewayIP returns the loopback address of a gateway of this test process.
--- a/cmd/agateswitch/reload_test.go
+++ b/cmd/agateswitch/reload_test.go
@@ -97,6 +97,7 @@
 		"{{bounds.grace_s}}", "8", "{{bounds.drain_ms}}", "3000", "{{bounds.ttl_max_s}}", "5", "{{bounds.retry_budget_ratio|json}}", "0.2",
 		"{{bounds.budget_slack|json}}", "56", "{{bounds.budget_window_s}}", "10", "{{bounds.exposure_share|json}}", "0.1",
 		"{{bounds.exposure_slack|json}}", "50", "{{limits.cpu_share|json}}", "0.192", "{{limits.link_mbps|json}}", "10.0",
+		"{{limits.memory_mb|json}}", "184", "{{limits.max_fds|json}}", "4100",
 		"{{cloud.address|json}}", `"10.200.0.113:8424"`, "{{cloud.duties|json}}", `["usage_report", "autoscale"]`, "{{cloud.duty_per_s|json}}", "50.0",
 		"{{bounds.lease_ms}}", "3000", "{{bounds.thaw_ms}}", "300", "{{bounds.report_window_s}}", "5", "{{bounds.usage_late_s}}", "10",
 	).Replace(text)
@@ -111,7 +112,7 @@
 		must.Eq(t, settings.DefaultExposure, parsed.Exposure)
 		must.Eq(t, settings.DefaultLoadBound, parsed.LoadBound)
 		must.Eq(t, settings.Duration(3*time.Second), parsed.ChangeDeadline)
-		must.Eq(t, settings.Capacity{Cores: 0.192, LinkMbps: 10}, parsed.Capacity)
+		must.Eq(t, settings.Capacity{Cores: 0.192, LinkMbps: 10, MemoryMB: 184, Descriptors: 4100}, parsed.Capacity)
 		wanted := settings.Duties{}
 		if hasDuties {
 			wanted = settings.Duties{
--- a/node/edge/edge.go
+++ b/node/edge/edge.go
@@ -67,7 +67,7 @@
 func New(s settings.Gateway, external port.Edge, network Network, metrics *telemetry.Metrics, logger *log.Logger) (*Router, error) {
 	self := fleet.Host{
 		ID: s.Host.ID, DataCentre: s.Host.DataCentre, Region: s.Host.Region, State: fleet.Live,
-		HTTPAddress: cmp.Or(s.Advertise.Callers, s.Listen.Callers), PeerAddress: cmp.Or(s.Advertise.Peers, s.Listen.Peers), Capacity: fleet.Capacity(s.Capacity),
+		HTTPAddress: cmp.Or(s.Advertise.Callers, s.Listen.Callers), PeerAddress: cmp.Or(s.Advertise.Peers, s.Listen.Peers), Capacity: fleet.Capacity{Cores: s.Capacity.Cores, LinkMbps: s.Capacity.LinkMbps},
 	}
 	r := &Router{network: network, log: logger}
 	r.settings.Store(&s)
@@ -106,8 +106,13 @@
 		return nil, err
 	}
 	limits := ratelimit.New(self.ID, r.mesh, r.presence, r.workload, logger)
+	callers := newClients(s.Capacity, logger)
+	if err := callers.observe(metrics.Meter()); err != nil {
+		return nil, err
+	}
 	r.gateway = gateway.New(gateway.Dependencies{
-		Edge: external, Freshness: r.replica, Fleet: r.presence, Workload: r.workload, Moves: r.moves, Quarantine: r.held, Detours: detours, QuarantineKey: []byte(s.PeerKey),
+		Intake: callers.account,
+		Edge:   external, Freshness: r.replica, Fleet: r.presence, Workload: r.workload, Moves: r.moves, Quarantine: r.held, Detours: detours, QuarantineKey: []byte(s.PeerKey),
 		RateLimits:  limits,
 		Room:        room.New(self.ID, r.mesh, r.presence, r.heldBy, logger),
 		Begin:       r.recordBegin(),
@@ -134,7 +139,7 @@
 	reports.Handle("/", metrics.Handler())
 	directory, readiness := external.Entries(port.EntryList{Addresses: r.addresses, TTL: r.ttl, Ready: r.ready})
 	r.servers = &servers{
-		gateway: r.gateway, listen: network.Listen, routers: r.mesh.HTTPListener(), callers: s.Listen.Callers, leave: r.leave,
+		gateway: r.gateway, clients: callers, listen: network.Listen, routers: r.mesh.HTTPListener(), callers: s.Listen.Callers, leave: r.leave,
 		handlers: map[string]http.Handler{
 			s.Listen.Directory: directory, s.Listen.Readiness: readiness, s.Listen.Metrics: reports,
 		},
--- a/node/edge/server.go
+++ b/node/edge/server.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"agateswitch/node/gateway"
+	"agateswitch/node/intake"
 
 	"github.com/charmbracelet/log"
 	"github.com/juju/errors"
@@ -24,6 +25,11 @@
 	headerTimeout = 30 * time.Second
 	// maxHeaderBytes is the maximum number of bytes of a header that are read.
 	maxHeaderBytes = 64 << 10
+	// smallReadTimeout, smallWriteTimeout and smallHeaderBytes are limits of the servers that answer short questions without
+	// bodies: the directory, the readiness check, and metrics.
+	smallReadTimeout  = 5 * time.Second
+	smallWriteTimeout = 30 * time.Second
+	smallHeaderBytes  = 16 << 10
 	// lingerTime is how long a leaving router continues to accept connections, because callers cache
 	// the directory's answers.
 	lingerTime = 3 * time.Second
@@ -37,6 +43,7 @@
 // servers runs the HTTP servers of a router for callers and the platform.
 type servers struct {
 	gateway *gateway.Gateway
+	clients clients
 	listen  Listen
 	callers string
 	// routers accepts the connections of other routers for their requests.
@@ -62,7 +69,7 @@
 			s.close()
 			return errors.Annotatef(err, "listening on %s", address)
 		}
-		s.sockets[address] = socket
+		s.sockets[address] = s.clients.gate(address == s.callers).Wrap(socket)
 	}
 	return nil
 }
@@ -84,6 +91,8 @@
 	for address, handler := range s.handlers {
 		server := &http.Server{
 			Addr: address, Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
+			ReadTimeout: smallReadTimeout, WriteTimeout: smallWriteTimeout, MaxHeaderBytes: smallHeaderBytes,
+			ErrorLog: s.log.StandardLog(log.StandardLogOptions{ForceLevel: log.DebugLevel}),
 		}
 		others = append(others, server)
 		group.Go(func() error { return s.serve(server) })
@@ -108,8 +117,8 @@
 	server := &http.Server{
 		Addr: s.callers, Handler: s.gateway, IdleTimeout: idleTimeout,
 		ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes,
-		ConnState: newConnections(s.gateway.Limits, s.log).onStateChange,
-		ErrorLog:  s.log.StandardLog(log.StandardLogOptions{ForceLevel: log.DebugLevel}),
+		ConnState: newConnections(s.gateway.Limits, s.log).onStateChange, ConnContext: intake.Context,
+		ErrorLog: s.log.StandardLog(log.StandardLogOptions{ForceLevel: log.DebugLevel}),
 	}
 	failed := make(chan error, 1)
 	go func() { failed <- s.serve(server) }()
--- a/node/gateway/authorise.go
+++ b/node/gateway/authorise.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"math/rand/v2"
 	"net/http"
 	"os"
@@ -10,6 +9,7 @@
 	"time"
 
 	"agateswitch/core/fleet"
+	"agateswitch/node/intake"
 
 	"github.com/juju/errors"
 )
@@ -23,6 +23,9 @@
 	if headerBytes(c.request) > c.current.table.State.Limits.HeaderBytes {
 		return fleet.Refuse(fleet.CodeHeaderTooLarge, "the header is too large", 0)
 	}
+	if err := c.intake.Take(c.request.Context(), intake.HeaderCost(c.request.Header)+int64(len(c.prompt))*promptPartCost); err != nil {
+		return c.refuseForMemory()
+	}
 	if c.call.ID == "" {
 		return fleet.Refuse(fleet.CodeBadRequest, "the request has no id", 0)
 	}
@@ -100,34 +103,67 @@
 	return c.authorise()
 }
 
-// readBody reads the request's body within the body limit and the deadline.
+// readBody reads the request's body within the body limit, the deadline and the memory for callers.
 func (c *callerRequest) readBody() *fleet.Refusal {
-	if c.request.ContentLength == 0 {
-		return nil
+	limit := c.current.table.State.Limits.BodyBytes
+	if c.request.ContentLength > limit {
+		return fleet.Refuse(fleet.CodeTooLarge, "the body is too large", 0)
 	}
-	connection := http.NewResponseController(c.writer)
-	if err := connection.SetReadDeadline(c.deadline); err != nil {
-		return fleet.Refuse(fleet.CodeInternal, "the time for the body could not be set: "+err.Error(), 0)
+	if c.request.ContentLength != 0 {
+		connection := http.NewResponseController(c.writer)
+		if err := connection.SetReadDeadline(c.deadline); err != nil {
+			return fleet.Refuse(fleet.CodeInternal, "the time for the body could not be set: "+err.Error(), 0)
+		}
+		body, err := c.intake.ReadBody(c.request.Context(), http.MaxBytesReader(c.writer, c.request.Body, limit), c.request.ContentLength)
+		if err != nil {
+			return c.refuseBody(err)
+		}
+		c.body = body
+		if err := connection.SetReadDeadline(time.Time{}); err != nil {
+			return fleet.Refuse(fleet.CodeInternal, "the time for the body could not be ended: "+err.Error(), 0)
+		}
 	}
-	limit := c.current.table.State.Limits.BodyBytes
-	body, err := io.ReadAll(http.MaxBytesReader(c.writer, c.request.Body, limit))
+	c.bodyRead = true
+	c.intake.Keep()
+	return nil
+}
+
+// refuseBody returns the refusal of a request whose body could not be read.
+func (c *callerRequest) refuseBody(err error) *fleet.Refusal {
 	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
+	switch {
+	case errors.As(err, &tooLarge):
 		return fleet.Refuse(fleet.CodeTooLarge, "the body is too large", 0)
-	}
-	if errors.Is(err, os.ErrDeadlineExceeded) {
+	case errors.Is(err, intake.ErrNoMemory), errors.Is(err, os.ErrDeadlineExceeded) && time.Now().Before(c.deadline):
+		return c.refuseForMemory()
+	case errors.Is(err, os.ErrDeadlineExceeded):
 		return fleet.Refuse(fleet.CodeDeadline, "the body did not come in time", 0)
 	}
-	if err != nil {
-		return fleet.Refuse(fleet.CodeBadRequest, "the body could not be read: "+err.Error(), 0)
+	return fleet.Refuse(fleet.CodeBadRequest, "the body could not be read: "+err.Error(), 0)
+}
+
+// refuseForMemory returns the refusal of a request that finds no memory, or gives way to another one.
+func (c *callerRequest) refuseForMemory() *fleet.Refusal {
+	return fleet.Refuse(fleet.CodeOverloaded, "the router holds too much for its callers", jitter(busyRetryAfter))
+}
+
+// limitUnreadBody bounds the time for what is left of a body that the request does not need. net/http reads some of it before it
+// answers, so that the connection can be used again.
+func (c *callerRequest) limitUnreadBody() {
+	if c.bodyRead || c.request.ContentLength == 0 {
+		return
 	}
-	c.body = body
-	if err := connection.SetReadDeadline(time.Time{}); err != nil {
-		return fleet.Refuse(fleet.CodeInternal, "the time for the body could not be ended: "+err.Error(), 0)
+	if err := http.NewResponseController(c.writer).SetReadDeadline(time.Now().Add(unreadBodyTimeout)); err != nil {
+		c.gateway.Log.Debug("failed to bound the time for the rest of a body", "request", c.call.ID, "err", err)
 	}
-	return nil
 }
 
+// promptPartCost is what a part of a prompt costs beyond its text, in bytes: its places in the request's lists.
+const promptPartCost = 128
+
+// unreadBodyTimeout is longer than a body that is on its way takes.
+const unreadBodyTimeout = time.Second
+
 // setDeadline sets the time by which the request must have its final answer.
 func (c *callerRequest) setDeadline() {
 	limit := c.route.Timeout
--- a/node/gateway/detour_serve.go
+++ b/node/gateway/detour_serve.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"net/http"
 	"time"
 
@@ -26,7 +25,9 @@
 	g.running.Add(1)
 	defer g.running.Done()
 	order, err := node.ReadOrder(r.Header)
-	c := &callerRequest{gateway: g, writer: w, request: r, began: time.Now(), call: g.Callers.Read(r), from: from}
+	held, end := g.Intake.Begin(r.Context(), stopReading(w))
+	defer end()
+	c := &callerRequest{gateway: g, writer: w, request: r, began: time.Now(), call: g.Callers.Read(r), from: from, intake: held}
 	c.deadline = c.began.Add(order.TimeLeft)
 	if err != nil {
 		c.reportFailure(node.Report{Outcome: detour.Busy, Ran: fleet.NotRun, Cause: err.Error()})
@@ -81,11 +82,12 @@
 			delete(c.tried, e)
 		}
 	}
-	body, err := io.ReadAll(http.MaxBytesReader(c.writer, c.request.Body, c.current.table.State.Limits.BodyBytes))
+	body, err := c.intake.ReadBody(c.request.Context(), http.MaxBytesReader(c.writer, c.request.Body, c.current.table.State.Limits.BodyBytes), c.request.ContentLength)
 	if err != nil {
 		return &node.Report{Outcome: detour.Busy, Ran: fleet.NotRun, Cause: "the body could not be read: " + err.Error()}
 	}
 	c.body = body
+	c.intake.Keep()
 	return nil
 }
 
--- a/node/gateway/gateway.go
+++ b/node/gateway/gateway.go
@@ -15,6 +15,7 @@
 	"agateswitch/core/pace"
 	"agateswitch/core/routing"
 	"agateswitch/node/detour"
+	"agateswitch/node/intake"
 	"agateswitch/node/quarantine"
 	"agateswitch/node/ratelimit"
 	"agateswitch/node/replica"
@@ -67,6 +68,8 @@
 	// knows whole requests.
 	Quarantine    *quarantine.Service
 	QuarantineKey []byte
+	// Intake is the memory that callers hold; nil for one of the default size.
+	Intake *intake.Account
 	// Begin is called once for each request that an upstream has begun to run; nil if nobody wants to know.
 	Begin func(team fleet.Team)
 	// Instruments records the gateway's metrics.
@@ -92,8 +95,14 @@
 	retryBudgets map[fleet.PoolID]*pace.WindowedRetryBudget
 }
 
+// DefaultIntakeBytes is what callers may make a router hold on a host whose memory is not known.
+const DefaultIntakeBytes = 256 << 20
+
 // New returns a gateway. Its Observe method must be subscribed to the replica.
 func New(dependencies Dependencies, limits RetryLimits, bound balance.Bound) *Gateway {
+	if dependencies.Intake == nil {
+		dependencies.Intake = intake.NewAccount(DefaultIntakeBytes)
+	}
 	g := &Gateway{
 		Dependencies: dependencies, checksDue: make(chan struct{}, 1), retryBudgets: map[fleet.PoolID]*pace.WindowedRetryBudget{},
 		view: newView(dependencies.Codec, dependencies.Workload.RemoveCached, dependencies.Workload.Leaves, dependencies.Log),
@@ -161,10 +170,20 @@
 	if g.leaving.Load() {
 		w.Header().Set("Connection", "close")
 	}
-	c := &callerRequest{gateway: g, writer: w, request: r, began: time.Now(), call: g.Callers.Read(r)}
+	held, end := g.Intake.Begin(r.Context(), stopReading(w))
+	defer end()
+	c := &callerRequest{gateway: g, writer: w, request: r, began: time.Now(), call: g.Callers.Read(r), intake: held}
 	c.serve()
 }
 
+// stopReading returns a function that ends what a caller is sending.
+func stopReading(w http.ResponseWriter) func() {
+	return func() {
+		// Where it can't be set, the caller's deadline ends it.
+		_ = http.NewResponseController(w).SetReadDeadline(time.Now())
+	}
+}
+
 // recordRequest records a request in its pool's retry budget.
 func (g *Gateway) recordRequest(pool fleet.PoolID, now time.Time) {
 	g.mu.Lock()
--- a/node/gateway/report.go
+++ b/node/gateway/report.go
@@ -15,6 +15,7 @@
 	c.gateway.Log.Info("request refused", "request", c.call.ID, "route", c.routeName(), "code", refusal.Code,
 		"ran", refusal.Ran, "why", refusal.Message, "last", c.lastCause, "retry_after", refusal.RetryAfter,
 		"state", c.stateVersion(), "state_age", c.gateway.Freshness.DesiredAge().Round(time.Millisecond), "took", time.Since(c.began))
+	c.limitUnreadBody()
 	c.gateway.Callers.Refuse(c.writer, refusal)
 }
 
--- a/node/gateway/request.go
+++ b/node/gateway/request.go
@@ -15,6 +15,7 @@
 	"agateswitch/core/rollout"
 	"agateswitch/core/routing"
 	"agateswitch/core/warmth"
+	"agateswitch/node/intake"
 	"agateswitch/port"
 
 	"github.com/juju/errors"
@@ -48,7 +49,10 @@
 	pool     *routing.Pool
 	team     *routing.Team
 	body     []byte
+	bodyRead bool
 	deadline time.Time
+	// intake is what the request holds of its caller's.
+	intake *intake.Holder
 
 	// prompt lists the parts of the request's prompt, and parts those that other requests may share.
 	prompt []warmth.Part
--- /dev/null
+++ b/node/intake/intake.go
@@ -0,0 +1,215 @@
+// Package intake bounds what clients make a process hold: connections, headers and bodies. Clients take from one account before
+// memory is allocated for them and give back on every way out.
+package intake
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"sync"
+	"time"
+
+	"agateswitch/core/memory"
+
+	"github.com/juju/errors"
+)
+
+// ErrNoMemory is returned for a body for which the process has no memory.
+const ErrNoMemory = errors.ConstError("the router holds too much for its callers")
+
+const (
+	// firstBuffer is the size of a body's first buffer.
+	firstBuffer = 4 << 10
+	// evictionWait is how long a client waits until one that was told to give way has done so.
+	evictionWait = 200 * time.Millisecond
+	// fieldCost is what a header field costs beyond its text: two strings, a slice and their place in a map.
+	fieldCost = 160
+)
+
+// Account is the memory that clients hold. It is safe for concurrent use.
+type Account struct {
+	mu      sync.Mutex
+	account *memory.Account
+	// evict holds how each holder is made to give way.
+	evict map[*memory.Holder]func()
+	// freed is closed and replaced when bytes are given back.
+	freed   chan struct{}
+	refused int64
+	evicted int64
+}
+
+// NewAccount returns an account with a limit in bytes.
+func NewAccount(limit int64) *Account {
+	return &Account{account: memory.NewAccount(limit), evict: map[*memory.Holder]func(){}, freed: make(chan struct{})}
+}
+
+// Counts returns the bytes held, and how many clients were refused and evicted since the start.
+func (a *Account) Counts() (held, refused, evicted int64) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.account.Used(), a.refused, a.evicted
+}
+
+// Holder is what one client holds. It is safe for concurrent use.
+type Holder struct {
+	account *Account
+	// holder and closed are guarded by the account's mutex.
+	holder memory.Holder
+	closed bool
+}
+
+// NewHolder returns a holder of nothing. give makes the client give way; it must not block.
+func (a *Account) NewHolder(give func()) *Holder {
+	h := &Holder{account: a}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.evict[&h.holder] = give
+	return h
+}
+
+// Close gives everything back. The holder can't take any more.
+func (h *Holder) Close() {
+	h.Release()
+	h.account.mu.Lock()
+	defer h.account.mu.Unlock()
+	h.closed = true
+	delete(h.account.evict, &h.holder)
+}
+
+// Release gives everything back.
+func (h *Holder) Release() {
+	h.account.mu.Lock()
+	defer h.account.mu.Unlock()
+	h.give(h.holder.Bytes)
+	h.holder.Kept = false
+}
+
+// Keep states that the client can't give way until it has given everything back.
+func (h *Holder) Keep() {
+	h.account.mu.Lock()
+	defer h.account.mu.Unlock()
+	h.holder.Kept = true
+}
+
+// Give gives bytes back.
+func (h *Holder) Give(bytes int64) {
+	h.account.mu.Lock()
+	defer h.account.mu.Unlock()
+	h.give(bytes)
+}
+
+// give gives bytes back. Callers hold the account's mutex.
+func (h *Holder) give(bytes int64) {
+	a := h.account
+	if bytes <= 0 {
+		return
+	}
+	a.account.Give(&h.holder, bytes)
+	close(a.freed)
+	a.freed = make(chan struct{})
+}
+
+// Take takes bytes, and makes others give way if there is no room. It returns ErrNoMemory if there is still none.
+func (h *Holder) Take(ctx context.Context, bytes int64) error {
+	var waited *time.Timer
+	for {
+		taken, freed := h.tryTake(bytes)
+		if taken {
+			return nil
+		}
+		if freed == nil {
+			return errors.Trace(ErrNoMemory)
+		}
+		if waited == nil {
+			waited = time.NewTimer(evictionWait)
+			defer waited.Stop()
+		}
+		select {
+		case <-freed:
+		case <-waited.C:
+			h.account.countRefused()
+			return errors.Trace(ErrNoMemory)
+		case <-ctx.Done():
+			return errors.Trace(ctx.Err())
+		}
+	}
+}
+
+// tryTake takes bytes, or returns a channel that is closed when others have given bytes back; nil if nobody will.
+func (h *Holder) tryTake(bytes int64) (taken bool, freed <-chan struct{}) {
+	a := h.account
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if h.closed {
+		return false, nil
+	}
+	taken, first := a.account.Take(&h.holder, bytes, time.Now())
+	if taken {
+		return true, nil
+	}
+	if first == &h.holder {
+		a.refused++
+		return false, nil
+	}
+	a.evicted++
+	a.evict[first]()
+	return false, a.freed
+}
+
+func (a *Account) countRefused() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.refused++
+}
+
+// HeaderCost estimates the memory of a request's header, in bytes.
+func HeaderCost(header http.Header) int64 {
+	var cost int64
+	for name, values := range header {
+		for _, value := range values {
+			cost += int64(len(name)+len(value)) + fieldCost
+		}
+	}
+	return cost
+}
+
+// ReadBody reads a body to its end, of the given length or -1 if it is not known. Each buffer is taken before it is allocated.
+func (h *Holder) ReadBody(ctx context.Context, from io.Reader, length int64) ([]byte, error) {
+	var body []byte
+	for {
+		if len(body) == cap(body) {
+			size := int64(max(firstBuffer, 2*cap(body)))
+			if length >= 0 {
+				// One byte more, so that the end is read without another buffer.
+				size = min(size, length+1)
+			}
+			size = max(size, int64(cap(body))+1)
+			if err := h.Take(ctx, size); err != nil {
+				return nil, err
+			}
+			grown := make([]byte, len(body), size)
+			copy(grown, body)
+			h.Give(int64(cap(body)))
+			body = grown
+		}
+		count, err := from.Read(body[len(body):cap(body)])
+		body = body[:len(body)+count]
+		h.progress(count)
+		if err == io.EOF {
+			return body, nil
+		}
+		if err != nil {
+			return nil, err
+		}
+	}
+}
+
+// progress records that the client has sent something.
+func (h *Holder) progress(bytes int) {
+	if bytes == 0 {
+		return
+	}
+	h.account.mu.Lock()
+	defer h.account.mu.Unlock()
+	h.holder.ProgressAt = time.Now()
+}
--- a/settings/gateway.go
+++ b/settings/gateway.go
@@ -43,7 +43,7 @@
 	LoadBound LoadBound `json:"load_bound"`
 	// Duties are the calls to the platform that one router at a time makes. Without an address none are made.
 	Duties Duties `json:"duties"`
-	Log       Log       `json:"log"`
+	Log    Log    `json:"log"`
 }
 
 // Capacity is what the host can bear. Routers with more do work for others first. 0, the default, means
@@ -53,6 +53,10 @@
 	Cores float64 `json:"cores"`
 	// LinkMbps is the bandwidth of the host's link, in Mbit/s.
 	LinkMbps float64 `json:"link_mbps"`
+	// MemoryMB is the memory of the process, in MB, and Descriptors the number of its file descriptors. What callers may make the
+	// router hold follows from them.
+	MemoryMB    float64 `json:"memory_mb"`
+	Descriptors int     `json:"descriptors"`
 }
 
 // Advertise holds the ip:port addresses that a router tells others. An empty one is that of GatewayListen.
@@ -161,6 +165,8 @@
 	d.require(g.Host.DataCentre != "", "host.datacentre", "is missing")
 	d.require(g.Capacity.Cores >= 0, "capacity.cores", "must be 0 or more")
 	d.require(g.Capacity.LinkMbps >= 0, "capacity.link_mbps", "must be 0 or more")
+	d.require(g.Capacity.MemoryMB >= 0, "capacity.memory_mb", "must be 0 or more")
+	d.require(g.Capacity.Descriptors >= 0, "capacity.descriptors", "must be 0 or more")
 	d.address("listen.callers", g.Listen.Callers)
 	d.address("listen.readiness", g.Listen.Readiness)
 	d.address("listen.directory", g.Listen.Directory)
