Add one queue for the requests of a small pool

Cause: routers of a large fleet draw the upstreams of a small plain service by loads that are ten times as old as the work.

Change: core/room.Queue grants places in order of urgency, the team's recent use and the aim, refuses at once what would come too late, and tells refused callers successive times to return. node/room.Queues lets the router with the most capacity keep it, and falls back to the next one, then to a local part.

--- a/core/room/room.go
+++ b/core/room/room.go
@@ -4,6 +4,7 @@
 package room
 
 import (
+	"math"
 	"slices"
 	"time"
 )
@@ -83,6 +84,12 @@
 
 // isWithinSlots reports whether a brittle upstream has a slot for a request.
 func (r *Room) isWithinSlots(now time.Time, need Need) bool {
+	allowed := max(1, need.PerSecond*turnAwayShare)
+	return float64(len(r.expiries)) < r.bound(now, need) && float64(len(r.turnedAway)) < allowed
+}
+
+// bound returns below how many requests in work a brittle upstream has a slot for another one.
+func (r *Room) bound(now time.Time, need Need) float64 {
 	slots := float64(need.Slots)
 	if slots <= 0 {
 		slots = unknownSlots
@@ -92,8 +99,19 @@
 	if need.Rank > urgentRank {
 		bound = max(1, bound-float64(int(slots*reservedShare)))
 	}
-	allowed := max(1, need.PerSecond*turnAwayShare)
-	return float64(len(r.expiries)) < bound && float64(len(r.turnedAway)) < allowed
+	return bound
+}
+
+// Free returns how many more requests an upstream has slots for.
+func (r *Room) Free(now time.Time, need Need) int {
+	r.expire(now)
+	return max(0, int(math.Ceil(r.bound(now, need)))-len(r.expiries))
+}
+
+// IsIdle reports whether no place is taken, and none of the slots must stay free.
+func (r *Room) IsIdle(now time.Time) bool {
+	r.expire(now)
+	return len(r.expiries) == 0 && len(r.turnedAway) == 0 && now.Sub(r.reducedAt) > recoveryTime
 }
 
 // Return gives a place back.
--- a/node/room/room_test.go
+++ b/node/room/room_test.go
@@ -33,6 +33,9 @@
 	members  []*member
 	silent   map[fleet.HostID]bool
 	callTime time.Duration
+	// killed routers refuse connections, and frozen ones handle what they are asked once they wake.
+	killed map[fleet.HostID]bool
+	frozen map[fleet.HostID]time.Time
 }
 
 // member is one router. It implements port.Peers and Fleet.
@@ -44,13 +47,17 @@
 	ignoresLimits bool
 	handlers      map[string]port.PeerHandler
 	service       *Service
+	queues        *Queues
 }
 
 func newMesh(routers int) *mesh {
-	m := &mesh{silent: map[fleet.HostID]bool{}, callTime: time.Millisecond}
+	m := &mesh{
+		silent: map[fleet.HostID]bool{}, killed: map[fleet.HostID]bool{}, frozen: map[fleet.HostID]time.Time{}, callTime: time.Millisecond,
+	}
 	for i := range routers {
 		router := &member{mesh: m, self: fleet.HostID(fmt.Sprint("front-", i)), handlers: map[string]port.PeerHandler{}}
 		router.service = New(router.self, router, router, router.held, log.New(io.Discard))
+		router.queues = NewQueues(router.self, router, router, log.New(io.Discard))
 		m.members = append(m.members, router)
 	}
 	return m
@@ -62,15 +69,32 @@
 func (m *member) Handle(method string, handler port.PeerHandler) { m.handlers[method] = handler }
 
 func (m *member) Call(ctx context.Context, to fleet.HostID, method string, request, response any) error {
+	m.mesh.mu.Lock()
+	isFrozen := time.Now().Before(m.mesh.frozen[to])
+	m.mesh.mu.Unlock()
+	if !isFrozen {
+		return m.call(ctx, to, method, request, response)
+	}
+	go func() {
+		// The caller does not learn the answer.
+		_ = m.call(context.WithoutCancel(ctx), to, method, request, new(map[string]any))
+	}()
+	<-ctx.Done()
+	return port.ErrPeerUnreachable
+}
+
+func (m *member) call(ctx context.Context, to fleet.HostID, method string, request, response any) error {
 	other := m.mesh.members[slices.IndexFunc(m.mesh.members, func(other *member) bool { return other.self == to })]
 	m.mesh.mu.Lock()
-	silent := m.mesh.silent[to]
+	silent, killed, stands := m.mesh.silent[to], m.mesh.killed[to], time.Until(m.mesh.frozen[to])
 	m.mesh.mu.Unlock()
 	if silent {
 		<-ctx.Done()
+	}
+	if silent || killed {
 		return port.ErrPeerUnreachable
 	}
-	time.Sleep(m.mesh.callTime)
+	time.Sleep(m.mesh.callTime + max(0, stands))
 	body, err := msgpack.Marshal(request)
 	if err != nil {
 		return err
