Let requests of small pools wait in their queue

Change: requests without a prompt to pools with few slots for the number of routers (setting small_pool.slots_per_router) take a place in the queue, on upstreams that are neither faulty, cold beyond their rate nor without a path.

--- a/core/balance/balance.go
+++ b/core/balance/balance.go
@@ -94,6 +94,8 @@
 	// MeanLoad is the mean load of the candidates. LoadBound is the load above which an upstream ranks after
 	// those below it. Limit is what a candidate may hold.
 	MeanLoad, LoadBound, Limit float64
+	// FaultyCount is how many of the last candidates fail much more often than the others.
+	FaultyCount int
 }
 
 // Prompt describes a request's prompt.
@@ -223,6 +225,11 @@
 	ranking := newRanking(candidates, limit)
 	ranking.Reason = ReasonFreeSlots
 	faults := findFaulty(candidates)
+	for _, isFaulty := range faults {
+		if isFaulty {
+			ranking.FaultyCount++
+		}
+	}
 	// The order of exponential variables with these rates is a draw without replacement.
 	arrivals := make([]float64, len(candidates))
 	for i, c := range candidates {
--- a/node/edge/edge.go
+++ b/node/edge/edge.go
@@ -102,8 +102,10 @@
 		Edge: external, Freshness: r.replica, Fleet: r.presence, Workload: r.workload, Moves: r.moves, Quarantine: r.held, Detours: detours, QuarantineKey: []byte(s.PeerKey),
 		RateLimits:  limits,
 		Room:        room.New(self.ID, r.mesh, r.presence, r.heldBy, logger),
+		Queues:      room.NewQueues(self.ID, r.mesh, r.presence, logger),
 		Instruments: instruments, Log: logger,
 	}, retryLimits(s), loadBound(s))
+	r.gateway.SetSlotsPerRouter(s.SmallPool.SlotsPerRouter)
 	r.replica.Subscribe(r.presence.Observe)
 	r.replica.Subscribe(r.moves.Observe)
 	r.replica.Subscribe(r.held.Observe)
@@ -154,12 +156,13 @@
 // heldBy returns how many requests of all routers an upstream holds.
 func (r *Router) heldBy(upstream fleet.UpstreamID) int { return r.workload.Load(upstream).Running }
 
-// Apply applies changed settings: the retry limits, the bound on loads, the exposure, the directory's TTL and the grace
+// Apply applies changed settings: the retry limits, the bounds on loads and on small pools, the exposure, the directory's TTL and the grace
 // period.
 func (r *Router) Apply(s settings.Gateway) {
 	r.settings.Store(&s)
 	r.gateway.SetRetryLimits(retryLimits(s))
 	r.gateway.SetLoadBound(loadBound(s))
+	r.gateway.SetSlotsPerRouter(s.SmallPool.SlotsPerRouter)
 	r.moves.SetExposure(exposure(s))
 }
 
--- a/node/gateway/choose.go
+++ b/node/gateway/choose.go
@@ -59,6 +59,9 @@
 	draw ratelimit.Draw
 	// place is the request's place on an upstream that is brittle or may be full; nil on others.
 	place *room.Place
+	// seat is the request's place on a small pool, waited how long it took, and expected how long that was expected to take.
+	seat             *room.Seat
+	waited, expected time.Duration
 	// versions is what the pool's version move allowed for the attempt.
 	versions versionmove.Versions
 	// sentAt is when the attempt began, and firstByteTime the time from then to the first byte of
@@ -106,13 +109,15 @@
 	lasts time.Duration
 	// drawsLeft is how many more rate limits may be asked for a token.
 	drawsLeft int
+	// queue is the request's queueing on small pools; nil if it must not wait.
+	queue *queueing
 }
 
 // chooseUpstream chooses an upstream for an attempt. Upstreams of the version that a
 // move prefers come first, and ejected ones last. A request that must be alone goes to the upstream with the least work.
 // It returns nil if none may get the request now.
-func (g *Gateway) chooseUpstream(ctx context.Context, s selection) *choice {
-	ctx, cancel := context.WithTimeout(ctx, maxDrawTime)
+func (g *Gateway) chooseUpstream(caller context.Context, s selection) *choice {
+	ctx, cancel := context.WithTimeout(caller, maxDrawTime)
 	defer cancel()
 	s.drawsLeft = maxDraws
 	current, pool, prompt, now := s.current, s.pool, s.prompt, s.now
@@ -170,6 +175,9 @@
 	}
 	s.pathless, s.brittle = pathless, g.brittleness(current, pool.ID)
 	var chosen *choice
+	if g.isSmall(&s) {
+		chosen, groups = g.chooseQueued(caller, groups, &s), nil
+	}
 	for _, group := range groups {
 		if chosen = g.bestAdmitted(ctx, group, &s); chosen != nil {
 			break
--- a/node/gateway/detour.go
+++ b/node/gateway/detour.go
@@ -34,7 +34,7 @@
 	s := selection{
 		current: c.current, pool: c.pool, prompt: c.prompt, rank: c.rank(), tried: c.tried, alone: permit.Alone, now: time.Now(),
 		lasts:     time.Until(c.deadline),
-		mayDetour: c.mayDetour(), sendsForOther: c.from != "",
+		mayDetour: c.mayDetour(), sendsForOther: c.from != "", queue: c.queueing(),
 	}
 	chosen := c.gateway.chooseUpstream(ctx, s)
 	if chosen == nil && s.mayDetour || chosen != nil && s.isPathless(chosen) {
--- a/node/gateway/gateway.go
+++ b/node/gateway/gateway.go
@@ -63,6 +63,8 @@
 	RateLimits *ratelimit.Service
 	// Room divides the room of brittle upstreams.
 	Room *room.Service
+	// Queues holds the queues of small pools.
+	Queues *room.Queues
 	// Quarantine holds back requests that crash engines, and QuarantineKey is the key of the digests by which it
 	// knows whole requests.
 	Quarantine    *quarantine.Service
@@ -78,7 +80,9 @@
 	view        *view
 	retryLimits atomic.Pointer[RetryLimits]
 	loadBound   atomic.Pointer[balance.Bound]
-	leaving     atomic.Bool
+	// slotsPerRouter is how many slots a small pool has for each router at most.
+	slotsPerRouter atomic.Pointer[float64]
+	leaving        atomic.Bool
 	// held counts what the requests hold of large answers.
 	held heldBytes
 	// running counts the running requests of callers.
@@ -99,6 +103,7 @@
 	dependencies.Workload.OnLeaving(g.view.markLeaving)
 	g.SetRetryLimits(limits)
 	g.SetLoadBound(bound)
+	g.SetSlotsPerRouter(0)
 	return g
 }
 
--- a/node/gateway/instruments.go
+++ b/node/gateway/instruments.go
@@ -20,6 +20,7 @@
 	signals        metric.Int64Counter
 	draws          metric.Int64Counter
 	places         metric.Int64Counter
+	queued         metric.Float64Histogram
 	quarantined    metric.Int64Counter
 	detours        metric.Int64Counter
 	firstByte      metric.Float64Histogram
@@ -53,6 +54,11 @@
 		metric.WithDescription("Places asked for on upstreams that are brittle or may be full, by outcome")); err != nil {
 		return i, errors.Trace(err)
 	}
+	if i.queued, err = meter.Float64Histogram("agateswitch_small_pool_wait_seconds", metric.WithUnit("s"),
+		metric.WithDescription("Time until a request for a place on a small pool was decided, by outcome"),
+		metric.WithExplicitBucketBoundaries(0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1)); err != nil {
+		return i, errors.Trace(err)
+	}
 	if i.quarantined, err = meter.Int64Counter("agateswitch_quarantined",
 		metric.WithDescription("Requests refused because a part of their prompt crashes engines, by route")); err != nil {
 		return i, errors.Trace(err)
@@ -94,6 +100,10 @@
 	i.places.Add(context.Background(), 1, metric.WithAttributes(attribute.String("outcome", string(outcome))))
 }
 
+func (i Instruments) recordQueue(entry room.Entry) {
+	i.queued.Record(context.Background(), entry.Waited.Seconds(), metric.WithAttributes(attribute.String("outcome", queueOutcome(entry))))
+}
+
 func (i Instruments) recordDetour(outcome string) {
 	i.detours.Add(context.Background(), 1, metric.WithAttributes(attribute.String("outcome", outcome)))
 }
--- a/node/gateway/request.go
+++ b/node/gateway/request.go
@@ -74,6 +74,8 @@
 	failureAnswer *answer
 	// stream is the state of the stream to the caller.
 	stream streamState
+	// queue is the request's queueing on small pools.
+	queue queueing
 	// holding is what the request holds of large answers.
 	holding holding
 	// lastCause is the cause of the last failed attempt, for the log.
@@ -258,15 +260,16 @@
 }
 
 // attempt sends the request to one upstream and its answer to the caller.
-func (c *callerRequest) attempt(ctx context.Context, chosen *choice) attemptResult {
+func (c *callerRequest) attempt(ctx context.Context, chosen *choice) (result attemptResult) {
 	if chosen.via != "" {
 		return c.attemptThroughRouter(ctx, chosen)
 	}
 	chosen.ticket = c.gateway.Workload.Start(chosen.engine.id, chosen.uncached, c.sharedParts())
 	defer chosen.ticket.End()
+	defer func() { chosen.leaveSeat(result) }()
 	stratum := rollout.Stratum{Route: c.route.Name, Cold: chosen.isCold()}
 	c.gateway.Moves.Start(c.pool.ID, chosen.upstream.Version, stratum)
-	result := c.exchange(ctx, chosen)
+	result = c.exchange(ctx, chosen)
 	if chosen.place != nil {
 		chosen.place.Return(result.sent && result.ran == fleet.NotRun)
 	}
--- a/node/gateway/signals.go
+++ b/node/gateway/signals.go
@@ -65,6 +65,9 @@
 	if first, found := c.firstReturn(now); found {
 		return pace.RetryAfterPause(now, first, rand.Float64())
 	}
+	if c.queue.isRefused {
+		return c.queue.retryAfter
+	}
 	return jitter(busyRetryAfter)
 }
 
--- a/node/room/queue_test.go
+++ b/node/room/queue_test.go
@@ -15,6 +15,7 @@
 	"agateswitch/node/keeper"
 	"agateswitch/port"
 
+	"github.com/juju/errors"
 	"github.com/shoenig/test/must"
 )
 
@@ -239,3 +240,80 @@
 		}
 	}
 }
+
+var wanted = room.Request{Aim: aim, Left: lasts, Candidates: []room.Slots{{Upstream: room.Upstream{ID: "a"}, Slots: 6}}}
+
+// enterAll lets each router ask for a place, and returns those that were given, by the keeper's name.
+func (m *mesh) enterAll(times int) map[fleet.HostID][]*Seat {
+	var mu sync.Mutex
+	seats := map[fleet.HostID][]*Seat{}
+	var routers sync.WaitGroup
+	for _, router := range m.members {
+		for range times {
+			routers.Go(func() {
+				if entry := router.queues.Enter(context.Background(), pool, wanted); entry.Seat != nil {
+					mu.Lock()
+					defer mu.Unlock()
+					seats[entry.Keeper] = append(seats[entry.Keeper], entry.Seat)
+				}
+			})
+		}
+	}
+	routers.Wait()
+	return seats
+}
+
+func TestRoutersOfAnEarlierBuildKeepNoQueue(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m := newMesh(30)
+		order := m.members[0].queues.keepers
+		for range 5 {
+			id := order.Of(string(pool))[0]
+			order.SetSilent(id, errors.New("no method"))
+			for _, router := range m.members {
+				if router.self == id {
+					clear(router.handlers)
+				}
+			}
+		}
+		keeper := order.Of(string(pool))[0]
+		for range 2 {
+			m.enterAll(1)
+			time.Sleep(lasts)
+		}
+		seats := m.enterAll(2)
+		must.Len(t, wanted.Candidates[0].Places(), seats[keeper])
+		time.Sleep(returnTimeout)
+	})
+}
+
+// A keeper whose answer comes late may have given the place away since. The place that it gave is free again at once.
+func TestLateAnswerOfAKeeperIsNotUsed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m := newMesh(60)
+		m.callTime = busyCallTime
+		for _, seats := range m.enterAll(1) {
+			for _, seat := range seats {
+				must.True(t, seat.keeper == "" || seat.keeper == seat.queues.self)
+				seat.Return(true, false)
+			}
+		}
+		time.Sleep(returnTimeout)
+		for _, router := range m.members {
+			if q := router.queues.kept[pool]; q != nil {
+				must.Zero(t, q.InWork())
+			}
+		}
+		time.Sleep(keeper.MaxSilentTime)
+	})
+}
+
+func TestGrantAfterTheEndOfTheWaitIsNotTakenUp(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		queues := newMesh(2).members[0].queues
+		w := queues.addWait("front-1", aim)
+		must.False(t, queues.accept("front-0", grantRequest{Number: w.number}))
+		time.Sleep(aim)
+		must.False(t, queues.accept("front-1", grantRequest{Number: w.number}))
+	})
+}
--- a/node/room/room_test.go
+++ b/node/room/room_test.go
@@ -15,6 +15,7 @@
 	"agateswitch/port"
 
 	"github.com/charmbracelet/log"
+	"github.com/juju/errors"
 	"github.com/shoenig/test/must"
 	"github.com/vmihailenco/msgpack/v5"
 )
@@ -105,7 +106,11 @@
 			return err
 		}
 	}
-	answer, err := other.handlers[method](ctx, m.self, func(into any) error { return msgpack.Unmarshal(body, into) })
+	handler, isKnown := other.handlers[method]
+	if !isKnown {
+		return errors.Errorf("no method %s", method)
+	}
+	answer, err := handler(ctx, m.self, func(into any) error { return msgpack.Unmarshal(body, into) })
 	if err != nil {
 		return err
 	}
--- a/settings/gateway.go
+++ b/settings/gateway.go
@@ -41,6 +41,8 @@
 	Exposure Exposure `json:"exposure"`
 	// LoadBound limits what one upstream holds. LoadBoundFactorVariable gives the default of its factor.
 	LoadBound LoadBound `json:"load_bound"`
+	// SmallPool states which pools have one queue for all routers.
+	SmallPool SmallPool `json:"small_pool"`
 	Log       Log       `json:"log"`
 }
 
@@ -98,6 +100,16 @@
 	Slack float64 `json:"slack"`
 }
 
+// SmallPool states which pools of plain services have one queue for all routers: those whose upstreams together have at most
+// SlotsPerRouter slots for each router, in fleets whose routers do not exchange loads directly. 0 means none.
+type SmallPool struct {
+	// SlotsPerRouter is 0 or more.
+	SlotsPerRouter float64 `json:"slots_per_router"`
+}
+
+// DefaultSmallPool is for pools in which a router has no more than two requests in work at a time.
+var DefaultSmallPool = SmallPool{SlotsPerRouter: 2}
+
 // DefaultLoadBound is the bound that the users require.
 var DefaultLoadBound = LoadBound{Factor: 2, Slack: 3}
 
@@ -129,6 +141,7 @@
 	parsed := Gateway{
 		Log: Log{Level: "info", Format: "text"}, DirectoryTTL: Duration(DefaultDirectoryTTL),
 		ChangeDeadline: Duration(dissemination.MinDeadline), Exposure: DefaultExposure, LoadBound: DefaultLoadBound,
+		SmallPool: DefaultSmallPool,
 	}
 	loadBoundFactorErr := numberFromEnvironment(LoadBoundFactorVariable, &parsed.LoadBound.Factor)
 	d := decode(name, content, &parsed)
@@ -187,6 +200,7 @@
 	d.require(g.Exposure.Slack >= 0, "exposure.slack", "must be 0 or more")
 	d.require(g.LoadBound.Factor >= 1, "load_bound.factor", "must be 1 or more")
 	d.require(g.LoadBound.Slack >= 0, "load_bound.slack", "must be 0 or more")
+	d.require(g.SmallPool.SlotsPerRouter >= 0, "small_pool.slots_per_router", "must be 0 or more")
 	d.oneOf("log.level", g.Log.Level, "debug", "info", "warn", "error")
 	d.oneOf("log.format", g.Log.Format, "text", "json")
 }
