--- a/core/room/queue_test.go
+++ b/core/room/queue_test.go
@@ -204,3 +204,17 @@
 		}
 	}
 }
+
+// A caller who waits in vain is told a time before its own deadline, however late those are that were told to others.
+func TestWaitInVainEndsWithATimeBeforeTheDeadline(t *testing.T) {
+	var q Queue
+	fill(&q)
+	for number := range uint64(200) {
+		q.Take(start, ask(10+number, 1, "t"))
+	}
+	hurried := ask(1000, 0, "t")
+	hurried.Aim, hurried.Left = 0, 200*time.Millisecond
+	decision, _ := q.Take(start, hurried)
+	must.Eq(t, OutcomeWaiting, decision.Outcome)
+	must.LessEq(t, hurried.Left-decision.Patience, decision.RetryAfter)
+}
