--- a/node/edge/edge.go
+++ b/node/edge/edge.go
@@ -121,8 +121,10 @@
 		RateLimits:  limits,
 		Room:        room.New(self.ID, r.mesh, r.presence, r.heldBy, logger),
 		Begin:       r.recordBegin(),
+		Queues:      room.NewQueues(self.ID, r.mesh, r.presence, logger),
 		Instruments: instruments, Log: logger,
 	}, retryLimits(s), loadBound(s))
+	r.gateway.SetSmallPool(gateway.SmallPool(s.SmallPool))
 	r.replica.Subscribe(r.presence.Observe)
 	r.replica.Subscribe(r.moves.Observe)
 	r.replica.Subscribe(r.held.Observe)
@@ -185,10 +187,13 @@
 
 // Apply applies changed settings: the retry limits, the bound on loads, the exposure, the trials of the quarantine, the directory's TTL
 // and the grace period.
+// Apply applies changed settings: the retry limits, the bounds on loads and on small pools, the exposure, the directory's TTL and the grace
+// period.
 func (r *Router) Apply(s settings.Gateway) {
 	r.settings.Store(&s)
 	r.gateway.SetRetryLimits(retryLimits(s))
 	r.gateway.SetLoadBound(loadBound(s))
+	r.gateway.SetSmallPool(gateway.SmallPool(s.SmallPool))
 	r.moves.SetExposure(exposure(s))
 	r.held.SetSchedule(trials(s))
 }
--- a/node/gateway/gateway.go
+++ b/node/gateway/gateway.go
@@ -64,6 +64,8 @@
 	RateLimits *ratelimit.Service
 	// Room divides the room of brittle upstreams.
 	Room *room.Service
+	// Queues holds the queues of small pools.
+	Queues *room.Queues
 	// Quarantine holds back requests that crash engines, and QuarantineKey is the key of the digests by which it
 	// knows whole requests.
 	Quarantine    *quarantine.Service
@@ -83,6 +85,7 @@
 	view        *view
 	retryLimits atomic.Pointer[RetryLimits]
 	loadBound   atomic.Pointer[balance.Bound]
+	smallPool   atomic.Pointer[SmallPool]
 	leaving     atomic.Bool
 	// held counts what the requests hold of large answers.
 	held heldBytes
@@ -110,6 +113,7 @@
 	dependencies.Workload.OnLeaving(g.view.markLeaving)
 	g.SetRetryLimits(limits)
 	g.SetLoadBound(bound)
+	g.SetSmallPool(SmallPool{})
 	return g
 }
 
--- a/settings/gateway.go
+++ b/settings/gateway.go
@@ -46,7 +46,9 @@
 	Duties Duties `json:"duties"`
 	// Quarantine limits what trials of requests that are held back may cost.
 	Quarantine Quarantine `json:"quarantine"`
-	Log        Log        `json:"log"`
+	// SmallPool states which pools have one queue for all routers.
+	SmallPool SmallPool `json:"small_pool"`
+	Log       Log       `json:"log"`
 }
 
 // Capacity is what the host can bear. Routers with more do work for others first. 0, the default, means
@@ -113,6 +115,19 @@
 	TrialsPerHour int `json:"trials_per_hour"`
 }
 
+// SmallPool states which pools of plain services have one queue for all routers: those whose upstreams together have at most
+// SlotsPerRouter slots for each router, and MaxSlots at all, in fleets whose routers do not exchange loads directly.
+type SmallPool struct {
+	// SlotsPerRouter is 0 or more; 0 means no such pools.
+	SlotsPerRouter float64 `json:"slots_per_router"`
+	// MaxSlots is 0 or more. It bounds the messages to the router that keeps the queue, two a request.
+	MaxSlots int `json:"max_slots"`
+}
+
+// DefaultSmallPool is for pools in which a router has no more than two requests in work at a time, and a keeper at most 4,300 messages
+// a second at 30 ms a request.
+var DefaultSmallPool = SmallPool{SlotsPerRouter: 2, MaxSlots: 64}
+
 // DefaultLoadBound is the bound that the users require.
 var DefaultLoadBound = LoadBound{Factor: 2, Slack: 3}
 
@@ -145,6 +160,7 @@
 		Log: Log{Level: "info", Format: "text"}, DirectoryTTL: Duration(DefaultDirectoryTTL),
 		ChangeDeadline: Duration(dissemination.MinDeadline), Exposure: DefaultExposure, LoadBound: DefaultLoadBound,
 		Quarantine: Quarantine{TrialsPerHour: quarantine.DefaultTrials},
+		SmallPool:  DefaultSmallPool,
 	}
 	loadBoundFactorErr := numberFromEnvironment(LoadBoundFactorVariable, &parsed.LoadBound.Factor)
 	d := decode(name, content, &parsed)
@@ -207,6 +223,8 @@
 	d.require(g.LoadBound.Slack >= 0, "load_bound.slack", "must be 0 or more")
 	d.checkDuties(g.Duties)
 	d.require(g.Quarantine.TrialsPerHour >= 1 && g.Quarantine.TrialsPerHour <= quarantine.MaxTrials, "quarantine.trials_per_hour", "must be 1 to %d", quarantine.MaxTrials)
+	d.require(g.SmallPool.SlotsPerRouter >= 0, "small_pool.slots_per_router", "must be 0 or more")
+	d.require(g.SmallPool.MaxSlots >= 0, "small_pool.max_slots", "must be 0 or more")
 	d.oneOf("log.level", g.Log.Level, "debug", "info", "warn", "error")
 	d.oneOf("log.format", g.Log.Format, "text", "json")
 }
