--- a/node/duty/seat.go
+++ b/node/duty/seat.go
@@ -192,7 +192,7 @@
 	case !result.Applied:
 		s.settle(result.Found)
 		return false
-	case result.Revision.Era != s.era:
+	case !result.Revision.IsOfSameEra(revision.Revision{Era: s.era}):
 		s.lose("the store was restored")
 		return false
 	}
--- a/node/gateway/authorise.go
+++ b/node/gateway/authorise.go
@@ -114,6 +114,7 @@
 		if err := connection.SetReadDeadline(c.deadline); err != nil {
 			return fleet.Refuse(fleet.CodeInternal, "the time for the body could not be set: "+err.Error(), 0)
 		}
+		c.bodyBegun = true
 		body, err := c.intake.ReadBody(c.request.Context(), http.MaxBytesReader(c.writer, c.request.Body, limit), c.request.ContentLength)
 		if err != nil {
 			return c.refuseBody(err)
@@ -153,7 +154,11 @@
 	if c.bodyRead || c.request.ContentLength == 0 {
 		return
 	}
-	if err := http.NewResponseController(c.writer).SetReadDeadline(time.Now().Add(unreadBodyTimeout)); err != nil {
+	limit := time.Now()
+	if !c.bodyBegun {
+		limit = limit.Add(unreadBodyTimeout)
+	}
+	if err := http.NewResponseController(c.writer).SetReadDeadline(limit); err != nil {
 		c.gateway.Log.Debug("failed to bound the time for the rest of a body", "request", c.call.ID, "err", err)
 	}
 }
--- a/node/gateway/request.go
+++ b/node/gateway/request.go
@@ -45,12 +45,14 @@
 	call    port.CallerCall
 
 	// current is the snapshot that applies to the current step.
-	current  *snapshot
-	route    *routing.Route
-	pool     *routing.Pool
-	team     *routing.Team
-	body     []byte
-	bodyRead bool
+	current *snapshot
+	route   *routing.Route
+	pool    *routing.Pool
+	team    *routing.Team
+	body    []byte
+	// bodyBegun is true once the body is being read, and bodyRead once it is complete.
+	bodyBegun, bodyRead bool
+
 	deadline time.Time
 	// intake is what the request holds of its caller's.
 	intake *intake.Holder
