Keep what is known of a router while its first stamp is under way

Cause: leases.router dropped every router without a recent stamp, also one that was being asked for its first. Ruled out: the limit of requests of other routers, the readiness of leaving routers. Change: routers are forgotten by the time of their last use.

--- a/node/detour/lease.go
+++ b/node/detour/lease.go
@@ -30,6 +30,8 @@
 	stamp detour.Stamp
 	// stampedAt is when the stamp arrived; no moment of it is later.
 	stampedAt time.Time
+	// usedAt is when a request last needed the router.
+	usedAt time.Time
 	// unableUntil is until when the router is taken for one of an earlier version, which knows no leases.
 	unableUntil time.Time
 	active      map[*Lease]struct{}
@@ -104,13 +106,14 @@
 func (l *leases) router(id fleet.HostID) *leasedRouter {
 	now := time.Now()
 	for other, known := range l.routers {
-		if other != id && !known.isRenewing && now.Sub(known.stampedAt) > keeper.UnableTime && now.After(known.unableUntil) {
+		if other != id && !known.isRenewing && now.Sub(known.usedAt) > keeper.UnableTime && now.After(known.unableUntil) {
 			delete(l.routers, other)
 		}
 	}
 	if l.routers[id] == nil {
 		l.routers[id] = &leasedRouter{active: map[*Lease]struct{}{}}
 	}
+	l.routers[id].usedAt = now
 	return l.routers[id]
 }
 
--- a/node/detour/lease_test.go
+++ b/node/detour/lease_test.go
@@ -24,12 +24,14 @@
 	handlers map[string]port.PeerHandler
 	isSilent atomic.Bool
 	calls    atomic.Int64
+	callTime time.Duration
 }
 
 func (f *fakePeers) Handle(method string, handler port.PeerHandler) { f.handlers[method] = handler }
 
 func (f *fakePeers) Call(ctx context.Context, _ fleet.HostID, method string, request, response any) error {
 	f.calls.Add(1)
+	time.Sleep(f.callTime)
 	if f.isSilent.Load() {
 		<-ctx.Done()
 		return errors.WithType(ctx.Err(), port.ErrPeerUnreachable)
@@ -186,3 +188,24 @@
 		must.Eq(t, 2, peers.calls.Load())
 	})
 }
+
+// What was known of a router used to be dropped while its first stamp was under way, if another router was used meanwhile. The order had
+// no stamp then, which the router took for one that it could not do, and it was avoided by all requests for a while.
+func TestFirstStampsOfTwoRoutersDoNotDisplaceEachOther(t *testing.T) {
+	runPair(t, func(t *testing.T, peers *fakePeers, asking, working *Service) {
+		peers.callTime = 10 * time.Millisecond
+		go func() {
+			time.Sleep(peers.callTime / 2)
+			other, err := asking.Lease(context.Background(), "c", false)
+			must.NoError(t, err)
+			other.End()
+		}()
+		lease, err := asking.Lease(t.Context(), "b", false)
+		must.NoError(t, err)
+		_, work, begun := working.BeginWork(t.Context(), "a", *lease.Grant())
+		must.True(t, begun)
+		work.End()
+		lease.End()
+		time.Sleep(2 * detour.RenewInterval)
+	})
+}
