Lock a keeper's queue while a test reads it

Cause: TestLateAnswerOfAKeeperIsNotUsed read the queues of other routers without their lock, while places that were given up are still returned in the background. The product holds the lock at each access.

--- a/node/room/queue_test.go
+++ b/node/room/queue_test.go
@@ -287,6 +287,16 @@
 	})
 }
 
+// placesInWork returns how many places are taken in the queue that this router keeps for all.
+func (s *Queues) placesInWork(pool fleet.PoolID) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if q := s.kept[pool]; q != nil {
+		return q.InWork()
+	}
+	return 0
+}
+
 // A keeper whose answer comes late may have given the place away since. The place that it gave is free again at once.
 func TestLateAnswerOfAKeeperIsNotUsed(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
@@ -300,9 +310,7 @@
 		}
 		time.Sleep(returnTimeout)
 		for _, router := range m.members {
-			if q := router.queues.kept[pool]; q != nil {
-				must.Zero(t, q.InWork())
-			}
+			must.Zero(t, router.queues.placesInWork(pool))
 		}
 		time.Sleep(keeper.MaxSilentTime)
 	})
