--- a/node/duty/duty_test.go
+++ b/node/duty/duty_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"agateswitch/core/fleet"
+	"agateswitch/port"
 
 	"github.com/shoenig/test/must"
 	"pgregory.net/rapid"
@@ -243,3 +244,24 @@
 	must.Eq(t, "", w.violations())
 	must.Len(t, 3, w.holders())
 }
+
+// A renewal that the store executes after it was restored, once the number that it replaces has been given out again, brings no holder of
+// the earlier era back.
+func TestWriteExecutedAfterARestoreBringsNoHolderBack(t *testing.T) {
+	w := play(t, 1, 6, func(_ context.Context, w *world, _ *sync.WaitGroup) {
+		holder := w.holder()
+		holder.set(func(r *testRouter) { r.cutFromStore = true })
+		time.Sleep(testLease.RenewInterval() + testLease.CallTimeout())
+		w.restore(5 * time.Second)
+		var late port.Transaction
+		holder.set(func(r *testRouter) {
+			late = r.lastWrite
+			r.cutFromStore, r.world.late = false, &late
+		})
+		time.Sleep(4 * takeoverTime)
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		must.Greater(t, late.Conditions[0].Revision.Number, w.revision)
+	})
+	must.Eq(t, "", w.violations())
+}
--- a/node/duty/fakes_test.go
+++ b/node/duty/fakes_test.go
@@ -51,10 +51,12 @@
 	reads    int
 	writes   int
 	received []received
-	names    []string
-	order    []string
-	routers  map[fleet.HostID]*testRouter
-	delayed  sync.WaitGroup
+	// late is a transaction that the store executes as soon as its condition holds.
+	late    *port.Transaction
+	names   []string
+	order   []string
+	routers map[fleet.HostID]*testRouter
+	delayed sync.WaitGroup
 }
 
 // testRouter is a router with its view of the store. It implements port.Store, port.Eras, port.Peers, Fleet, Clock and Duty.
@@ -72,8 +74,10 @@
 	cut     bool
 	// cutFromStore is true while only the store can't be reached.
 	cutFromStore bool
-	leaves       bool
-	gone         time.Time
+	// lastWrite is the last transaction that it has sent, executed or not.
+	lastWrite port.Transaction
+	leaves    bool
+	gone      time.Time
 }
 
 func newWorld(seed uint64, routers int) *world {
@@ -193,25 +197,14 @@
 	era := r.Era()
 	var result port.CommitResult
 	var at int64
+	r.set(func(r *testRouter) { r.lastWrite = t })
 	err := r.call(ctx, func() {
 		r.writes++
 		at = r.era
-		condition, write := t.Conditions[0], t.Writes[0]
-		// The store knows numbers only.
-		found, ok := r.items[condition.Key]
-		if found.Revision.Number != condition.Revision.Number {
-			found.Key, found.Revision.Era = condition.Key, r.era
-			if !ok {
-				found.Revision = revision.Revision{}
-			}
-			result = port.CommitResult{Found: []port.Entry{found}}
-			return
+		result = r.execute(t)
+		if r.late != nil && r.execute(*r.late).Applied {
+			r.late = nil
 		}
-		r.remember()
-		r.revision++
-		place := revision.Revision{Era: r.era, Number: r.revision}
-		r.items[write.Key] = port.Entry{Key: write.Key, Value: write.Value, Revision: place}
-		result = port.CommitResult{Applied: true, Revision: place}
 	})
 	if err != nil {
 		return port.CommitResult{}, err
@@ -222,6 +215,25 @@
 	return result, nil
 }
 
+// execute executes a transaction. The caller holds mu.
+func (w *world) execute(t port.Transaction) port.CommitResult {
+	condition, write := t.Conditions[0], t.Writes[0]
+	// The store knows numbers only.
+	found, ok := w.items[condition.Key]
+	if found.Revision.Number != condition.Revision.Number {
+		found.Key, found.Revision.Era = condition.Key, w.era
+		if !ok {
+			found.Revision = revision.Revision{}
+		}
+		return port.CommitResult{Found: []port.Entry{found}}
+	}
+	w.remember()
+	w.revision++
+	place := revision.Revision{Era: w.era, Number: w.revision}
+	w.items[write.Key] = port.Entry{Key: write.Key, Value: write.Value, Revision: place}
+	return port.CommitResult{Applied: true, Revision: place}
+}
+
 // remember keeps the store's state before a change. The caller holds mu.
 func (w *world) remember() {
 	w.history = append(w.history, snapshot{time.Now(), maps.Clone(w.items), w.revision})
@@ -344,54 +356,6 @@
 	return 150 * time.Millisecond
 }
 
-// violations returns the first rule that the received calls break, or "".
-func (w *world) violations() string {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	holders := map[uint64]fleet.HostID{}
-	lastOf := map[fleet.HostID]time.Time{}
-	var last received
-	for i, call := range w.received {
-		if host, found := holders[call.token]; found && host != call.host {
-			return fmt.Sprintf("%s and %s sent the token %d", host, call.host, call.token)
-		}
-		holders[call.token] = call.host
-		if call.token < last.token {
-			return fmt.Sprintf("%s sent %d at %s, after %s had sent %d", call.host, call.token, call.at, last.host, last.token)
-		}
-		if before, found := lastOf[call.host]; i > 0 && last.host != call.host && found && call.at.Sub(before) < testLease.Length {
-			return fmt.Sprintf("%s acted at %s and again %s later, %s between", call.host, before, call.at.Sub(before), last.host)
-		}
-		lastOf[call.host], last = call.at, call
-	}
-	return ""
-}
-
-// gap returns the longest time without a call, from the first one on until a time.
-func (w *world) gap(until time.Time) time.Duration {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	var longest time.Duration
-	for i := range w.received {
-		next := until
-		if i+1 < len(w.received) {
-			next = w.received[i+1].at
-		}
-		longest = max(longest, next.Sub(w.received[i].at))
-	}
-	return longest
-}
-
-// holder returns the router that has made the last call.
-func (w *world) holder() *testRouter {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	if len(w.received) == 0 {
-		return w.routers[fleet.HostID(w.order[0])]
-	}
-	return w.routers[w.received[len(w.received)-1].host]
-}
-
 // set changes a router's state.
 func (r *testRouter) set(change func(*testRouter)) {
 	r.mu.Lock()
