Send the evidence of a version move over relays in a large fleet

Cause: while a move ran, each router connected to all others and called them four times a second. Change: core/dissemination.Reports plans the way of a report; a router hands its evidence to its relay, relays publish sums to each other and to their members. Reports keep observer and number, so that each counts once. Fleets of up to 16 publish to all as before. Routers of earlier builds publish to all others, and relays publish to them. Tests changed: the fakes noPeers and linked of node/versionmove have a relay plan (Direct), which the interface asks for.

--- a/core/dissemination/relay.go
+++ b/core/dissemination/relay.go
@@ -31,6 +31,8 @@
 	// Near lists the relays of the router's data centre in order of preference. It is nil on a
 	// relay.
 	Near []fleet.HostID
+	// Members lists the routers that prefer a relay.
+	Members []fleet.HostID
 }
 
 // IsRelay reports whether the router is a relay itself.
@@ -44,7 +46,7 @@
 	for _, router := range routers {
 		inDataCentre[router.DataCentre] = append(inDataCentre[router.DataCentre], router)
 	}
-	var others, near []fleet.HostID
+	var others, near, served []fleet.HostID
 	isRelay := small
 	for dataCentre, hosts := range inDataCentre {
 		members := ByCapacity(relayKey, hosts)
@@ -59,11 +61,17 @@
 			}
 		}
 		if dataCentre == self.DataCentre {
-			near = nearRelays(hosts, relays, max(0, slices.Index(members, self.ID)))
+			seats := relaySeats(hosts, relays)
+			near = nearRelays(seats, relays, max(0, slices.Index(members, self.ID)))
+			for i := len(relays); i < len(members); i++ {
+				if nearRelays(seats, relays, i)[0] == self.ID {
+					served = append(served, members[i])
+				}
+			}
 		}
 	}
 	if isRelay {
-		return RelayPlan{Direct: small, Others: others}
+		return RelayPlan{Direct: small, Others: others, Members: served}
 	}
 	return RelayPlan{Near: near, Others: others}
 }
@@ -87,10 +95,9 @@
 	return RelayGroupSize
 }
 
-// nearRelays returns the relays in the order in which a member uses them. The first ones are assigned to
-// members in turn, so that the groups have the sizes that the relays can bear.
-func nearRelays(hosts []fleet.Host, relays []fleet.HostID, member int) []fleet.HostID {
-	var seats []int
+// relaySeats returns which relays the members of a data centre use first, in turn, so that the groups have the sizes that the relays can
+// bear.
+func relaySeats(hosts []fleet.Host, relays []fleet.HostID) (seats []int) {
 	for round := range LargeRelayGroupSize {
 		for i, relay := range relays {
 			if round < relayGroupSize(hosts, relay) {
@@ -98,6 +105,11 @@
 			}
 		}
 	}
+	return seats
+}
+
+// nearRelays returns the relays in the order in which a member uses them.
+func nearRelays(seats []int, relays []fleet.HostID, member int) []fleet.HostID {
 	if len(seats) == 0 {
 		return nil
 	}
--- a/node/versionmove/history_test.go
+++ b/node/versionmove/history_test.go
@@ -8,6 +8,7 @@
 	"testing/synctest"
 	"time"
 
+	"agateswitch/core/dissemination"
 	"agateswitch/core/fleet"
 	"agateswitch/core/rollout"
 	"agateswitch/port"
@@ -56,6 +57,9 @@
 
 func (l linked) Count() int      { return len(l.services) }
 func (l linked) Rank(string) int { return 0 }
+func (l linked) Relays() dissemination.RelayPlan {
+	return dissemination.RelayPlan{Direct: true}
+}
 
 // start starts the service of a router that learns of the order of v2 after it has run for some time.
 func (l linked) start(id fleet.HostID, ran time.Duration) *Service {
--- a/node/versionmove/share.go
+++ b/node/versionmove/share.go
@@ -29,16 +29,20 @@
 	// Withdrawn lists the pool's versions that get no requests, which a router that has started since doesn't
 	// know.
 	Withdrawn []fleet.Version `msgpack:"withdrawn,omitempty"`
+	// HandOver asks a relay to add Evidence to its own, and PassOn to pass the message on to its members. Routers of earlier
+	// versions do neither, and publish to all others.
+	HandOver bool `msgpack:"hand_over,omitempty"`
+	PassOn   bool `msgpack:"pass_on,omitempty"`
 }
 
-// tick evaluates the moves, publishes them to the other routers and writes the status entries that
-// are due.
+// tick evaluates the moves, tells the other routers and writes the status entries that are due.
 func (s *Service) tick(ctx context.Context) {
-	messages := s.evaluateMoves()
+	route := s.route()
+	messages := s.nextMessages(route.Relay != "")
 	if len(messages) == 0 {
 		return
 	}
-	s.publish(ctx, messages)
+	s.spread(ctx, route, messages)
 	s.askForHistories(ctx)
 	for _, write := range s.dueStatusWrites() {
 		s.writeStatus(ctx, write)
@@ -47,12 +51,16 @@
 
 // publish sends messages to all other routers.
 func (s *Service) publish(ctx context.Context, messages []moveMessage) {
-	for _, other := range s.fleet.Others() {
+	s.send(ctx, s.fleet.Others(), messages)
+}
+
+// send sends messages to routers.
+func (s *Service) send(ctx context.Context, to []fleet.HostID, messages []moveMessage) {
+	for _, other := range to {
 		go func() {
 			ctx, cancel := context.WithTimeout(ctx, publishTimeout)
 			defer cancel()
-			var none struct{}
-			if err := s.transport.Call(ctx, other, methodPublish, messages, &none); err != nil {
+			if err := s.transport.Call(ctx, other, methodPublish, messages, &publishResponse{}); err != nil {
 				s.log.Info("failed to deliver version moves to a router", "peer", other, "err", err)
 			}
 		}()
@@ -61,7 +69,11 @@
 
 // evaluateMoves evaluates the moves whose end is not reported yet, and returns the messages for the
 // other routers.
-func (s *Service) evaluateMoves() []moveMessage {
+func (s *Service) evaluateMoves() []moveMessage { return s.nextMessages(false) }
+
+// nextMessages is evaluateMoves for messages that a relay takes if handOver is true. This router then gets its evidence back with
+// that of others.
+func (s *Service) nextMessages(handOver bool) []moveMessage {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	var messages []moveMessage
@@ -71,26 +83,32 @@
 		}
 		m.reports++
 		report := rollout.Report{Observer: s.observer, Number: m.reports, Pairs: m.evidence.Take()}
-		m.addReport(report)
+		if !handOver {
+			m.addReport(report)
+		}
 		s.endInheritance(m)
 		s.evaluate(m)
 		messages = append(messages, moveMessage{
 			Pool: pool, ID: m.id, EarlierIDs: slices.Clone(m.earlierIDs), AgeMs: time.Since(m.began).Milliseconds(), RolledBack: m.state == rollout.StatusRolledBack,
 			Reason: m.reason, Evidence: report.Pairs, Observer: report.Observer, Number: report.Number,
-			Withdrawn: slices.Collect(maps.Keys(s.withdrawn[pool])),
+			Withdrawn: slices.Collect(maps.Keys(s.withdrawn[pool])), HandOver: handOver,
 		})
 	}
 	return messages
 }
 
 // handleMessages applies the messages of another router.
-func (s *Service) handleMessages(_ context.Context, from fleet.HostID, decode port.Decode) (any, error) {
+func (s *Service) handleMessages(ctx context.Context, from fleet.HostID, decode port.Decode) (any, error) {
 	var messages []moveMessage
 	if err := decode(&messages); err != nil {
 		return nil, err
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	response := publishResponse{Relays: true}
+	if missed := s.heard(from, messages); len(missed) > 0 {
+		s.send(context.WithoutCancel(ctx), []fleet.HostID{from}, missed)
+	}
 	for _, message := range messages {
 		m, found := s.moves[message.Pool]
 		if !found || !m.hasID(message.ID) && !slices.ContainsFunc(message.EarlierIDs, m.hasID) {
@@ -102,7 +120,8 @@
 				s.withdraw(message.Pool, version)
 			}
 		}
-		m.addReport(rollout.Report{Observer: message.Observer, Number: message.Number, Pairs: message.Evidence})
+		response.Taken = append(response.Taken, message.Pool)
+		m.learn(message)
 		if m.inheritance != nil {
 			m.inheritance.senders[from] = true
 		}
@@ -115,7 +134,7 @@
 			s.log.Warn("version rolled back by another router", "move", m.id, "peer", from, "reason", message.Reason)
 		}
 	}
-	return struct{}{}, nil
+	return response, nil
 }
 
 // learnAge applies the age of the move on another router. The one that received the order first has the best estimate.
--- a/node/versionmove/share_test.go
+++ b/node/versionmove/share_test.go
@@ -7,6 +7,7 @@
 	"testing/synctest"
 	"time"
 
+	"agateswitch/core/dissemination"
 	"agateswitch/core/fleet"
 	"agateswitch/core/revision"
 	"agateswitch/core/rollout"
@@ -28,6 +29,9 @@
 func (noPeers) Others() []fleet.HostID { return nil }
 func (noPeers) Count() int             { return 1 }
 func (noPeers) Rank(string) int        { return 0 }
+func (noPeers) Relays() dissemination.RelayPlan {
+	return dissemination.RelayPlan{Direct: true}
+}
 
 // newService returns a service with a running move of the pool lm.
 func newService() (*Service, *move) {
--- a/node/versionmove/versionmove.go
+++ b/node/versionmove/versionmove.go
@@ -11,6 +11,7 @@
 	"sync"
 	"time"
 
+	"agateswitch/core/dissemination"
 	"agateswitch/core/fleet"
 	"agateswitch/core/revision"
 	"agateswitch/core/rollout"
@@ -56,6 +57,8 @@
 	Others() []fleet.HostID
 	Count() int
 	Rank(key string) int
+	// Relays returns this router's relay plan.
+	Relays() dissemination.RelayPlan
 }
 
 // Service runs the moves of one router. It is safe for concurrent use.
@@ -86,6 +89,10 @@
 	// firstSeen holds when each version of a pool first had an upstream here. The versions of the first attempt
 	// have the zero time.
 	firstSeen map[fleet.PoolID]map[fleet.Version]time.Time
+	// reports plans the ways of messages, queue holds those to pass on, and told those of the last time.
+	reports dissemination.Reports
+	queue   []moveMessage
+	told    []toldMessage
 }
 
 // status is the status entry of a pool in the store.
@@ -346,10 +353,14 @@
 func (s *Service) Run(ctx context.Context) {
 	ticker := time.NewTicker(publishInterval)
 	defer ticker.Stop()
+	passOnTicker := time.NewTicker(passOnInterval)
+	defer passOnTicker.Stop()
 	for {
 		select {
 		case <-ticker.C:
 			s.tick(ctx)
+		case <-passOnTicker.C:
+			s.passOn(ctx)
 		case <-ctx.Done():
 			return
 		}
--- a/node/versionmove/wire_test.go
+++ b/node/versionmove/wire_test.go
@@ -8,6 +8,7 @@
 
 func TestMessagesOfEarlierVersionsAreUnderstood(t *testing.T) {
 	wiretest.Check(t, map[string]any{
-		"move": &moveMessage{},
+		"move":      &moveMessage{},
+		"published": &publishResponse{},
 	})
 }
