Take a run of ends that was picked from a wave for doubtful

Cause (traced in the failed runs): a sound part (ab0, an eighth of the requests) was in work on the last four engines that ended in the wave. Only the ends from a second before its first to a second after its last one were looked at, so that it seemed calm: 4 of 4 ends, factor at the low share above 5, not in doubt. The entry was tried after half an hour, over the restart, and 1 to 6 requests were refused.

Change: if two engines of the pool or more ended without the part in the 10 s before its first end or after its last one, ends in a row aren't enough; they have to convict the part (1e-4), or the hold is in doubt. A part that is held back ends no engine, so that ends after it count, too.

--- a/core/quarantine/baserate.go
+++ b/core/quarantine/baserate.go
@@ -114,11 +114,12 @@
 		}
 	}
 	w.Factor = factor(moments, high)
+	isInWave := e.isInWave(r)
 	isExpected := !w.Convicts()
-	if w.Ends == w.PoolEnds {
+	if w.Ends == w.PoolEnds && !isInWave {
 		isExpected = factor(moments, low) < calmFactor
 	}
-	w.Doubtful = e.lacksOwnEnds(r) || share.Of > 0 && isExpected
+	w.Doubtful = e.lacksOwnEnds(r) || (share.Of > 0 || isInWave) && isExpected
 	return w
 }
 
--- a/core/quarantine/doubt.go
+++ b/core/quarantine/doubt.go
@@ -62,6 +62,32 @@
 	return own < suspectEnds
 }
 
+// isInWave reports whether engines of the pool ended without the part shortly before its first end or after its last one. Ends in a row
+// on which the part was in work prove little then, as they were picked from a wave, and a part that is held back ends none.
+func (e *Evidence) isInWave(r *record) bool {
+	if len(r.ends) >= maxEnds {
+		return false
+	}
+	first, last, pool := r.ends[0].at, r.ends[len(r.ends)-1].at, r.pool()
+	var before, after []time.Time
+	for engine, ended := range e.ended {
+		switch {
+		case pool != "" && ended.pool != "" && ended.pool != pool || r.has(engine):
+		case ended.at.Before(first) && first.Sub(ended.at) <= waveLength:
+			before = append(before, ended.at)
+		case ended.at.After(last) && ended.at.Sub(last) <= waveLength:
+			after = append(after, ended.at)
+		}
+	}
+	return countMoments(before) >= waveEnds || countMoments(after) >= waveEnds
+}
+
+// countMoments counts ends, and those at the same moment once. It sorts the times.
+func countMoments(times []time.Time) int {
+	slices.SortFunc(times, time.Time.Compare)
+	return len(slices.CompactFunc(times, func(a, b time.Time) bool { return a.Sub(b).Abs() < sameCauseWindow }))
+}
+
 // QuietTime returns how long hardly any engine must have ended before a wave of ends counts as over: several times the usual time between two
 // ends of the wave.
 func (e *Evidence) QuietTime() time.Duration {
