Let trials wait for ends that no router had a request on, and judge holds anew

Cause (traced): with few requests, engines of a wave end without one in work, which no router counted. Three seconds of that seemed quiet: a part in doubt was tried in the wave, the trial failed, and the next one was due after half an hour, also over the restart of all routers. Change: routers note by themselves connections that are refused, incarnations that are replaced and entries that are gone without a word that the engine leaves (typed, Manner).

Cause: a hold was in doubt for good if its router heard of an engine's end before it heard that the part was in work there. Change: a router that knows the ends of a hold judges it by what it knows now.

TestHoldIsInNoDoubtOnceItsEndsAreKnown failed before.

--- a/core/quarantine/baserate.go
+++ b/core/quarantine/baserate.go
@@ -156,7 +156,7 @@
 	}
 	all := make([]moment, 0, len(e.ended))
 	for engine, ended := range e.ended {
-		if ended.at.Before(first) || ended.at.After(last) || pool != "" && ended.pool != "" && ended.pool != pool {
+		if !ended.manner.IsInWork() || ended.at.Before(first) || ended.at.After(last) || pool != "" && ended.pool != "" && ended.pool != pool {
 			continue
 		}
 		all = append(all, moment{at: ended.at, load: ended.load, hasPart: counting[engine]})
--- a/core/quarantine/doubt.go
+++ b/core/quarantine/doubt.go
@@ -39,7 +39,7 @@
 // hasCompany reports whether an engine that is not in the record ended at about a time.
 func (e *Evidence) hasCompany(r *record, at time.Time) bool {
 	for engine, ended := range e.ended {
-		if ended.at.Sub(at).Abs() <= companyWindow && !r.has(engine) {
+		if ended.manner.IsInWork() && ended.at.Sub(at).Abs() <= companyWindow && !r.has(engine) {
 			return true
 		}
 	}
@@ -51,6 +51,11 @@
 // meets as many as a guilty one.
 func (e *Evidence) IsDoubtful(part Part) bool { return e.Weigh(part).Doubtful }
 
+// HasCounted reports whether all ends for which a part was held back count still. They are unknown to a router that has started since.
+func (e *Evidence) HasCounted(h Hold) bool {
+	return len(h.Engines) > 0 && h.Weight != nil && len(e.Engines(h.Part)) >= len(h.Engines)
+}
+
 // lacksOwnEnds reports whether the ends without company would not make the part a suspect.
 func (e *Evidence) lacksOwnEnds(r *record) bool {
 	own := 0
@@ -72,7 +77,7 @@
 	var before, after []time.Time
 	for engine, ended := range e.ended {
 		switch {
-		case pool != "" && ended.pool != "" && ended.pool != pool || r.has(engine):
+		case !ended.manner.IsInWork() || pool != "" && ended.pool != "" && ended.pool != pool || r.has(engine):
 		case ended.at.Before(first) && first.Sub(ended.at) <= waveLength:
 			before = append(before, ended.at)
 		case ended.at.After(last) && ended.at.Sub(last) <= waveLength:
@@ -113,7 +118,7 @@
 func (e *Evidence) IsWave(end End) bool {
 	window, others := e.QuietTime(), 0
 	for engine, ended := range e.ended {
-		if engine != end.Engine && ended.at.Sub(end.At).Abs() <= window {
+		if ended.manner.IsInWork() && engine != end.Engine && ended.at.Sub(end.At).Abs() <= window {
 			others++
 		}
 	}
--- a/core/quarantine/endings.go
+++ b/core/quarantine/endings.go
@@ -44,19 +44,24 @@
 
 // ending is the end of an engine, whatever it worked on.
 type ending struct {
-	at   time.Time
-	pool fleet.PoolID
-	load int
+	at     time.Time
+	pool   fleet.PoolID
+	load   int
+	manner Manner
 }
 
 // AddEnding adds the end of an engine, whatever it worked on, and reports whether it is new. An end from before an answer that is told late
-// doesn't count.
+// doesn't count. An end in work says more than others, which may show later than the engine ended.
 func (e *Evidence) AddEnding(end End) bool {
 	known, found := e.ended[end.Engine]
-	if end.At.Before(e.refuted[end.Engine]) || !found && len(e.ended) >= maxEndings {
+	isNew := !found || !known.manner.IsInWork() && end.Manner.IsInWork()
+	if end.At.Before(e.refuted[end.Engine]) || !found && len(e.ended) >= maxEndings || !isNew && !end.Manner.IsInWork() {
 		return false
 	}
-	if !found || end.At.Before(known.at) {
+	if isNew {
+		known.at, known.manner = end.At, end.Manner
+	}
+	if end.At.Before(known.at) {
 		known.at = end.At
 	}
 	if known.pool == "" {
@@ -64,18 +69,18 @@
 	}
 	known.load = max(known.load, end.Load)
 	e.ended[end.Engine] = known
-	if !found {
+	if isNew {
 		e.changes++
 	}
-	return !found
+	return isNew
 }
 
-// Endings returns the ends of all engines, for a router that starts.
+// Endings returns the ends of engines in work, for a router that starts.
 func (e *Evidence) Endings(now time.Time) []End {
 	var all []End
 	for engine, ended := range e.ended {
-		if now.Sub(ended.at) <= maxEndAge {
-			all = append(all, End{Engine: engine, At: ended.at, Pool: ended.pool, Load: ended.load})
+		if ended.manner.IsInWork() && now.Sub(ended.at) <= maxEndAge {
+			all = append(all, End{Engine: engine, At: ended.at, Pool: ended.pool, Load: ended.load, Manner: ended.manner})
 		}
 	}
 	return all
--- a/core/quarantine/quarantine.go
+++ b/core/quarantine/quarantine.go
@@ -65,16 +65,6 @@
 	Manner Manner
 }
 
-// Manner is how the end of an engine showed to the router that worked with it. A refused connection is no end: nothing was in work.
-type Manner string
-
-// Manners of ends.
-const (
-	// NoAnswer means that the connection ended before an answer began, and BrokenAnswer that it ended within the answer.
-	NoAnswer     Manner = "no answer"
-	BrokenAnswer Manner = "broken answer"
-)
-
 // Origin is where a request came from.
 type Origin struct {
 	Route string     `json:"route,omitempty" msgpack:"r,omitempty"`
@@ -159,7 +149,7 @@
 // and it breaks off whatever reaches it.
 func (e *Evidence) endedBefore(end End) bool {
 	ended, found := e.ended[end.Engine]
-	return found && end.At.Sub(ended.at) > sameEndWindow
+	return found && ended.manner.IsInWork() && end.At.Sub(ended.at) > sameEndWindow
 }
 
 // HasEnded reports whether an engine has ended and answered no request since.
@@ -235,7 +225,7 @@
 }
 
 // Refute removes the end of an engine that has answered a request which was sent to it later: only connections to it
-// had ended. It reports whether there was one. An end from before that is told later doesn't count either.
+// had ended. It reports whether there was one that others know, too. An end from before that is told later doesn't count either.
 func (e *Evidence) Refute(engine Engine, sentAt time.Time) bool {
 	if len(e.refuted) < maxParts {
 		e.refuted[engine] = sentAt
@@ -246,6 +236,9 @@
 	}
 	delete(e.ended, engine)
 	e.changes++
+	if !ended.manner.IsInWork() {
+		return false
+	}
 	for part, r := range e.parts {
 		r.ends = slices.DeleteFunc(r.ends, func(end engineEnd) bool { return end.engine == engine })
 		e.updateSuspect(part)
--- a/node/gateway/gateway.go
+++ b/node/gateway/gateway.go
@@ -110,6 +110,7 @@
 		Dependencies: dependencies, checksDue: make(chan struct{}, 1), retryBudgets: map[fleet.PoolID]*pace.WindowedRetryBudget{},
 		view: newView(dependencies.Codec, dependencies.Workload.RemoveCached, dependencies.Workload.Leaves, dependencies.Log),
 	}
+	g.view.onLost = dependencies.Quarantine.Lost
 	dependencies.Workload.OnLeaving(g.view.markLeaving)
 	g.SetRetryLimits(limits)
 	g.SetLoadBound(bound)
--- a/node/gateway/request.go
+++ b/node/gateway/request.go
@@ -339,6 +339,9 @@
 		}
 		chosen.engine.recordNoConnection(time.Now(), pathRefused)
 		c.gateway.checkPaths()
+		if failure.Fault == exchange.FaultUnreachable {
+			c.gateway.Quarantine.Lost(engineOf(chosen), c.pool.ID, quarantine.Refused)
+		}
 	}
 	return result
 }
--- a/node/gateway/view.go
+++ b/node/gateway/view.go
@@ -8,6 +8,7 @@
 
 	"agateswitch/core/departure"
 	"agateswitch/core/fleet"
+	"agateswitch/core/quarantine"
 	"agateswitch/core/routing"
 	"agateswitch/node/replica"
 	"agateswitch/port"
@@ -40,7 +41,9 @@
 	// was added, has restarted or was removed.
 	onCacheReset func(fleet.UpstreamID)
 	// leaves reports whether an incarnation of an upstream has said that it leaves.
-	leaves  func(fleet.UpstreamID, int64) bool
+	leaves func(fleet.UpstreamID, int64) bool
+	// onLost is called for an upstream that has ended without having said that it leaves.
+	onLost  func(quarantine.Engine, fleet.PoolID, quarantine.Manner)
 	log     *log.Logger
 	current atomic.Pointer[snapshot]
 	// ready is closed once current is set for the first time.
@@ -138,6 +141,9 @@
 			e, found = v.absent.take(entry, now)
 		}
 		if !found || e.incarnation != entry.Incarnation || e.upstream().Address != entry.Upstream.Address {
+			if found && e.incarnation != entry.Incarnation {
+				v.reportLost(e, quarantine.Replaced)
+			}
 			e = newEngine(entry)
 		}
 		if v.leaves(entry.Upstream.ID, entry.Incarnation) {
@@ -196,10 +202,18 @@
 		v.log.Info("upstream removed because it has no valid store entry", "upstream", e.id)
 		v.onCacheReset(e.id)
 		v.absent.put(e, time.Now())
+		v.reportLost(e, quarantine.EntryGone)
 		delete(v.engines, key)
 	}
 }
 
+// reportLost reports the end of an upstream that has not said that it leaves.
+func (v *view) reportLost(e *engine, manner quarantine.Manner) {
+	if upstream := e.upstream(); v.onLost != nil && upstream.State == fleet.Live {
+		v.onLost(quarantine.Engine{ID: e.id, Incarnation: e.incarnation}, upstream.Pool, manner)
+	}
+}
+
 // publishSnapshot builds a snapshot of the current state and puts it in force. The caller holds mu.
 func (v *view) publishSnapshot() {
 	if v.table == nil {
--- a/node/quarantine/trial.go
+++ b/node/quarantine/trial.go
@@ -16,10 +16,14 @@
 	return found && h.IsOnTrial(time.Now())
 }
 
-// isInDoubt reports whether a part is held back with little against it. Ends that become known after the hold may show that it is. The
-// caller holds mu.
+// isInDoubt reports whether a part is held back with little against it. Ends that become known after the hold may show that it is, or that
+// it is not: an engine seemed to end without the part until the router that had the part in work there has told it. The caller holds mu.
 func (s *Service) isInDoubt(h *hold) bool {
-	return h.IsDoubtful() || s.evidence.IsDoubtful(h.Part) || s.sharesMost(h)
+	isDoubtful := h.IsDoubtful()
+	if s.evidence.HasCounted(h.Hold) {
+		isDoubtful = s.evidence.IsDoubtful(h.Part)
+	}
+	return isDoubtful || s.sharesMost(h)
 }
 
 // sharesMost reports whether most requests of the pool are refused because of a hold, whatever it was when the hold began. The caller holds mu.
