--- a/core/quarantine/baserate.go
+++ b/core/quarantine/baserate.go
@@ -114,11 +114,12 @@
 		}
 	}
 	w.Factor = factor(moments, high)
+	isInWave := e.isInWave(r)
 	isExpected := !w.Convicts()
-	if w.Ends == w.PoolEnds {
+	if w.Ends == w.PoolEnds && !isInWave {
 		isExpected = factor(moments, low) < calmFactor
 	}
-	w.Doubtful = e.lacksOwnEnds(r) || share.Of > 0 && isExpected
+	w.Doubtful = e.lacksOwnEnds(r) || (share.Of > 0 || isInWave) && isExpected
 	return w
 }
 
@@ -155,7 +156,7 @@
 	}
 	all := make([]moment, 0, len(e.ended))
 	for engine, ended := range e.ended {
-		if ended.at.Before(first) || ended.at.After(last) || pool != "" && ended.pool != "" && ended.pool != pool {
+		if !ended.manner.IsInWork() || ended.at.Before(first) || ended.at.After(last) || pool != "" && ended.pool != "" && ended.pool != pool {
 			continue
 		}
 		all = append(all, moment{at: ended.at, load: ended.load, hasPart: counting[engine]})
--- a/core/quarantine/doubt.go
+++ b/core/quarantine/doubt.go
@@ -39,7 +39,7 @@
 // hasCompany reports whether an engine that is not in the record ended at about a time.
 func (e *Evidence) hasCompany(r *record, at time.Time) bool {
 	for engine, ended := range e.ended {
-		if ended.at.Sub(at).Abs() <= companyWindow && !r.has(engine) {
+		if ended.manner.IsInWork() && ended.at.Sub(at).Abs() <= companyWindow && !r.has(engine) {
 			return true
 		}
 	}
@@ -51,6 +51,11 @@
 // meets as many as a guilty one.
 func (e *Evidence) IsDoubtful(part Part) bool { return e.Weigh(part).Doubtful }
 
+// HasCounted reports whether all ends for which a part was held back count still. They are unknown to a router that has started since.
+func (e *Evidence) HasCounted(h Hold) bool {
+	return len(h.Engines) > 0 && h.Weight != nil && len(e.Engines(h.Part)) >= len(h.Engines)
+}
+
 // lacksOwnEnds reports whether the ends without company would not make the part a suspect.
 func (e *Evidence) lacksOwnEnds(r *record) bool {
 	own := 0
@@ -62,6 +67,32 @@
 	return own < suspectEnds
 }
 
+// isInWave reports whether engines of the pool ended without the part shortly before its first end or after its last one. Ends in a row
+// on which the part was in work prove little then, as they were picked from a wave, and a part that is held back ends none.
+func (e *Evidence) isInWave(r *record) bool {
+	if len(r.ends) >= maxEnds {
+		return false
+	}
+	first, last, pool := r.ends[0].at, r.ends[len(r.ends)-1].at, r.pool()
+	var before, after []time.Time
+	for engine, ended := range e.ended {
+		switch {
+		case !ended.manner.IsInWork() || pool != "" && ended.pool != "" && ended.pool != pool || r.has(engine):
+		case ended.at.Before(first) && first.Sub(ended.at) <= waveLength:
+			before = append(before, ended.at)
+		case ended.at.After(last) && ended.at.Sub(last) <= waveLength:
+			after = append(after, ended.at)
+		}
+	}
+	return countMoments(before) >= waveEnds || countMoments(after) >= waveEnds
+}
+
+// countMoments counts ends, and those at the same moment once. It sorts the times.
+func countMoments(times []time.Time) int {
+	slices.SortFunc(times, time.Time.Compare)
+	return len(slices.CompactFunc(times, func(a, b time.Time) bool { return a.Sub(b).Abs() < sameCauseWindow }))
+}
+
 // QuietTime returns how long hardly any engine must have ended before a wave of ends counts as over: several times the usual time between two
 // ends of the wave.
 func (e *Evidence) QuietTime() time.Duration {
@@ -87,7 +118,7 @@
 func (e *Evidence) IsWave(end End) bool {
 	window, others := e.QuietTime(), 0
 	for engine, ended := range e.ended {
-		if engine != end.Engine && ended.at.Sub(end.At).Abs() <= window {
+		if ended.manner.IsInWork() && engine != end.Engine && ended.at.Sub(end.At).Abs() <= window {
 			others++
 		}
 	}
