Split the choice of an upstream by responsibility

Cause: node/gateway/choose.go had 401 lines for four things. Change: ranking and search, admission, and sources of copies are in files of their own; no line of them differs.

--- a/node/gateway/choose.go
+++ b/node/gateway/choose.go
@@ -3,13 +3,10 @@
 import (
 	"context"
 	"math"
-	"math/rand/v2"
-	"slices"
 	"time"
 
 	"agateswitch/core/balance"
 	"agateswitch/core/fleet"
-	"agateswitch/core/pace"
 	"agateswitch/core/routing"
 	"agateswitch/core/warmth"
 	"agateswitch/node/detour"
@@ -21,16 +18,6 @@
 	"agateswitch/port"
 )
 
-// minCopyTokens is how many more tokens another engine must have cached before they are copied.
-// Setting up the transfer takes as long as reading about 300 tokens.
-const minCopyTokens = 512
-
-// Limits on the draws from rate limits for one attempt. Upstreams without a limit need none.
-const (
-	maxDraws    = 4
-	maxDrawTime = 200 * time.Millisecond
-)
-
 // choice is the upstream chosen for one attempt, the reason, and the attempt's measurements.
 type choice struct {
 	engine   *engine
@@ -238,164 +225,3 @@
 	}
 	return total
 }
-
-// bestAdmitted ranks a group of candidates and returns the best one that admits the request, or
-// nil. Full upstreams come last: the limit refuses no request.
-func (g *Gateway) bestAdmitted(ctx context.Context, group candidates, s *selection) *choice {
-	ranking := g.rankCandidates(group, s)
-	s.limit = ranking.Limit
-	search := balance.NewSearch(ranking, group.properties, balance.UnseenLoad(g.Workload.IsDirect(), ranking.MeanLoad, s.poolLoad.age), globalRandom)
-	for i, mayBeFull, found := search.Next(); found; i, mayBeFull, found = search.Next() {
-		if s.pathless[group.engines[i]] {
-			return &choice{engine: group.engines[i], upstream: group.engines[i].upstream(), ranking: ranking}
-		}
-		chosen, held, outcome := g.admit(ctx, group, i, s, mayBeFull, false)
-		switch {
-		case chosen != nil:
-			chosen.ranking, chosen.fullBefore = ranking, search.Refusals()
-			return chosen
-		case outcome == room.Full && mayBeFull:
-			search.Refuse(i, held)
-		case outcome == room.Unknown:
-			search.Skip(i)
-		}
-	}
-	for _, i := range search.Full() {
-		if chosen, _, _ := g.admit(ctx, group, i, s, true, true); chosen != nil {
-			chosen.ranking, chosen.fullBefore = ranking, search.Refusals()
-			return chosen
-		}
-	}
-	return nil
-}
-
-// globalRandom draws from the source of math/rand/v2, which is safe for concurrent use.
-var globalRandom = rand.New(globalSource{})
-
-type globalSource struct{}
-
-func (globalSource) Uint64() uint64 { return rand.Uint64() }
-
-// admit returns the choice of a candidate if that admits the request, and otherwise what came of asking for a place.
-func (g *Gateway) admit(ctx context.Context, group candidates, i int, s *selection, mayBeFull, isUnlimited bool) (chosen *choice, held int, outcome room.Outcome) {
-	e, candidate := group.engines[i], group.properties[i]
-	if e.status(s.now).rateLimited {
-		routers := g.Fleet.Count()
-		if !e.admit(s.now, g.rateShare(e, s.pool.ColdRate, routers), g.rateShare(e, recoveryRatePerSecond, routers)) {
-			return nil, 0, room.Granted
-		}
-	}
-	place, held, outcome := g.takePlace(ctx, e, s, mayBeFull, isUnlimited)
-	if outcome != room.Granted {
-		return nil, held, outcome
-	}
-	draw := g.drawToken(ctx, e, s)
-	if !draw.Granted {
-		if place != nil {
-			place.Return(false)
-		}
-		return nil, 0, room.Granted
-	}
-	return &choice{
-		place: place, engine: e, upstream: e.upstream(), uncached: int(candidate.Uncached), draw: draw,
-		load: workload.Load{Running: int(candidate.Running), PendingPrefill: int(candidate.PendingPrefill)},
-	}, 0, room.Granted
-}
-
-// drawToken draws a token if the upstream has a rate limit.
-func (g *Gateway) drawToken(ctx context.Context, e *engine, s *selection) ratelimit.Draw {
-	if !g.RateLimits.Limited(e.id, e.incarnation) {
-		return ratelimit.Draw{Granted: true}
-	}
-	isDry := g.RateLimits.DryUntil(e.id, e.incarnation, s.rank).After(time.Now())
-	if isDry || s.drawsLeft == 0 || ctx.Err() != nil {
-		return ratelimit.Draw{}
-	}
-	s.drawsLeft--
-	draw := g.RateLimits.Draw(ctx, e.id, e.incarnation, s.rank)
-	g.Instruments.recordDraw(draw)
-	return draw
-}
-
-// isWithinLimit reports whether an attempt has drawn a token if its upstream has a rate limit. The limit may have become
-// known while the request waited for a connection.
-func (g *Gateway) isWithinLimit(chosen *choice) bool {
-	return chosen.draw.Source != ratelimit.SourceNone || !g.RateLimits.Limited(chosen.engine.id, chosen.engine.incarnation)
-}
-
-// rankCandidates ranks a group of candidates.
-func (g *Gateway) rankCandidates(group candidates, s *selection) balance.Ranking {
-	prompt := s.prompt
-	switch {
-	case s.alone:
-		return balance.ByLoad(group.properties, func(int) uint64 { return rand.Uint64() })
-	case len(prompt) > 0:
-		key := prompt[max(0, len(prompt)-2)].ID
-		return balance.ByPrompt(balance.Prompt{
-			Key: key, IsCached: g.Workload.IsCached(key), Tokens: float64(promptTokens(prompt)),
-			CostGranularity: g.costGranularity(), RandomTie: rand.Uint64(),
-		}, group.properties, s.poolLimit)
-	case g.Workload.IsDirect():
-		ties := make([]uint64, len(group.properties))
-		for i := range ties {
-			ties[i] = rand.Uint64()
-		}
-		return balance.ByLoad(group.properties, func(i int) uint64 { return ties[i] })
-	}
-	return balance.ByFreeSlots(group.properties, s.poolLimit, rand.Float64)
-}
-
-// costGranularity returns the balance.Prompt.CostGranularity for the age of the workload's loads.
-func (g *Gateway) costGranularity() float64 {
-	if g.Workload.IsDirect() {
-		return 0
-	}
-	return balance.StaleLoadCostGranularity
-}
-
-// rateShare returns this router's share of a fleet-wide rate, in requests per second, of calls to
-// an upstream. A rate of zero means no limit.
-func (g *Gateway) rateShare(e *engine, rate float64, routers int) int {
-	if rate <= 0 {
-		return math.MaxInt
-	}
-	return pace.Share(rate, routers, g.Fleet.Rank(string(e.id)))
-}
-
-// source is an engine from which other engines may copy a cached prompt.
-type source struct {
-	engine  *engine
-	address string
-	// tokens is the number of prompt tokens that it has cached.
-	tokens int
-}
-
-// sourceList is ordered by tokens, largest first.
-type sourceList []source
-
-// bestExcluding returns the source with the most tokens other than the excluded engine.
-func (l sourceList) bestExcluding(excluded *engine) (source, bool) {
-	for _, s := range l {
-		if s.engine != excluded {
-			return s, true
-		}
-	}
-	return source{}, false
-}
-
-// findFetchSources returns the engines that have a part of a prompt cached. Leaving engines still
-// serve copies; engines in a data centre that is taken out get no work of any kind.
-func findFetchSources(current *snapshot, pool fleet.PoolID, cached map[fleet.UpstreamID]int, now time.Time) sourceList {
-	if len(cached) == 0 {
-		return nil
-	}
-	var list sourceList
-	for _, e := range current.engines[pool] {
-		s := e.status(now)
-		if cached[e.id] > 0 && !s.ejected && !s.rateLimited && !current.dataCentresOut[s.upstream.DataCentre] {
-			list = append(list, source{engine: e, address: s.upstream.Address, tokens: cached[e.id]})
-		}
-	}
-	slices.SortFunc(list, func(a, b source) int { return b.tokens - a.tokens })
-	return list
-}
