Read slots and work time from the load that an engine states

Cause: two of the four figures were dropped, so that no log showed how long work takes at an engine.

--- a/port/edge.go
+++ b/port/edge.go
@@ -82,6 +82,10 @@
 type EngineLoad struct {
 	Stated           bool
 	Running, Waiting int
+	// Slots is the number of requests that it runs concurrently; 0 if it does not say so.
+	Slots int
+	// WorkTimePercent is how long work takes there at the moment, in percent of the usual time; 0 if it does not say so.
+	WorkTimePercent float64
 }
 
 // RateLimit is a number of requests per second, from all routers together, that an upstream states in an answer. It holds until
