Rank engines by expected times where they state how long work takes

Cause: engines that share their machines state how long work takes at the moment, and nothing used it. Change: WorkTimes keeps the newest statement of each engine, whose weight falls to nothing within 500 ms, and shares unusual ones with the loads (bounded; earlier builds neither send nor read the field). ByPrompt multiplies costs by them. An engine that is faster than most gets only the part of the requests that it bears; one whose answers contradict it has no say. Setting placement.by_speed, off.

--- a/core/balance/balance.go
+++ b/core/balance/balance.go
@@ -33,6 +33,8 @@
 	Fetchable float64
 	// FailureRate is the share of its recent calls that failed.
 	FailureRate float64
+	// WorkTime is how long work is expected to take there, relative to the usual time. 0 means that the upstream does not state it.
+	WorkTime float64
 }
 
 // Parameters of the ranking. Costs are in prompt tokens to read.
@@ -134,13 +136,14 @@
 		}
 		ranks[i] = rank{
 			faulty: faults[i], overloaded: c.Running > ranking.LoadBound, excess: excess(c, ranking.Limit), tie: rendezvous.Mix(hash, c.Hash),
-			cost: c.PendingPrefill + runningCostTokens*c.Running + prefillCostFactor*(c.Uncached-c.Fetchable) + fetchCostFactor*c.Fetchable,
+			cost: ExpectedTokens(c.Running, c.PendingPrefill, c.Uncached, c.Fetchable),
 		}
 		anyWarm = anyWarm || c.Uncached < prompt.Tokens
 	}
 	if !prompt.IsCached {
 		ranks[home].cost -= prefillCostFactor * homeCachedShare * prompt.Tokens
 	}
+	expectTimes(ranks, candidates, prompt.RandomTie)
 	if prompt.CostGranularity > 0 {
 		roundCosts(ranks, candidates, prompt)
 	}
--- a/core/balance/bench_test.go
+++ b/core/balance/bench_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 
 	"agateswitch/core/balance"
@@ -10,7 +11,7 @@
 	"agateswitch/core/rendezvous"
 )
 
-// BenchmarkSearch measures the ranking of 160 engines for a prompt, alone and with the search for one with room when half of them
+// BenchmarkSearch measures the ranking of 160 engines for a prompt, alone, by speed, and with the search for one with room when half of them
 // may be full.
 func BenchmarkSearch(b *testing.B) {
 	random := rand.New(rand.NewPCG(1, 2))
@@ -29,6 +30,16 @@
 			balance.ByPrompt(prompt, candidates, 7)
 		}
 	})
+	b.Run("ranking by speed", func(b *testing.B) {
+		b.ReportAllocs()
+		stated := slices.Clone(candidates)
+		for i := range stated {
+			stated[i].WorkTime = 1 + float64(random.IntN(4)/3)*random.Float64()
+		}
+		for b.Loop() {
+			balance.ByPrompt(prompt, stated, 7)
+		}
+	})
 	b.Run("search", func(b *testing.B) { searchAll(b, prompt, candidates, random) })
 }
 
--- a/enginemodel/engine.go
+++ b/enginemodel/engine.go
@@ -7,6 +7,7 @@
 
 // engine is the state of one engine.
 type engine struct {
+	index    int
 	figures  Engine
 	running  []*request
 	waiting  []*request
@@ -90,12 +91,15 @@
 func (e *engine) nextStep() (took time.Duration, reads *request, tokens int) {
 	took = e.figures.StepTime + time.Duration(len(e.running))*e.figures.StepTimePerRequest
 	for _, r := range e.running {
-		if r.prefillLeft > 0 {
-			tokens = min(r.prefillLeft, e.figures.ChunkTokens)
-			return took + time.Duration(float64(tokens)/e.figures.PrefillTokensPerMs*float64(time.Millisecond)), r, tokens
+		if r.prefillLeft > 0 && (reads == nil || e.figures.ReadsShortFirst && r.prefillLeft < reads.prefillLeft) {
+			reads = r
 		}
 	}
-	return took, nil, 0
+	if reads == nil {
+		return took, nil, 0
+	}
+	tokens = min(reads.prefillLeft, e.figures.ChunkTokens)
+	return took + time.Duration(float64(tokens)/e.figures.PrefillTokensPerMs*float64(time.Millisecond)), reads, tokens
 }
 
 // endStep makes a token for each running request whose prompt is read. It calls event for a request with
--- a/enginemodel/model.go
+++ b/enginemodel/model.go
@@ -6,7 +6,7 @@
 //
 //	routers           a request takes no time to pass one; all know loads and caches equally late
 //	links             no delay, no bandwidth; nothing is lost on the way
-//	engines           one speed for all; no preemption, no copies of caches, no admission by rank
+//	engines           no preemption, no copies of caches, no admission by rank; one speed for all but for Noise
 //	                  a running request takes no memory, so that only cached parts are evicted
 //	callers           they do not come back after a refusal, and wait for the first event until their deadline
 //	retries           a request that an engine turns away is sent to one more
@@ -14,6 +14,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"time"
 )
 
@@ -32,6 +33,8 @@
 	CacheTokens int
 	// EventTokens is the number of tokens in an event of a stream.
 	EventTokens int
+	// ReadsShortFirst is true if it reads the prompt with the fewest tokens left first, and false if the one that came first.
+	ReadsShortFirst bool
 }
 
 // Part describes the parts that prompts of a kind share.
@@ -79,6 +82,26 @@
 	Share   float64
 }
 
+// Noise slows engines down: at each moment, Share of them take Factor times as long. Each engine draws anew every Every.
+type Noise struct {
+	Share, Factor float64
+	Every         time.Duration
+}
+
+// Knowledge is what routers know of the engines' speed.
+type Knowledge int
+
+const (
+	// KnowNothing of it.
+	KnowNothing Knowledge = iota
+	// KnowOwn is what engines have stated in the first events of the router's own requests.
+	KnowOwn
+	// KnowShared is what they have stated to any router, LoadAge ago.
+	KnowShared
+	// KnowAll is the speed of each engine at this moment.
+	KnowAll
+)
+
 // Load is an installation and its traffic.
 type Load struct {
 	Name             string
@@ -92,6 +115,18 @@
 	Hot     HotPrompt
 	Crash   Crash
 	Release Release
+	Noise   Noise
+	Speeds  Knowledge
+}
+
+// Scaled returns the load with another rate, relative to this one, and another number of routers.
+func (l Load) Scaled(rate float64, routers int) Load {
+	l.Routers = routers
+	l.Kinds = slices.Clone(l.Kinds)
+	for i := range l.Kinds {
+		l.Kinds[i].Rate *= rate
+	}
+	return l
 }
 
 // part is one part of a prompt.
--- a/enginemodel/simulation.go
+++ b/enginemodel/simulation.go
@@ -60,6 +60,8 @@
 	// knownParts holds since when engines have parts.
 	knownParts map[string]map[int]time.Duration
 	result     collector
+	// speeds is what the routers know of the engines' speed.
+	speeds speeds
 }
 
 // sentRequest is a request that a router has sent.
@@ -73,10 +75,11 @@
 	s := &simulation{
 		load: load, policy: policy, random: rand.New(rand.NewPCG(seed, 1)), recent: make([][]sentRequest, load.Routers),
 		knownParts: map[string]map[int]time.Duration{}, result: newCollector(load),
+		speeds: newSpeeds(load, seed),
 	}
 	for i := range load.Engines {
 		id := fleet.UpstreamID(fmt.Sprintf("engine-%d", i))
-		s.engines = append(s.engines, &engine{figures: load.Engine, cache: newCache(load.Engine.CacheTokens)})
+		s.engines = append(s.engines, &engine{index: i, figures: load.Engine, cache: newCache(load.Engine.CacheTokens)})
 		s.identity = append(s.identity, balance.Candidate{ID: id, Hash: rendezvous.Hash(string(id)), Slots: load.Engine.Slots})
 	}
 	s.takeSnapshots()
@@ -195,12 +198,16 @@
 		candidate.Running = float64(known[i].requests + sent[i].requests)
 		candidate.PendingPrefill = float64(known[i].pending + sent[i].pending)
 		candidate.Uncached = float64(shared + own - s.knownTokens(r, i))
+		candidate.WorkTime = s.workTime(r.router, i)
 		choice.Candidates, indexes = append(choice.Candidates, candidate), append(indexes, i)
 	}
 	key := r.parts[len(r.parts)-1].id
 	choice.Prompt = balance.Prompt{
 		Key: key, IsCached: s.isKnown(key), Tokens: float64(shared + own),
-		CostGranularity: balance.StaleLoadCostGranularity, RandomTie: s.random.Uint64(),
+		RandomTie: s.random.Uint64(),
+	}
+	if s.load.LoadAge > 0 {
+		choice.Prompt.CostGranularity = balance.StaleLoadCostGranularity
 	}
 	return choice, indexes
 }
@@ -249,12 +256,16 @@
 	e.stepping = true
 	epoch := e.epoch
 	took, reads, tokens := e.nextStep()
+	took = time.Duration(float64(took) * s.slowness(e.index))
 	s.after(took, func() {
 		if e.epoch != epoch {
 			return
 		}
 		e.stepping = false
-		e.endStep(reads, tokens, func(r *request) { s.result.firstEvent(r, s.now-r.arrivedAt) })
+		e.endStep(reads, tokens, func(r *request) {
+			s.result.firstEvent(r, s.now-r.arrivedAt)
+			s.stateSpeed(r.router, e.index)
+		})
 		s.step(e)
 	})
 }
@@ -294,7 +305,7 @@
 func (s *simulation) replace(i int) {
 	s.engines[i].leaving = true
 	id := fleet.UpstreamID(fmt.Sprintf("engine-%d", len(s.engines)))
-	s.engines = append(s.engines, &engine{figures: s.load.Engine, cache: newCache(s.load.Engine.CacheTokens)})
+	s.engines = append(s.engines, &engine{index: len(s.engines), figures: s.load.Engine, cache: newCache(s.load.Engine.CacheTokens)})
 	s.identity = append(s.identity, balance.Candidate{ID: id, Hash: rendezvous.Hash(string(id)), Slots: s.load.Engine.Slots})
 	// The loads that routers know have a place for the new engine.
 	for n := range s.snapshots {
--- a/node/edge/edge.go
+++ b/node/edge/edge.go
@@ -125,6 +125,7 @@
 		Instruments: instruments, Log: logger,
 	}, retryLimits(s), loadBound(s))
 	r.gateway.SetSmallPool(gateway.SmallPool(s.SmallPool))
+	r.gateway.SetPlacement(gateway.Placement(s.Placement))
 	r.replica.Subscribe(r.presence.Observe)
 	r.replica.Subscribe(r.moves.Observe)
 	r.replica.Subscribe(r.held.Observe)
@@ -194,6 +195,7 @@
 	r.gateway.SetRetryLimits(retryLimits(s))
 	r.gateway.SetLoadBound(loadBound(s))
 	r.gateway.SetSmallPool(gateway.SmallPool(s.SmallPool))
+	r.gateway.SetPlacement(gateway.Placement(s.Placement))
 	r.moves.SetExposure(exposure(s))
 	r.held.SetSchedule(trials(s))
 }
--- a/node/gateway/choose.go
+++ b/node/gateway/choose.go
@@ -29,6 +29,8 @@
 	fullBefore int
 	// stated is the load that the upstream stated in its answer.
 	stated port.EngineLoad
+	// workTime is how long work was expected to take at the upstream, relative to the usual time; 0 if it does not state it.
+	workTime float64
 	// uncached is the number of prompt tokens that the upstream has to read.
 	uncached int
 	// fetchFrom is the address of an engine that has more of the prompt cached; empty means none.
@@ -124,6 +126,7 @@
 	}
 	// In a large fleet loads are older than most requests of a plain service take.
 	smooth := len(prompt) == 0 && !g.Workload.IsDirect()
+	isBySpeed := g.placement.Load().BySpeed
 	for _, e := range current.engines[pool.ID] {
 		status := e.status(now)
 		if s.tried[e] || status.paused || status.upstream.State != fleet.Live || current.dataCentresOut[status.upstream.DataCentre] ||
@@ -137,6 +140,9 @@
 			PendingPrefill: float64(load.PendingPrefill), Uncached: float64(total - cached[e.id]), Slots: status.slots,
 			RateLimited: isLimited && incarnation == e.incarnation,
 		}
+		if isBySpeed && len(prompt) > 0 {
+			candidate.WorkTime = g.Workload.WorkTime(e.id, now)
+		}
 		if smooth {
 			candidate.Running = e.smoothLoad(now, candidate.Running)
 		}
--- a/node/gateway/choose_admit.go
+++ b/node/gateway/choose_admit.go
@@ -38,7 +38,7 @@
 		return nil, 0, room.Granted
 	}
 	return &choice{
-		place: place, engine: e, upstream: e.upstream(), uncached: int(candidate.Uncached), draw: draw,
+		place: place, engine: e, upstream: e.upstream(), uncached: int(candidate.Uncached), draw: draw, workTime: candidate.WorkTime,
 		load: workload.Load{Running: int(candidate.Running), PendingPrefill: int(candidate.PendingPrefill)},
 	}, 0, room.Granted
 }
--- a/node/gateway/choose_rank.go
+++ b/node/gateway/choose_rank.go
@@ -74,3 +74,12 @@
 	}
 	return balance.StaleLoadCostGranularity
 }
+
+// Placement states by what prompts are placed beside loads and caches.
+type Placement struct {
+	// BySpeed counts expected times at engines that state how long work takes there at the moment.
+	BySpeed bool
+}
+
+// SetPlacement applies changed settings.
+func (g *Gateway) SetPlacement(p Placement) { g.placement.Store(&p) }
--- a/node/gateway/gateway.go
+++ b/node/gateway/gateway.go
@@ -86,6 +86,7 @@
 	retryLimits atomic.Pointer[RetryLimits]
 	loadBound   atomic.Pointer[balance.Bound]
 	smallPool   atomic.Pointer[SmallPool]
+	placement   atomic.Pointer[Placement]
 	leaving     atomic.Bool
 	// held counts what the requests hold of large answers.
 	held heldBytes
@@ -114,6 +115,7 @@
 	g.SetRetryLimits(limits)
 	g.SetLoadBound(bound)
 	g.SetSmallPool(SmallPool{})
+	g.SetPlacement(Placement{})
 	return g
 }
 
--- a/node/gateway/report.go
+++ b/node/gateway/report.go
@@ -50,7 +50,7 @@
 	c.gateway.Instruments.recordFailedAttempt(c.route.Name)
 	c.gateway.Log.Info("attempt on an upstream failed", "request", c.call.ID, "route", c.route.Name, "upstream", chosen.upstream.ID,
 		"version", chosen.upstream.Version, "reason", chosen.ranking.Reason, "load", chosen.load.Running, "pending_prefill", chosen.load.PendingPrefill,
-		"load_age", chosen.poolLoad.age.Round(time.Millisecond), "group_mean", round2(chosen.ranking.MeanLoad), "pool_mean", round2(chosen.poolLoad.mean), "full", chosen.fullBefore, "place", placeKeeper(chosen), "keeper", chosen.seatKeeper(), "waited", chosen.waited, "expected", chosen.expected, "stated", statedLoad(chosen), "stated_work_time", chosen.stated.WorkTimePercent,
+		"load_age", chosen.poolLoad.age.Round(time.Millisecond), "group_mean", round2(chosen.ranking.MeanLoad), "pool_mean", round2(chosen.poolLoad.mean), "full", chosen.fullBefore, "place", placeKeeper(chosen), "keeper", chosen.seatKeeper(), "waited", chosen.waited, "expected", chosen.expected, "stated", statedLoad(chosen), "stated_work_time", chosen.stated.WorkTimePercent, "work_time", round2(chosen.workTime),
 		"limit", chosen.draw.PerSecond, "drawn_from", chosen.draw.Source, "incarnation", chosen.incarnation(), "via", chosen.via, "from", c.from, "parts", partIDs(c.sharedParts()), "whole", c.whole, "alone", chosen.permit.Alone, "events", chosen.eventCount,
 		"sent", result.sent, "ran", result.ran, "cause", result.cause, "retry", retry, "took", time.Since(c.began))
 }
@@ -76,7 +76,7 @@
 	c.gateway.Log.Info("request answered", "request", c.call.ID, "route", c.route.Name, "team", c.teamName(),
 		"upstream", chosen.upstream.ID, "version", chosen.upstream.Version, "reason", chosen.ranking.Reason,
 		"load", chosen.load.Running, "pending_prefill", chosen.load.PendingPrefill, "bound", round2(chosen.ranking.LoadBound),
-		"load_age", chosen.poolLoad.age.Round(time.Millisecond), "group_mean", round2(chosen.ranking.MeanLoad), "pool_mean", round2(chosen.poolLoad.mean), "full", chosen.fullBefore, "place", placeKeeper(chosen), "keeper", chosen.seatKeeper(), "waited", chosen.waited, "expected", chosen.expected, "stated", statedLoad(chosen), "stated_work_time", chosen.stated.WorkTimePercent,
+		"load_age", chosen.poolLoad.age.Round(time.Millisecond), "group_mean", round2(chosen.ranking.MeanLoad), "pool_mean", round2(chosen.poolLoad.mean), "full", chosen.fullBefore, "place", placeKeeper(chosen), "keeper", chosen.seatKeeper(), "waited", chosen.waited, "expected", chosen.expected, "stated", statedLoad(chosen), "stated_work_time", chosen.stated.WorkTimePercent, "work_time", round2(chosen.workTime),
 		"via", chosen.via, "from", c.from, "uncached", chosen.uncached, "fetch_from", chosen.fetchFrom, "limit", chosen.draw.PerSecond, "drawn_from", chosen.draw.Source, "state", c.stateVersion(),
 		"status", status, "first", firstByteTime, "events", events, "took", time.Since(c.began))
 }
--- a/node/gateway/signals.go
+++ b/node/gateway/signals.go
@@ -4,6 +4,7 @@
 	"math/rand/v2"
 	"time"
 
+	"agateswitch/core/balance"
 	"agateswitch/core/fleet"
 	"agateswitch/core/pace"
 	"agateswitch/core/ratelimit"
@@ -18,6 +19,9 @@
 	}
 	e := chosen.engine
 	chosen.stated = answer.Load
+	if answer.Load.WorkTimePercent > 0 && c.gateway.placement.Load().BySpeed {
+		c.gateway.Workload.StateWorkTime(e.id, answer.Load.WorkTimePercent)
+	}
 	if answer.Leaving && e.upstream().State != fleet.Leaving {
 		e.markLeaving()
 		c.gateway.Workload.MarkLeaving(e.id, e.incarnation)
@@ -35,6 +39,15 @@
 	c.applyBrittleness(chosen, answer)
 }
 
+// judgeWorkTime compares the work time that the upstream has stated with the time until its first event.
+func (g *Gateway) judgeWorkTime(chosen *choice) {
+	if chosen.stated.WorkTimePercent <= 0 || chosen.engine == nil || chosen.fetchFrom != "" {
+		return
+	}
+	tokens := balance.ExpectedTokens(float64(chosen.load.Running), float64(chosen.load.PendingPrefill), float64(chosen.uncached), 0)
+	g.Workload.JudgeWorkTime(chosen.engine.id, chosen.stated.WorkTimePercent, tokens, chosen.firstByteTime)
+}
+
 // applyRateLimit applies what an answer says of the upstream's rate limit.
 func (c *callerRequest) applyRateLimit(chosen *choice, answer port.EngineAnswer) {
 	e, isNew := chosen.engine, false
--- a/node/gateway/stream.go
+++ b/node/gateway/stream.go
@@ -168,6 +168,7 @@
 		c.recordBegin()
 		if chosen.eventCount == 0 {
 			chosen.firstByteTime = time.Since(chosen.sentAt)
+			c.gateway.judgeWorkTime(chosen)
 		}
 		chosen.eventCount++
 		if chosen.eventCount == provenEvents {
--- a/node/workload/publish.go
+++ b/node/workload/publish.go
@@ -18,7 +18,7 @@
 	now := time.Now()
 	return message{
 		Load: maps.Clone(w.own), Full: true, CachedParts: w.takePendingParts(), Leaving: w.leaving.Told(now),
-		RateLimits: w.limits.TakeNews(now), Brittle: w.brittle.TakeNews(now),
+		RateLimits: w.limits.TakeNews(now), Brittle: w.brittle.TakeNews(now), WorkTimes: w.workTimes.TakeNews(now),
 	}
 }
 
@@ -30,7 +30,7 @@
 	now := time.Now()
 	m := message{
 		Load: map[fleet.UpstreamID]Load{}, Full: full, CachedParts: w.takePendingParts(), Leaving: w.leaving.Told(now),
-		RateLimits: w.limits.TakeNews(now), Brittle: w.brittle.TakeNews(now),
+		RateLimits: w.limits.TakeNews(now), Brittle: w.brittle.TakeNews(now), WorkTimes: w.workTimes.TakeNews(now),
 	}
 	if full {
 		// A message with the news may have been lost.
@@ -82,6 +82,7 @@
 	defer w.mu.Unlock()
 	w.learnRateLimits(m.RateLimits, false)
 	w.learnBrittle(m.Brittle, false)
+	w.learnWorkTimes(m.WorkTimes, false)
 	if w.isRelay {
 		w.applyMessage(from, m, false)
 	} else {
--- a/node/workload/relay.go
+++ b/node/workload/relay.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"agateswitch/core/balance"
 	"agateswitch/core/departure"
 	"agateswitch/core/fleet"
 	"agateswitch/core/ratelimit"
@@ -86,6 +87,8 @@
 	RateLimits []ratelimit.Mark `msgpack:"r,omitempty"`
 	// Brittle lists the upstreams that have become brittle lately, or sound again.
 	Brittle []ratelimit.Mark `msgpack:"b,omitempty"`
+	// WorkTimes lists how long work takes at upstreams that state it, where it is not the usual time.
+	WorkTimes []balance.WorkTimeMark `msgpack:"v,omitempty"`
 }
 
 // exchangeWithRelay sends this router's load and cached parts to a relay, and gets the load of all
@@ -179,6 +182,7 @@
 	w.warm.Merge(response.CachedParts, time.Now())
 	w.learnRateLimits(response.RateLimits, false)
 	w.learnBrittle(response.Brittle, false)
+	w.learnWorkTimes(response.WorkTimes, false)
 	return true
 }
 
@@ -221,6 +225,7 @@
 	w.mu.Lock()
 	w.learnRateLimits(request.Message.RateLimits, true)
 	w.learnBrittle(request.Message.Brittle, true)
+	w.learnWorkTimes(request.Message.WorkTimes, true)
 	w.setRelay(true, time.Now())
 	w.applyMessage(from, request.Message, true)
 	w.enqueueParts(request.Message.CachedParts...)
@@ -239,6 +244,7 @@
 	response.CachedParts, response.Cursor = w.recentParts.since(request.Cursor)
 	response.Leaving = w.leaving.Told(time.Now())
 	response.RateLimits, response.Brittle = w.limits.Recent(time.Now()), w.brittle.Recent(time.Now())
+	response.WorkTimes = w.workTimes.Recent(time.Now())
 	w.mu.Unlock()
 	w.notifyChange()
 	return response, nil
--- a/node/workload/workload.go
+++ b/node/workload/workload.go
@@ -15,6 +15,7 @@
 	"sync"
 	"time"
 
+	"agateswitch/core/balance"
 	"agateswitch/core/departure"
 	"agateswitch/core/dissemination"
 	"agateswitch/core/fleet"
@@ -78,6 +79,8 @@
 	RateLimits []ratelimit.Mark `msgpack:"r,omitempty"`
 	// Brittle lists the upstreams that have become brittle, or sound again.
 	Brittle []ratelimit.Mark `msgpack:"b,omitempty"`
+	// WorkTimes lists how long work takes at upstreams that state it. Earlier versions neither send nor read it.
+	WorkTimes []balance.WorkTimeMark `msgpack:"v,omitempty"`
 }
 
 // Peers provides the other routers.
@@ -126,6 +129,8 @@
 	limits ratelimit.Marks
 	// brittle holds how many requests per second brittle upstreams turn away without falling over.
 	brittle ratelimit.Marks
+	// workTimes holds how long work takes at upstreams that state it.
+	workTimes balance.WorkTimes
 	// updatedAt is when the load of others last arrived; zero if it never did.
 	updatedAt time.Time
 	// changed and pendingParts hold what the next message is to contain.
--- a/settings/gateway.go
+++ b/settings/gateway.go
@@ -48,6 +48,8 @@
 	Quarantine Quarantine `json:"quarantine"`
 	// SmallPool states which pools have one queue for all routers.
 	SmallPool SmallPool `json:"small_pool"`
+	// Placement states by what prompts are placed beside loads and caches.
+	Placement Placement `json:"placement"`
 	Log       Log       `json:"log"`
 }
 
@@ -124,6 +126,15 @@
 	MaxSlots int `json:"max_slots"`
 }
 
+// Placement states by what prompts are placed beside loads and caches.
+type Placement struct {
+	// BySpeed counts expected times instead of tokens at engines that state how long work takes there at the moment. Default: false.
+	BySpeed bool `json:"by_speed"`
+}
+
+// DefaultPlacement is by loads and caches alone.
+var DefaultPlacement = Placement{}
+
 // DefaultSmallPool is for pools in which a router has no more than two requests in work at a time, and a keeper at most 4,300 messages
 // a second at 30 ms a request.
 var DefaultSmallPool = SmallPool{SlotsPerRouter: 2, MaxSlots: 64}
@@ -161,6 +172,7 @@
 		ChangeDeadline: Duration(dissemination.MinDeadline), Exposure: DefaultExposure, LoadBound: DefaultLoadBound,
 		Quarantine: Quarantine{TrialsPerHour: quarantine.DefaultTrials},
 		SmallPool:  DefaultSmallPool,
+		Placement:  DefaultPlacement,
 	}
 	loadBoundFactorErr := numberFromEnvironment(LoadBoundFactorVariable, &parsed.LoadBound.Factor)
 	d := decode(name, content, &parsed)
