Pack long prompts where one is read already, as a setting

Cause: long reads fled from engines whose pending tokens were known, which had mostly been read by then, to engines where short prompts had nothing to wait for. Off by default.

--- a/core/balance/balance.go
+++ b/core/balance/balance.go
@@ -116,6 +116,8 @@
 	// RandomTie is a random number that breaks ties in place of Key when rounded costs are compared
 	// and an engine that has the prompt cached is overloaded.
 	RandomTie uint64
+	// PacksLongReads makes long reads prefer engines that read another one already, if loads are stale.
+	PacksLongReads bool
 }
 
 // ByPrompt ranks candidates by the estimated time until they answer the prompt. Faulty upstreams rank
@@ -136,7 +138,7 @@
 		}
 		ranks[i] = rank{
 			faulty: faults[i], overloaded: c.Running > ranking.LoadBound, excess: excess(c, ranking.Limit), tie: rendezvous.Mix(hash, c.Hash),
-			cost: ExpectedTokens(c.Running, c.PendingPrefill, c.Uncached, c.Fetchable),
+			cost: ExpectedTokens(c.Running, pendingBefore(c, prompt), c.Uncached, c.Fetchable),
 		}
 		anyWarm = anyWarm || c.Uncached < prompt.Tokens
 	}
--- a/core/balance/bench_test.go
+++ b/core/balance/bench_test.go
@@ -11,7 +11,7 @@
 	"agateswitch/core/rendezvous"
 )
 
-// BenchmarkSearch measures the ranking of 160 engines for a prompt, alone, by speed, and with the search for one with room when half of them
+// BenchmarkSearch measures the ranking of 160 engines for a prompt, alone, by speed with long prompts packed, and with the search for one with room when half of them
 // may be full.
 func BenchmarkSearch(b *testing.B) {
 	random := rand.New(rand.NewPCG(1, 2))
@@ -32,12 +32,13 @@
 	})
 	b.Run("ranking by speed", func(b *testing.B) {
 		b.ReportAllocs()
-		stated := slices.Clone(candidates)
+		stated, packed := slices.Clone(candidates), prompt
+		packed.PacksLongReads = true
 		for i := range stated {
 			stated[i].WorkTime = 1 + float64(random.IntN(4)/3)*random.Float64()
 		}
 		for b.Loop() {
-			balance.ByPrompt(prompt, stated, 7)
+			balance.ByPrompt(packed, stated, 7)
 		}
 	})
 	b.Run("search", func(b *testing.B) { searchAll(b, prompt, candidates, random) })
--- a/enginemodel/policy.go
+++ b/enginemodel/policy.go
@@ -22,6 +22,11 @@
 var Policies = map[string]Policy{
 	// prompt is what the gateway does with prompts.
 	"prompt": func(c Choice) []int { return balance.ByPrompt(c.Prompt, c.Candidates, math.Inf(1)).Order },
+	// packed is what it does with pack_long_prompts.
+	"packed": func(c Choice) []int {
+		c.Prompt.PacksLongReads = true
+		return balance.ByPrompt(c.Prompt, c.Candidates, math.Inf(1)).Order
+	},
 	"least-loaded": func(c Choice) []int {
 		ties := make([]uint64, len(c.Candidates))
 		for i := range ties {
--- a/node/gateway/choose_rank.go
+++ b/node/gateway/choose_rank.go
@@ -55,7 +55,7 @@
 		key := prompt[max(0, len(prompt)-2)].ID
 		return balance.ByPrompt(balance.Prompt{
 			Key: key, IsCached: g.Workload.IsCached(key), Tokens: float64(promptTokens(prompt)),
-			CostGranularity: g.costGranularity(), RandomTie: rand.Uint64(),
+			CostGranularity: g.costGranularity(), RandomTie: rand.Uint64(), PacksLongReads: g.placement.Load().PackLongPrompts,
 		}, group.properties, s.poolLimit)
 	case g.Workload.IsDirect():
 		ties := make([]uint64, len(group.properties))
@@ -79,6 +79,8 @@
 type Placement struct {
 	// BySpeed counts expected times at engines that state how long work takes there at the moment.
 	BySpeed bool
+	// PackLongPrompts lets engines that read one long prompt read a second one.
+	PackLongPrompts bool
 }
 
 // SetPlacement applies changed settings.
--- a/settings/gateway.go
+++ b/settings/gateway.go
@@ -130,6 +130,8 @@
 type Placement struct {
 	// BySpeed counts expected times instead of tokens at engines that state how long work takes there at the moment. Default: false.
 	BySpeed bool `json:"by_speed"`
+	// PackLongPrompts lets engines that read one long prompt read a second one, and keeps the others free for short prompts. Default: false.
+	PackLongPrompts bool `json:"pack_long_prompts"`
 }
 
 // DefaultPlacement is by loads and caches alone.
