--- a/core/balance/expect.go
+++ b/core/balance/expect.go
@@ -45,19 +45,27 @@
 
 // medianWorkTime returns the median of the candidates' work times, or 0 if none states one.
 func medianWorkTime(candidates []Candidate) float64 {
-	isStated := false
-	var buffer [256]float64
-	workTimes := buffer[:0]
+	stated, usual := 0, 0
 	for _, c := range candidates {
 		if c.WorkTime > 0 {
-			isStated = true
-			workTimes = append(workTimes, c.WorkTime)
-		} else {
-			workTimes = append(workTimes, 1)
+			stated++
+		}
+		if c.WorkTime == 0 || c.WorkTime == 1 {
+			usual++
 		}
 	}
-	if !isStated {
+	switch {
+	case stated == 0:
 		return 0
+	case 2*usual > len(candidates):
+		return 1
+	}
+	workTimes := make([]float64, len(candidates))
+	for i, c := range candidates {
+		workTimes[i] = c.WorkTime
+		if c.WorkTime == 0 {
+			workTimes[i] = 1
+		}
 	}
 	slices.Sort(workTimes)
 	return workTimes[len(workTimes)/2]
