--- a/cmd/agateswitch/crowd_process_test.go
+++ b/cmd/agateswitch/crowd_process_test.go
@@ -33,6 +33,8 @@
 	// count is the number of connections, and send writes what one of them sends. The connection stays open.
 	count int
 	send  func(number int, connection net.Conn)
+	// answerBytes is the size of the plain upstream's answers to the crowd, events that of the other one's streams; 0 for the usual one.
+	answerBytes, events int
 }
 
 // head returns a request's header up to its last line.
@@ -65,6 +67,22 @@
 	}
 }
 
+func unread(path string) func(int, net.Conn) {
+	return func(number int, connection net.Conn) { write(connection, head(number, "GET", path, "")) }
+}
+
+// ahead sends many requests at once and reads no answer.
+func ahead(path string) func(int, net.Conn) {
+	return func(number int, connection net.Conn) {
+		connection.SetWriteDeadline(time.Now().Add(2 * time.Second))
+		write(connection, strings.Repeat(head(number, "GET", path, ""), crowdPipelined))
+	}
+}
+
+func raw(text string) func(int, net.Conn) {
+	return func(_ int, connection net.Conn) { write(connection, text) }
+}
+
 // manyFields returns fields of a header of about 15 KB.
 func manyFields() string {
 	var fields strings.Builder
@@ -91,10 +109,31 @@
 	}},
 	"connections that say nothing":             {port: "7001", count: 2 * crowdConnections, send: func(int, net.Conn) {}},
 	"silent connections to the readiness path": {port: "7002", count: 2 * crowdConnections, send: func(int, net.Conn) {}},
-	"requests ahead without reading": {port: "7001", count: 20, send: func(number int, connection net.Conn) {
-		connection.SetWriteDeadline(time.Now().Add(2 * time.Second))
-		write(connection, strings.Repeat(head(number, "GET", "/nowhere/1", ""), crowdPipelined))
+	"requests ahead without reading":           {port: "7001", count: 20, send: ahead("/nowhere/1")},
+	"requests ahead with a route":              {port: "7001", count: 20, send: ahead("/book/1")},
+	"requests ahead at the readiness path":     {port: "7002", count: 20, send: ahead("/v1/ready")},
+	"requests ahead at the directory":          {port: "7003", count: 20, send: ahead("/v1/resolve?name=" + gatewayHost)},
+	"requests ahead at the metrics":            {port: "7005", count: 20, send: ahead("/metrics")},
+	"silent connections to the directory":      {port: "7003", count: 2 * crowdConnections, send: func(int, net.Conn) {}},
+	"silent connections to the metrics":        {port: "7005", count: 2 * crowdConnections, send: func(int, net.Conn) {}},
+	"large answers that nobody reads":          {port: "7001", count: crowdConnections, send: unread("/book/1"), answerBytes: crowdBodyBytes},
+	"streams that nobody reads":                {port: "7001", count: crowdConnections, send: unread("/plan/1"), events: 1 << 20},
+	"tiny bodies that stop short of their end": {port: "7001", count: 2 * crowdConnections, send: shortBody("/book/1", 2)},
+	"bodies in chunks of one byte":             {port: "7001", count: 2 * crowdConnections, send: chunkedBody("/book/1", 200, 1)},
+	"bodies that are announced and never sent": {port: "7001", count: 2 * crowdConnections, send: func(number int, connection net.Conn) {
+		write(connection, head(number, "POST", "/book/1", "Content-Length: 1000\r\nExpect: 100-continue\r\n"))
 	}},
+	"trailers without an end": {port: "7001", count: 2 * crowdConnections, send: func(number int, connection net.Conn) {
+		write(connection, head(number, "POST", "/book/1", "Transfer-Encoding: chunked\r\n"), "1\r\nx\r\n0\r\n", manyFields())
+	}},
+	"half-closed connections": {port: "7001", count: 2 * crowdConnections, send: func(number int, connection net.Conn) {
+		write(connection, head(number, "POST", "/book/1", "Content-Length: 10\r\n"), "x")
+		connection.(*net.TCPConn).CloseWrite()
+	}},
+	"silent connections to the routers' socket":        {port: "7004", count: 2 * crowdConnections, send: func(int, net.Conn) {}},
+	"huge frames at the routers' socket":               {port: "7004", count: 2 * crowdConnections, send: raw("\xff\xff\xff\xff")},
+	"frames that stop half-way at the routers' socket": {port: "7004", count: 2 * crowdConnections, send: raw("\x00\x00\x03\xff" + strings.Repeat("x", 1000))},
+	"requests without a key at the routers' socket":    {port: "7004", count: crowdConnections, send: shortBody("/book/1", 10_000)},
 }
 
 // status returns a field of the process's state in /proc, in bytes.
@@ -129,6 +168,10 @@
 			f := newGatewayFleet(t)
 			f.capacity = fmt.Sprintf(`"capacity": {"memory_mb": %d, "descriptors": %d},`, crowdMemoryMB, crowdDescriptors)
 			f.bodyBytes = crowdBodyBytes
+			f.plain.SetPadding(c.answerBytes)
+			if c.events > 0 {
+				f.stream.Events, f.stream.Interval = c.events, 0
+			}
 			f.configure(2, gatewayKey)
 			p := f.start(ctx, t, 1)
 			var open []net.Conn
@@ -147,6 +190,7 @@
 				c.send(number, connection)
 				most = max(most, p.descriptors(t))
 			}
+			f.plain.SetPadding(0)
 			status, _, err := p.send(ctx, "/book/ordinary")
 			must.NoError(t, err)
 			must.Eq(t, 200, status)
