Let silent connections keep no router out

Cause: 64 connections to the routers' socket that said nothing took all places for handshakes for 2 s each; while new ones came, every other router was refused, each with a line in the log. Change: above 64 the oldest handshake of the address that has the most ends; failed ones are logged at most once a second, with their number.

--- a/adapter/peer/serve.go
+++ b/adapter/peer/serve.go
@@ -17,8 +17,10 @@
 const (
 	// maxCallsPerConnection is the maximum number of concurrent calls of one peer connection.
 	maxCallsPerConnection = 256
-	// maxPendingHandshakes is the maximum number of concurrent handshakes.
+	// maxPendingHandshakes is the maximum number of concurrent handshakes. Above it, the oldest one of the address that has the most ends.
 	maxPendingHandshakes = 64
+	// refusalLogInterval limits the log lines about connections without a good handshake.
+	refusalLogInterval = time.Second
 	// idleTimeout is the time without received data after which a peer's connection is closed.
 	idleTimeout = 5 * time.Minute
 )
@@ -38,7 +40,7 @@
 	stop := context.AfterFunc(ctx, func() { listener.Close() })
 	defer stop()
 	defer m.closeLinks()
-	pendingHandshakes := make(chan struct{}, maxPendingHandshakes)
+	handshakes := handshakes{log: m.log}
 	failures := acceptFailures{log: m.log}
 	for {
 		connection, err := listener.Accept()
@@ -53,13 +55,8 @@
 			continue
 		}
 		failures.next = 0
-		select {
-		case pendingHandshakes <- struct{}{}:
-			go m.serveConnection(ctx, connection, func() { <-pendingHandshakes })
-		default:
-			m.log.Warn("peer refused: too many handshakes in progress", "address", connection.RemoteAddr())
-			connection.Close()
-		}
+		handshakes.add(connection)
+		go m.serveConnection(ctx, connection, &handshakes)
 	}
 }
 
@@ -98,17 +95,15 @@
 	writeSemaphore chan struct{}
 }
 
-// serveConnection handles the calls of one peer. It calls handshakeDone when the handshake has
-// succeeded or failed.
-func (m *Mesh) serveConnection(ctx context.Context, accepted net.Conn, handshakeDone func()) {
+// serveConnection handles the calls of one peer, whose handshake is in progress.
+func (m *Mesh) serveConnection(ctx context.Context, accepted net.Conn, handshakes *handshakes) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	context.AfterFunc(ctx, func() { accepted.Close() })
 	counted := countedConn{Conn: accepted, mesh: m}
 	greeting, err := serverHandshake(counted, m.key, m.self)
-	handshakeDone()
+	handshakes.end(accepted, err)
 	if err != nil {
-		m.log.Warn("peer refused: handshake failed", "address", accepted.RemoteAddr(), "err", err)
 		return
 	}
 	from := greeting.From
