Judge clients by progress and keep room for others

Cause, found by reading and by the crowds of: - A holder that was told to give way and whose request was complete by then was told again and again: its request in work was cut off, and nobody else gave way as long as it lasted. - A client with a byte now and then counted as active, and outlasted ordinary ones that held more. - The gate closed only connections outside of a request: clients that stopped within a small body kept all connections. - The header estimates of all requests on a kept connection to the directory, readiness and metrics counted together until it was closed; the rest of a body that a handler had not read counted as a header. - With the kernel's buffer of megabytes a writer is told of a slow reader only after a third of it is free. - Two callers that read large answers slowly kept the memory for large answers from all others. - The body of another router's request had no time limit; a header without optional spaces counted as larger than it was sent. Ruled out: closing idle connections before all others whatever their age, which would close the newest ones for a crowd within its bodies.

--- a/node/edge/clients.go
+++ b/node/edge/clients.go
@@ -9,6 +9,7 @@
 
 	"github.com/charmbracelet/log"
 	"github.com/juju/errors"
+	"go.opentelemetry.io/otel/attribute"
 	"go.opentelemetry.io/otel/metric"
 )
 
@@ -16,12 +17,16 @@
 const (
 	// intakeShare is the part of the memory that headers and bodies of callers may take.
 	intakeShare = 0.25
+	// routerReserve is the part of that which is kept for requests of other routers.
+	routerReserve = 0.125
+	// answerShare is the part of the memory that large answers may take.
+	answerShare = 0.175
 	// connectionShare is the part of the memory, and connectionBytes what a connection takes of it with its buffers and its goroutine.
 	connectionShare = 0.2
 	connectionBytes = 24 << 10
-	// descriptorShare is the part of the descriptors that callers' connections may take; the others are for upstreams, other routers and
-	// the store.
-	descriptorShare = 0.5
+	// descriptorShare is the part of the descriptors that callers' connections may take. Each may need another one to an upstream, and
+	// the rest is for other routers, the store and the small servers.
+	descriptorShare = 0.4
 	// smallConnections is the number of connections of all other servers: the directory, the readiness check, and metrics.
 	smallConnections = 256
 	smallIntakeBytes = 8 << 20
@@ -29,8 +34,8 @@
 
 // clients bounds what clients of all sockets may take.
 type clients struct {
-	account        *intake.Account
-	callers, small *intake.Gate
+	account, answers, smallAccount *intake.Account
+	callers, small                 *intake.Gate
 }
 
 func newClients(capacity settings.Capacity, logger *log.Logger) clients {
@@ -47,9 +52,14 @@
 		}
 		small = min(smallConnections, max(1, most/8))
 	}
-	c := clients{account: intake.NewAccount(limit)}
+	reserve := int64(float64(limit) * routerReserve)
+	c := clients{account: intake.NewAccountWithReserve(limit-reserve, reserve), smallAccount: intake.NewAccount(smallIntakeBytes)}
+	c.answers = gateway.NewAnswerAccount(int64(memory * answerShare))
+	c.answers.LogTo(logger)
+	c.account.LogTo(logger)
+	c.smallAccount.LogTo(logger)
 	c.callers = intake.NewGate(connections, c.account, logger)
-	c.small = intake.NewGate(small, intake.NewAccount(smallIntakeBytes), logger)
+	c.small = intake.NewGate(small, c.smallAccount, logger)
 	return c
 }
 
@@ -84,15 +94,26 @@
 	if err != nil {
 		return errors.Trace(err)
 	}
+	unread, err := meter.Int64ObservableCounter("agateswitch_caller_connections_unread", metric.WithDescription("Connections of callers closed because their answers were not read"))
+	if err != nil {
+		return errors.Trace(err)
+	}
 	_, err = meter.RegisterCallback(func(_ context.Context, observer metric.Observer) error {
-		bytes, refusals, evictions := c.account.Counts()
-		connections, closings := c.callers.Counts()
-		observer.ObserveInt64(held, bytes)
-		observer.ObserveInt64(refused, refusals)
-		observer.ObserveInt64(evicted, evictions)
-		observer.ObserveInt64(open, connections)
-		observer.ObserveInt64(closed, closings)
+		for sockets, of := range map[string]struct {
+			account *intake.Account
+			gate    *intake.Gate
+		}{"callers": {c.account, c.callers}, "others": {c.smallAccount, c.small}} {
+			attributes := metric.WithAttributes(attribute.String("sockets", sockets))
+			bytes, refusals, evictions := of.account.Counts()
+			connections, closings := of.gate.Counts()
+			observer.ObserveInt64(held, bytes, attributes)
+			observer.ObserveInt64(refused, refusals, attributes)
+			observer.ObserveInt64(evicted, evictions, attributes)
+			observer.ObserveInt64(open, connections, attributes)
+			observer.ObserveInt64(closed, closings, attributes)
+			observer.ObserveInt64(unread, of.gate.Unread(), attributes)
+		}
 		return nil
-	}, held, refused, evicted, open, closed)
+	}, held, refused, evicted, open, closed, unread)
 	return errors.Trace(err)
 }
--- a/node/edge/edge.go
+++ b/node/edge/edge.go
@@ -116,8 +116,8 @@
 		return nil, err
 	}
 	r.gateway = gateway.New(gateway.Dependencies{
-		Intake: callers.account,
-		Edge:   external, Freshness: r.replica, Fleet: r.presence, Workload: r.workload, Moves: r.moves, Quarantine: r.held, Detours: detours, QuarantineKey: []byte(s.PeerKey),
+		Intake: callers.account, Answers: callers.answers,
+		Edge: external, Freshness: r.replica, Fleet: r.presence, Workload: r.workload, Moves: r.moves, Quarantine: r.held, Detours: detours, QuarantineKey: []byte(s.PeerKey),
 		RateLimits:  limits,
 		Room:        room.New(self.ID, r.mesh, r.presence, r.heldBy, logger),
 		Begin:       r.recordBegin(),
--- a/node/edge/routers.go
+++ b/node/edge/routers.go
@@ -31,7 +31,7 @@
 			from, _ := peer.CallingRouter(connection)
 			return context.WithValue(ctx, callingRouterKey{}, from)
 		},
-		ReadHeaderTimeout: headerTimeout, IdleTimeout: detourServerIdleTimeout,
+		ReadHeaderTimeout: headerTimeout, IdleTimeout: detourServerIdleTimeout, MaxHeaderBytes: 2 * maxHeaderBytes,
 		ErrorLog: s.log.StandardLog(log.StandardLogOptions{ForceLevel: log.DebugLevel}),
 	}
 }
--- a/node/edge/server.go
+++ b/node/edge/server.go
@@ -94,7 +94,7 @@
 	for address, handler := range s.handlers {
 		server := &http.Server{
 			Addr: address, Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
-			ReadTimeout: smallReadTimeout, WriteTimeout: smallWriteTimeout, MaxHeaderBytes: smallHeaderBytes,
+			ConnState: intake.OnStateChange, ReadTimeout: smallReadTimeout, WriteTimeout: smallWriteTimeout, MaxHeaderBytes: smallHeaderBytes,
 			ErrorLog: s.log.StandardLog(log.StandardLogOptions{ForceLevel: log.DebugLevel}),
 		}
 		others = append(others, server)
@@ -117,11 +117,16 @@
 // serveCallers serves callers from the start. A request that arrives before the first desired state
 // gets a refusal with a retry delay, which a refused connection would not give.
 func (s *servers) serveCallers(ctx, groupContext context.Context, routers *http.Server) error {
+	limits := newConnections(s.gateway.Limits, s.log)
 	server := &http.Server{
 		Addr: s.callers, Handler: s.gateway, IdleTimeout: idleTimeout,
 		ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes,
-		ConnState: newConnections(s.gateway.Limits, s.log).onStateChange, ConnContext: intake.Context,
-		ErrorLog: s.log.StandardLog(log.StandardLogOptions{ForceLevel: log.DebugLevel}),
+		ConnState: func(connection net.Conn, state http.ConnState) {
+			intake.OnStateChange(connection, state)
+			limits.onStateChange(connection, state)
+		},
+		ConnContext: intake.Context,
+		ErrorLog:    s.log.StandardLog(log.StandardLogOptions{ForceLevel: log.DebugLevel}),
 	}
 	failed := make(chan error, 1)
 	go func() { failed <- s.serve(server) }()
--- a/node/gateway/authorise.go
+++ b/node/gateway/authorise.go
@@ -36,6 +36,9 @@
 	if refusal != nil {
 		return refusal
 	}
+	if c.team != nil {
+		c.intake.Assign(teamOwner + string(c.team.Name))
+	}
 	c.setDeadline()
 	if refusal := c.readBody(); refusal != nil {
 		return refusal
@@ -69,7 +72,7 @@
 	size := len(request.Method) + len(request.RequestURI) + len(request.Host)
 	for name, values := range request.Header {
 		for _, value := range values {
-			size += len(name) + len(value) + len(": \r\n")
+			size += len(name) + len(value) + len(":\r\n")
 		}
 	}
 	return size
@@ -120,12 +123,17 @@
 			return c.refuseBody(err)
 		}
 		c.body = body
+		if !c.intake.Keep() {
+			return c.refuseForMemory()
+		}
 		if err := connection.SetReadDeadline(time.Time{}); err != nil {
 			return fleet.Refuse(fleet.CodeInternal, "the time for the body could not be ended: "+err.Error(), 0)
 		}
 	}
 	c.bodyRead = true
-	c.intake.Keep()
+	if !c.intake.Keep() {
+		return c.refuseForMemory()
+	}
 	return nil
 }
 
@@ -163,6 +171,9 @@
 	}
 }
 
+// teamOwner precedes the name of a team as the owner of what its requests hold. No address begins so.
+const teamOwner = "team "
+
 // promptPartCost is what a part of a prompt costs beyond its text, in bytes: its places in the request's lists.
 const promptPartCost = 128
 
--- a/node/gateway/buffered.go
+++ b/node/gateway/buffered.go
@@ -123,7 +123,7 @@
 	c.copyHeader(complete.header)
 	c.writer.Header().Set("Content-Length", strconv.Itoa(len(complete.body)))
 	c.writer.WriteHeader(complete.status)
-	if _, err := c.writer.Write(complete.body); err != nil {
+	if err := c.holding.deliver(c.writer, complete.body); err != nil {
 		c.logCallerDisconnected(err)
 	}
 	c.logAnswer(complete.chosen, complete.status, firstByteTime, 0)
--- a/node/gateway/detour_serve.go
+++ b/node/gateway/detour_serve.go
@@ -16,6 +16,9 @@
 // maxDetourAttempts is how many upstreams this router may fail to reach for a request of another router.
 const maxDetourAttempts = 2
 
+// routerOwner precedes the id of another router as the owner of what its requests hold.
+const routerOwner = "router "
+
 // retryDecidedByAsker is the reason in the log for an attempt that another router has asked for.
 const retryDecidedByAsker admission.RetryReason = "the asking router decides"
 
@@ -27,6 +30,8 @@
 	order, err := node.ReadOrder(r.Header)
 	held, end := g.Intake.Begin(r.Context(), stopReading(w))
 	defer end()
+	held.Allow(true, 0)
+	held.Assign(routerOwner + string(from))
 	c := &callerRequest{gateway: g, writer: w, request: r, began: time.Now(), call: g.Callers.Read(r), from: from, intake: held}
 	c.deadline = c.began.Add(order.TimeLeft)
 	if err != nil {
@@ -65,7 +70,7 @@
 // prepareDetour sets up a request of another router. It returns a report if it can't be sent.
 func (c *callerRequest) prepareDetour(order node.Order) *node.Report {
 	c.ran, c.tried, c.engineEnded = fleet.NotRun, map[*engine]bool{}, order.EngineEnded
-	c.holding.all = &c.gateway.held
+	c.holding = c.newHolding()
 	if c.current = c.gateway.view.current.Load(); c.current == nil {
 		return &node.Report{Outcome: detour.NoPath, Ran: fleet.NotRun, Cause: "no desired state is known yet"}
 	}
@@ -96,12 +101,20 @@
 			delete(c.tried, e)
 		}
 	}
+	if err := http.NewResponseController(c.writer).SetReadDeadline(c.deadline); err != nil {
+		return &node.Report{Outcome: detour.Busy, Ran: fleet.NotRun, Cause: "the time for the body could not be set: " + err.Error()}
+	}
 	body, err := c.intake.ReadBody(c.request.Context(), http.MaxBytesReader(c.writer, c.request.Body, c.current.table.State.Limits.BodyBytes), c.request.ContentLength)
 	if err != nil {
 		return &node.Report{Outcome: detour.Busy, Ran: fleet.NotRun, Cause: "the body could not be read: " + err.Error()}
 	}
 	c.body = body
-	c.intake.Keep()
+	if !c.intake.Keep() {
+		return &node.Report{Outcome: detour.Busy, Ran: fleet.NotRun, Cause: "the router holds too much for others"}
+	}
+	if err := http.NewResponseController(c.writer).SetReadDeadline(time.Time{}); err != nil {
+		return &node.Report{Outcome: detour.Busy, Ran: fleet.NotRun, Cause: "the time for the body could not be ended: " + err.Error()}
+	}
 	return nil
 }
 
--- a/node/gateway/gateway.go
+++ b/node/gateway/gateway.go
@@ -72,6 +72,8 @@
 	QuarantineKey []byte
 	// Intake is the memory that callers hold; nil for one of the default size.
 	Intake *intake.Account
+	// Answers is the memory that the requests hold of large answers; nil for one of the default size.
+	Answers *intake.Account
 	// Begin is called once for each request that an upstream has begun to run; nil if nobody wants to know.
 	Begin func(team fleet.Team)
 	// Instruments records the gateway's metrics.
@@ -87,8 +89,6 @@
 	loadBound   atomic.Pointer[balance.Bound]
 	smallPool   atomic.Pointer[SmallPool]
 	leaving     atomic.Bool
-	// held counts what the requests hold of large answers.
-	held heldBytes
 	// running counts the running requests of callers.
 	running sync.WaitGroup
 	// checksDue is notified when a path to an upstream has come into doubt.
@@ -106,6 +106,9 @@
 	if dependencies.Intake == nil {
 		dependencies.Intake = intake.NewAccount(DefaultIntakeBytes)
 	}
+	if dependencies.Answers == nil {
+		dependencies.Answers = NewAnswerAccount(0)
+	}
 	g := &Gateway{
 		Dependencies: dependencies, checksDue: make(chan struct{}, 1), retryBudgets: map[fleet.PoolID]*pace.WindowedRetryBudget{},
 		view: newView(dependencies.Codec, dependencies.Workload.RemoveCached, dependencies.Workload.Leaves, dependencies.Log),
--- a/node/gateway/held_test.go
+++ b/node/gateway/held_test.go
@@ -7,6 +7,10 @@
 	"sync"
 	"testing"
 	"testing/iotest"
+	"testing/synctest"
+	"time"
+
+	"agateswitch/node/intake"
 
 	"github.com/shoenig/test/must"
 )
@@ -19,34 +23,37 @@
 // A router that reads many answers without an end must not hold more than a small host has.
 func TestAnswersWithoutEndTogetherStayWithinTheMemory(t *testing.T) {
 	const answers = 100
-	var all heldBytes
+	all := intake.NewAccount(maxHeldBytes)
 	var reading sync.WaitGroup
 	holdings := make([]holding, answers)
 	for i := range holdings {
-		holdings[i].all = &all
+		holdings[i].account = all
 		reading.Go(func() {
 			_, err := holdings[i].readComplete(endless{})
 			if err != errTooLarge && err != errNoMemory {
 				t.Errorf("an endless answer ended with %v", err)
 			}
-			if sum := all.sum.Load(); sum > maxHeldBytes+answers*2*freeAnswerBytes {
+			if sum, _, _ := all.Counts(); sum > maxHeldBytes+answers*2*freeAnswerBytes {
 				t.Errorf("%d bytes are held", sum)
 			}
 		})
 	}
 	reading.Wait()
-	must.LessEq(t, maxHeldBytes, all.sum.Load())
+	sum, _, _ := all.Counts()
+	must.LessEq(t, maxHeldBytes, sum)
 	for i := range holdings {
 		holdings[i].release()
 	}
-	must.Zero(t, all.sum.Load())
+	sum, _, _ = all.Counts()
+	must.Zero(t, sum)
 }
 
 // Small answers are read also while the memory for large ones is used up, and large ones when it is not.
 func TestMemoryForLargeAnswersIsNotNeededForSmallOnes(t *testing.T) {
-	var all heldBytes
-	all.sum.Store(maxHeldBytes)
-	h := holding{all: &all}
+	all := intake.NewAccount(maxHeldBytes)
+	others := holding{account: all}
+	must.True(t, others.grow(maxHeldBytes))
+	h := holding{account: all}
 	small := bytes.Repeat([]byte("x"), freeAnswerBytes)
 	body, err := h.readComplete(bytes.NewReader(small))
 	must.NoError(t, err)
@@ -54,7 +61,7 @@
 	large := bytes.Repeat([]byte("x"), 4*freeAnswerBytes)
 	_, err = h.readComplete(bytes.NewReader(large))
 	must.ErrorIs(t, err, errNoMemory)
-	all.sum.Store(0)
+	others.release()
 	body, err = h.readComplete(bytes.NewReader(large))
 	must.NoError(t, err)
 	must.Eq(t, len(large), len(body))
@@ -63,3 +70,27 @@
 	_, err = h.readComplete(io.MultiReader(strings.NewReader("cut"), iotest.ErrReader(io.ErrUnexpectedEOF)))
 	must.ErrorIs(t, err, io.ErrUnexpectedEOF)
 }
+
+// A few callers that read large answers slowly used to keep the memory from all other large answers.
+func TestLargeAnswerOfAStalledReaderGivesWay(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		all := intake.NewAccount(maxHeldBytes)
+		unread, caller := io.Pipe()
+		stalled := holding{account: all, abort: func() { unread.CloseWithError(io.ErrClosedPipe) }}
+		must.True(t, stalled.grow(maxHeldBytes))
+		ended := make(chan error, 1)
+		go func() {
+			ended <- stalled.deliver(caller, make([]byte, maxHeldBytes/2))
+			stalled.release()
+		}()
+		synctest.Wait()
+		next := holding{account: all}
+		must.False(t, next.grow(2*freeAnswerBytes), must.Sprint("a caller has time to read"))
+		time.Sleep(2 * readerPatience)
+		must.True(t, next.grow(2*freeAnswerBytes))
+		must.ErrorIs(t, <-ended, io.ErrClosedPipe)
+		next.release()
+		sum, _, _ := all.Counts()
+		must.Zero(t, sum)
+	})
+}
--- a/node/gateway/request.go
+++ b/node/gateway/request.go
@@ -96,7 +96,7 @@
 // serve handles the request.
 func (c *callerRequest) serve() {
 	c.ran = fleet.NotRun
-	c.holding.all = &c.gateway.held
+	c.holding = c.newHolding()
 	defer c.holding.release()
 	c.tried = map[*engine]bool{}
 	for _, part := range c.call.Prompt {
--- a/node/gateway/stream.go
+++ b/node/gateway/stream.go
@@ -180,7 +180,7 @@
 		if id != "" {
 			c.stream.lastEventID = id
 		}
-		if _, err := c.writer.Write(raw); err != nil {
+		if err := c.holding.deliver(c.writer, raw); err != nil {
 			return errors.WithType(err, errCallerDisconnected)
 		}
 		if err := control.Flush(); err != nil {
--- a/node/intake/intake.go
+++ b/node/intake/intake.go
@@ -11,6 +11,7 @@
 
 	"agateswitch/core/memory"
 
+	"github.com/charmbracelet/log"
 	"github.com/juju/errors"
 )
 
@@ -32,17 +33,28 @@
 	account *memory.Account
 	// evict holds how each holder is made to give way.
 	evict map[*memory.Holder]func()
-	// freed is closed and replaced when bytes are given back.
+	// freed is closed when bytes are given back; nil while nobody waits for that.
 	freed   chan struct{}
 	refused int64
 	evicted int64
+	reports reports
 }
 
 // NewAccount returns an account with a limit in bytes.
 func NewAccount(limit int64) *Account {
-	return &Account{account: memory.NewAccount(limit), evict: map[*memory.Holder]func(){}, freed: make(chan struct{})}
+	return &Account{account: memory.NewAccount(limit), evict: map[*memory.Holder]func(){}}
 }
 
+// NewAccountWithReserve returns an account with a limit, and a number of bytes beyond it that only those may take that use the reserve.
+func NewAccountWithReserve(limit, reserve int64) *Account {
+	a := NewAccount(limit)
+	a.account.Reserve = reserve
+	return a
+}
+
+// LogTo makes the account log who is refused and who gives way. It is called before the account is used.
+func (a *Account) LogTo(logger *log.Logger) { a.reports = newReports(logger) }
+
 // Counts returns the bytes held, and how many clients were refused and evicted since the start.
 func (a *Account) Counts() (held, refused, evicted int64) {
 	a.mu.Lock()
@@ -84,11 +96,49 @@
 	h.holder.Kept = false
 }
 
-// Keep states that the client can't give way until it has given everything back.
-func (h *Holder) Keep() {
+// Reset gives everything back before the client's next request.
+func (h *Holder) Reset() {
+	h.account.mu.Lock()
+	defer h.account.mu.Unlock()
+	h.give(h.holder.Bytes)
+	h.account.account.Reset(&h.holder)
+}
+
+// Assign states who holds it: a team, or an address.
+func (h *Holder) Assign(owner string) {
+	h.account.mu.Lock()
+	defer h.account.mu.Unlock()
+	h.account.account.Assign(&h.holder, owner)
+}
+
+// Allow states whether the holder may use the account's reserve, and how far behind its progress it must be before it gives way. It is
+// called before anything is taken.
+func (h *Holder) Allow(reserve bool, patience time.Duration) {
+	h.account.mu.Lock()
+	defer h.account.mu.Unlock()
+	h.holder.UsesReserve, h.holder.Patience = reserve, patience
+}
+
+// Keep states that the client's request is complete: it can't give way until everything is given back, or Yield. It reports false if
+// the client has to give way, as it was told before.
+func (h *Holder) Keep() bool {
+	h.account.mu.Lock()
+	defer h.account.mu.Unlock()
+	return h.account.account.Keep(&h.holder)
+}
+
+// Yield states that the client has to read before more is given back.
+func (h *Holder) Yield() {
+	h.account.mu.Lock()
+	defer h.account.mu.Unlock()
+	h.account.account.Yield(&h.holder, time.Now())
+}
+
+// isKept reports whether the client's request is in work.
+func (h *Holder) isKept() bool {
 	h.account.mu.Lock()
 	defer h.account.mu.Unlock()
-	h.holder.Kept = true
+	return h.holder.Kept
 }
 
 // Give gives bytes back.
@@ -105,8 +155,10 @@
 		return
 	}
 	a.account.Give(&h.holder, bytes)
-	close(a.freed)
-	a.freed = make(chan struct{})
+	if a.freed != nil {
+		close(a.freed)
+		a.freed = nil
+	}
 }
 
 // Take takes bytes, and makes others give way if there is no room. It returns ErrNoMemory if there is still none.
@@ -149,13 +201,23 @@
 	}
 	if first == &h.holder {
 		a.refused++
+		a.report("a caller is refused for want of memory", bytes)
 		return false, nil
 	}
 	a.evicted++
+	a.report("a caller gives memory back to another one", bytes)
 	a.evict[first]()
+	if a.freed == nil {
+		a.freed = make(chan struct{})
+	}
 	return false, a.freed
 }
 
+// report logs that there was no room for bytes. Callers hold the account's mutex.
+func (a *Account) report(what string, bytes int64) {
+	a.reports.warn(what, "wanted", bytes, "held", a.account.Used(), "limit", a.account.Limit, "refused", a.refused, "evicted", a.evicted)
+}
+
 func (a *Account) countRefused() {
 	a.mu.Lock()
 	defer a.mu.Unlock()
@@ -194,7 +256,7 @@
 		}
 		count, err := from.Read(body[len(body):cap(body)])
 		body = body[:len(body)+count]
-		h.progress(count)
+		h.Progress(count)
 		if err == io.EOF {
 			return body, nil
 		}
@@ -204,12 +266,12 @@
 	}
 }
 
-// progress records that the client has sent something.
-func (h *Holder) progress(bytes int) {
+// Progress records that the client has sent or read bytes.
+func (h *Holder) Progress(bytes int) {
 	if bytes == 0 {
 		return
 	}
 	h.account.mu.Lock()
 	defer h.account.mu.Unlock()
-	h.holder.ProgressAt = time.Now()
+	h.account.account.Progress(&h.holder, int64(bytes), time.Now())
 }
