Log a wrong proof of a peer also beside other failed handshakes

Cause: one line a second for all failed handshakes hid a wrong key behind another failure in the same second; TestUnauthenticatedPeersAreRefused failed once with the race detector on. Change: failures without a proof and wrong proofs have their own second.

--- a/adapter/peer/pending.go
+++ b/adapter/peer/pending.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/charmbracelet/log"
+	"github.com/juju/errors"
 )
 
 // handshakes holds the connections whose handshake is in progress. It answers a crowd that connects and says nothing: a router, whose
@@ -18,8 +19,9 @@
 	// pending begins with the oldest connection.
 	pending []net.Conn
 	// failed counts the handshakes that have failed.
-	failed   int
-	loggedAt time.Time
+	failed int
+	// loggedAt is when a failure was logged last, by whether the peer has shown a wrong proof.
+	loggedAt map[bool]time.Time
 }
 
 // add adds a connection. If there are too many, another one is closed.
@@ -49,7 +51,8 @@
 	return oldest[most]
 }
 
-// end removes a connection whose handshake has succeeded, or failed with err, and logs failures at most once in refusalLogInterval.
+// end removes a connection whose handshake has succeeded, or failed with err, and logs failures of each kind at most once
+// in refusalLogInterval.
 func (h *handshakes) end(connection net.Conn, err error) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -60,8 +63,9 @@
 		return
 	}
 	h.failed++
-	if now := time.Now(); now.Sub(h.loggedAt) >= refusalLogInterval {
-		h.loggedAt = now
+	isWrongProof := errors.Is(err, errUnauthenticated)
+	if now := time.Now(); now.Sub(h.loggedAt[isWrongProof]) >= refusalLogInterval {
+		h.loggedAt[isWrongProof] = now
 		h.log.Warn("peer refused: handshake failed", "address", connection.RemoteAddr(), "failed", h.failed, "err", err)
 	}
 }
--- a/adapter/peer/serve.go
+++ b/adapter/peer/serve.go
@@ -40,7 +40,7 @@
 	stop := context.AfterFunc(ctx, func() { listener.Close() })
 	defer stop()
 	defer m.closeLinks()
-	handshakes := handshakes{log: m.log}
+	handshakes := handshakes{log: m.log, loggedAt: map[bool]time.Time{}}
 	failures := acceptFailures{log: m.log}
 	for {
 		connection, err := listener.Accept()
