--- a/node/quarantine/quarantine.go
+++ b/node/quarantine/quarantine.go
@@ -219,15 +219,6 @@
 	}
 }
 
-// Lost records that an engine has ended as a router sees it without a request in work there. Each router sees that by itself.
-func (s *Service) Lost(engine quarantine.Engine, pool fleet.PoolID, manner quarantine.Manner) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.evidence.AddEnding(quarantine.End{Engine: engine, At: time.Now(), Pool: pool, Manner: manner}) {
-		s.log.Info("engine ended", "manner", manner, "pool", pool, "upstream", engine.ID, "incarnation", engine.Incarnation)
-	}
-}
-
 // shareWithout returns a part's share of the requests that this router has sent, but for the one with the permit: an end is told only by
 // a router that has sent a request with the part. The caller holds mu.
 func (s *Service) shareWithout(permit *Permit, part quarantine.Part, now time.Time) quarantine.Share {
--- a/node/quarantine/standing.go
+++ b/node/quarantine/standing.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"agateswitch/core/fleet"
 	"agateswitch/core/quarantine"
 )
 
@@ -49,3 +50,12 @@
 	}
 	return true
 }
+
+// Lost records that an engine has ended as a router sees it without a request in work there. Each router sees that by itself.
+func (s *Service) Lost(engine quarantine.Engine, pool fleet.PoolID, manner quarantine.Manner) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.evidence.AddEnding(quarantine.End{Engine: engine, At: time.Now(), Pool: pool, Manner: manner}) {
+		s.log.Info("engine ended", "manner", manner, "pool", pool, "upstream", engine.ID, "incarnation", engine.Incarnation)
+	}
+}
