Count large answers by their size, not by the number of reads

Cause (heap profile of a gateway under the crowd 'large answers that nobody reads'): an answer of unknown length was counted once for each read, by 128 KB, although a read of a buffer that has grown returns up to a megabyte. Ruled out: garbage (it was live at the end of each collection), answers of known length. Change: no more is read at once than is counted.

--- a/node/gateway/held.go
+++ b/node/gateway/held.go
@@ -116,7 +116,8 @@
 
 // Read implements io.Reader.
 func (r *heldReader) Read(p []byte) (int, error) {
-	count, err := r.from.Read(p)
+	// No more is read at once than is counted below.
+	count, err := r.from.Read(p[:min(len(p), freeAnswerBytes)])
 	r.read += count
 	r.uncounted -= count
 	switch {
--- a/node/gateway/held_test.go
+++ b/node/gateway/held_test.go
@@ -48,6 +48,16 @@
 	must.Zero(t, sum)
 }
 
+// An answer of unknown length that arrives in large pieces used to be counted by the number of reads, not by its size.
+func TestLargePiecesOfAnAnswerAreCounted(t *testing.T) {
+	all := intake.NewAccount(maxHeldBytes)
+	h := holding{account: all}
+	body, err := h.readComplete(bytes.NewReader(make([]byte, maxAnswerBytes-1)))
+	must.NoError(t, err)
+	held, _, _ := all.Counts()
+	must.GreaterEq(t, int64(len(body)-freeAnswerBytes), held)
+}
+
 // Small answers are read also while the memory for large ones is used up, and large ones when it is not.
 func TestMemoryForLargeAnswersIsNotNeededForSmallOnes(t *testing.T) {
 	all := intake.NewAccount(maxHeldBytes)
