Close no connection whose answer is being written, and spare two closures a request

Cause: at the end of a request its holder was no longer kept, while the connection still counted as waiting for the rest of a request since its last byte came. Above the limit it went first, before the server wrote the rest of the answer. And Begin allocated two functions for each request, one of them unused on a connection.

Change: the end of a request counts as progress of its connection; Begin returns the holder alone, which has End. Lines of tests that call Begin were changed for its signature only.

--- a/node/gateway/detour_serve.go
+++ b/node/gateway/detour_serve.go
@@ -28,8 +28,8 @@
 	g.running.Add(1)
 	defer g.running.Done()
 	order, err := node.ReadOrder(r.Header)
-	held, end := g.Intake.Begin(r.Context(), stopReading(w))
-	defer end()
+	held := g.Intake.Begin(r.Context(), w)
+	defer held.End()
 	held.Allow(true, 0)
 	held.Assign(routerOwner + string(from))
 	c := &callerRequest{gateway: g, writer: w, request: r, began: time.Now(), call: g.Callers.Read(r), from: from, intake: held}
--- a/node/gateway/gateway.go
+++ b/node/gateway/gateway.go
@@ -180,20 +180,12 @@
 	if g.leaving.Load() {
 		w.Header().Set("Connection", "close")
 	}
-	held, end := g.Intake.Begin(r.Context(), stopReading(w))
-	defer end()
+	held := g.Intake.Begin(r.Context(), w)
+	defer held.End()
 	c := &callerRequest{gateway: g, writer: w, request: r, began: time.Now(), call: g.Callers.Read(r), intake: held}
 	c.serve()
 }
 
-// stopReading returns a function that ends what a caller is sending.
-func stopReading(w http.ResponseWriter) func() {
-	return func() {
-		// Where it can't be set, the caller's deadline ends it.
-		_ = http.NewResponseController(w).SetReadDeadline(time.Now())
-	}
-}
-
 // recordRequest records a request in its pool's retry budget.
 func (g *Gateway) recordRequest(pool fleet.PoolID, now time.Time) {
 	g.mu.Lock()
--- a/node/intake/intake.go
+++ b/node/intake/intake.go
@@ -65,6 +65,8 @@
 // Holder is what one client holds. It is safe for concurrent use.
 type Holder struct {
 	account *Account
+	// connection is the one that holds it; nil if there is none.
+	connection *Conn
 	// holder and closed are guarded by the account's mutex.
 	holder memory.Holder
 	closed bool
--- a/node/intake/intake_test.go
+++ b/node/intake/intake_test.go
@@ -82,7 +82,7 @@
 		inner := &listener{}
 		wrapped := gate.Wrap(inner)
 		working, silent := accept(t, wrapped), accept(t, wrapped)
-		held, end := account.Begin(Context(context.Background(), working), func() {})
+		held := account.Begin(Context(context.Background(), working), nil)
 		must.NoError(t, held.Take(t.Context(), 100))
 		time.Sleep(time.Second)
 		added := accept(t, wrapped)
@@ -90,7 +90,7 @@
 		must.ErrorIs(t, err, io.ErrClosedPipe)
 		open, closed := gate.Counts()
 		must.Eq(t, []int64{2, 1}, []int64{open, closed})
-		end()
+		held.End()
 		working.Close()
 		added.Close()
 		bytesHeld, _, _ := account.Counts()
--- a/node/intake/listener.go
+++ b/node/intake/listener.go
@@ -98,6 +98,7 @@
 	}
 	c := &Conn{Conn: connection, gate: g, address: hostOf(connection.RemoteAddr()), readAt: time.Now()}
 	c.holder = g.account.NewHolder(c.giveWay)
+	c.holder.connection = c
 	c.holder.Assign(c.address)
 	g.mu.Lock()
 	g.open[c] = struct{}{}
@@ -250,19 +251,37 @@
 	return context.WithValue(ctx, connKey{}, connection)
 }
 
-// Begin marks the start of a request on the connection of a context. It returns what the request holds, and a function to call at its
-// end. A context without a connection has a holder of its own, which gives way by give.
-func (a *Account) Begin(ctx context.Context, give func()) (*Holder, func()) {
+// Begin marks the start of a request on the connection of a context. It returns what the request holds, which ends with it. A context
+// without a connection has a holder of its own, which gives way by ending what is read of w's request.
+func (a *Account) Begin(ctx context.Context, w http.ResponseWriter) *Holder {
 	c, found := ctx.Value(connKey{}).(*Conn)
 	if !found || c.holder.account != a {
-		h := a.NewHolder(give)
-		return h, h.Close
+		return a.NewHolder(func() {
+			// Where it can't be set, the caller's deadline ends it.
+			_ = http.NewResponseController(w).SetReadDeadline(time.Now())
+		})
 	}
 	c.begin()
-	return c.holder, func() {
-		c.holder.Release()
-		c.holder.Assign(c.address)
+	return c.holder
+}
+
+// End marks the end of a request that has begun with Begin.
+func (h *Holder) End() {
+	if h.connection == nil {
+		h.Close()
+		return
 	}
+	h.connection.end()
+}
+
+// end gives back what a request held. The server still writes the rest of its answer, so that the client is not waited for since its
+// request came.
+func (c *Conn) end() {
+	c.mu.Lock()
+	c.readAt = time.Now()
+	c.mu.Unlock()
+	c.holder.Release()
+	c.holder.Assign(c.address)
 }
 
 // Abort closes the connection of a context. It reports false if there is none.
--- a/node/intake/listener_test.go
+++ b/node/intake/listener_test.go
@@ -84,8 +84,8 @@
 				const connections = 16
 				account, release := NewAccount(1<<20), make(chan struct{})
 				gate, connect := serve(t, account, connections, func(w http.ResponseWriter, r *http.Request) {
-					held, end := account.Begin(r.Context(), func() {})
-					defer end()
+					held := account.Begin(r.Context(), nil)
+					defer held.End()
 					switch r.URL.Path {
 					case "/work":
 						must.True(t, held.Keep())
@@ -129,7 +129,7 @@
 		client, server := net.Pipe()
 		t.Cleanup(func() { client.Close() })
 		c := gate.admit(addressed{server, address})
-		holder, _ := account.Begin(Context(context.Background(), c), func() {})
+		holder := account.Begin(Context(context.Background(), c), nil)
 		if holder.Take(t.Context(), 1) == nil {
 			must.True(t, holder.Keep())
 		}
@@ -248,8 +248,8 @@
 			const limit = 256 << 10
 			account := NewAccount(limit)
 			_, connect := serve(t, account, 4, func(w http.ResponseWriter, r *http.Request) {
-				held, end := account.Begin(r.Context(), func() {})
-				defer end()
+				held := account.Begin(r.Context(), nil)
+				defer held.End()
 				if held.Take(r.Context(), HeaderCost(r.Header)) != nil {
 					return
 				}
@@ -271,3 +271,25 @@
 		})
 	})
 }
+
+// A connection whose request has ended used to be the first to go, before the rest of its answer was written.
+func TestConnectionThatIsAnsweredIsNotClosedForANewOne(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		account := NewAccount(1 << 20)
+		gate := NewGate(2, account, log.New(io.Discard))
+		admit := func(address string) *Conn {
+			connection, _ := net.Pipe()
+			return gate.admit(addressed{connection, address})
+		}
+		answered := admit("10.0.0.1:1")
+		held := account.Begin(Context(context.Background(), answered), nil)
+		must.True(t, held.Keep())
+		time.Sleep(time.Second)
+		admit("10.0.0.2:1")
+		time.Sleep(time.Second)
+		held.End()
+		admit("10.0.0.3:1")
+		_, isOpen := gate.open[answered]
+		must.True(t, isOpen)
+	})
+}
