Play crowds of slow readers, half-closed connections and announced bodies at more doors

11 crowds, bounds as for the others: slow readers of streams and of large answers, requests ahead of large answers, half-closed connections and announced bodies at a path without a route and at the readiness path, and raw HTTP at the routers' /detour before a key is shown (bodies, requests ahead, half-closed, announced).

--- a/cmd/agateswitch/crowd_process_test.go
+++ b/cmd/agateswitch/crowd_process_test.go
@@ -24,6 +24,10 @@
 	crowdBodies      = 60
 	crowdConnections = 400
 	crowdPipelined   = 20_000
+	// A slow reader reads 512 bytes a second.
+	slowBuffer   = 4 << 10
+	slowPiece    = 128
+	slowInterval = 250 * time.Millisecond
 )
 
 // crowd is many clients that misbehave in one way.
@@ -79,6 +83,39 @@
 	}
 }
 
+// slowly sends one request and reads its answer in small pieces.
+func slowly(path string) func(int, net.Conn) {
+	return func(number int, connection net.Conn) {
+		_ = connection.(*net.TCPConn).SetReadBuffer(slowBuffer)
+		write(connection, head(number, "GET", path, ""))
+		go func() {
+			pace := time.NewTicker(slowInterval)
+			defer pace.Stop()
+			for piece := make([]byte, slowPiece); ; <-pace.C {
+				// It ends when the gateway or the test closes the connection.
+				if _, err := connection.Read(piece); err != nil {
+					return
+				}
+			}
+		}()
+	}
+}
+
+// halfClosed sends the beginning of a body and closes its side of the connection.
+func halfClosed(path string) func(int, net.Conn) {
+	return func(number int, connection net.Conn) {
+		write(connection, head(number, "POST", path, "Content-Length: 10\r\n"), "x")
+		connection.(*net.TCPConn).CloseWrite()
+	}
+}
+
+// announced asks whether it may send a body, and never sends it.
+func announced(path string) func(int, net.Conn) {
+	return func(number int, connection net.Conn) {
+		write(connection, head(number, "POST", path, "Content-Length: 1000\r\nExpect: 100-continue\r\n"))
+	}
+}
+
 func raw(text string) func(int, net.Conn) {
 	return func(_ int, connection net.Conn) { write(connection, text) }
 }
@@ -133,7 +170,22 @@
 	"silent connections to the routers' socket":        {port: "7004", count: 2 * crowdConnections, send: func(int, net.Conn) {}},
 	"huge frames at the routers' socket":               {port: "7004", count: 2 * crowdConnections, send: raw("\xff\xff\xff\xff")},
 	"frames that stop half-way at the routers' socket": {port: "7004", count: 2 * crowdConnections, send: raw("\x00\x00\x03\xff" + strings.Repeat("x", 1000))},
-	"requests without a key at the routers' socket":    {port: "7004", count: crowdConnections, send: shortBody("/book/1", 10_000)},
+	"streams that are read slowly":                     {port: "7001", count: crowdConnections, send: slowly("/plan/1"), events: 1 << 20},
+
+	"half-closed connections at a path without a route":                    {port: "7001", count: 2 * crowdConnections, send: halfClosed("/nowhere/1")},
+	"half-closed connections at the readiness path":                        {port: "7002", count: 2 * crowdConnections, send: halfClosed("/v1/ready")},
+	"bodies that are announced and never sent at a path without a route":   {port: "7001", count: 2 * crowdConnections, send: announced("/nowhere/1")},
+	"bodies that are announced and never sent at the readiness path":       {port: "7002", count: 2 * crowdConnections, send: announced("/v1/ready")},
+	"bodies at the routers' /detour without a key":                         {port: "7004", count: crowdConnections, send: shortBody("/detour", crowdBodyBytes)},
+	"requests ahead at the routers' /detour without a key":                 {port: "7004", count: 20, send: ahead("/detour")},
+	"half-closed connections at the routers' /detour without a key":        {port: "7004", count: 2 * crowdConnections, send: halfClosed("/detour")},
+	"bodies announced and never sent at the routers' /detour, without key": {port: "7004", count: 2 * crowdConnections, send: announced("/detour")},
+	"requests without a key at the routers' socket":                        {port: "7004", count: crowdConnections, send: shortBody("/book/1", 10_000)},
+}
+
+var largeCrowds = map[string]crowd{
+	"large answers that are read slowly": {port: "7001", count: crowdConnections, send: slowly("/book/1"), answerBytes: crowdBodyBytes},
+	"requests ahead of large answers":    {port: "7001", count: 20, send: ahead("/book/1"), answerBytes: crowdBodyBytes},
 }
 
 // status returns a field of the process's state in /proc, in bytes.
@@ -160,7 +212,13 @@
 }
 
 // A crowd of clients that send much, or stop short of an end and stay, used to take a gateway's memory and descriptors.
-func TestCrowdIsKeptWithinTheHost(t *testing.T) {
+func TestCrowdIsKeptWithinTheHost(t *testing.T) { playCrowds(t, crowds) }
+
+// Readers of large answers, with the same bounds.
+func TestCrowdOfLargeAnswersIsKeptWithinTheHost(t *testing.T) { playCrowds(t, largeCrowds) }
+
+func playCrowds(t *testing.T, crowds map[string]crowd) {
+	t.Helper()
 	for name, c := range crowds {
 		t.Run(name, func(t *testing.T) {
 			ctx, cancel := context.WithTimeout(t.Context(), processTimeout)
