--- a/node/gateway/signals.go
+++ b/node/gateway/signals.go
@@ -41,7 +41,7 @@
 
 // judgeWorkTime compares the work time that the upstream has stated with the time until its first event.
 func (g *Gateway) judgeWorkTime(chosen *choice) {
-	if chosen.stated.WorkTimePercent <= 0 || chosen.engine == nil || chosen.fetchFrom != "" {
+	if !g.placement.Load().BySpeed || chosen.stated.WorkTimePercent <= 0 || chosen.engine == nil || chosen.fetchFrom != "" {
 		return
 	}
 	tokens := balance.ExpectedTokens(float64(chosen.load.Running), float64(chosen.load.PendingPrefill), float64(chosen.uncached), 0)
