--- a/cmd/agateswitch/crowd_process_test.go
+++ b/cmd/agateswitch/crowd_process_test.go
@@ -153,7 +153,6 @@
 	"requests ahead at the metrics":            {port: "7005", count: 20, send: ahead("/metrics")},
 	"silent connections to the directory":      {port: "7003", count: 2 * crowdConnections, send: func(int, net.Conn) {}},
 	"silent connections to the metrics":        {port: "7005", count: 2 * crowdConnections, send: func(int, net.Conn) {}},
-	"large answers that nobody reads":          {port: "7001", count: crowdConnections, send: unread("/book/1"), answerBytes: crowdBodyBytes},
 	"streams that nobody reads":                {port: "7001", count: crowdConnections, send: unread("/plan/1"), events: 1 << 20},
 	"tiny bodies that stop short of their end": {port: "7001", count: 2 * crowdConnections, send: shortBody("/book/1", 2)},
 	"bodies in chunks of one byte":             {port: "7001", count: 2 * crowdConnections, send: chunkedBody("/book/1", 200, 1)},
@@ -184,6 +183,7 @@
 }
 
 var largeCrowds = map[string]crowd{
+	"large answers that nobody reads":    {port: "7001", count: crowdConnections, send: unread("/book/1"), answerBytes: crowdBodyBytes},
 	"large answers that are read slowly": {port: "7001", count: crowdConnections, send: slowly("/book/1"), answerBytes: crowdBodyBytes},
 	"requests ahead of large answers":    {port: "7001", count: 20, send: ahead("/book/1"), answerBytes: crowdBodyBytes},
 }
