Count the shares that a router tells once, and take none for the pool's from few requests

And a router took its own few requests, refused ones among them, for the pool's. Change: an end says which router counted its share (a field that may be absent), and the latest share of each router counts; a hold takes most of a pool only by the word of a router that has had 20 requests. The two new tests use the new field and constant, and did not run on earlier code.

--- a/core/quarantine/endings.go
+++ b/core/quarantine/endings.go
@@ -7,11 +7,21 @@
 	"agateswitch/core/fleet"
 )
 
-// share returns the part's share of the pool's requests, as the routers at which it ended engines have counted it.
+// share returns the part's share of the pool's requests, as the routers at which it ended engines have counted it. What a router tells later
+// contains what it told before.
 func (r *record) share() Share {
 	var share Share
+	latest := map[fleet.HostID]Share{}
 	for _, end := range r.ends {
-		share = share.plus(end.share)
+		switch {
+		case end.teller == "":
+			share = share.plus(end.share)
+		case end.share.Of >= latest[end.teller].Of:
+			latest[end.teller] = end.share
+		}
+	}
+	for _, told := range latest {
+		share = share.plus(told)
 	}
 	return share
 }
@@ -39,6 +49,7 @@
 	pool   fleet.PoolID
 	load   int
 	share  Share
+	teller fleet.HostID
 	manner Manner
 }
 
--- a/core/quarantine/quarantine.go
+++ b/core/quarantine/quarantine.go
@@ -61,6 +61,8 @@
 	Pool  fleet.PoolID
 	Load  int
 	Share Share
+	// Teller is the router that counted Share. Empty means unknown.
+	Teller fleet.HostID
 	// Manner is how the end showed.
 	Manner Manner
 }
@@ -130,7 +132,7 @@
 		return false
 	}
 	r.ends = append(r.ends, engineEnd{
-		engine: end.Engine, at: end.At, next: end.Next, alone: end.Alone, pool: end.Pool, load: end.Load, share: end.Share, manner: end.Manner,
+		engine: end.Engine, at: end.At, next: end.Next, alone: end.Alone, pool: end.Pool, load: end.Load, share: end.Share, teller: end.Teller, manner: end.Manner,
 	})
 	if r.origin == (Origin{}) {
 		r.origin = end.Origin
@@ -330,7 +332,7 @@
 func (end engineEnd) told(part Part, origin Origin) End {
 	return End{
 		Part: part, Engine: end.engine, At: end.at, Next: end.next, Alone: end.alone, Origin: origin, Pool: end.pool, Load: end.load, Share: end.share,
-		Manner: end.manner,
+		Teller: end.teller, Manner: end.manner,
 	}
 }
 
--- a/core/quarantine/wave_test.go
+++ b/core/quarantine/wave_test.go
@@ -73,3 +73,19 @@
 	must.Positive(t, held)
 	must.LessEq(t, held/100, certain)
 }
+
+// What a router counted until a later end contains what it had counted until an earlier one. A part that a third of the requests have used to
+// seem one that most have.
+func TestSharesOfARouterCountOnce(t *testing.T) {
+	e := NewEvidence()
+	for i, told := range []Share{{With: 1, Of: 3}, {With: 3, Of: 5}, {With: 4, Of: 9}} {
+		at := start.Add(time.Duration(i) * time.Second)
+		e.AddEnd(End{Part: "p", Engine: engineOf(i), At: at, Share: told, Teller: "r1"}, at)
+	}
+	at := start.Add(4 * time.Second)
+	e.AddEnd(End{Part: "p", Engine: engineOf(4), At: at, Share: Share{With: 1, Of: 4}, Teller: "r2"}, at)
+	must.Eq(t, Share{With: 5, Of: 13}, e.Weigh("p").Share())
+	// A router of an earlier build does not say which one it is.
+	e.AddEnd(End{Part: "p", Engine: engineOf(5), At: at, Share: Share{With: 1, Of: 2}}, at)
+	must.Eq(t, Share{With: 6, Of: 15}, e.Weigh("p").Share())
+}
--- a/node/quarantine/lost_test.go
+++ b/node/quarantine/lost_test.go
@@ -93,3 +93,20 @@
 		must.False(t, held.InDoubt)
 	})
 }
+
+// The few requests of one router used to pass for those of the pool, so that a part held for good reason was tried again.
+func TestFewRequestsSayNothingOfThePool(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		_, services := newFleet(1)
+		s, h := services[0], &hold{Hold: quarantine.Hold{Part: "p", Pool: "lm"}}
+		for range minWanted {
+			s.mu.Lock()
+			must.False(t, s.sharesMost(h))
+			s.wanted.Add("lm", []quarantine.Part{"p"}, time.Now())
+			s.mu.Unlock()
+		}
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		must.True(t, s.sharesMost(h))
+	})
+}
--- a/node/quarantine/quarantine.go
+++ b/node/quarantine/quarantine.go
@@ -210,7 +210,7 @@
 		}
 		end := quarantine.End{
 			Part: part, Engine: engine, At: now, Next: nextPart(parts, i), Alone: slices.Contains(permit.taken, part), Origin: origin,
-			Pool: permit.pool, Load: permit.load, Share: s.shareWithout(permit, part, now), Manner: permit.Manner,
+			Pool: permit.pool, Load: permit.load, Share: s.shareWithout(permit, part, now), Teller: s.self, Manner: permit.Manner,
 		}
 		if s.addEnd(end) {
 			s.news.ends = append(s.news.ends, end)
--- a/node/quarantine/share.go
+++ b/node/quarantine/share.go
@@ -49,6 +49,7 @@
 	With   int               `msgpack:"s,omitempty"`
 	Of     int               `msgpack:"f,omitempty"`
 	Manner quarantine.Manner `msgpack:"m,omitempty"`
+	Teller fleet.HostID      `msgpack:"r,omitempty"`
 }
 
 // refutedNews is an engine that has answered a request sent to it some time ago.
@@ -82,7 +83,7 @@
 	for _, end := range ends {
 		all = append(all, endNews{
 			Part: end.Part, Engine: end.Engine, AgeMs: now.Sub(end.At).Milliseconds(), Next: end.Next, Alone: end.Alone, Origin: end.Origin,
-			Pool: end.Pool, Load: end.Load, With: end.Share.With, Of: end.Share.Of, Manner: end.Manner,
+			Pool: end.Pool, Load: end.Load, With: end.Share.With, Of: end.Share.Of, Manner: end.Manner, Teller: end.Teller,
 		})
 	}
 	return all
@@ -91,7 +92,7 @@
 func (n endNews) end(now time.Time) quarantine.End {
 	return quarantine.End{
 		Part: n.Part, Engine: n.Engine, At: ago(now, n.AgeMs), Next: n.Next, Alone: n.Alone, Origin: n.Origin,
-		Pool: n.Pool, Load: n.Load, Share: quarantine.Share{With: n.With, Of: n.Of}, Manner: n.Manner,
+		Pool: n.Pool, Load: n.Load, Share: quarantine.Share{With: n.With, Of: n.Of}, Manner: n.Manner, Teller: n.Teller,
 	}
 }
 
--- a/node/quarantine/trial.go
+++ b/node/quarantine/trial.go
@@ -10,6 +10,9 @@
 // trialPatience is how long a trial that is due waits for the end of a wave of ends, which would end the trial, too.
 const trialPatience = 30 * time.Second
 
+// minWanted is how many requests a router must have had for their shares to be those of the pool.
+const minWanted = 20
+
 // isOnTrial reports whether a part is on trial. The caller holds mu.
 func (s *Service) isOnTrial(part quarantine.Part) bool {
 	h, found := s.holds[part]
@@ -28,7 +31,8 @@
 
 // sharesMost reports whether most requests of the pool are refused because of a hold, whatever it was when the hold began. The caller holds mu.
 func (s *Service) sharesMost(h *hold) bool {
-	return h.Pool != "" && s.wanted.Share(h.Pool, h.Part, time.Now()).IsMost()
+	share := s.wanted.Share(h.Pool, h.Part, time.Now())
+	return h.Pool != "" && share.Of >= minWanted && share.IsMost()
 }
 
 // nextTrial returns when a hold is tried, if hardly any engines end then. The caller holds mu.
