--- a/cmd/agateswitch/crowd_process_test.go
+++ b/cmd/agateswitch/crowd_process_test.go
@@ -153,7 +153,6 @@
 	"requests ahead at the metrics":            {port: "7005", count: 20, send: ahead("/metrics")},
 	"silent connections to the directory":      {port: "7003", count: 2 * crowdConnections, send: func(int, net.Conn) {}},
 	"silent connections to the metrics":        {port: "7005", count: 2 * crowdConnections, send: func(int, net.Conn) {}},
-	"streams that nobody reads":                {port: "7001", count: crowdConnections, send: unread("/plan/1"), events: 1 << 20},
 	"tiny bodies that stop short of their end": {port: "7001", count: 2 * crowdConnections, send: shortBody("/book/1", 2)},
 	"bodies in chunks of one byte":             {port: "7001", count: 2 * crowdConnections, send: chunkedBody("/book/1", 200, 1)},
 	"bodies that are announced and never sent": {port: "7001", count: 2 * crowdConnections, send: func(number int, connection net.Conn) {
@@ -169,7 +168,6 @@
 	"silent connections to the routers' socket":        {port: "7004", count: 2 * crowdConnections, send: func(int, net.Conn) {}},
 	"huge frames at the routers' socket":               {port: "7004", count: 2 * crowdConnections, send: raw("\xff\xff\xff\xff")},
 	"frames that stop half-way at the routers' socket": {port: "7004", count: 2 * crowdConnections, send: raw("\x00\x00\x03\xff" + strings.Repeat("x", 1000))},
-	"streams that are read slowly":                     {port: "7001", count: crowdConnections, send: slowly("/plan/1"), events: 1 << 20},
 
 	"half-closed connections at a path without a route":                    {port: "7001", count: 2 * crowdConnections, send: halfClosed("/nowhere/1")},
 	"half-closed connections at the readiness path":                        {port: "7002", count: 2 * crowdConnections, send: halfClosed("/v1/ready")},
@@ -182,6 +180,12 @@
 	"requests without a key at the routers' socket":                        {port: "7004", count: crowdConnections, send: shortBody("/book/1", 10_000)},
 }
 
+// streamCrowds are given streams that never end.
+var streamCrowds = map[string]crowd{
+	"streams that nobody reads":    {port: "7001", count: crowdConnections, send: unread("/plan/1"), events: 1 << 20},
+	"streams that are read slowly": {port: "7001", count: crowdConnections, send: slowly("/plan/1"), events: 1 << 20},
+}
+
 var largeCrowds = map[string]crowd{
 	"large answers that nobody reads":    {port: "7001", count: crowdConnections, send: unread("/book/1"), answerBytes: crowdBodyBytes},
 	"large answers that are read slowly": {port: "7001", count: crowdConnections, send: slowly("/book/1"), answerBytes: crowdBodyBytes},
@@ -217,6 +221,9 @@
 // Readers of large answers, with the same bounds.
 func TestCrowdOfLargeAnswersIsKeptWithinTheHost(t *testing.T) { playCrowds(t, largeCrowds) }
 
+// Readers of streams, with the same bounds.
+func TestCrowdOfStreamsIsKeptWithinTheHost(t *testing.T) { playCrowds(t, streamCrowds) }
+
 func playCrowds(t *testing.T, crowds map[string]crowd) {
 	t.Helper()
 	for name, c := range crowds {
