--- a/review/11/rig/rig.go
+++ b/review/11/rig/rig.go
@@ -187,16 +187,19 @@
 // Add prepares a router in a zone, without starting it.
 func (f *Fleet) Add(zone string) *Router {
 	const ports = 5
+	number := len(f.routers) + 1
+	// A loopback address of its own keeps the ports of a router free from connections of others.
+	pid := os.Getpid()
+	ip := fmt.Sprintf("127.%d.%d.%d", 20+pid%200, pid/200%250, number)
 	var addresses [ports]string
 	for i := range addresses {
-		socket, err := net.Listen("tcp", "127.0.0.1:0")
+		socket, err := net.Listen("tcp", ip+":0")
 		if err != nil {
 			f.Fail("no port for a router: %v", err)
 		}
 		defer socket.Close()
 		addresses[i] = socket.Addr().String()
 	}
-	number := len(f.routers) + 1
 	store, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		f.Fail("no port for the store: %v", err)
