Show in logs and metrics which arrivals of a request the retry budget knows

The causes of failed attempts alone could not tell the hypotheses of docs/incidents/budget-misdirected.md apart: whether an attempt had arrived, how many of its request had before, and whether the budget was asked. 'attempt on an upstream failed' has arrivals and drawn, and agateswitch_repeated_arrivals counts by pool and whether the budget was drawn from. No decision depends on them.

--- a/node/gateway/buffered.go
+++ b/node/gateway/buffered.go
@@ -32,6 +32,7 @@
 	}
 	defer head.Body.Close()
 	c.sentCount++
+	c.recordArrival()
 	engineAnswer := c.gateway.Engines.Read(head.Status, head.Header)
 	c.applySignals(chosen, engineAnswer)
 	chosen.firstByteTime = time.Since(chosen.sentAt)
--- a/node/gateway/detour.go
+++ b/node/gateway/detour.go
@@ -172,6 +172,7 @@
 	}
 	if result.sent {
 		c.sentCount++
+		c.recordArrival()
 	}
 	return result
 }
--- a/node/gateway/instruments.go
+++ b/node/gateway/instruments.go
@@ -17,6 +17,7 @@
 	answers        metric.Int64Counter
 	refusals       metric.Int64Counter
 	failedAttempts metric.Int64Counter
+	repeats        metric.Int64Counter
 	signals        metric.Int64Counter
 	draws          metric.Int64Counter
 	places         metric.Int64Counter
@@ -42,6 +43,10 @@
 		metric.WithDescription("Attempts that brought no answer, by route")); err != nil {
 		return i, errors.Trace(err)
 	}
+	if i.repeats, err = meter.Int64Counter("agateswitch_repeated_arrivals",
+		metric.WithDescription("Arrivals of requests at upstreams beyond the first of each, by pool and whether the retry budget was drawn from")); err != nil {
+		return i, errors.Trace(err)
+	}
 	if i.signals, err = meter.Int64Counter("agateswitch_upstream_signals",
 		metric.WithDescription("Answers in which an upstream said that it leaves, asked for a pause, or changed its rate limit, by signal")); err != nil {
 		return i, errors.Trace(err)
@@ -111,3 +116,8 @@
 func (i Instruments) recordFailedAttempt(route string) {
 	i.failedAttempts.Add(context.Background(), 1, metric.WithAttributes(attribute.String("route", route)))
 }
+
+// recordRepeat counts an arrival of a request at an upstream beyond its first one.
+func (i Instruments) recordRepeat(pool string, isDrawn bool) {
+	i.repeats.Add(context.Background(), 1, metric.WithAttributes(attribute.String("pool", pool), attribute.Bool("drawn", isDrawn)))
+}
--- a/node/gateway/report.go
+++ b/node/gateway/report.go
@@ -52,7 +52,7 @@
 		"version", chosen.upstream.Version, "reason", chosen.ranking.Reason, "load", chosen.load.Running, "pending_prefill", chosen.load.PendingPrefill,
 		"load_age", chosen.poolLoad.age.Round(time.Millisecond), "group_mean", round2(chosen.ranking.MeanLoad), "pool_mean", round2(chosen.poolLoad.mean), "full", chosen.fullBefore, "place", placeKeeper(chosen), "keeper", chosen.seatKeeper(), "waited", chosen.waited, "expected", chosen.expected, "stated", statedLoad(chosen), "stated_work_time", chosen.stated.WorkTimePercent, "work_time", round2(chosen.workTime),
 		"limit", chosen.draw.PerSecond, "drawn_from", chosen.draw.Source, "incarnation", chosen.incarnation(), "via", chosen.via, "from", c.from, "parts", partIDs(c.sharedParts()), "whole", c.whole, "alone", chosen.permit.Alone, "events", chosen.eventCount,
-		"sent", result.sent, "ran", result.ran, "cause", result.cause, "retry", retry, "took", time.Since(c.began))
+		"sent", result.sent, "arrivals", c.arrivals, "ran", result.ran, "cause", result.cause, "retry", retry, "drawn", c.isRepeatDrawn, "took", time.Since(c.began))
 }
 
 // partIDs returns the ids of parts of a prompt.
--- a/node/gateway/request.go
+++ b/node/gateway/request.go
@@ -76,6 +76,10 @@
 	tried       map[*engine]bool
 	// sentCount is the number of upstreams that the request was sent to.
 	sentCount int
+	// arrivals is the number of times that the request may have reached an upstream, whatever came of it.
+	arrivals int
+	// isRepeatDrawn is true if the next arrival has been drawn from the retry budget.
+	isRepeatDrawn bool
 	// ran states whether the request may have run on any of them.
 	ran fleet.Ran
 	// hasBegun is true once an upstream has begun to run the request.
@@ -188,9 +192,19 @@
 	case !c.gateway.allowRetry(c.pool.ID, time.Now()):
 		return admission.RetryBudgetExhausted
 	}
+	c.isRepeatDrawn = true
 	return admission.RetryAllowed
 }
 
+// recordArrival records that the request may have reached an upstream.
+func (c *callerRequest) recordArrival() {
+	if c.arrivals > 0 {
+		c.gateway.Instruments.recordRepeat(string(c.pool.ID), c.isRepeatDrawn)
+	}
+	c.arrivals++
+	c.isRepeatDrawn = false
+}
+
 // failRequest ends a request that no upstream has answered: it aborts a stream that has begun, and
 // otherwise sends an upstream's error answer or a refusal.
 func (c *callerRequest) failRequest(code fleet.Code, why string) {
@@ -319,6 +333,7 @@
 	result := attemptResult{sent: failure.Ran != fleet.NotRun, ran: failure.Ran, cause: failure.Error()}
 	if result.sent {
 		c.sentCount++
+		c.recordArrival()
 	}
 	c.connectFailed = !result.sent && failure.Fault == exchange.FaultUnreachable
 	if !result.sent {
--- a/node/gateway/stream.go
+++ b/node/gateway/stream.go
@@ -46,6 +46,7 @@
 	}
 	defer head.Body.Close()
 	c.sentCount++
+	c.recordArrival()
 	engineAnswer := c.gateway.Engines.Read(head.Status, head.Header)
 	c.applySignals(chosen, engineAnswer)
 	if engineAnswer.NotRun {
