Draw each further arrival of a request from the retry budget, whatever the answer before

What callers saw: nothing; what the service saw: up to fifteen arrivals of one request, 1,190 repeats in ten seconds, allowed 1,154.

Cause: an answer 421 counted as a connection that was refused. Neither the retry budget, nor the attempts of the route, nor the limit on unreached upstreams was asked before the next attempt.

Now what arrives and what counts as an attempt are separate: the first arrival is free, each further one is drawn, and a draw holds until the request arrives. An upstream whose address belongs to another one also counts as unreached, of which a request may meet four.

Still failing: through other routers (6 repeats without a draw), a restart of all routers, a fleet that shrinks.

--- a/node/gateway/buffered.go
+++ b/node/gateway/buffered.go
@@ -92,6 +92,7 @@
 	if engineAnswer.Misdirected {
 		// The address belongs to another upstream, so the intended one did not receive the request.
 		c.sentCount--
+		c.unreached++
 		chosen.recordResult(time.Now(), outlier.Unreachable)
 		return attemptResult{ran: fleet.NotRun, cause: "another upstream has the address"}
 	}
--- a/node/gateway/request.go
+++ b/node/gateway/request.go
@@ -67,7 +67,7 @@
 	work *detour.Work
 	// connectFailed is true if the last attempt found no connection to its upstream.
 	connectFailed bool
-	// unreached is the number of attempts that found no connection.
+	// unreached is the number of attempts that found no connection, or another upstream at the address.
 	unreached int
 	// whole is the id of the request as a whole; empty until it is needed.
 	whole quarantine.Part
@@ -170,7 +170,8 @@
 	}
 }
 
-// maxUnreachableAttempts is how many upstreams a request may fail to reach before it is refused.
+// maxUnreachableAttempts is how many upstreams a request may fail to reach before it is refused. Those whose address belongs to
+// another one count.
 const maxUnreachableAttempts = 4
 
 // connectPatience is how long a request waits for a connection while there is another way. A connection takes some
@@ -181,21 +182,28 @@
 // reason why not.
 func (c *callerRequest) decideRetry(result attemptResult) admission.RetryReason {
 	switch {
-	case !result.sent && c.unreached < maxUnreachableAttempts:
-		return admission.RetryAllowed
-	case !result.sent:
+	case !result.sent && c.unreached >= maxUnreachableAttempts:
 		return admission.RetryAttemptsExhausted
-	case c.ran != fleet.NotRun && !c.route.Repeatable(), c.stream.begun && c.stream.lastEventID == "":
+	case result.sent && (c.ran != fleet.NotRun && !c.route.Repeatable() || c.stream.begun && c.stream.lastEventID == ""):
 		return admission.RetryMayHaveRun
-	case c.sentCount >= c.route.MaxAttempts:
+	case result.sent && c.sentCount >= c.route.MaxAttempts:
 		return admission.RetryAttemptsExhausted
-	case !c.gateway.allowRetry(c.pool.ID, time.Now()):
+	case !c.drawRepeat():
 		return admission.RetryBudgetExhausted
 	}
-	c.isRepeatDrawn = true
 	return admission.RetryAllowed
 }
 
+// drawRepeat draws the request's next arrival from the retry budget, if it is not the first one. It reports false if the budget is spent.
+// A draw holds until the request arrives, however many upstreams it fails to reach before.
+func (c *callerRequest) drawRepeat() bool {
+	if c.arrivals > 0 && !c.isRepeatDrawn {
+		c.isRepeatDrawn = c.gateway.allowRetry(c.pool.ID, time.Now())
+		return c.isRepeatDrawn
+	}
+	return true
+}
+
 // recordArrival records that the request may have reached an upstream.
 func (c *callerRequest) recordArrival() {
 	if c.arrivals > 0 {
