Let the router that takes a request draw for the repeats of those that send it

What the service saw: repeats that no budget knew, when routers without a path send through others.

Cause: a router that sends for another tried a second upstream by itself after a 421, and told that nothing was sent, so that the asking router drew nothing either.

Now it sends a request that has arrived anywhere to no other upstream, and its report says that it arrived.

--- a/node/detour/detour.go
+++ b/node/detour/detour.go
@@ -60,10 +60,13 @@
 	Incarnation int64 `json:"incarnation,omitempty"`
 	Failed      bool  `json:"failed,omitempty"`
 	// Sent is true if an upstream may have received the request, and Ran whether one may have run it.
-	Sent        bool      `json:"sent,omitempty"`
-	Ran         fleet.Ran `json:"ran,omitempty"`
-	EngineEnded bool      `json:"engine_ended,omitempty"`
-	Cause       string    `json:"cause,omitempty"`
+	Sent bool      `json:"sent,omitempty"`
+	Ran  fleet.Ran `json:"ran,omitempty"`
+	// Arrived is true if the request may have reached any upstream, also one that has taken over the address of another. Routers of
+	// earlier versions don't set it, and may have sent such a request twice.
+	Arrived     bool   `json:"arrived,omitempty"`
+	EngineEnded bool   `json:"engine_ended,omitempty"`
+	Cause       string `json:"cause,omitempty"`
 	// Refusal is set if no router may send the request now.
 	Refusal *fleet.Refusal `json:"refusal,omitempty"`
 	// Hints names routers that have a path to the pool.
--- a/node/detour/detour_test.go
+++ b/node/detour/detour_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"io"
 	"net/http"
 	"strings"
@@ -80,6 +81,21 @@
 	must.Nil(t, report)
 }
 
+func TestReportsOfEarlierVersionsNameNoArrival(t *testing.T) {
+	const earlier = `{"outcome":"no_path","upstream":"e2","failed":true,"ran":"not_run","cause":"another upstream has the address"}`
+	report, err := readReport(http.Header{headerReport: {earlier}})
+	must.NoError(t, err)
+	must.False(t, report.Arrived)
+	must.Eq(t, detour.NoPath, report.Outcome)
+	header := http.Header{}
+	report.Arrived = true
+	must.NoError(t, WriteReport(header, "r", report))
+	var fields map[string]any
+	must.NoError(t, json.Unmarshal([]byte(header.Get(headerReport)), &fields))
+	delete(fields, "arrived")
+	must.MapLen(t, 5, fields)
+}
+
 func TestRequestsOfOthersAreBounded(t *testing.T) {
 	s := New(noFleet{}, nil, 0)
 	var ends []func()
--- a/node/gateway/detour.go
+++ b/node/gateway/detour.go
@@ -172,6 +172,12 @@
 	}
 	if result.sent {
 		c.sentCount++
+	}
+	isMisdirected := !result.sent && chosen.report != nil && chosen.report.Arrived
+	if isMisdirected {
+		c.unreached++
+	}
+	if result.sent || isMisdirected {
 		c.recordArrival()
 	}
 	return result
--- a/node/gateway/detour_serve.go
+++ b/node/gateway/detour_serve.go
@@ -118,7 +118,8 @@
 	return nil
 }
 
-// sendForOther sends the request to an upstream. Only upstreams that were not reached are followed by another one.
+// sendForOther sends the request to an upstream. Only upstreams that were not reached are followed by another one: the router that took
+// the request draws its further arrivals from the retry budget.
 func (c *callerRequest) sendForOther(ctx context.Context) {
 	defer c.holding.release()
 	report := node.Report{Outcome: detour.NoPath, Ran: fleet.NotRun, Cause: "no upstream can take the request now"}
@@ -152,7 +153,8 @@
 			panic(http.ErrAbortHandler)
 		}
 		report.Sent, report.Ran, report.Cause, report.EngineEnded = result.sent, result.ran, result.cause, c.engineEnded
-		if result.sent || ctx.Err() != nil {
+		report.Arrived = c.arrivals > 0
+		if report.Arrived || ctx.Err() != nil {
 			break
 		}
 		report.Outcome = detour.NoPath
