Keep the parts of the retry budget within the whole while routers restart and leave

What the service saw: more repeats than its budget for ten seconds after routers had ended or restarted.

Cause: a router took its part of the fixed amount by the number of routers at that moment, and forgot its repeats when it restarted or when the window was changed. Routers that had just left, and former lives of this one, had used parts that the same window still counts.

TestRetriesOfAChangingFleetStayWithinItsBudget plays restarts, ends and joins at random; it fails without either half of the change.

Now the part is that of the largest fleet of the window, and a router that was running before has none of the fixed amount for one window; what its requests allow, it has at once.

--- a/core/pace/pace.go
+++ b/core/pace/pace.go
@@ -42,6 +42,33 @@
 	w.events = w.events[expired:]
 }
 
+// Peak is the largest of the values of a sliding window.
+type Peak struct {
+	span time.Duration
+	// samples have falling values, apart from the times in between.
+	samples []sample
+}
+
+type sample struct {
+	at    time.Time
+	value int
+}
+
+// NewPeak returns a peak over windows of the given span.
+func NewPeak(span time.Duration) *Peak { return &Peak{span: span} }
+
+// Add adds a value at now, and returns the largest one of the span before now.
+func (p *Peak) Add(now time.Time, value int) int {
+	for len(p.samples) > 0 && now.Sub(p.samples[0].at) >= p.span {
+		p.samples = p.samples[1:]
+	}
+	for len(p.samples) > 0 && p.samples[len(p.samples)-1].value <= value {
+		p.samples = p.samples[:len(p.samples)-1]
+	}
+	p.samples = append(p.samples, sample{at: now, value: value})
+	return p.samples[0].value
+}
+
 // Share returns a router's share of a fleet-wide limit on events. If there are fewer events than
 // routers, only the first routers get one each: position is the router's rank, from 0, in an order
 // that is the same on all routers.
@@ -56,6 +83,52 @@
 	return share
 }
 
+// FleetRetryBudget is one router's part of a retry budget that all routers of a fleet share, for any number of pools. The parts add up
+// to no more than the budget while routers restart, and while their number changes. It is not safe for concurrent use.
+type FleetRetryBudget[P comparable] struct {
+	span  time.Duration
+	pools map[P]*WindowedRetryBudget
+	fleet *Peak
+	// extraFrom is when the part of the extra retries may be used.
+	extraFrom time.Time
+}
+
+// NewFleetRetryBudget returns the part of a router that has started at now, for windows of the given span. A router that was running
+// before has forgotten the retries of the last window: it gets no extra ones until that is over.
+func NewFleetRetryBudget[P comparable](now time.Time, span time.Duration, wasRunning bool) *FleetRetryBudget[P] {
+	b := &FleetRetryBudget[P]{span: span, pools: map[P]*WindowedRetryBudget{}, fleet: NewPeak(span), extraFrom: now}
+	if wasRunning {
+		b.extraFrom = now.Add(span)
+	}
+	return b
+}
+
+// RecordRequest records a request for a pool, while the fleet has the given number of routers.
+func (b *FleetRetryBudget[P]) RecordRequest(now time.Time, pool P, routers int) {
+	b.fleet.Add(now, routers)
+	b.pool(pool).RecordRequest(now)
+}
+
+// AllowRetry reports whether a retry for a pool is allowed at now, and records it if so. ratio and extra are those of the whole fleet
+// (WindowedRetryBudget.AllowRetry).
+func (b *FleetRetryBudget[P]) AllowRetry(now time.Time, pool P, routers int, ratio, extra float64) bool {
+	// Routers that have left may have used their parts in this window.
+	part := extra / float64(max(1, b.fleet.Add(now, routers)))
+	if now.Before(b.extraFrom) {
+		part = 0
+	}
+	return b.pool(pool).AllowRetry(now, ratio, part)
+}
+
+func (b *FleetRetryBudget[P]) pool(pool P) *WindowedRetryBudget {
+	budget, found := b.pools[pool]
+	if !found {
+		budget = NewWindowedRetryBudget(b.span)
+		b.pools[pool] = budget
+	}
+	return budget
+}
+
 // WindowedRetryBudget limits retries to a fraction of the requests of a sliding window, plus a few
 // extra ones. It enforces the bound exactly, in any window of its span. The retry budget of package
 // admission depends on successes instead.
--- a/core/pace/pace_test.go
+++ b/core/pace/pace_test.go
@@ -1,6 +1,7 @@
 package pace
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -66,3 +67,62 @@
 	must.False(t, budget.AllowRetry(now.Add(11*time.Second), 0.2, 0))
 	must.True(t, budget.AllowRetry(now.Add(11*time.Second), 0.2, 1))
 }
+
+func TestPeakIsTheLargestOfTheWindow(t *testing.T) {
+	peak := NewPeak(10 * time.Second)
+	for _, c := range []struct {
+		second, value, want int
+	}{{0, 6, 6}, {1, 2, 6}, {2, 3, 6}, {9, 1, 6}, {10, 1, 3}, {12, 1, 1}, {13, 8, 8}} {
+		must.Eq(t, c.want, peak.Add(start.Add(time.Duration(c.second)*time.Second), c.value), must.Sprint("second ", c.second))
+	}
+}
+
+// The parts of a fleet used to add up to more than its budget when routers restarted, ended or joined.
+func TestRetriesOfAChangingFleetStayWithinItsBudget(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const span, ratio = 10 * time.Second, 0.2
+		extra := float64(rapid.IntRange(1, 60).Draw(t, "extra"))
+		now := start
+		var parts []*FleetRetryBudget[string]
+		for range rapid.IntRange(1, 8).Draw(t, "routers") {
+			parts = append(parts, NewFleetRetryBudget[string](now, span, false))
+		}
+		var requests, retries []time.Time
+		for range rapid.IntRange(1, 150).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 1500).Draw(t, "pause")) * time.Millisecond)
+			router := rapid.IntRange(0, len(parts)-1).Draw(t, "router")
+			switch rapid.IntRange(0, 9).Draw(t, "event") {
+			case 0:
+				parts[router] = NewFleetRetryBudget[string](now, span, true)
+			case 1:
+				if len(parts) > 1 {
+					parts = slices.Delete(parts, router, router+1)
+				}
+			case 2:
+				parts = append(parts, NewFleetRetryBudget[string](now, span, true))
+			case 3, 4, 5:
+				parts[router].RecordRequest(now, "pool", len(parts))
+				requests = append(requests, now)
+			default:
+				for range rapid.IntRange(1, 30).Draw(t, "retries") {
+					if parts[router].AllowRetry(now, "pool", len(parts), ratio, extra) {
+						retries = append(retries, now)
+					}
+				}
+			}
+			// All routers take requests all the time, so that each knows the number of routers.
+			for _, part := range parts {
+				part.fleet.Add(now, len(parts))
+			}
+			within := func(times []time.Time) (count float64) {
+				for _, at := range times {
+					if now.Sub(at) < span {
+						count++
+					}
+				}
+				return count
+			}
+			must.LessEq(t, ratio*within(requests)+extra, within(retries))
+		}
+	})
+}
--- a/node/edge/edge.go
+++ b/node/edge/edge.go
@@ -121,6 +121,7 @@
 		RateLimits:  limits,
 		Room:        room.New(self.ID, r.mesh, r.presence, r.heldBy, logger),
 		Begin:       r.recordBegin(),
+		FirstStart:  s.FirstStart,
 		Queues:      room.NewQueues(self.ID, r.mesh, r.presence, logger),
 		Instruments: instruments, Log: logger,
 	}, retryLimits(s), loadBound(s))
--- a/node/gateway/gateway.go
+++ b/node/gateway/gateway.go
@@ -74,6 +74,8 @@
 	Intake *intake.Account
 	// Answers is the memory that the requests hold of large answers; nil for one of the default size.
 	Answers *intake.Account
+	// FirstStart is true if the router starts together with the whole fleet for the first time.
+	FirstStart bool
 	// Begin is called once for each request that an upstream has begun to run; nil if nobody wants to know.
 	Begin func(team fleet.Team)
 	// Instruments records the gateway's metrics.
@@ -95,8 +97,8 @@
 	// checksDue is notified when a path to an upstream has come into doubt.
 	checksDue chan struct{}
 
-	mu           sync.Mutex
-	retryBudgets map[fleet.PoolID]*pace.WindowedRetryBudget
+	mu          sync.Mutex
+	retryBudget *pace.FleetRetryBudget[fleet.PoolID]
 }
 
 // DefaultIntakeBytes is what callers may make a router hold on a host whose memory is not known.
@@ -111,8 +113,9 @@
 		dependencies.Answers = NewAnswerAccount(0)
 	}
 	g := &Gateway{
-		Dependencies: dependencies, checksDue: make(chan struct{}, 1), retryBudgets: map[fleet.PoolID]*pace.WindowedRetryBudget{},
-		view: newView(dependencies.Codec, dependencies.Workload.RemoveCached, dependencies.Workload.Leaves, dependencies.Log),
+		Dependencies: dependencies, checksDue: make(chan struct{}, 1),
+		retryBudget: pace.NewFleetRetryBudget[fleet.PoolID](time.Now(), limits.Window, !dependencies.FirstStart),
+		view:        newView(dependencies.Codec, dependencies.Workload.RemoveCached, dependencies.Workload.Leaves, dependencies.Log),
 	}
 	g.view.onLost = dependencies.Quarantine.Lost
 	dependencies.Workload.OnLeaving(g.view.markLeaving)
@@ -124,13 +127,13 @@
 }
 
 // SetRetryLimits applies changed limits. A change of the window resets the recorded requests and
-// retries.
+// retries, as a restart does.
 func (g *Gateway) SetRetryLimits(limits RetryLimits) {
 	old := g.retryLimits.Swap(&limits)
 	if old != nil && old.Window != limits.Window {
 		g.mu.Lock()
 		defer g.mu.Unlock()
-		g.retryBudgets = map[fleet.PoolID]*pace.WindowedRetryBudget{}
+		g.retryBudget = pace.NewFleetRetryBudget[fleet.PoolID](time.Now(), limits.Window, true)
 	}
 }
 
@@ -188,32 +191,22 @@
 
 // recordRequest records a request in its pool's retry budget.
 func (g *Gateway) recordRequest(pool fleet.PoolID, now time.Time) {
+	routers := g.Fleet.Count()
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.retryBudget(pool).RecordRequest(now)
+	g.retryBudget.RecordRequest(now, pool, routers)
 }
 
 // allowRetry reports whether this router's share of the pool's retry budget allows a retry, and
 // records it if so.
 func (g *Gateway) allowRetry(pool fleet.PoolID, now time.Time) bool {
-	limits := g.retryLimits.Load()
-	extra := limits.Extra / float64(g.Fleet.Count())
+	limits, routers := g.retryLimits.Load(), g.Fleet.Count()
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.retryBudget(pool).AllowRetry(now, limits.Ratio*usableRetryFraction, extra*usableRetryFraction)
+	return g.retryBudget.AllowRetry(now, pool, routers, limits.Ratio*usableRetryFraction, limits.Extra*usableRetryFraction)
 }
 
 // usableRetryFraction is the fraction of the retry budget that is used. The rest compensates for
 // requests that the router has recorded but that no upstream has received yet, because the limit
 // relates to received requests.
 const usableRetryFraction = 0.8
-
-// retryBudget returns the budget of a pool. The caller holds mu.
-func (g *Gateway) retryBudget(pool fleet.PoolID) *pace.WindowedRetryBudget {
-	budget, found := g.retryBudgets[pool]
-	if !found {
-		budget = pace.NewWindowedRetryBudget(g.retryLimits.Load().Window)
-		g.retryBudgets[pool] = budget
-	}
-	return budget
-}
