Tell all routers that an upstream's address belongs to another one

What the service saw: up to 21 arrivals at each of 55 addresses in a second, turned away with 421.

Cause: each router found out by itself, as the 421 of another router says the same about the same incarnation. The store's entry of an engine that has ended stays for three heartbeats; its path looks good again once another engine listens there.

It ends by itself: one false 421 takes nobody out of service for longer, and an entry with another address is not held.

--- a/node/gateway/buffered.go
+++ b/node/gateway/buffered.go
@@ -93,6 +93,7 @@
 		// The address belongs to another upstream, so the intended one did not receive the request.
 		c.sentCount--
 		c.unreached++
+		c.markDisplaced(chosen)
 		chosen.recordResult(time.Now(), outlier.Unreachable)
 		return attemptResult{ran: fleet.NotRun, cause: "another upstream has the address"}
 	}
--- a/node/gateway/choose.go
+++ b/node/gateway/choose.go
@@ -130,7 +130,7 @@
 	for _, e := range current.engines[pool.ID] {
 		status := e.status(now)
 		if s.tried[e] || status.paused || status.upstream.State != fleet.Live || current.dataCentresOut[status.upstream.DataCentre] ||
-			versions.Avoids(status.upstream.Version) {
+			versions.Avoids(status.upstream.Version) || g.isDisplaced(e, status.upstream) {
 			continue
 		}
 		load := g.Workload.Load(e.id)
--- a/node/gateway/request.go
+++ b/node/gateway/request.go
@@ -276,7 +276,7 @@
 		Host: c.request.Host, Header: c.gateway.Engines.Header(c.request.Header, call),
 		Body: bytes.NewReader(c.body), ContentLength: int64(len(c.body)),
 		MaySend: func() bool {
-			return (c.work == nil || c.work.MaySend()) && c.gateway.view.current.Load().acceptsWork(c.pool.ID, chosen.engine) &&
+			return (c.work == nil || c.work.MaySend()) && c.gateway.view.current.Load().acceptsWork(c.pool.ID, chosen.engine) && !c.gateway.isDisplaced(chosen.engine, chosen.upstream) &&
 				c.gateway.Moves.MaySend(c.pool.ID, chosen.upstream.Version) && c.gateway.Quarantine.MaySend(c.suspectParts()) &&
 				c.gateway.isWithinLimit(chosen) && c.gateway.hasPlace(c.pool.ID, chosen)
 		},
--- a/node/gateway/signals.go
+++ b/node/gateway/signals.go
@@ -39,6 +39,20 @@
 	c.applyBrittleness(chosen, answer)
 }
 
+// markDisplaced makes all routers send nothing more to an upstream at whose address another one has answered, for as long as its entry
+// may outlive it.
+func (c *callerRequest) markDisplaced(chosen *choice) {
+	if chosen.via == "" {
+		e := chosen.engine
+		c.gateway.Workload.MarkDisplaced(e.id, e.incarnation, chosen.upstream.Address)
+	}
+}
+
+// isDisplaced reports whether another upstream has lately answered at the upstream's address.
+func (g *Gateway) isDisplaced(e *engine, upstream fleet.Upstream) bool {
+	return g.Workload.IsDisplaced(e.id, e.incarnation, upstream.Address)
+}
+
 // judgeWorkTime compares the work time that the upstream has stated with the time until its first event.
 func (g *Gateway) judgeWorkTime(chosen *choice) {
 	if !g.placement.Load().BySpeed || chosen.stated.WorkTimePercent <= 0 || chosen.engine == nil || chosen.fetchFrom != "" {
--- a/node/workload/leaving_test.go
+++ b/node/workload/leaving_test.go
@@ -1,6 +1,7 @@
 package workload
 
 import (
+	"fmt"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -14,6 +15,9 @@
 // leaveLimit is the time after which an upstream that has said that it leaves may get no request.
 const leaveLimit = 2 * time.Second
 
+// displacedLimit is the age of loads up to which a large fleet's routers place requests by them.
+const displacedLimit = time.Second
+
 // All routers learn that an upstream leaves from the answer that one of them has had, also in a large
 // fleet on links of 10 Mbit/s whose relays carry the load of many requests.
 func TestAllRoutersLearnThatAnUpstreamLeaves(t *testing.T) {
@@ -48,3 +52,28 @@
 		})
 	}
 }
+
+// So they learn that the address of an upstream belongs to another one.
+func TestAllRoutersLearnThatAnUpstreamIsDisplaced(t *testing.T) {
+	for _, routers := range []int{3, 16, 60, 120} {
+		synctest.Test(t, func(t *testing.T) {
+			w := newNetwork(routers)
+			w.bytesPerSecond = 10e6 / 8
+			defer w.run()()
+			time.Sleep(2 * time.Second)
+			const upstreams = 55
+			for i := range upstreams {
+				w.node(i%routers).MarkDisplaced(fleet.UpstreamID(fmt.Sprint("e", i)), 7, "a")
+			}
+			time.Sleep(displacedLimit)
+			for _, n := range w.nodes {
+				for i := range upstreams {
+					must.True(t, n.IsDisplaced(fleet.UpstreamID(fmt.Sprint("e", i)), 7, "a"), must.Sprint(n.id, " of ", routers))
+				}
+				must.False(t, n.IsDisplaced("e1", 8, "a"), must.Sprint(n.id))
+			}
+			time.Sleep(departure.DisplacedTime)
+			must.False(t, w.node(0).IsDisplaced("e1", 7, "a"))
+		})
+	}
+}
--- a/node/workload/publish.go
+++ b/node/workload/publish.go
@@ -17,7 +17,7 @@
 	defer w.mu.Unlock()
 	now := time.Now()
 	return message{
-		Load: maps.Clone(w.own), Full: true, CachedParts: w.takePendingParts(), Leaving: w.leaving.Told(now),
+		Load: maps.Clone(w.own), Full: true, CachedParts: w.takePendingParts(), Leaving: w.leaving.Told(now), Displaced: w.displaced.Told(now),
 		RateLimits: w.limits.TakeNews(now), Brittle: w.brittle.TakeNews(now), WorkTimes: w.workTimes.TakeNews(now),
 	}
 }
@@ -29,7 +29,7 @@
 	defer w.mu.Unlock()
 	now := time.Now()
 	m := message{
-		Load: map[fleet.UpstreamID]Load{}, Full: full, CachedParts: w.takePendingParts(), Leaving: w.leaving.Told(now),
+		Load: map[fleet.UpstreamID]Load{}, Full: full, CachedParts: w.takePendingParts(), Leaving: w.leaving.Told(now), Displaced: w.displaced.Told(now),
 		RateLimits: w.limits.TakeNews(now), Brittle: w.brittle.TakeNews(now), WorkTimes: w.workTimes.TakeNews(now),
 	}
 	if full {
@@ -78,6 +78,7 @@
 		return nil, err
 	}
 	w.learnLeaving(m.Leaving)
+	w.learnDisplaced(m.Displaced)
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.learnRateLimits(m.RateLimits, false)
--- a/node/workload/relay.go
+++ b/node/workload/relay.go
@@ -83,6 +83,8 @@
 	Unheard int `msgpack:"u,omitempty"`
 	// Leaving lists the upstreams that have said lately that they leave.
 	Leaving []departure.Mark `msgpack:"d,omitempty"`
+	// Displaced lists the upstreams at whose addresses others have answered lately.
+	Displaced []departure.Displacement `msgpack:"y,omitempty"`
 	// RateLimits lists the rate limits of upstreams that have changed lately.
 	RateLimits []ratelimit.Mark `msgpack:"r,omitempty"`
 	// Brittle lists the upstreams that have become brittle lately, or sound again.
@@ -168,6 +170,7 @@
 		return false
 	}
 	w.learnLeaving(response.Leaving)
+	w.learnDisplaced(response.Displaced)
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.setCountedBy(relay)
@@ -222,6 +225,7 @@
 		return relayResponse{}, nil
 	}
 	w.learnLeaving(request.Message.Leaving)
+	w.learnDisplaced(request.Message.Displaced)
 	w.mu.Lock()
 	w.learnRateLimits(request.Message.RateLimits, true)
 	w.learnBrittle(request.Message.Brittle, true)
@@ -242,7 +246,7 @@
 		}
 	}
 	response.CachedParts, response.Cursor = w.recentParts.since(request.Cursor)
-	response.Leaving = w.leaving.Told(time.Now())
+	response.Leaving, response.Displaced = w.leaving.Told(time.Now()), w.displaced.Told(time.Now())
 	response.RateLimits, response.Brittle = w.limits.Recent(time.Now()), w.brittle.Recent(time.Now())
 	response.WorkTimes = w.workTimes.Recent(time.Now())
 	w.mu.Unlock()
--- a/node/workload/workload.go
+++ b/node/workload/workload.go
@@ -75,6 +75,8 @@
 	CachedParts []warmth.CachedPart `msgpack:"w,omitempty"`
 	// Leaving lists the upstreams that have said lately that they leave.
 	Leaving []departure.Mark `msgpack:"d,omitempty"`
+	// Displaced lists the upstreams at whose addresses others have answered lately. Earlier versions neither send nor read it.
+	Displaced []departure.Displacement `msgpack:"y,omitempty"`
 	// RateLimits lists the rate limits of upstreams that have changed.
 	RateLimits []ratelimit.Mark `msgpack:"r,omitempty"`
 	// Brittle lists the upstreams that have become brittle, or sound again.
@@ -124,6 +126,7 @@
 	// leaving holds the upstreams that leave according to their answers to any router, and onLeaving
 	// receives those that another router has told.
 	leaving   departure.Marks
+	displaced departure.Displacements
 	onLeaving func(departure.Mark)
 	// limits holds the rate limits that upstreams have stated to any router.
 	limits ratelimit.Marks
