Take an answer without a length for incomplete when its upload was cut

Cause: the kernel reports a reset once. If the write gets it, the next read returns the end of the connection, which ends an answer without a length.

Now the end of a connection counts as unexpected while a write is under way or after one has failed. Answers with a length or chunks are complete by these, as before.

--- a/adapter/upstreamhttp/connection.go
+++ b/adapter/upstreamhttp/connection.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"io"
 	"net"
 	"net/http/httptrace"
 	"slices"
@@ -27,6 +28,8 @@
 	mu      sync.Mutex
 	written bool
 	sealed  bool
+	// writing is true while a write is under way, and writeFailed once one has failed.
+	writing, writeFailed bool
 	// strip is the beginning of the current call's request line, up to a scheme that must not be sent.
 	strip string
 }
@@ -38,14 +41,37 @@
 		c.mu.Unlock()
 		return 0, errSealed
 	}
-	c.written = true
+	c.written, c.writing = true, true
 	strip := c.strip
 	c.strip = ""
 	c.mu.Unlock()
-	if strip == "" || !bytes.HasPrefix(buffer, []byte(strip)) {
-		return c.Conn.Write(buffer)
+	write := c.Conn.Write
+	if strip != "" && bytes.HasPrefix(buffer, []byte(strip)) {
+		write = func(buffer []byte) (int, error) { return c.writeWithoutScheme(buffer, strip) }
 	}
-	return c.writeWithoutScheme(buffer, strip)
+	n, err := write(buffer)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.writing = false
+	c.writeFailed = c.writeFailed || err != nil
+	return n, err
+}
+
+// Read implements net.Conn. The kernel reports a reset once, to the write that is under way; reads then look as if the connection had
+// ended in order.
+func (c *trackedConn) Read(buffer []byte) (int, error) {
+	n, err := c.Conn.Read(buffer)
+	if err == io.EOF && c.isUploadCut() {
+		err = io.ErrUnexpectedEOF
+	}
+	return n, err
+}
+
+// isUploadCut reports whether the connection has ended before all of the call was written.
+func (c *trackedConn) isUploadCut() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.writing || c.writeFailed
 }
 
 // writeWithoutScheme writes the beginning of a request without the scheme at the end of strip.
