Answer an upstream's answer with no valid status as a failure

An upstream's signed answer with the status 000 made the router's handler fail, which ended the caller's connection; 600 and 999 were passed on as they came.

Cause: net/http accepts any three digits of an answer, and refuses to write those below 100.

Evidence: TestOddAnswersAreAnsweredAsFailures: all ten cases with such a status failed before, for statuses below 100 with a closed connection. All get 502 now, on routes of all kinds.

--- a/adapter/upstreamhttp/client.go
+++ b/adapter/upstreamhttp/client.go
@@ -51,6 +51,9 @@
 	// ErrUnframed is returned when an answer has neither a length nor chunks, so that its end
 	// cannot be distinguished from a lost connection (RFC 9112, section 6.3).
 	ErrUnframed = errors.ConstError("answer has neither a length nor chunks")
+	// ErrStatus is returned when an answer has a status outside of those of final answers, 200 to 599 (RFC 9110, section 15). net/http
+	// accepts any three digits.
+	ErrStatus = errors.ConstError("answer has no valid status")
 )
 
 // The idempotency key is sent with a lower-case header name. The transport treats a request with
@@ -197,8 +200,8 @@
 	c.poolBypassedUntil[address] = time.Now().Add(poolBypassDuration)
 }
 
-// do sends a request. It returns the answer only if it carries the request's id and its end can be
-// detected.
+// do sends a request. It returns the answer only if it carries the request's id and a valid status, and its end
+// can be detected.
 func (c *Client) do(ctx context.Context, client *http.Client, request *http.Request, id fleet.RequestID, tracker *callTracker) (port.UpstreamAnswer, *port.UpstreamError) {
 	request.Header.Set(c.idHeader, string(id))
 	ctx, cancel := context.WithCancelCause(ctx)
@@ -218,8 +221,11 @@
 		answer.Body.Close()
 		client.CloseIdleConnections()
 		fault := exchange.FaultMismatched
-		if errors.Is(err, ErrUnframed) {
+		switch {
+		case errors.Is(err, ErrUnframed):
 			fault = exchange.FaultUnframed
+		case errors.Is(err, ErrStatus):
+			fault = exchange.FaultMalformed
 		}
 		return port.UpstreamAnswer{}, &port.UpstreamError{Cause: err, Ran: fleet.RanUnknown, Fault: fault}
 	}
@@ -266,7 +272,10 @@
 	return b.ReadCloser.Close()
 }
 
-// checkAnswer checks that an answer carries the request's id and that its end can be detected.
+// lastStatus is the last status of a final answer.
+const lastStatus = 599
+
+// checkAnswer checks that an answer carries the request's id and a valid status, and that its end can be detected.
 func (c *Client) checkAnswer(answer *http.Response, id fleet.RequestID) error {
 	if answer.Header.Get(c.idHeader) != string(id) {
 		return errors.Trace(ErrMismatched)
@@ -274,6 +283,9 @@
 	if answer.StatusCode == http.StatusSwitchingProtocols {
 		return errors.Annotate(ErrUnframed, "the upstream switched protocols")
 	}
+	if answer.StatusCode < http.StatusOK || answer.StatusCode > lastStatus {
+		return errors.Annotatef(ErrStatus, "status %d", answer.StatusCode)
+	}
 	// An event stream needs no framing: its last event marks its end.
 	isStream := strings.HasPrefix(answer.Header.Get("Content-Type"), "text/event-stream")
 	if !isFramed(answer) && !isStream && !c.allowUnframed && answer.Body != http.NoBody {
