Answer what is left at the end of a planned stop, and refuse what comes too late for it

Requests that were in work when a stopping router's grace period ended were cut with the process, among them non-idempotent ones that had come after the router had begun to stop.

Cause: nothing tied a request's time to that of the process. A request was given all of its route's timeout, also when it came seconds after SIGTERM, and the end of the grace period was the server's only.

Now requests that come when no more connections are accepted, and may take longer than the router works, are refused at once with 'not run'. The deadline of those that come before ends with that work, and so does the work on older ones; each gets its answer 0.7 s before the end of the grace period.

--- a/node/edge/server.go
+++ b/node/edge/server.go
@@ -38,6 +38,9 @@
 	readTime = 300 * time.Millisecond
 	// exitMargin is the part of the grace period that is reserved for the exit of the process.
 	exitMargin = 400 * time.Millisecond
+	// answerMargin is the part of the grace period before that in which requests that are left get an answer. A busy host with a share
+	// of a core may stand still for a tenth of a second.
+	answerMargin = 300 * time.Millisecond
 )
 
 // Listen opens a socket, as net.Listen does.
@@ -147,10 +150,11 @@
 func (s *servers) stop(server, routers *http.Server) {
 	grace := s.grace()
 	s.log.Info("leaving the fleet; finishing running requests", "grace", grace)
-	deadline := time.Now().Add(grace - exitMargin)
-	s.gateway.Leave()
+	began := time.Now()
+	deadline, linger := began.Add(grace-exitMargin), min(lingerTime, grace/2)
+	s.gateway.Leave(began.Add(linger), deadline.Add(-min(answerMargin, grace/8)))
 	s.leave()
-	time.Sleep(min(lingerTime, grace/2))
+	time.Sleep(linger)
 	if err := s.sockets[s.callers].Close(); err != nil {
 		s.log.Warn("failed to close the socket for callers", "err", err)
 	}
--- a/node/gateway/authorise.go
+++ b/node/gateway/authorise.go
@@ -40,6 +40,9 @@
 		c.intake.Assign(teamOwner + string(c.team.Name))
 	}
 	c.setDeadline()
+	if refusal := c.limitToStop(); refusal != nil {
+		return refusal
+	}
 	if refusal := c.readBody(); refusal != nil {
 		return refusal
 	}
@@ -192,6 +195,9 @@
 // findPool picks one of the route's pools by weight and records the request in its retry budget.
 func (c *callerRequest) findPool() *fleet.Refusal {
 	c.setDeadline()
+	if refusal := c.limitToStop(); refusal != nil {
+		return refusal
+	}
 	id, found := c.route.Pick(rand.Float64())
 	if !found {
 		return fleet.Refuse(fleet.CodeNoUpstream, "the route has no pool", jitter(busyRetryAfter))
--- a/node/gateway/buffered.go
+++ b/node/gateway/buffered.go
@@ -115,7 +115,7 @@
 	for _, name := range hopByHopHeaders {
 		into.Del(name)
 	}
-	if c.gateway.leaving.Load() {
+	if c.gateway.isLeaving() {
 		into.Set("Connection", "close")
 	}
 }
--- a/node/gateway/detour_serve.go
+++ b/node/gateway/detour_serve.go
@@ -39,7 +39,7 @@
 		return
 	}
 	end, admitted := g.Detours.Begin(order.Rank)
-	if !admitted || g.leaving.Load() {
+	if !admitted || g.isLeaving() {
 		c.reportFailure(node.Report{Outcome: detour.Busy, Ran: fleet.NotRun, Cause: "the router takes no more requests of others"})
 		return
 	}
@@ -57,6 +57,7 @@
 	}
 	ctx, cancel := context.WithDeadline(c.request.Context(), c.deadline)
 	defer cancel()
+	defer context.AfterFunc(g.working, cancel)()
 	c.sendForOther(ctx)
 }
 
--- a/node/gateway/gateway.go
+++ b/node/gateway/gateway.go
@@ -91,7 +91,10 @@
 	loadBound   atomic.Pointer[balance.Bound]
 	smallPool   atomic.Pointer[SmallPool]
 	placement   atomic.Pointer[Placement]
-	leaving     atomic.Bool
+	// stopping is nil before a planned stop. working ends with the work on requests.
+	stopping atomic.Pointer[stopTimes]
+	working  context.Context
+	endWork  context.CancelFunc
 	// running counts the running requests of callers.
 	running sync.WaitGroup
 	// checksDue is notified when a path to an upstream has come into doubt.
@@ -117,6 +120,7 @@
 		retryBudget: pace.NewFleetRetryBudget[fleet.PoolID](time.Now(), limits.Window, !dependencies.FirstStart),
 		view:        newView(dependencies.Codec, dependencies.Workload.RemoveCached, dependencies.Workload.Leaves, dependencies.Log),
 	}
+	g.working, g.endWork = context.WithCancel(context.Background())
 	g.view.onLost = dependencies.Quarantine.Lost
 	dependencies.Workload.OnLeaving(g.view.markLeaving)
 	g.SetRetryLimits(limits)
@@ -153,9 +157,6 @@
 // Ready is closed once a desired state is in force.
 func (g *Gateway) Ready() <-chan struct{} { return g.view.ready }
 
-// Leave makes callers reconnect to other routers: each answer from then on closes its connection.
-func (g *Gateway) Leave() { g.leaving.Store(true) }
-
 // Wait blocks until no request is running.
 func (g *Gateway) Wait() { g.running.Wait() }
 
@@ -180,7 +181,7 @@
 func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	g.running.Add(1)
 	defer g.running.Done()
-	if g.leaving.Load() {
+	if g.isLeaving() {
 		w.Header().Set("Connection", "close")
 	}
 	held := g.Intake.Begin(r.Context(), w)
--- a/node/gateway/request.go
+++ b/node/gateway/request.go
@@ -113,6 +113,7 @@
 	}
 	ctx, cancel := context.WithDeadline(c.request.Context(), c.deadline)
 	defer cancel()
+	defer context.AfterFunc(c.gateway.working, cancel)()
 	c.forward(ctx)
 }
 
@@ -156,7 +157,7 @@
 		}
 		c.logAttempt(chosen, result, retry)
 		if ctx.Err() != nil {
-			c.failRequest(fleet.CodeDeadline, "no answer in time")
+			c.failEnded()
 			return
 		}
 		if retry != admission.RetryAllowed {
@@ -164,7 +165,7 @@
 			return
 		}
 		if !c.awaitStop(ctx, chosen, result) {
-			c.failRequest(fleet.CodeDeadline, "no answer in time")
+			c.failEnded()
 			return
 		}
 	}
@@ -317,7 +318,7 @@
 	switch {
 	case !result.delivered && result.ran == fleet.NotRun:
 		c.gateway.Moves.Refuse(c.pool.ID, chosen.upstream.Version, stratum)
-	case result.delivered || result.sent && c.request.Context().Err() == nil:
+	case result.delivered || result.sent && c.request.Context().Err() == nil && !c.gateway.hasEndedWork():
 		c.gateway.Moves.Add(c.evidence(chosen, result))
 	}
 	return result
