--- a/.ci/knownred/main.go
+++ b/.ci/knownred/main.go
@@ -91,11 +91,13 @@
 // failures. A subtest counts as known if its top-level test is listed.
 func (s *summary) recordFailure(e event, key string) {
 	if e.Test == "" {
-		// A package event also follows a failed test, which is already counted.
+		// A package event also follows a failed test, which is already counted. The tests of a package may have
+		// run in several processes, of which each has its own package event.
 		if !s.hasFailedTest[e.Package] {
 			s.failures = append(s.failures, key)
 			s.printPackage(e.Package)
 		}
+		delete(s.hasFailedTest, e.Package)
 		return
 	}
 	s.hasFailedTest[e.Package] = true
