Give no part of the fixed retries before a new fleet's routers know each other

What a service could see: as many times the fixed part of its retry budget as there are routers, in the first moments of a fleet.

Cause: a router that knows no other yet took all of it. Found by reading, beside the restarts.

Evidence: TestExtraRetriesWaitUntilTheFleetIsKnown: six routers that learn of each other within a second take 60 of 60 together; without the wait each takes 60.

--- a/core/pace/pace.go
+++ b/core/pace/pace.go
@@ -93,14 +93,18 @@
 	extraFrom time.Time
 }
 
+// fleetJoinTime is how long the routers of a fleet that starts for the first time may take to know each other.
+const fleetJoinTime = time.Second
+
 // NewFleetRetryBudget returns the part of a router that has started at now, for windows of the given span. A router that was running
-// before has forgotten the retries of the last window: it gets no extra ones until that is over.
+// before has forgotten the retries of the last window: it gets no extra ones until that is over. One that starts with its whole fleet
+// for the first time gets some once it knows how many routers there are.
 func NewFleetRetryBudget[P comparable](now time.Time, span time.Duration, wasRunning bool) *FleetRetryBudget[P] {
-	b := &FleetRetryBudget[P]{span: span, pools: map[P]*WindowedRetryBudget{}, fleet: NewPeak(span), extraFrom: now}
+	withheld := fleetJoinTime
 	if wasRunning {
-		b.extraFrom = now.Add(span)
+		withheld = span
 	}
-	return b
+	return &FleetRetryBudget[P]{span: span, pools: map[P]*WindowedRetryBudget{}, fleet: NewPeak(span), extraFrom: now.Add(withheld)}
 }
 
 // RecordRequest records a request for a pool, while the fleet has the given number of routers.
--- a/core/pace/pace_test.go
+++ b/core/pace/pace_test.go
@@ -77,6 +77,21 @@
 	}
 }
 
+func TestExtraRetriesWaitUntilTheFleetIsKnown(t *testing.T) {
+	allowed := 0
+	for range 6 {
+		part := NewFleetRetryBudget[string](start, 10*time.Second, false)
+		for i, routers := range []int{1, 1, 3, 6} {
+			for range 60 {
+				if part.AllowRetry(start.Add(time.Duration(i)*fleetJoinTime/3), "pool", routers, 0.2, 60) {
+					allowed++
+				}
+			}
+		}
+	}
+	must.Eq(t, 60, allowed)
+}
+
 // The parts of a fleet used to add up to more than its budget when routers restarted, ended or joined.
 func TestRetriesOfAChangingFleetStayWithinItsBudget(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
