Wait for the write under way before an answer's end counts as a cut

What a caller could get: 502 instead of a complete answer without a length, as the last write of its request had not returned yet when the upstream's answer and end were read.

Now the end closes the connection, which ends a blocked write, and waits for it: what it returns tells.

--- a/adapter/upstreamhttp/connection.go
+++ b/adapter/upstreamhttp/connection.go
@@ -28,8 +28,9 @@
 	mu      sync.Mutex
 	written bool
 	sealed  bool
-	// writing is true while a write is under way, and writeFailed once one has failed.
-	writing, writeFailed bool
+	// writeEnded is closed at the end of the write that is under way; nil before the first one. writeFailed is true once one has failed.
+	writeEnded  chan struct{}
+	writeFailed bool
 	// strip is the beginning of the current call's request line, up to a scheme that must not be sent.
 	strip string
 }
@@ -41,7 +42,9 @@
 		c.mu.Unlock()
 		return 0, errSealed
 	}
-	c.written, c.writing = true, true
+	c.written = true
+	ended := make(chan struct{})
+	c.writeEnded = ended
 	strip := c.strip
 	c.strip = ""
 	c.mu.Unlock()
@@ -51,9 +54,9 @@
 	}
 	n, err := write(buffer)
 	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.writing = false
 	c.writeFailed = c.writeFailed || err != nil
+	c.mu.Unlock()
+	close(ended)
 	return n, err
 }
 
@@ -67,11 +70,19 @@
 	return n, err
 }
 
-// isUploadCut reports whether the connection has ended before all of the call was written.
+// isUploadCut reports whether a connection that has ended did so before all of the call was written. It closes the connection, which ends
+// a write that is blocked.
 func (c *trackedConn) isUploadCut() bool {
+	c.Conn.Close()
+	c.mu.Lock()
+	ended := c.writeEnded
+	c.mu.Unlock()
+	if ended != nil {
+		<-ended
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.writing || c.writeFailed
+	return c.writeFailed
 }
 
 // writeWithoutScheme writes the beginning of a request without the scheme at the end of strip.
