--- a/core/pace/pace.go
+++ b/core/pace/pace.go
@@ -107,11 +107,11 @@
 	return &FleetRetryBudget[P]{span: span, pools: map[P]*WindowedRetryBudget{}, fleet: NewPeak(span), extraFrom: now.Add(withheld)}
 }
 
-// RecordRequest records a request for a pool, while the fleet has the given number of routers.
-func (b *FleetRetryBudget[P]) RecordRequest(now time.Time, pool P, routers int) {
-	b.fleet.Add(now, routers)
-	b.pool(pool).RecordRequest(now)
-}
+// RecordRouters records the number of routers of the fleet. It must be called several times a window, also without requests.
+func (b *FleetRetryBudget[P]) RecordRouters(now time.Time, routers int) { b.fleet.Add(now, routers) }
+
+// RecordRequest records a request for a pool.
+func (b *FleetRetryBudget[P]) RecordRequest(now time.Time, pool P) { b.pool(pool).RecordRequest(now) }
 
 // AllowRetry reports whether a retry for a pool is allowed at now, and records it if so. ratio and extra are those of the whole fleet
 // (WindowedRetryBudget.AllowRetry).
--- a/node/gateway/gateway.go
+++ b/node/gateway/gateway.go
@@ -192,10 +192,22 @@
 
 // recordRequest records a request in its pool's retry budget.
 func (g *Gateway) recordRequest(pool fleet.PoolID, now time.Time) {
-	routers := g.Fleet.Count()
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.retryBudget.RecordRequest(now, pool, routers)
+	g.retryBudget.RecordRequest(now, pool)
+}
+
+// fleetSampleInterval is how often the number of routers is recorded when there are no requests.
+const fleetSampleInterval = time.Second
+
+// sampleFleet records the number of routers in the retry budget until ctx ends.
+func (g *Gateway) sampleFleet(ctx context.Context) {
+	for pause(ctx, fleetSampleInterval) {
+		routers := g.Fleet.Count()
+		g.mu.Lock()
+		g.retryBudget.RecordRouters(time.Now(), routers)
+		g.mu.Unlock()
+	}
 }
 
 // allowRetry reports whether this router's share of the pool's retry budget allows a retry, and
--- a/node/gateway/paths.go
+++ b/node/gateway/paths.go
@@ -29,10 +29,11 @@
 	}
 }
 
-// Run checks paths that are in doubt until ctx ends, so that no caller's request has to try them.
+// Run checks paths that are in doubt until ctx ends, so that no caller's request has to try them. It also records the size of the fleet.
 func (g *Gateway) Run(ctx context.Context) {
 	var checks sync.WaitGroup
 	defer checks.Wait()
+	checks.Go(func() { g.sampleFleet(ctx) })
 	var mu sync.Mutex
 	running := map[fleet.PoolID]bool{}
 	for {
--- a/node/gateway/request.go
+++ b/node/gateway/request.go
@@ -276,14 +276,18 @@
 		Upstream:       chosen.upstream, Request: c.call.ID, Method: c.request.Method, Path: c.request.RequestURI,
 		Host: c.request.Host, Header: c.gateway.Engines.Header(c.request.Header, call),
 		Body: bytes.NewReader(c.body), ContentLength: int64(len(c.body)),
-		MaySend: func() bool {
-			return (c.work == nil || c.work.MaySend()) && c.gateway.view.current.Load().acceptsWork(c.pool.ID, chosen.engine) && !c.gateway.isDisplaced(chosen.engine, chosen.upstream) &&
-				c.gateway.Moves.MaySend(c.pool.ID, chosen.upstream.Version) && c.gateway.Quarantine.MaySend(c.suspectParts()) &&
-				c.gateway.isWithinLimit(chosen) && c.gateway.hasPlace(c.pool.ID, chosen)
-		},
+		MaySend: func() bool { return c.maySend(chosen) },
 	})
 }
 
+// maySend reports whether the request may still be sent to the upstream, once there is a connection to it.
+func (c *callerRequest) maySend(chosen *choice) bool {
+	g := c.gateway
+	return (c.work == nil || c.work.MaySend()) && g.view.current.Load().acceptsWork(c.pool.ID, chosen.engine) &&
+		!g.isDisplaced(chosen.engine, chosen.upstream) && g.Moves.MaySend(c.pool.ID, chosen.upstream.Version) &&
+		g.Quarantine.MaySend(c.suspectParts()) && g.isWithinLimit(chosen) && g.hasPlace(c.pool.ID, chosen)
+}
+
 // attemptResult is the result of an attempt.
 type attemptResult struct {
 	// delivered is true when the caller has received the answer, or disconnected while it was sent.
