--- a/review/11/rig/rig.go
+++ b/review/11/rig/rig.go
@@ -5,6 +5,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"maps"
 	"net"
 	"net/http"
 	"os"
@@ -44,6 +45,8 @@
 	Store *standin.Store
 	// Trouble is false in a run without the disruption.
 	Trouble bool
+	// Fields replaces some fields of the settings, which are otherwise those of hoofline-tt.
+	Fields map[string]any
 
 	directory string
 	started   time.Time
@@ -164,6 +167,7 @@
 		"bounds.grace_s": 8, "bounds.ttl_max_s": 5, "bounds.drain_ms": 2000, "bounds.retry_budget_ratio": 0.2, "bounds.budget_slack": 56,
 		"bounds.budget_window_s": 10, "bounds.exposure_share": 0.1, "bounds.exposure_slack": 50,
 	}
+	maps.Copy(fields, r.Fields)
 	template, err := os.ReadFile("deploy/settings.jsonc")
 	r.Check(err, "reading the template of the settings")
 	router.settings = filepath.Join(r.directory, name+".jsonc")
