--- a/review/11/main.go
+++ b/review/11/main.go
@@ -1,5 +1,5 @@
-// Command 11 plays clients of one team whose prompts have parts with long ids, and ends each router that exceeds the memory of its
-// machine, as the platform does.
+// Command 11 plays a desired state that grows by many routes and shrinks again at once, and checks that the routers still learn what changes in
+// the store.
 package main
 
 import (
@@ -15,78 +15,96 @@
 )
 
 const (
-	routerCount = 3
-	// perSecond is how many requests the clients send, over so many connections, and playTime for how long.
-	perSecond = 900
-	clients   = 48
-	playTime  = 100 * time.Second
-	// longID and shortID are the lengths of the ids of parts, in hexadecimal digits. With a long one, the header of a request has some
-	// 15,300 of the 16,384 bytes that are allowed.
-	longID, shortID = 15_000, 8
-	// The rule is broken if processes on enoughMachines end by themselves enoughEnds times each.
-	enoughMachines, enoughEnds = 2, 3
-	// bookInterval is the time between two requests of an ordinary client.
-	bookInterval = 100 * time.Millisecond
-
-	abuserKey, ordinaryKey = "key-of-team-one", "key-of-team-two"
+	routerCount = 8
+	// manyRoutes is how many routes the grown desired state has beside the usual ones, some 45 KB in all. shrinkAfter is the time until the
+	// next one, which has the usual ones only.
+	manyRoutes  = 200
+	shrinkAfter = 80 * time.Millisecond
+	// looks is how many requests each router gets then for a path without a route, lookInterval apart.
+	looks        = 10
+	lookInterval = 15 * time.Millisecond
+	// leaveAfter is the time from there until an engine leaves, and roundTime that from one round to the next.
+	leaveAfter = 700 * time.Millisecond
+	roundTime  = 4 * time.Second
+	rounds     = 16
+	// roundStep is by how much one round is longer than the one before, up to roundSpread: routers look at the store in a rhythm of 2 s.
+	roundStep, roundSpread = 300 * time.Millisecond, 2 * time.Second
+	// drain is drain_ms, checkTime how long late requests are waited for, and lastCheckTime how long once there is one.
+	drain         = 3 * time.Second
+	checkTime     = 600 * time.Millisecond
+	lastCheckTime = 8 * time.Second
+	// endTime is how long ordinary requests are watched after the engine that leaves has ended, which is later than the pages ask for.
+	endTime = 5 * time.Second
+	// bookInterval is the time between two ordinary requests to a router.
+	bookInterval = 50 * time.Millisecond
+	key          = "key-of-team-one"
 )
 
-// counts are the outcomes of one client's requests.
-type counts struct{ served, refused, failed atomic.Int64 }
-
-func (c *counts) String() string {
-	return fmt.Sprintf("%d served, %d refused, %d without an answer", c.served.Load(), c.refused.Load(), c.failed.Load())
-}
-
-// send sends a request and counts its outcome.
-func (c *counts) send(client *http.Client, router *rig.Router, path, id, key string, header map[string]string) error {
+// send sends a request to a router and returns its status, or 0 if there was no answer.
+func send(client *http.Client, router *rig.Router, path, id, key string) int {
 	request, err := http.NewRequest(http.MethodPost, "http://"+router.Front+path, strings.NewReader("body"))
 	if err != nil {
-		return err
+		return 0
 	}
 	request.Host = rig.Host
 	request.Header.Set("Attempt-Id", id)
 	request.Header.Set("X-Api-Key", key)
-	request.Header.Set("Deadline-Ms", "6000")
-	for name, value := range header {
-		request.Header.Set(name, value)
-	}
+	request.Header.Set("Deadline-Ms", "3000")
 	response, err := client.Do(request)
 	if err != nil {
-		c.failed.Add(1)
-		return err
+		return 0
 	}
 	defer response.Body.Close()
 	if _, err := io.Copy(io.Discard, response.Body); err != nil {
-		c.failed.Add(1)
-		return err
+		return 0
+	}
+	return response.StatusCode
+}
+
+// running is an engine and what it has registered.
+type running struct {
+	engine  *rig.Engine
+	address string
+	stop    func()
+	born    int64
+}
+
+var engines []running
+
+// addEngine starts an engine and registers it.
+func addEngine(r *rig.Rig) {
+	number := len(engines) + 1
+	e := running{engine: &rig.Engine{ID: fmt.Sprintf("app-%d", number), Interval: 20 * time.Millisecond}, born: int64(1000 + number)}
+	e.address, e.stop = r.ServeUntil(e.engine)
+	engines = append(engines, e)
+	r.Register(e.engine.ID, "app", "arima", "v1", e.address, "ready", e.born, 1, 6)
+}
+
+// lateArrivals returns how many requests have reached an engine later than drain after a time, and the time of the last one.
+func lateArrivals(engine *rig.Engine, acked time.Time) (late int, last time.Duration) {
+	for _, arrival := range engine.Arrivals() {
+		if at := arrival.At.Sub(acked); at > drain {
+			late, last = late+1, max(last, at)
+		}
 	}
-	if response.StatusCode == http.StatusOK {
-		c.served.Add(1)
-	} else {
-		c.refused.Add(1)
+	return late, last
+}
+
+// configure writes a desired state with a number of further routes.
+func configure(r *rig.Rig, further int) {
+	routes := []any{rig.Route("book", "app", "non_idempotent", 1, 3*time.Second, 300*time.Millisecond)}
+	for i := range further {
+		routes = append(routes, rig.Route(fmt.Sprintf("further-%03d", i), "app", "idempotent", 2, 3*time.Second, 300*time.Millisecond))
 	}
-	return nil
+	r.Configure(routes, []any{map[string]any{"name": "app", "health_path": "/healthz", "max_connections": 110, "cold_start_s": 0, "cold_per_s": 0}},
+		[]any{map[string]any{"name": "one", "api_keys": []string{key}}})
 }
 
 func main() {
 	r := rig.New("review/11")
-	for i := range 3 {
-		engine := &rig.Engine{ID: fmt.Sprintf("lm-%d", i), Events: 2, Interval: time.Millisecond, Forgets: true}
-		r.Register(engine.ID, "lm", "arima", "v1", r.Serve(engine), "ready", int64(1000+i), 1, 64)
-		plain := &rig.Engine{ID: fmt.Sprintf("app-%d", i), Interval: 20 * time.Millisecond}
-		r.Register(plain.ID, "app", "arima", "v1", r.Serve(plain), "ready", int64(2000+i), 1, 6)
-	}
-	r.Configure([]any{
-		rig.Route("chat", "lm", "streaming", 1, 6*time.Second, 500*time.Millisecond),
-		rig.Route("book", "app", "non_idempotent", 1, 3*time.Second, 300*time.Millisecond),
-	}, []any{
-		map[string]any{"name": "lm", "health_path": "/healthz", "max_connections": 370, "cold_start_s": 0, "cold_per_s": 0,
-			"engine": map[string]any{"slots": 64, "kv_capacity_tokens": 345666}},
-		map[string]any{"name": "app", "health_path": "/healthz", "max_connections": 110, "cold_start_s": 0, "cold_per_s": 0},
-	}, []any{
-		map[string]any{"name": "one", "api_keys": []string{abuserKey}}, map[string]any{"name": "two", "api_keys": []string{ordinaryKey}},
-	})
+	r.Fields = map[string]any{"bounds.drain_ms": 3000, "bounds.budget_slack": 156}
+	addEngine(r)
+	configure(r, 0)
 	var routers []*rig.Router
 	for i := range routerCount {
 		routers = append(routers, r.NewRouter(fmt.Sprintf("front-arima-%d", i+1), "arima", r.Serve(r.Store.HandlerFor(fmt.Sprint(i))), true))
@@ -97,74 +115,74 @@
 	for _, router := range routers {
 		router.AwaitReady()
 	}
+	time.Sleep(3500 * time.Millisecond)
 
-	length := shortID
+	further := 0
 	if r.Trouble {
-		length = longID
+		further = manyRoutes
 	}
-	var next atomic.Int64
 	var over atomic.Bool
-	var abusers, ordinary counts
-	began := time.Now()
-	var senders sync.WaitGroup
-	for range clients {
-		senders.Go(func() {
-			client := &http.Client{Transport: &http.Transport{}, Timeout: 7 * time.Second}
-			for !over.Load() {
-				i := next.Add(1) - 1
-				time.Sleep(time.Until(began.Add(time.Duration(i) * time.Second / perSecond)))
-				_ = abusers.send(client, routers[i%routerCount], "/chat/1", fmt.Sprintf("a-%d", i), abuserKey, map[string]string{
-					"Model": "m", "Token-Usage": "900,80",
-					"Prompt-Prefix": fmt.Sprintf("%0*x:800,%08x:100", length, i+1, i),
-				})
+	var traffic sync.WaitGroup
+	var sent, served atomic.Int64
+	for n, router := range routers {
+		traffic.Go(func() {
+			client := &http.Client{Timeout: 5 * time.Second}
+			for i := 0; !over.Load(); i++ {
+				sent.Add(1)
+				if send(client, router, "/book/1", fmt.Sprintf("b-%d-%d", n, i), key) == http.StatusOK {
+					served.Add(1)
+				}
+				time.Sleep(bookInterval)
 			}
 		})
 	}
-	senders.Go(func() {
-		client := &http.Client{Transport: &http.Transport{}, Timeout: 4 * time.Second}
-		for i := 0; !over.Load(); i++ {
-			id := fmt.Sprintf("b-%d", i)
-			if err := ordinary.send(client, routers[i%routerCount], "/book/1", id, ordinaryKey, nil); err != nil {
-				r.Note("ordinary request %s without an answer: %s", id, err)
+	client := &http.Client{Timeout: 5 * time.Second}
+	checked, lateRounds := 0, 0
+	for round := range rounds {
+		began := time.Now()
+		configure(r, further)
+		time.Sleep(shrinkAfter)
+		configure(r, 0)
+		for i := range looks {
+			for n, router := range routers {
+				go send(client, router, "/nowhere/1", fmt.Sprintf("w-%d-%d-%d", round, n, i), key)
 			}
-			time.Sleep(bookInterval)
+			time.Sleep(lookInterval)
 		}
-	})
-
-	ends, machines, peak := map[string]int{}, 0, 0.0
-	for notedAt := began; machines < enoughMachines && time.Since(began) < playTime; time.Sleep(50 * time.Millisecond) {
-		line := ""
-		for _, router := range routers {
-			used := router.UsedMB()
-			peak = max(peak, used)
-			line += fmt.Sprintf(" %s %.0f MB", router.Name, used)
-			if used <= rig.MemoryMB {
-				continue
-			}
-			router.Kill()
-			ends[router.Name]++
-			r.Note("%s has %.0f MB, more than the %d MB of its machine: it is killed for the time %d", router.Name, used, rig.MemoryMB, ends[router.Name])
-			if ends[router.Name] == enoughEnds {
-				machines++
-			}
-			router.Restart()
+		time.Sleep(time.Until(began.Add(leaveAfter)))
+		old := engines[len(engines)-1]
+		addEngine(r)
+		r.Register(old.engine.ID, "app", "arima", "v1", old.address, "draining", old.born, 2, 6)
+		acked := time.Now()
+		r.Note("round %d: the store has acknowledged that %s is draining", round+1, old.engine.ID)
+		time.Sleep(drain + checkTime)
+		late, last := lateArrivals(old.engine, acked)
+		checked++
+		if late > 0 {
+			lateRounds++
+			r.Note("%d requests have reached %s later than %s after that, the last one after %.2f s", late, old.engine.ID, drain, last.Seconds())
 		}
-		if time.Since(notedAt) > 2*time.Second {
-			notedAt = time.Now()
-			r.Note("memory:%s; team one: %s; team two: %s", line, &abusers, &ordinary)
+		if late > 0 && last > drain+checkTime-2*bookInterval {
+			time.Sleep(lastCheckTime)
+			late, last = lateArrivals(old.engine, acked)
+			r.Note("%d requests have reached %s later than %s after that, the last one after %.2f s", late, old.engine.ID, drain, last.Seconds())
+			old.stop()
+			r.Note("%s has ended", old.engine.ID)
+			sentBefore, servedBefore := sent.Load(), served.Load()
+			time.Sleep(endTime)
+			sentAfter, servedAfter := sent.Load()-sentBefore, served.Load()-servedBefore
+			r.Note("in the %s after that, %d ordinary requests were sent and %d served", endTime, sentAfter, servedAfter)
+			over.Store(true)
+			traffic.Wait()
+			r.End(rig.Broken, "in round %d, %d requests reached a draining engine later than %s after the ack, the last one %.1f s after it; once it had ended, %d of %d ordinary requests were served in %s",
+				round+1, late, drain, last.Seconds(), servedAfter, sentAfter, endTime)
 		}
+		time.Sleep(time.Until(began.Add(roundTime + time.Duration(round)*roundStep%roundSpread)))
 	}
 	over.Store(true)
-	senders.Wait()
-	r.Note("team one: %s; team two: %s; ends: %v", &abusers, &ordinary, ends)
-	switch {
-	case machines >= enoughMachines:
-		r.End(rig.Broken, "on %d machines, processes ended %d times each for want of memory, %d of the ordinary client's requests had no answer, and %d were refused",
-			machines, enoughEnds, ordinary.failed.Load(), ordinary.refused.Load())
-	case len(ends) > 0:
-		r.End(rig.Broken, "processes ended for want of memory, though fewer than %d times on each of %d machines in %s: %v", enoughEnds, enoughMachines, playTime, ends)
-	case abusers.served.Load() < next.Load()*9/10:
-		r.End(rig.CannotRun, "cannot run: only %d of %d requests of team one were served", abusers.served.Load(), next.Load())
+	traffic.Wait()
+	if lateRounds > 0 {
+		r.End(rig.Broken, "requests reached a draining engine later than %s after the ack in %d of %d rounds", drain, lateRounds, checked)
 	}
-	r.End(rig.Held, "no router has held more than %.0f MB; team one: %s; team two: %s", peak, &abusers, &ordinary)
+	r.End(rig.Held, "no request reached a draining engine late in %d rounds (%d of %d requests served)", checked, served.Load(), sent.Load())
 }
--- a/review/11/rig/rig.go
+++ b/review/11/rig/rig.go
@@ -104,10 +104,17 @@
 
 // Serve serves a handler at a free loopback address and returns it.
 func (r *Rig) Serve(handler http.Handler) string {
+	address, _ := r.ServeUntil(handler)
+	return address
+}
+
+// ServeUntil serves a handler at a free loopback address until stop is called, which also ends its connections.
+func (r *Rig) ServeUntil(handler http.Handler) (address string, stop func()) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	r.Check(err, "listening for a stand-in")
-	go func() { _ = http.Serve(listener, handler) }()
-	return listener.Addr().String()
+	server := &http.Server{Handler: handler}
+	go func() { _ = server.Serve(listener) }()
+	return listener.Addr().String(), func() { _ = server.Close() }
 }
 
 // Configure writes the next desired state.
