--- a/review/12/main.go
+++ b/review/12/main.go
@@ -1,65 +1,68 @@
-// Command 12 plays the loss of all machines of a deployment but one, and asks the directory of the one that is left.
+// Command 12 plays another writer of the platform's store, which leaves large entries among those of the engines, and ends each router that
+// exceeds the memory of its machine, as the platform does.
 package main
 
 import (
-	"encoding/json"
+	"bytes"
 	"fmt"
+	"io"
 	"net/http"
-	"slices"
+	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"agateswitch/review/11/rig"
 )
 
 const (
-	// routerCount is the number of machines of stonewall-harvest-grown, and lost how many of them are lost for good.
-	routerCount, lost = 23, 22
-	// settleTime is the time from the start to the traffic there.
-	settleTime = 14 * time.Second
-	// stableWindow is stable_window_ms. The directory may name a lost machine until that long and nameSlack after its end.
-	stableWindow = 4 * time.Second
-	nameSlack    = 3 * time.Second
-	// allowed is how many later answers with one the rule allows.
-	allowed = 3
-	// askTime is how long the directory is asked, every askInterval.
-	askTime     = 55 * time.Second
-	askInterval = 500 * time.Millisecond
+	routerCount = 3
+	// entries is how many entries the other writer leaves, one every entryInterval, and entryBytes the size of each, which is value_bytes.
+	entries       = 200
+	entryInterval = 250 * time.Millisecond
+	entryBytes    = 1 << 20
+	// memoryMB is the memory of a machine, the smallest of the site.
+	memoryMB = 184
+	// playTime bounds the run.
+	playTime = 105 * time.Second
+	// The rule is broken if processes on enoughMachines end by themselves enoughEnds times each.
+	enoughMachines, enoughEnds = 2, 3
+	// bookInterval is the time between two ordinary requests.
+	bookInterval = 100 * time.Millisecond
+	key          = "key-of-team-one"
 )
 
-var zones = []string{"north-slope", "river-bend", "east-terrace", "south-orchard"}
-
-// ask returns the addresses that a router's directory names.
-func ask(client *http.Client, router *rig.Router) ([]string, error) {
-	response, err := client.Get("http://" + router.Directory + "/v1/resolve?name=" + rig.Host + "&region=new-england&zone=" + router.Zone)
+func send(client *http.Client, router *rig.Router, id string) int {
+	request, err := http.NewRequest(http.MethodPost, "http://"+router.Front+"/book/1", strings.NewReader("body"))
 	if err != nil {
-		return nil, err
+		return 0
 	}
-	defer response.Body.Close()
-	var answer struct {
-		Addresses []string `json:"addresses"`
+	request.Host = rig.Host
+	request.Header.Set("Attempt-Id", id)
+	request.Header.Set("X-Api-Key", key)
+	request.Header.Set("Deadline-Ms", "3000")
+	response, err := client.Do(request)
+	if err != nil {
+		return 0
 	}
-	if err := json.NewDecoder(response.Body).Decode(&answer); err != nil {
-		return nil, err
+	defer response.Body.Close()
+	if _, err := io.Copy(io.Discard, response.Body); err != nil {
+		return 0
 	}
-	return answer.Addresses, nil
+	return response.StatusCode
 }
 
 func main() {
 	r := rig.New("review/12")
-	r.Fields = map[string]any{
-		"region": "new-england", "limits.cpu_share": 0.448, "limits.memory_mb": 397, "limits.max_fds": 8192, "limits.link_mbps": 23.0,
-		"bounds.drain_ms": 3000, "bounds.budget_slack": 156,
-	}
-	app := &rig.Engine{ID: "app-1", Interval: 20 * time.Millisecond}
-	r.Register(app.ID, "app", zones[0], "v1", r.Serve(app), "ready", 1000, 1, 6)
-	r.Configure([]any{rig.Route("slots", "app", "idempotent", 2, 3*time.Second, 300*time.Millisecond)},
+	r.Fields = map[string]any{"limits.memory_mb": memoryMB, "limits.cpu_share": 0.192, "limits.link_mbps": 200.0, "bounds.drain_ms": 3000, "bounds.budget_slack": 160}
+	app := &rig.Engine{ID: "app-1", Interval: 20 * time.Millisecond, Forgets: true}
+	r.Register(app.ID, "app", "arima", "v1", r.Serve(app), "ready", 1000, 1, 6)
+	r.Configure([]any{rig.Route("book", "app", "non_idempotent", 1, 3*time.Second, 300*time.Millisecond)},
 		[]any{map[string]any{"name": "app", "health_path": "/healthz", "max_connections": 110, "cold_start_s": 0, "cold_per_s": 0}},
-		[]any{map[string]any{"name": "one", "api_keys": []string{"key-of-team-one"}}})
+		[]any{map[string]any{"name": "one", "api_keys": []string{key}}})
 	var routers []*rig.Router
 	for i := range routerCount {
-		zone := zones[i%len(zones)]
-		routers = append(routers, r.NewRouter(fmt.Sprintf("front-%s-%d", zone, i/len(zones)+1), zone, r.Serve(r.Store.HandlerFor(fmt.Sprint(i))), true))
+		routers = append(routers, r.NewRouter(fmt.Sprintf("front-arima-%d", i+1), "arima", r.Serve(rig.PagedStore(r.Store, fmt.Sprint(i))), true))
 	}
 	for _, router := range routers {
 		router.Start()
@@ -67,55 +70,71 @@
 	for _, router := range routers {
 		router.AwaitReady()
 	}
-	time.Sleep(settleTime)
-	client := &http.Client{Timeout: time.Second}
-	for _, router := range routers {
-		addresses, err := ask(client, router)
-		r.Check(err, "asking the directory")
-		if len(addresses) != routerCount {
-			r.End(rig.CannotRun, "cannot run: %s names %d of %d machines before the disruption", router.Name, len(addresses), routerCount)
-		}
+	size := entryBytes
+	if !r.Trouble {
+		size = 300
 	}
-
-	left, gone := routers[lost], map[string]bool{}
-	if r.Trouble {
-		var kills sync.WaitGroup
-		for _, router := range routers[:lost] {
-			kills.Go(router.Kill)
-			gone[router.Front] = true
+	// The bytes are no text in any encoding that the platform uses.
+	unreadable := bytes.Repeat([]byte{0xfe}, size)
+	var over atomic.Bool
+	var written, sent, served, unanswered atomic.Int64
+	began := time.Now()
+	var running sync.WaitGroup
+	running.Go(func() {
+		for i := 0; i < entries && !over.Load(); i++ {
+			r.Store.PutRaw(fmt.Sprintf("servers/odd-%03d", i), unreadable)
+			written.Add(1)
+			time.Sleep(time.Until(began.Add(time.Duration(i+1) * entryInterval)))
 		}
-		kills.Wait()
-		r.Note("%d of %d machines are lost for good; %s is left, and reaches the store and the engine all the while", lost, routerCount, left.Name)
-	}
-	lostAt := time.Now()
-	time.Sleep(stableWindow + nameSlack)
-	asked, named := 0, 0
-	var last time.Duration
-	for from := time.Now(); time.Since(from) < askTime; time.Sleep(askInterval) {
-		addresses, err := ask(client, left)
-		if err != nil {
-			r.Note("%s: %s", left.Name, err)
-			continue
+	})
+	running.Go(func() {
+		client := &http.Client{Timeout: 4 * time.Second}
+		for i := 0; !over.Load(); i++ {
+			sent.Add(1)
+			switch send(client, routers[i%routerCount], fmt.Sprintf("b-%d", i)) {
+			case http.StatusOK:
+				served.Add(1)
+			case 0:
+				unanswered.Add(1)
+			}
+			time.Sleep(bookInterval)
 		}
-		asked++
-		dead := 0
-		for _, address := range addresses {
-			if gone[address] {
-				dead++
+	})
+	ends, machines, peak := map[string]int{}, 0, 0.0
+	for notedAt := began; machines < enoughMachines && time.Since(began) < playTime; time.Sleep(50 * time.Millisecond) {
+		if !r.Trouble && written.Load() == entries {
+			break
+		}
+		line := ""
+		for _, router := range routers {
+			used := router.UsedMB()
+			peak = max(peak, used)
+			line += fmt.Sprintf(" %s %.0f MB", router.Name, used)
+			if used <= memoryMB {
+				continue
+			}
+			router.Kill()
+			ends[router.Name]++
+			r.Note("%s has %.0f MB, more than the %d MB of its machine: it is killed for the time %d", router.Name, used, memoryMB, ends[router.Name])
+			if ends[router.Name] == enoughEnds {
+				machines++
 			}
+			router.Restart()
 		}
-		if dead > 0 && slices.Contains(addresses, left.Front) {
-			named++
-			last = time.Since(lostAt)
+		if time.Since(notedAt) > 5*time.Second {
+			notedAt = time.Now()
+			r.Note("%d entries; memory:%s; ordinary requests: %d sent, %d served, %d without an answer", written.Load(), line, sent.Load(), served.Load(), unanswered.Load())
 		}
-		r.Note("%s names %d machines, of which %d were lost %.1f s ago", left.Name, len(addresses), dead, time.Since(lostAt).Seconds())
-	}
-	if asked <= allowed {
-		r.End(rig.CannotRun, "cannot run: the directory has answered %d questions", asked)
 	}
-	if named > allowed {
-		r.End(rig.Broken, "%d of %d answers of the directory named machines that were lost over %s before, the last one after %.0f s",
-			named, asked, stableWindow+nameSlack, last.Seconds())
+	over.Store(true)
+	running.Wait()
+	line := fmt.Sprintf("%d entries; ends: %v; ordinary requests: %d sent, %d served, %d without an answer; most memory %.0f MB",
+		written.Load(), ends, sent.Load(), served.Load(), unanswered.Load(), peak)
+	switch {
+	case machines >= enoughMachines:
+		r.End(rig.Broken, "on %d machines, processes ended %d times each for want of memory: %s", machines, enoughEnds, line)
+	case served.Load() < sent.Load()*9/10:
+		r.End(rig.CannotRun, "cannot run: %s", line)
 	}
-	r.End(rig.Held, "%d of %d answers of the directory named a lost machine", named, asked)
+	r.End(rig.Held, "%s", line)
 }
--- a/review/13/main.go
+++ b/review/13/main.go
@@ -1,4 +1,4 @@
-// Command 13 plays the loss of most machines while the platform's store is down, and asks the directory of those that are left.
+// Command 13 plays the loss of all machines of a deployment but one, and asks the directory of the one that is left.
 package main
 
 import (
@@ -6,35 +6,32 @@
 	"fmt"
 	"net/http"
 	"slices"
+	"sync"
 	"time"
 
-	"agateswitch/platform/standin"
 	"agateswitch/review/11/rig"
 )
 
 const (
-	routerCount = 6
-	// lost is how many machines are lost for good.
-	lost = 5
-	// rounds is how often the disruption is played on a new fleet. In some, the machine that is left regains the store sooner.
-	rounds = 5
-	// settleTime is how long a fleet runs before the disruption, and askTime how long its directory is asked after it.
-	settleTime, askTime = 3 * time.Second, 3500 * time.Millisecond
-	// outage is how long the store does not answer.
-	outage = 8 * time.Second
-	// stableWindow is stable_window_ms. A machine is in touch that long after the end of a disruption of the store, and the
-	// directory may name a lost one until that long and nameSlack after its end.
-	stableWindow = 3 * time.Second
+	// routerCount is the number of machines of stonewall-harvest-grown, and lost how many of them are lost for good.
+	routerCount, lost = 23, 22
+	// settleTime is the time from the start to the traffic there.
+	settleTime = 14 * time.Second
+	// stableWindow is stable_window_ms. The directory may name a lost machine until that long and nameSlack after its end.
+	stableWindow = 4 * time.Second
 	nameSlack    = 3 * time.Second
-	// allowed is how many such answers the rule allows.
+	// allowed is how many later answers with one the rule allows.
 	allowed = 3
-	// askInterval is the time between two questions: some 30 requesters whose answers hold for 2 s.
-	askInterval = 70 * time.Millisecond
+	// askTime is how long the directory is asked, every askInterval.
+	askTime     = 55 * time.Second
+	askInterval = 500 * time.Millisecond
 )
 
+var zones = []string{"north-slope", "river-bend", "east-terrace", "south-orchard"}
+
 // ask returns the addresses that a router's directory names.
 func ask(client *http.Client, router *rig.Router) ([]string, error) {
-	response, err := client.Get("http://" + router.Directory + "/v1/resolve?name=" + rig.Host + "&region=tt-north&zone=arima")
+	response, err := client.Get("http://" + router.Directory + "/v1/resolve?name=" + rig.Host + "&region=new-england&zone=" + router.Zone)
 	if err != nil {
 		return nil, err
 	}
@@ -48,26 +45,24 @@
 	return answer.Addresses, nil
 }
 
-// play plays the disruption on a new fleet, and returns how many answers of its directory were asked for in touch, and how many named a
-// machine that was lost long before.
-func play(r *rig.Rig, round int) (asked, named int) {
-	r.Note("round %d", round)
-	r.Store = standin.NewStore()
+func main() {
+	r := rig.New("review/13")
+	r.Fields = map[string]any{
+		"region": "new-england", "limits.cpu_share": 0.448, "limits.memory_mb": 397, "limits.max_fds": 8192, "limits.link_mbps": 23.0,
+		"bounds.drain_ms": 3000, "bounds.budget_slack": 156,
+	}
 	app := &rig.Engine{ID: "app-1", Interval: 20 * time.Millisecond}
-	r.Register(app.ID, "app", "arima", "v1", r.Serve(app), "ready", 1000, 1, 6)
+	r.Register(app.ID, "app", zones[0], "v1", r.Serve(app), "ready", 1000, 1, 6)
 	r.Configure([]any{rig.Route("slots", "app", "idempotent", 2, 3*time.Second, 300*time.Millisecond)},
 		[]any{map[string]any{"name": "app", "health_path": "/healthz", "max_connections": 110, "cold_start_s": 0, "cold_per_s": 0}},
 		[]any{map[string]any{"name": "one", "api_keys": []string{"key-of-team-one"}}})
 	var routers []*rig.Router
-	var links []*rig.Link
 	for i := range routerCount {
-		link := r.NewLink(r.Serve(r.Store.HandlerFor(fmt.Sprint(i))))
-		links = append(links, link)
-		routers = append(routers, r.NewRouter(fmt.Sprintf("front-arima-%d", i+1), "arima", link.Address(), true))
+		zone := zones[i%len(zones)]
+		routers = append(routers, r.NewRouter(fmt.Sprintf("front-%s-%d", zone, i/len(zones)+1), zone, r.Serve(r.Store.HandlerFor(fmt.Sprint(i))), true))
 	}
 	for _, router := range routers {
 		router.Start()
-		defer router.Kill()
 	}
 	for _, router := range routers {
 		router.AwaitReady()
@@ -82,65 +77,45 @@
 		}
 	}
 
-	left, gone := routers[lost:], map[string]string{}
+	left, gone := routers[lost], map[string]bool{}
 	if r.Trouble {
-		for _, link := range links {
-			link.SetDown(true)
-		}
-		r.Note("the store answers no machine")
-		time.Sleep(time.Second)
+		var kills sync.WaitGroup
 		for _, router := range routers[:lost] {
-			router.Kill()
-			gone[router.Front] = router.Name
-			r.Note("%s is lost for good", router.Name)
+			kills.Go(router.Kill)
+			gone[router.Front] = true
 		}
-	} else {
-		left = routers
-		time.Sleep(time.Second)
+		kills.Wait()
+		r.Note("%d of %d machines are lost for good; %s is left, and reaches the store and the engine all the while", lost, routerCount, left.Name)
 	}
 	lostAt := time.Now()
-	time.Sleep(outage - time.Second)
-	for _, link := range links {
-		link.SetDown(false)
-	}
-	backAt := time.Now()
-	r.Note("the store answers all machines")
-	from := slices.MaxFunc([]time.Time{backAt.Add(stableWindow), lostAt.Add(stableWindow + nameSlack)}, time.Time.Compare)
-	time.Sleep(time.Until(from))
-	r.Note("the machines that are left are in touch, and the others were lost over %s ago", stableWindow+nameSlack)
-	for time.Since(from) < askTime {
-		for _, router := range left {
-			at := time.Now()
-			addresses, err := ask(client, router)
-			if err != nil {
-				r.Note("%s: %s", router.Name, err)
-				continue
-			}
-			asked++
-			for _, address := range addresses {
-				if name, isGone := gone[address]; isGone && slices.Contains(addresses, router.Front) {
-					named++
-					r.Note("%s names %s, which was lost %.2f s ago; the store is back for %.2f s", router.Name, name, at.Sub(lostAt).Seconds(), at.Sub(backAt).Seconds())
-					break
-				}
+	time.Sleep(stableWindow + nameSlack)
+	asked, named := 0, 0
+	var last time.Duration
+	for from := time.Now(); time.Since(from) < askTime; time.Sleep(askInterval) {
+		addresses, err := ask(client, left)
+		if err != nil {
+			r.Note("%s: %s", left.Name, err)
+			continue
+		}
+		asked++
+		dead := 0
+		for _, address := range addresses {
+			if gone[address] {
+				dead++
 			}
 		}
-		time.Sleep(askInterval)
-	}
-	r.Note("%d of %d answers named a machine that was lost", named, asked)
-	return asked, named
-}
-
-func main() {
-	r := rig.New("review/13")
-	asked, named, most := 0, 0, 0
-	for round := range rounds {
-		inRound, namedInRound := play(r, round+1)
-		asked, named, most = asked+inRound, named+namedInRound, max(most, namedInRound)
-		if most > allowed {
-			r.End(rig.Broken, "%d of %d answers of the directory in round %d named a machine that was lost over %s before, by machines in touch",
-				namedInRound, inRound, round+1, stableWindow+nameSlack)
+		if dead > 0 && slices.Contains(addresses, left.Front) {
+			named++
+			last = time.Since(lostAt)
 		}
+		r.Note("%s names %d machines, of which %d were lost %.1f s ago", left.Name, len(addresses), dead, time.Since(lostAt).Seconds())
+	}
+	if asked <= allowed {
+		r.End(rig.CannotRun, "cannot run: the directory has answered %d questions", asked)
+	}
+	if named > allowed {
+		r.End(rig.Broken, "%d of %d answers of the directory named machines that were lost over %s before, the last one after %.0f s",
+			named, asked, stableWindow+nameSlack, last.Seconds())
 	}
-	r.End(rig.Held, "%d of %d answers of the directory named a lost machine, at most %d in a round", named, asked, most)
+	r.End(rig.Held, "%d of %d answers of the directory named a lost machine", named, asked)
 }
