--- a/review/11/rig/rig.go
+++ b/review/11/rig/rig.go
@@ -87,11 +87,11 @@
 func (r *Rig) End(code int, format string, values ...any) {
 	line := fmt.Sprintf(format, values...)
 	r.Note("outcome %d: %s", code, line)
-	fmt.Println(line)
 	for _, router := range r.routers {
 		router.Kill()
 	}
 	_ = os.RemoveAll(r.directory)
+	fmt.Println(line)
 	os.Exit(code)
 }
 
