Judge a withdrawn key in case 11, whose draining engine was not sound

The engine that drained did not say Server-Leaving in its answers, as a sound one does. The case now judges CONFIG: requests with a withdrawn key, sent later than config_apply_ms after the ack, are run. A run of any script ends after 115 s at the latest.

--- a/review/11/main.go
+++ b/review/11/main.go
@@ -23,15 +23,17 @@
 	// looks is how many requests each router gets then for a path without a route, lookInterval apart.
 	looks        = 10
 	lookInterval = 15 * time.Millisecond
-	// leaveAfter is the time from there until an engine leaves, and roundTime that from one round to the next.
-	leaveAfter = 700 * time.Millisecond
-	roundTime  = 4 * time.Second
-	rounds     = 16
+	// withdrawAfter is the time from a round's begin until a key is withdrawn, and roundTime that from one round to the next.
+	withdrawAfter = 700 * time.Millisecond
+	roundTime     = 5500 * time.Millisecond
+	rounds        = 13
 	// roundStep is by how much one round is longer than the one before, up to roundSpread: routers look at the store in a rhythm of 2 s.
 	roundStep, roundSpread = 300 * time.Millisecond, 2 * time.Second
-	// drain is drain_ms, checkTime how long late requests are waited for, and lastCheckTime how long once there is one.
-	drain         = 3 * time.Second
-	checkTime     = 600 * time.Millisecond
+	// apply is config_apply_ms; requests with a withdrawn key are sent applyMargin later, for checkTime, and for lastCheckTime more once one
+	// was run.
+	apply         = 3 * time.Second
+	applyMargin   = 50 * time.Millisecond
+	checkTime     = 300 * time.Millisecond
 	lastCheckTime = 8 * time.Second
 	// endTime is how long ordinary requests are watched after the engine that leaves has ended, which is later than the pages ask for.
 	endTime = 5 * time.Second
@@ -67,6 +69,8 @@
 	address string
 	stop    func()
 	born    int64
+	// isLeaving makes all answers say that the engine leaves.
+	isLeaving *atomic.Bool
 }
 
 var engines []running
@@ -74,37 +78,38 @@
 // addEngine starts an engine and registers it.
 func addEngine(r *rig.Rig) {
 	number := len(engines) + 1
-	e := running{engine: &rig.Engine{ID: fmt.Sprintf("app-%d", number), Interval: 20 * time.Millisecond}, born: int64(1000 + number)}
+	e := running{born: int64(1000 + number), isLeaving: &atomic.Bool{}}
+	e.engine = &rig.Engine{ID: fmt.Sprintf("app-%d", number), Interval: 20 * time.Millisecond, Forgets: true}
+	e.engine.Before = func(w http.ResponseWriter, _ *http.Request) bool {
+		if e.isLeaving.Load() {
+			w.Header().Set("Server-Leaving", "1")
+			w.Header().Set("Connection", "close")
+		}
+		return false
+	}
 	e.address, e.stop = r.ServeUntil(e.engine)
 	engines = append(engines, e)
 	r.Register(e.engine.ID, "app", "arima", "v1", e.address, "ready", e.born, 1, 6)
 }
 
-// lateArrivals returns how many requests have reached an engine later than drain after a time, and the time of the last one.
-func lateArrivals(engine *rig.Engine, acked time.Time) (late int, last time.Duration) {
-	for _, arrival := range engine.Arrivals() {
-		if at := arrival.At.Sub(acked); at > drain {
-			late, last = late+1, max(last, at)
-		}
-	}
-	return late, last
-}
+// otherKey returns the key that is withdrawn in a round.
+func otherKey(round int) string { return fmt.Sprint("key-of-round-", round) }
 
-// configure writes a desired state with a number of further routes.
-func configure(r *rig.Rig, further int) {
+// configure writes a desired state with a number of further routes, which allows the ordinary key and another one.
+func configure(r *rig.Rig, further int, other string) {
 	routes := []any{rig.Route("book", "app", "non_idempotent", 1, 3*time.Second, 300*time.Millisecond)}
 	for i := range further {
 		routes = append(routes, rig.Route(fmt.Sprintf("further-%03d", i), "app", "idempotent", 2, 3*time.Second, 300*time.Millisecond))
 	}
 	r.Configure(routes, []any{map[string]any{"name": "app", "health_path": "/healthz", "max_connections": 110, "cold_start_s": 0, "cold_per_s": 0}},
-		[]any{map[string]any{"name": "one", "api_keys": []string{key}}})
+		[]any{map[string]any{"name": "one", "api_keys": []string{key, other}}})
 }
 
 func main() {
 	r := rig.New("review/11")
 	r.Fields = map[string]any{"bounds.drain_ms": 3000, "bounds.budget_slack": 156}
 	addEngine(r)
-	configure(r, 0)
+	configure(r, 0, otherKey(0))
 	var routers []*rig.Router
 	for i := range routerCount {
 		routers = append(routers, r.NewRouter(fmt.Sprintf("front-arima-%d", i+1), "arima", r.Serve(r.Store.HandlerFor(fmt.Sprint(i))), true))
@@ -137,52 +142,76 @@
 		})
 	}
 	client := &http.Client{Timeout: 5 * time.Second}
-	checked, lateRounds := 0, 0
+	// try sends requests with a withdrawn key to all routers until a time, and returns how many were run, and when the last one was sent.
+	try := func(withdrawn string, acked, until time.Time) (ran int, last time.Duration) {
+		for i := 0; time.Now().Before(until); i++ {
+			for n, router := range routers {
+				at := time.Since(acked)
+				if send(client, router, "/book/1", fmt.Sprintf("k-%s-%d-%d", withdrawn, n, i), withdrawn) == http.StatusOK {
+					ran, last = ran+1, at
+				}
+			}
+			time.Sleep(bookInterval)
+		}
+		return ran, last
+	}
+	lateRounds := 0
 	for round := range rounds {
 		began := time.Now()
-		configure(r, further)
+		configure(r, further, otherKey(round))
 		time.Sleep(shrinkAfter)
-		configure(r, 0)
+		configure(r, 0, otherKey(round))
 		for i := range looks {
 			for n, router := range routers {
 				go send(client, router, "/nowhere/1", fmt.Sprintf("w-%d-%d-%d", round, n, i), key)
 			}
 			time.Sleep(lookInterval)
 		}
-		time.Sleep(time.Until(began.Add(leaveAfter)))
-		old := engines[len(engines)-1]
-		addEngine(r)
-		r.Register(old.engine.ID, "app", "arima", "v1", old.address, "draining", old.born, 2, 6)
+		time.Sleep(time.Until(began.Add(withdrawAfter)))
+		configure(r, 0, otherKey(round+1))
 		acked := time.Now()
-		r.Note("round %d: the store has acknowledged that %s is draining", round+1, old.engine.ID)
-		time.Sleep(drain + checkTime)
-		late, last := lateArrivals(old.engine, acked)
-		checked++
-		if late > 0 {
+		r.Note("round %d: %s is withdrawn", round+1, otherKey(round))
+		time.Sleep(apply + applyMargin)
+		ran, last := try(otherKey(round), acked, time.Now().Add(checkTime))
+		if ran > 0 {
 			lateRounds++
-			r.Note("%d requests have reached %s later than %s after that, the last one after %.2f s", late, old.engine.ID, drain, last.Seconds())
+			r.Note("%d requests with the key were run, sent later than %s after that", ran, apply)
 		}
-		if late > 0 && last > drain+checkTime-2*bookInterval {
-			time.Sleep(lastCheckTime)
-			late, last = lateArrivals(old.engine, acked)
-			r.Note("%d requests have reached %s later than %s after that, the last one after %.2f s", late, old.engine.ID, drain, last.Seconds())
-			old.stop()
-			r.Note("%s has ended", old.engine.ID)
-			sentBefore, servedBefore := sent.Load(), served.Load()
-			time.Sleep(endTime)
-			sentAfter, servedAfter := sent.Load()-sentBefore, served.Load()-servedBefore
-			r.Note("in the %s after that, %d ordinary requests were sent and %d served", endTime, sentAfter, servedAfter)
+		// Where some of the routers have learnt of the change from others just after the bound, the case goes on.
+		if ran > 0 && last > apply+applyMargin+checkTime/2 {
+			further, last := try(otherKey(round), acked, time.Now().Add(lastCheckTime))
+			ran += further
+			r.Note("%d by now, the last one sent %.1f s after it", ran, last.Seconds())
+			served, sent := replaceEngine(r, &served, &sent)
 			over.Store(true)
 			traffic.Wait()
-			r.End(rig.Broken, "in round %d, %d requests reached a draining engine later than %s after the ack, the last one %.1f s after it; once it had ended, %d of %d ordinary requests were served in %s",
-				round+1, late, drain, last.Seconds(), servedAfter, sentAfter, endTime)
+			r.End(rig.Broken, "in round %d, %d requests with a withdrawn key were run, sent later than %s after the ack, the last one %.1f s after it; once an engine was replaced, %d of %d ordinary requests were served in %s",
+				round+1, ran, apply, last.Seconds(), served, sent, endTime)
 		}
 		time.Sleep(time.Until(began.Add(roundTime + time.Duration(round)*roundStep%roundSpread)))
 	}
 	over.Store(true)
 	traffic.Wait()
 	if lateRounds > 0 {
-		r.End(rig.Broken, "requests reached a draining engine later than %s after the ack in %d of %d rounds", drain, lateRounds, checked)
+		r.End(rig.Broken, "requests with a withdrawn key were run, sent later than %s after the ack, in %d of %d rounds", apply, lateRounds, rounds)
 	}
-	r.End(rig.Held, "no request reached a draining engine late in %d rounds (%d of %d requests served)", checked, served.Load(), sent.Load())
+	r.End(rig.Held, "no request with a withdrawn key was run late in %d rounds (%d of %d ordinary requests served)", rounds, served.Load(), sent.Load())
+}
+
+// replaceEngine replaces the engine by another one, as the pages say, and returns how many ordinary requests are served after its end.
+func replaceEngine(r *rig.Rig, served, sent *atomic.Int64) (servedAfter, sentAfter int64) {
+	old := engines[len(engines)-1]
+	addEngine(r)
+	time.Sleep(time.Second)
+	r.Register(old.engine.ID, "app", "arima", "v1", old.address, "draining", old.born, 2, 6)
+	old.isLeaving.Store(true)
+	r.Note("%s is there; %s is draining, and says so in its answers", engines[len(engines)-1].engine.ID, old.engine.ID)
+	time.Sleep(apply + time.Second)
+	old.stop()
+	r.Note("%s has ended", old.engine.ID)
+	servedBefore, sentBefore := served.Load(), sent.Load()
+	time.Sleep(endTime)
+	servedAfter, sentAfter = served.Load()-servedBefore, sent.Load()-sentBefore
+	r.Note("in the %s after that, %d of %d ordinary requests were served", endTime, servedAfter, sentAfter)
+	return servedAfter, sentAfter
 }
--- a/review/11/rig/rig.go
+++ b/review/11/rig/rig.go
@@ -37,6 +37,9 @@
 // readyTimeout bounds the wait for a router that starts. It takes a fraction of a second.
 const readyTimeout = 20 * time.Second
 
+// maxTime bounds a run.
+const maxTime = 115 * time.Second
+
 // restartDelay is the platform's delay before it starts a process that has ended again.
 const restartDelay = 500 * time.Millisecond
 
@@ -71,7 +74,8 @@
 	r := &Rig{Store: standin.NewStore(), Trouble: os.Getenv("TROUBLE") != "0", directory: temporary, started: time.Now(), record: record}
 	r.Note("the disruption is played: %v", r.Trouble)
 	stops := make(chan os.Signal, 1)
-	signal.Notify(stops, syscall.SIGINT, syscall.SIGTERM)
+	signal.Notify(stops, syscall.SIGINT, syscall.SIGTERM, syscall.SIGHUP)
+	time.AfterFunc(maxTime, func() { r.End(CannotRun, "cannot run: not done after %s", maxTime) })
 	go func() { r.End(CannotRun, "cannot run: stopped by a signal: %s", <-stops) }()
 	return r
 }
