Follow the store again after a large desired state that is not in force

All eight routers had stopped following the store for good.

Cause: the watch of all entries waited for the end of its context once it had delivered a large desired state. It is ended when the state in force is found large. If that is a smaller one, read by a confirmation meanwhile, or kept over an outdated version, nothing ended the wait.

Now the wait looks at the state in force, and ends when that is not large. The log says which watches a router starts.

--- a/node/replica/freshness_test.go
+++ b/node/replica/freshness_test.go
@@ -1,6 +1,7 @@
 package replica
 
 import (
+	"context"
 	"testing"
 	"time"
 
@@ -54,3 +55,40 @@
 		}
 	})
 }
+
+// A watch that had delivered a large desired state waited to be replaced by separate ones. If the state in force was a
+// smaller one, read by a confirmation meanwhile or kept over an older version, nothing replaced the watch, and the router
+// followed the store no more.
+func TestLeaveMarkIsAppliedAfterALargeStateThatIsNotInForce(t *testing.T) {
+	const latestVersion = 1000
+	cases := map[string]func(f testFleet, version int){
+		"outdated": func(f testFleet, version int) {
+			f.store.put(desiredKey, largeState(version))
+		},
+	}
+	for _, after := range []time.Duration{80 * time.Millisecond, 300 * time.Millisecond, time.Second} {
+		cases["shrinks after "+after.String()] = func(f testFleet, version int) {
+			f.store.put(desiredKey, largeState(latestVersion+2*version+1))
+			time.Sleep(after)
+			f.store.put(desiredKey, versioned(latestVersion+2*version+2))
+		}
+	}
+	for name, change := range cases {
+		t.Run(name, func(t *testing.T) {
+			runFleetWithState(t, 2, versioned(latestVersion), func(t *testing.T, f testFleet) {
+				f.stopUpstreams()
+				ctx, cancel := context.WithCancel(t.Context())
+				defer cancel()
+				f.refuseUnknownKeys(ctx)
+				for round := range 8 {
+					change(f, round)
+					time.Sleep(applyLimit)
+					mark := f.store.put(upstreamKey+"leaving", []byte(`{"state": "draining"}`))
+					took, late := f.applyTime(upstreamKey+"leaving", mark, leaveLimit)
+					must.LessEq(t, leaveLimit, took, must.Sprintf("round %d, last: %s", round, late))
+					time.Sleep(3*time.Second + time.Duration(round)*watchWait/7)
+				}
+			})
+		})
+	}
+}
--- a/node/replica/watch.go
+++ b/node/replica/watch.go
@@ -128,6 +128,7 @@
 	r.log.Info("watching the store")
 	for ctx.Err() == nil {
 		apart, interval := r.desiredIsLarge(), r.confirmInterval()
+		r.log.Info("watches of the store started", "desired_apart", apart, "confirm_interval", interval)
 		stop := r.startWatches(ctx, apart)
 		for ctx.Err() == nil && r.desiredIsLarge() == apart && r.confirmInterval() == interval {
 			sleep(ctx, pullInterval)
@@ -232,8 +233,8 @@
 	}
 }
 
-// watchTogether watches all entries until the watch fails, or until ctx ends once the desired state is
-// large.
+// watchTogether watches all entries until the watch fails, or until it has delivered a large desired state, which is
+// watched apart from then on if it is in force.
 func (r *Replica) watchTogether(ctx context.Context) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
@@ -262,8 +263,7 @@
 				r.applyDesired(desired, confirmedAt)
 			}
 			if isLarge {
-				// The caller is about to watch the desired state apart.
-				<-ctx.Done()
+				r.awaitSeparateWatches(ctx)
 				return nil
 			}
 			r.confirmDesired(r.heldRevision(), confirmedAt, event.Progress)
@@ -282,6 +282,14 @@
 	return errors.New("watch of the store ended without an error")
 }
 
+// awaitSeparateWatches waits until ctx ends, which it does once watchStore has found the desired state large, or
+// until the state in force is not large: a smaller one may have been read or fetched before the watch delivered this one.
+func (r *Replica) awaitSeparateWatches(ctx context.Context) {
+	for ctx.Err() == nil && r.desiredIsLarge() {
+		sleep(ctx, pullInterval)
+	}
+}
+
 // commonRevision returns a revision up to which all copies are complete.
 func (r *Replica) commonRevision() revision.Revision {
 	r.mu.Lock()
