Count in bytes what the copy of the store holds, and bound it

Some 165 entries of 1 MB that can't be read, left by another writer, took all routers over their 184 MB, and again after each start.

Cause: the part of a large value that was kept was a slice, which holds all of the value. Behind that, nothing counted bytes: entries of other prefixes, earlier states, deleted values and complete lists were held as they came.

Now a value above 16 KB is replaced by a note of its size, and a copy above 4 MB gives up entries that can't be read, then earlier states, last values and tombstones. Entries that can be read stay. A list of the store hands over its entries one by one. What routers tell each other is unchanged in form; a note can't be decoded by any build.

--- a/adapter/kv/client.go
+++ b/adapter/kv/client.go
@@ -133,20 +133,19 @@
 }
 
 // List implements port.Store.
-func (c *Client) List(ctx context.Context, prefix string) ([]port.Entry, revision.Revision, error) {
+func (c *Client) List(ctx context.Context, prefix string, visit func(port.Entry)) (revision.Revision, error) {
 	request := RangeRequest{Key: []byte(prefix), RangeEnd: PrefixEnd(prefix)}
 	var response RangeResponse
 	if err := c.read(ctx, PathRange, request, &response); err != nil {
-		return nil, revision.Revision{}, err
+		return revision.Revision{}, err
 	}
 	if err := response.Header.validate(); err != nil {
-		return nil, revision.Revision{}, unavailable(PathRange, err)
+		return revision.Revision{}, unavailable(PathRange, err)
 	}
-	entries := make([]port.Entry, 0, len(response.KVs))
 	for _, kv := range response.KVs {
-		entries = append(entries, entry(kv))
+		visit(entry(kv))
 	}
-	return entries, revision.Revision{Number: response.Header.Revision}, nil
+	return revision.Revision{Number: response.Header.Revision}, nil
 }
 
 // GrantLease implements port.Store. ttl is rounded up to whole seconds.
--- a/adapter/kv/client_test.go
+++ b/adapter/kv/client_test.go
@@ -130,9 +130,8 @@
 	must.Eq(t, []port.Entry{{Key: "a", Value: []byte("1"), Revision: first.Revision}, {Key: "b"}}, result.Found)
 	_, err = client.Commit(t.Context(), port.Transaction{Writes: []port.Write{{Key: "a", Delete: true, DeleteTo: "c"}}})
 	must.NoError(t, err)
-	entries, _, err := client.List(t.Context(), "")
+	_, err = client.List(t.Context(), "", func(entry port.Entry) { t.Errorf("the store still has %s", entry.Key) })
 	must.NoError(t, err)
-	must.SliceEmpty(t, entries)
 }
 
 // A malformed or empty response is an error. Read as an empty message, it would stand for an absent
--- a/node/claims/claims_test.go
+++ b/node/claims/claims_test.go
@@ -285,9 +285,10 @@
 		claim := newClaim(newKey())
 		must.Eq(t, fleet.ClaimGranted, f.routers[0].Begin(t.Context(), claim).State)
 		storedClaims := func() int {
-			entries, _, err := f.store.List(t.Context(), "agateswitch/claim/")
+			stored := 0
+			_, err := f.store.List(t.Context(), "agateswitch/claim/", func(port.Entry) { stored++ })
 			must.NoError(t, err)
-			return len(entries)
+			return stored
 		}
 		shard := coreclaim.ShardOf(claim.Team, claim.Key)
 		cancel()
--- a/node/configsync/fakes_test.go
+++ b/node/configsync/fakes_test.go
@@ -74,20 +74,19 @@
 	return entry, nil
 }
 
-func (l *storeLink) List(ctx context.Context, prefix string) ([]port.Entry, revision.Revision, error) {
+func (l *storeLink) List(ctx context.Context, prefix string, visit func(port.Entry)) (revision.Revision, error) {
 	if err := l.reach(ctx); err != nil {
-		return nil, revision.Revision{}, err
+		return revision.Revision{}, err
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.reads++
-	var entries []port.Entry
 	for key, entry := range l.keys {
 		if strings.HasPrefix(key, prefix) {
-			entries = append(entries, entry)
+			visit(entry)
 		}
 	}
-	return entries, revision.Revision{Number: l.revision}, nil
+	return revision.Revision{Number: l.revision}, nil
 }
 
 func (l *storeLink) Commit(ctx context.Context, transaction port.Transaction) (port.CommitResult, error) {
--- a/node/configsync/watch.go
+++ b/node/configsync/watch.go
@@ -199,7 +199,8 @@
 // readAll reads and applies the complete configuration. It returns the key-value service's
 // revision, from which a watch continues.
 func (s *Service) readAll(ctx context.Context) (revision.Revision, error) {
-	entries, listed, err := s.store.List(ctx, configPrefix)
+	var entries []port.Entry
+	listed, err := s.store.List(ctx, configPrefix, func(entry port.Entry) { entries = append(entries, entry) })
 	if err != nil {
 		return revision.Revision{}, err
 	}
--- a/node/edge/edge.go
+++ b/node/edge/edge.go
@@ -80,6 +80,9 @@
 	keys := replica.Keys{
 		Desired: external.Codec.DesiredKey(), Prefixes: append(external.Codec.Prefixes(), presence.RouterKeyPrefix, quarantine.KeyPrefix),
 		Routers: presence.RouterKeyPrefix, Reports: external.Codec.ReportPrefix(), IsOutdated: external.Codec.IsOutdated,
+		IsReadable: func(key string, value []byte) bool {
+			return presence.IsReadable(key, value) && quarantine.IsReadable(key, value) && external.Codec.Decode(key, value).Problem == nil
+		},
 	}
 	r.replica = replica.New(external.Store, r.mesh, r.presence, keys, time.Duration(s.ChangeDeadline), logger)
 	r.workload = workload.New(self.ID, r.mesh, r.presence, logger)
@@ -96,6 +99,9 @@
 	if err := observeRestores(metrics.Meter(), r.replica.Restores); err != nil {
 		return nil, err
 	}
+	if err := observeCopy(metrics.Meter(), r.replica.HeldBytes); err != nil {
+		return nil, err
+	}
 	if err := observeQuarantine(metrics.Meter(), r.held.Holds, r.held.Decided); err != nil {
 		return nil, err
 	}
--- a/node/edge/restore.go
+++ b/node/edge/restore.go
@@ -31,3 +31,14 @@
 		}))
 	return errors.Trace(err)
 }
+
+// observeCopy registers the metric of the memory of the copy of the store.
+func observeCopy(meter metric.Meter, heldBytes func() int) error {
+	_, err := meter.Int64ObservableGauge("agateswitch_store_copy_bytes", metric.WithUnit("By"),
+		metric.WithDescription("Size of the copy of the store, without the desired state"),
+		metric.WithInt64Callback(func(_ context.Context, observer metric.Int64Observer) error {
+			observer.Observe(int64(heldBytes()))
+			return nil
+		}))
+	return errors.Trace(err)
+}
--- a/node/gateway/view.go
+++ b/node/gateway/view.go
@@ -56,7 +56,7 @@
 	engines        map[string]*engine
 	absent         absentEngines
 	dataCentresOut map[string]fleet.DataCentre
-	// problems holds why entries can't be decoded, as logged.
+	// problems holds why entries can't be decoded, as logged, of maxProblems entries at most.
 	problems map[string]string
 }
 
@@ -99,12 +99,19 @@
 	}
 }
 
+// maxProblems is the number of entries that can't be decoded of which a router logs each one.
+const maxProblems = 1000
+
 // logProblem logs an entry that can't be decoded, once for each key and problem. The caller holds mu.
 func (v *view) logProblem(entry port.Entry, problem error) {
-	if v.problems[entry.Key] == problem.Error() {
+	known, found := v.problems[entry.Key]
+	if known == problem.Error() || !found && len(v.problems) >= maxProblems {
 		return
 	}
 	v.problems[entry.Key] = problem.Error()
+	if len(v.problems) == maxProblems {
+		v.log.Warn("many store entries can't be decoded; further ones are not logged", "entries", maxProblems)
+	}
 	_, isRegistered := v.engines[entry.Key]
 	v.log.Warn("failed to decode a store entry; ignoring it", "key", entry.Key, "revision", entry.Revision, "registered", isRegistered, "err", problem)
 }
--- a/node/presence/lease.go
+++ b/node/presence/lease.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"strings"
 	"time"
 
 	"agateswitch/core/fleet"
@@ -41,6 +42,28 @@
 	LeaseSeconds float64 `json:",omitempty"`
 }
 
+// decodeRouter decodes the entry of the router with an id.
+func decodeRouter(id string, value []byte) (routerEntry, error) {
+	var entry routerEntry
+	if err := json.Unmarshal(value, &entry); err != nil {
+		return entry, errors.Annotate(err, "decoding a router entry")
+	}
+	if string(entry.ID) != id {
+		return entry, errors.Errorf("entry of router %s is under the key of %s", entry.ID, id)
+	}
+	return entry, nil
+}
+
+// IsReadable reports whether an entry of the store names a router, or is none of a router's.
+func IsReadable(key string, value []byte) bool {
+	id, isRouter := strings.CutPrefix(key, RouterKeyPrefix)
+	if !isRouter {
+		return true
+	}
+	_, err := decodeRouter(id, value)
+	return err == nil
+}
+
 // outlives reports whether the entry may stay in the store for long after its router has failed.
 func (e routerEntry) outlives() bool { return e.LeaseSeconds > smallFleetTTL.Seconds() }
 
--- a/node/presence/presence.go
+++ b/node/presence/presence.go
@@ -4,7 +4,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -123,10 +122,9 @@
 			p.entryLost = p.entryLost || fleet.HostID(id) == p.self.ID
 			continue
 		}
-		var entry routerEntry
-		err := json.Unmarshal(change.Entry.Value, &entry)
+		entry, err := decodeRouter(id, change.Entry.Value)
 		host := entry.Host
-		if err != nil || string(host.ID) != id {
+		if err != nil {
 			p.log.Warn("failed to decode a router entry; ignoring it", "key", change.Entry.Key, "err", err)
 			continue
 		}
--- a/node/quarantine/store.go
+++ b/node/quarantine/store.go
@@ -10,6 +10,8 @@
 	"agateswitch/core/revision"
 	"agateswitch/node/replica"
 	"agateswitch/port"
+
+	"github.com/juju/errors"
 )
 
 // observe applies a change of the store. The caller holds mu.
@@ -24,8 +26,8 @@
 		s.observeLoss(part, current, found)
 		return
 	}
-	content, err := quarantine.DecodeHold(change.Entry.Value)
-	if err != nil || content.Part != part {
+	content, err := decodeHold(part, change.Entry.Value)
+	if err != nil {
 		s.log.Warn("failed to decode an entry of the quarantine; ignoring it", "key", change.Entry.Key, "err", err)
 		return
 	}
@@ -47,6 +49,25 @@
 	}
 }
 
+// decodeHold decodes the entry of a part.
+func decodeHold(part quarantine.Part, value []byte) (quarantine.Hold, error) {
+	content, err := quarantine.DecodeHold(value)
+	if err == nil && content.Part != part {
+		err = errors.Errorf("entry of part %s is under the key of %s", content.Part, part)
+	}
+	return content, err
+}
+
+// IsReadable reports whether an entry of the store holds a part back, or is none of the quarantine's.
+func IsReadable(key string, value []byte) bool {
+	id, isHold := strings.CutPrefix(key, KeyPrefix)
+	if !isHold {
+		return true
+	}
+	_, err := decodeHold(quarantine.Part(id), value)
+	return err == nil
+}
+
 // observeLoss applies the deletion of an entry. Routers delete only entries that have expired; others were lost by a
 // store that was restored from an older copy, and are written again. The caller holds mu.
 func (s *Service) observeLoss(part quarantine.Part, current *hold, found bool) {
--- a/node/replica/fakes_test.go
+++ b/node/replica/fakes_test.go
@@ -423,7 +423,7 @@
 	return entry, s.receive(ctx, messageBytes+wireSize(entry))
 }
 
-func (s storeOf) List(ctx context.Context, prefix string) ([]port.Entry, revision.Revision, error) {
+func (s storeOf) List(ctx context.Context, prefix string, visit func(port.Entry)) (revision.Revision, error) {
 	s.store.mu.Lock()
 	var entries []port.Entry
 	size, listedAt := messageBytes, s.store.revision
@@ -434,7 +434,11 @@
 		}
 	}
 	s.store.mu.Unlock()
-	return entries, listedAt, s.receive(ctx, size)
+	err := s.receive(ctx, size)
+	for _, entry := range entries {
+		visit(entry)
+	}
+	return listedAt, err
 }
 
 // Commit supports transactions without writes.
--- a/node/replica/replica.go
+++ b/node/replica/replica.go
@@ -83,6 +83,9 @@
 	Routers string
 	// Reports is the one of Prefixes whose entries only routers write, to report to operators.
 	Reports string
+	// IsReadable reports whether a value can be decoded. Entries that can't be give way first when the copy becomes too large.
+	// Without it, all count as readable.
+	IsReadable func(key string, value []byte) bool
 	// IsOutdated is port.EntryCodec.IsOutdated.
 	IsOutdated func(key string, known, found []byte) bool
 }
@@ -120,7 +123,9 @@
 	log       *log.Logger
 	// routersPrefix is Keys.Routers.
 	routersPrefix string
-	loaded        chan struct{}
+	// isReadable is Keys.IsReadable.
+	isReadable func(key string, value []byte) bool
+	loaded     chan struct{}
 
 	subscribers        []func([]Change)
 	desiredSubscribers []func(port.Entry)
@@ -137,6 +142,8 @@
 	restores RestoreCounts
 	// postponed holds the deletions that subscribers receive at their Settled time, by key.
 	postponed map[string]Change
+	// shedAbove is the size in bytes above which the copy is made smaller.
+	shedAbove int
 	// watchersSilentSince is when the first of the last pulls from watchers began, all of which have
 	// failed; zero if the last one has succeeded.
 	watchersSilentSince time.Time
@@ -162,10 +169,13 @@
 func New(store port.Store, transport port.Peers, peers Peers, keys Keys, deadline time.Duration, logger *log.Logger) *Replica {
 	r := &Replica{
 		store: store, transport: transport, peers: peers, log: logger, loaded: make(chan struct{}),
-		freshness: dissemination.PlanFreshness(deadline), routersPrefix: keys.Routers,
+		freshness: dissemination.PlanFreshness(deadline), routersPrefix: keys.Routers, isReadable: keys.IsReadable, shedAbove: maxHeldBytes,
 		applying: make(chan struct{}, 1), applyingDesired: make(chan struct{}, 1), confirming: make(chan struct{}, 1),
 		desired: newDesiredCopy(keys.Desired, keys.IsOutdated), postponed: map[string]Change{},
 	}
+	if r.isReadable == nil {
+		r.isReadable = func(string, []byte) bool { return true }
+	}
 	r.eras, _ = store.(port.Eras)
 	for _, prefix := range keys.Prefixes {
 		r.trees = append(r.trees, newTree(prefix, prefix == keys.Reports, keys.IsOutdated))
@@ -259,6 +269,7 @@
 	t.isRestoring = at.IsOfLaterEra(t.asOf) && !t.asOf.IsZero()
 	var applied []Change
 	for _, change := range changes {
+		change.Entry = withoutLargeValue(change.Entry)
 		change.Replayed = r.isReplayed(t, change)
 		if !t.record(change, now) {
 			continue
@@ -272,6 +283,7 @@
 		}
 		applied = append(applied, change)
 	}
+	r.shed()
 	return applied
 }
 
--- a/node/replica/restore_test.go
+++ b/node/replica/restore_test.go
@@ -197,7 +197,7 @@
 		time.Sleep(leaveLimit)
 		f.store.restoreQuietly(f.store.at().Number)
 		last := f.routers[len(f.routers)-1]
-		_, _, err := storeOf{store: f.store, host: last.host}.List(t.Context(), "nothing/")
+		_, err := storeOf{store: f.store, host: last.host}.List(t.Context(), "nothing/", func(port.Entry) {})
 		must.NoError(t, err)
 		time.Sleep(2 * pullInterval)
 		must.Eq(t, 1, max(f.routers[0].era.Load(), f.routers[1].era.Load()))
--- a/node/replica/tree.go
+++ b/node/replica/tree.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"slices"
 	"time"
 
 	"agateswitch/core/revision"
@@ -59,6 +60,8 @@
 	tombstones map[string]tombstone
 	// earlier holds the states of a key that have been replaced or deleted, oldest first.
 	earlier map[string][]earlierState
+	// heldBytes is what entries, tombstones and earlier states take.
+	heldBytes int
 	// prunedRevision is a revision after which the copy has the tombstones of all deletions. Earlier ones
 	// have been removed, or were made before the copy was read as a whole.
 	prunedRevision revision.Revision
@@ -117,8 +120,8 @@
 		return false
 	}
 	t.remember(current, now)
-	t.entries[key] = change.Entry
-	delete(t.tombstones, key)
+	t.setEntry(change.Entry)
+	t.dropTombstone(key)
 	return true
 }
 
@@ -128,11 +131,11 @@
 	switch {
 	case found && t.isReplay(current.Revision, current.Value, entry):
 		current.Revision = entry.Revision.Carry(current.Revision)
-		t.entries[entry.Key] = current
+		t.setEntry(current)
 		return true
 	case isDeleted && t.isReplay(deleted.revision, deleted.last, entry):
 		deleted.revision = entry.Revision.Carry(deleted.revision)
-		t.tombstones[entry.Key] = deleted
+		t.setTombstone(entry.Key, deleted)
 		return true
 	}
 	return false
@@ -169,28 +172,33 @@
 	if t.isReport || replaced.Revision.IsAbsent() {
 		return
 	}
-	states := append(t.earlier[replaced.Key], earlierState{revision: replaced.Revision, value: replaced.Value, replacedAt: now})
-	t.earlier[replaced.Key] = states[max(0, len(states)-maxEarlierStates):]
+	states := append(slices.Clone(t.earlier[replaced.Key]), earlierState{revision: replaced.Revision, value: replaced.Value, replacedAt: now})
+	t.setEarlier(replaced.Key, slices.Clone(states[max(0, len(states)-maxEarlierStates):]))
 }
 
-// delete replaces an entry by a tombstone, and removes what has been kept for long enough.
+// delete replaces an entry by a tombstone, and prunes.
 func (t *tree) delete(key string, at revision.Revision, now time.Time) {
 	last := t.tombstones[key].last
 	if current, found := t.entries[key]; found {
 		last = current.Value
 		t.remember(current, now)
 	}
-	delete(t.entries, key)
-	t.tombstones[key] = tombstone{revision: at, deletedAt: now, last: last}
-	for other, old := range t.tombstones {
+	t.dropEntry(key)
+	t.setTombstone(key, tombstone{revision: at, deletedAt: now, last: last})
+	t.prune(now)
+}
+
+// prune removes what has been kept for long enough.
+func (t *tree) prune(now time.Time) {
+	for key, old := range t.tombstones {
 		if now.Sub(old.deletedAt) > tombstoneTTL {
 			t.prunedRevision = revision.Latest(t.prunedRevision, old.revision)
-			delete(t.tombstones, other)
+			t.dropTombstone(key)
 		}
 	}
-	for other, states := range t.earlier {
+	for key, states := range t.earlier {
 		if now.Sub(states[len(states)-1].replacedAt) > tombstoneTTL {
-			delete(t.earlier, other)
+			t.setEarlier(key, nil)
 		}
 	}
 }
--- a/node/replica/watch.go
+++ b/node/replica/watch.go
@@ -87,23 +87,21 @@
 // load reads all entries at once, the desired state included.
 func (r *Replica) load(ctx context.Context) error {
 	startedAt := time.Now()
-	entries, listedAt, err := r.store.List(ctx, "")
-	if err != nil {
-		return err
-	}
-	r.markReachable("", r.contacts()...)
-	desired := port.Entry{Key: r.desired.key}
-	byTree := map[*tree][]Change{}
-	for _, entry := range entries {
+	desired, listed := port.Entry{Key: r.desired.key}, r.newListing()
+	listedAt, err := r.store.List(ctx, "", func(entry port.Entry) {
 		if entry.Key == r.desired.key {
 			desired = entry
 		} else if t := r.treeOf(entry.Key); t != nil {
-			byTree[t] = append(byTree[t], Change{Entry: entry})
+			listed.add(t, entry)
 		}
+	})
+	if err != nil {
+		return err
 	}
+	r.markReachable("", r.contacts()...)
 	// Callers are served from the first desired state on, which is why it comes last.
 	for _, t := range r.trees {
-		r.replace(t, byTree[t], listedAt, startedAt, time.Time{})
+		r.replace(t, listed.byTree[t], listedAt, startedAt, time.Time{})
 	}
 	r.applyDesired(desired, startedAt)
 	r.confirmDesired(desired.Revision, startedAt, listedAt)
@@ -338,16 +336,13 @@
 // list reads all entries of a tree, and deletes those that the store no longer has.
 func (r *Replica) list(ctx context.Context, t *tree) error {
 	startedAt := time.Now()
-	entries, listedAt, err := r.store.List(ctx, t.prefix)
+	listed := r.newListing()
+	listedAt, err := r.store.List(ctx, t.prefix, func(entry port.Entry) { listed.add(t, entry) })
 	if err != nil {
 		return err
 	}
 	r.markReachable(t.prefix, &t.contact)
-	listed := make([]Change, 0, len(entries))
-	for _, entry := range entries {
-		listed = append(listed, Change{Entry: entry})
-	}
-	r.replace(t, listed, listedAt, startedAt, time.Time{})
+	r.replace(t, listed.byTree[t], listedAt, startedAt, time.Time{})
 	return nil
 }
 
--- a/port/store.go
+++ b/port/store.go
@@ -115,8 +115,9 @@
 type Store interface {
 	// Get reads one key. For an absent key it returns an Entry with revision 0.
 	Get(ctx context.Context, key string) (Entry, error)
-	// List reads all keys under a prefix, in key order, and the store's revision.
-	List(ctx context.Context, prefix string) ([]Entry, revision.Revision, error)
+	// List reads all keys under a prefix, in key order, and returns the store's revision. It calls visit for each entry as it
+	// arrives, so that no more is held than one response and what visit keeps. After an error the visited entries are not complete.
+	List(ctx context.Context, prefix string, visit func(Entry)) (revision.Revision, error)
 	// Commit executes a transaction. After ErrUnavailable it may have taken effect.
 	Commit(ctx context.Context, transaction Transaction) (CommitResult, error)
 	// Watch streams the changes under a prefix after a revision until ctx is done. The last
--- a/standin/store/direct.go
+++ b/standin/store/direct.go
@@ -132,16 +132,15 @@
 }
 
 // List implements port.Store.
-func (d *Direct) List(ctx context.Context, prefix string) ([]port.Entry, revision.Revision, error) {
+func (d *Direct) List(ctx context.Context, prefix string, visit func(port.Entry)) (revision.Revision, error) {
 	if err := d.begin(ctx, countRead); err != nil {
-		return nil, revision.Revision{}, err
+		return revision.Revision{}, err
 	}
 	found := d.state.read(kv.RangeRequest{Key: []byte(prefix), RangeEnd: kv.PrefixEnd(prefix)})
-	var entries []port.Entry
 	for _, value := range found.KVs {
-		entries = append(entries, entry(value))
+		visit(entry(value))
 	}
-	return entries, revision.Revision{Number: found.Header.Revision}, nil
+	return revision.Revision{Number: found.Header.Revision}, nil
 }
 
 // Commit implements port.Store. A transaction without writes counts as a read.
