Bound the ids of prompt parts that routers remember

Cause: the map of cached parts is bounded in number. An id is a piece of a header, which it kept as a whole, and may be as long as a header itself; routers tell each other all of them.

What an earlier build tells beyond 128 bytes is not kept.

--- a/core/warmth/warmth.go
+++ b/core/warmth/warmth.go
@@ -4,6 +4,7 @@
 package warmth
 
 import (
+	"slices"
 	"time"
 
 	"agateswitch/core/fleet"
@@ -18,7 +19,7 @@
 	// uses need not be published. It is shorter than cacheTTL, after which the entry expires on
 	// other routers.
 	RepublishAfter = cacheTTL / 3
-	// maxParts bounds the memory of the map. At about 100 bytes per part it is below 4 MB.
+	// maxParts bounds the memory of the map. At about 100 bytes per part, and with ids of bounded size, it is below 4 MB.
 	maxParts = 32768
 )
 
@@ -152,9 +153,18 @@
 	return all
 }
 
+// maxPartBytes is the size of the longest id of a part that is learned from other routers.
+const maxPartBytes = 128
+
+// WithoutLongIDs returns the entries whose parts have ids of a bounded size. Routers of earlier builds tell ids as callers have chosen
+// them.
+func WithoutLongIDs(cached []CachedPart) []CachedPart {
+	return slices.DeleteFunc(slices.Clone(cached), func(p CachedPart) bool { return len(p.Part) > maxPartBytes })
+}
+
 // Merge adds entries of another router. It keeps entries of the map that are newer.
 func (m *Map) Merge(cached []CachedPart, now time.Time) {
-	for _, p := range cached {
+	for _, p := range WithoutLongIDs(cached) {
 		used := now.Add(-p.Age)
 		if used.After(m.parts[p.Part][p.Engine].lastUsed) {
 			m.set(p.Part, p.Engine, usage{lastUsed: used, lastPublished: used}, now)
--- a/core/warmth/warmth_test.go
+++ b/core/warmth/warmth_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"testing"
 	"time"
 
@@ -68,3 +69,12 @@
 	// A router that has received a use doesn't publish the next one.
 	must.False(t, other.RecordUse("a", "e1", now, RepublishAfter))
 }
+
+// Routers of earlier builds tell ids of any length, which filled the memory of those that learned them.
+func TestLongIDsOfOtherRoutersAreNotKept(t *testing.T) {
+	now := time.Now()
+	m := NewMap()
+	m.Merge([]CachedPart{{Part: strings.Repeat("a", maxPartBytes+1), Engine: "e1"}, {Part: "b", Engine: "e1"}}, now)
+	must.MapLen(t, 1, m.parts)
+	must.True(t, m.HasPart("b", now))
+}
--- a/node/workload/relay.go
+++ b/node/workload/relay.go
@@ -43,6 +43,7 @@
 }
 
 func (j *journal) add(parts []warmth.CachedPart) {
+	parts = warmth.WithoutLongIDs(parts)
 	j.parts = append(j.parts, parts...)
 	j.next += uint64(len(parts))
 	if excess := len(j.parts) - maxJournalParts; excess > 0 {
