Ask the fleet through the store before its lost routers are forgotten

Cause: entries of a large fleet outlive their routers by up to a minute, and are removed by neighbours. A router that hears nobody removed nothing, as it may be the one that is cut off. A neighbour that had just been cut off still counted its last heartbeats as a sign of others and removed one; and when a fleet became small, directories left out all of whom they had no heartbeat yet.

Now such a router calls the roll through the store, and only entries that are not written again are removed, on the condition that they are unchanged (docs/design/roll-call.md). A removal by a neighbour needs an answer from another router at the time of the check. Entries of earlier builds, which do not answer, are not removed by a roll call.

--- a/node/presence/heartbeats.go
+++ b/node/presence/heartbeats.go
@@ -36,6 +36,7 @@
 		go p.exchangeHeartbeat(ctx, id, heartbeat, heartbeatTimeout)
 	}
 	p.checkNeighbours(ctx)
+	p.checkRoll(ctx)
 }
 
 // heartbeatTargets returns the routers to send heartbeats to, and removes heartbeats older than a
--- a/node/presence/heartbeats_test.go
+++ b/node/presence/heartbeats_test.go
@@ -91,7 +91,7 @@
 			p.Join(peer{mesh: m, self: p.self.ID})
 		}
 		for _, p := range presences {
-			go p.runEvery(ctx, heartbeatInterval, p.sendHeartbeats)
+			go p.runEvery(ctx, heartbeatInterval, nil, p.sendHeartbeats)
 		}
 		time.Sleep(10 * time.Second)
 		test(m)
--- a/node/presence/lease.go
+++ b/node/presence/lease.go
@@ -31,6 +31,8 @@
 	lease     port.LeaseID
 	ttl       time.Duration
 	renewedAt time.Time
+	// writtenAt is when the entry was last written. Presence.mu guards it.
+	writtenAt time.Time
 	// isLarge is the last result of wantedTTL.
 	isLarge bool
 }
@@ -40,6 +42,8 @@
 	fleet.Host
 	// LeaseSeconds is the TTL of the entry's lease, in seconds. Routers of earlier builds do not state it.
 	LeaseSeconds float64 `json:",omitempty"`
+	// AnswersRollCalls is true if the router writes its entry again when the roll is called. Routers of earlier builds don't.
+	AnswersRollCalls bool `json:",omitempty"`
 }
 
 // decodeRouter decodes the entry of the router with an id.
@@ -57,13 +61,30 @@
 // IsReadable reports whether an entry of the store names a router, or is none of a router's.
 func IsReadable(key string, value []byte) bool {
 	id, isRouter := strings.CutPrefix(key, RouterKeyPrefix)
-	if !isRouter {
+	if !isRouter || key == rollCallKey {
 		return true
 	}
 	_, err := decodeRouter(id, value)
 	return err == nil
 }
 
+// rewriteTime is how long after an outage of the store a router of a large fleet, whose lease expired meanwhile, needs to write
+// its entry again: a check of its lease, a call that the store does not answer, and the write.
+const rewriteTime = leaseCheckInterval + 1100*time.Millisecond
+
+// RewriteTime returns how long after an outage of the store it may take until the entry of a router that expired meanwhile is
+// written again. It is 0 for the routers of a small fleet, which hear each other's heartbeats, and for other keys.
+func RewriteTime(key string, value []byte) time.Duration {
+	id, isRouter := strings.CutPrefix(key, RouterKeyPrefix)
+	if !isRouter {
+		return 0
+	}
+	if entry, err := decodeRouter(id, value); err != nil || !entry.outlives() {
+		return 0
+	}
+	return rewriteTime
+}
+
 // outlives reports whether the entry may stay in the store for long after its router has failed.
 func (e routerEntry) outlives() bool { return e.LeaseSeconds > smallFleetTTL.Seconds() }
 
@@ -114,6 +135,16 @@
 		p.register(ctx, r.ttl)
 		return
 	}
+	if p.hasSilentNeighbour() {
+		p.readRollCall(ctx)
+	}
+	if p.isCalled() {
+		p.awaitAnswerTurn(ctx)
+		if p.writeEntry(ctx, r.lease, r.ttl) != nil {
+			p.register(ctx, r.ttl)
+		}
+		return
+	}
 	if time.Since(r.renewedAt) < renewInterval(r.ttl) {
 		return
 	}
@@ -163,18 +194,20 @@
 
 // writeEntry writes the router's entry under a lease with a TTL.
 func (p *Presence) writeEntry(ctx context.Context, lease port.LeaseID, ttl time.Duration) error {
-	value, err := json.Marshal(routerEntry{Host: p.self, LeaseSeconds: ttl.Seconds()})
+	value, err := json.Marshal(routerEntry{Host: p.self, LeaseSeconds: ttl.Seconds(), AnswersRollCalls: true})
 	if err != nil {
 		panic("encode router entry: " + err.Error())
 	}
 	write := port.Write{Key: RouterKeyPrefix + string(p.self.ID), Value: value, Lease: lease}
-	if _, err := p.store.Commit(ctx, port.Transaction{Writes: []port.Write{write}}); err != nil {
+	result, err := p.store.Commit(ctx, port.Transaction{Writes: []port.Write{write}})
+	if err != nil {
 		p.log.Warn("failed to write the router entry", "lease", lease, "err", err)
 		return errors.Trace(err)
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.entryLost = false
+	p.roll.answered, p.registration.writtenAt = result.Revision, time.Now()
 	return nil
 }
 
--- a/node/presence/monitor.go
+++ b/node/presence/monitor.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"slices"
+	"sync"
 	"time"
 
 	"agateswitch/core/fleet"
@@ -34,10 +36,10 @@
 	now := time.Now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	isLarge := len(p.listed) > maxDirectFleetSize
-	if !isLarge && len(p.outliving) == 0 || p.leaving.Load() {
+	if !p.isMonitoring() || p.leaving.Load() {
 		return nil
 	}
+	isLarge := len(p.listed) > maxDirectFleetSize
 	ids := make([]fleet.HostID, 0, len(p.listed))
 	for id := range p.listed {
 		if id != p.self.ID {
@@ -64,8 +66,14 @@
 	return silent
 }
 
-// checkSilent removes the entry of a neighbour from the store unless the neighbour answers. A router that
-// hears from no other one may be the one that is cut off, and removes nothing.
+// isMonitoring reports whether this router removes the entries of others that fail, which stay in the store for long
+// otherwise. The caller holds mu.
+func (p *Presence) isMonitoring() bool {
+	return len(p.listed) > maxDirectFleetSize || len(p.outliving) > 0
+}
+
+// checkSilent removes the entry of a neighbour from the store unless the neighbour answers. A router that no
+// other one answers meanwhile may be the one that is cut off, and removes nothing.
 func (p *Presence) checkSilent(ctx context.Context, id fleet.HostID, rank int) {
 	defer func() {
 		p.mu.Lock()
@@ -78,8 +86,13 @@
 	case <-ctx.Done():
 		return
 	}
-	p.exchangeHeartbeat(ctx, id, p.heartbeat(), lastCheckTimeout)
-	condition, isDue := p.removalOf(id, silentSince)
+	checkedAt := time.Now()
+	var exchanges sync.WaitGroup
+	for _, other := range append(p.heardLately(id), id) {
+		exchanges.Go(func() { p.exchangeHeartbeat(ctx, other, p.heartbeat(), lastCheckTimeout) })
+	}
+	exchanges.Wait()
+	condition, isDue := p.removalOf(id, silentSince, checkedAt)
 	if !isDue {
 		return
 	}
@@ -95,18 +108,35 @@
 		"rank", rank, "removed", result.Applied, "err", err)
 }
 
+// witnesses is how many other routers have to show that a router is not cut off when it removes one; one that answers is enough.
+const witnesses = 3
+
+// heardLately returns some routers other than a silent one that were heard last.
+func (p *Presence) heardLately(silent fleet.HostID) []fleet.HostID {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var heard []fleet.HostID
+	for id := range p.heartbeats {
+		if _, listed := p.listed[id]; listed && id != silent && id != p.self.ID {
+			heard = append(heard, id)
+		}
+	}
+	slices.SortFunc(heard, func(a, b fleet.HostID) int { return p.heartbeats[b].receivedAt.Compare(p.heartbeats[a].receivedAt) })
+	return slices.Clip(heard[:min(len(heard), witnesses)])
+}
+
 // removalOf returns the condition on which the entry of a router is removed. It reports false if the
-// router has an entry no more or has answered, or if this router hears from nobody.
-func (p *Presence) removalOf(id fleet.HostID, silentSince time.Time) (port.Condition, bool) {
+// router has an entry no more or has answered since silentSince, or if this router has heard nobody since checkedAt.
+func (p *Presence) removalOf(id fleet.HostID, silentSince, checkedAt time.Time) (port.Condition, bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	at, listed := p.revisions[id]
-	if !listed || p.heartbeats[id].receivedAt.After(silentSince) || time.Since(p.removedAt[id]) < removalHoldOff {
+	if !listed || !p.heartbeats[id].receivedAt.Before(silentSince) || time.Since(p.removedAt[id]) < removalHoldOff {
 		return port.Condition{}, false
 	}
 	hearsOthers := false
 	for other, last := range p.heartbeats {
-		hearsOthers = hearsOthers || other != id && time.Since(last.receivedAt) < unresponsiveTimeout
+		hearsOthers = hearsOthers || other != id && !last.receivedAt.Before(checkedAt)
 	}
 	return port.Condition{Key: RouterKeyPrefix + string(id), Revision: at.Stored()}, hearsOthers
 }
--- a/node/presence/presence.go
+++ b/node/presence/presence.go
@@ -75,11 +75,21 @@
 	// are being checked because they do not answer.
 	monitored map[fleet.HostID]time.Time
 	suspected map[fleet.HostID]bool
+	// answering holds the routers with an entry that answer roll calls, and roll the state of roll calls.
+	answering map[fleet.HostID]bool
+	roll      rollCall
+	// largeAt is when the fleet was last too large for heartbeats between all.
+	largeAt time.Time
 	// removedAt holds when this router last removed the entry of each neighbour.
 	removedAt map[fleet.HostID]time.Time
 	// entryLost is true when the store has lost this router's entry although it lives.
 	entryLost bool
 
+	// isolated is true while no neighbour answers, and callingRoll while a roll call is in progress.
+	isolated, callingRoll atomic.Bool
+	// rollCalled has an element when a roll call has arrived.
+	rollCalled chan struct{}
+
 	// lastPlans holds the last plans of a large fleet, and entryChanges counts the changes of entries.
 	lastPlans    atomic.Pointer[plans]
 	entryChanges atomic.Int64
@@ -93,7 +103,7 @@
 	return &Presence{
 		self: self, store: store, log: logger, listed: map[fleet.HostID]fleet.Host{}, heartbeats: map[fleet.HostID]receivedHeartbeat{},
 		revisions: map[fleet.HostID]revision.Revision{}, outliving: map[fleet.HostID]bool{}, monitored: map[fleet.HostID]time.Time{}, suspected: map[fleet.HostID]bool{},
-		removedAt:    map[fleet.HostID]time.Time{},
+		removedAt: map[fleet.HostID]time.Time{}, answering: map[fleet.HostID]bool{}, rollCalled: make(chan struct{}, 1),
 		leaveStarted: make(chan struct{}),
 	}
 }
@@ -114,11 +124,13 @@
 		if !isRouter {
 			continue
 		}
+		if change.Entry.Key == rollCallKey {
+			p.observeRollCall(change)
+			continue
+		}
 		if change.Deleted {
 			p.log.Info("router no longer listed", "peer", id, "revision", change.Entry.Revision)
-			delete(p.listed, fleet.HostID(id))
-			delete(p.revisions, fleet.HostID(id))
-			delete(p.outliving, fleet.HostID(id))
+			p.dropEntry(fleet.HostID(id))
 			p.entryLost = p.entryLost || fleet.HostID(id) == p.self.ID
 			continue
 		}
@@ -136,14 +148,31 @@
 			p.log.Info("router listed", "peer", id, "address", host.HTTPAddress, "revision", change.Entry.Revision)
 		}
 		p.listed[host.ID], p.revisions[host.ID] = host, change.Entry.Revision
-		delete(p.outliving, host.ID)
-		if entry.outlives() {
-			p.outliving[host.ID] = true
-		}
+		setMember(p.outliving, host.ID, entry.outlives())
+		setMember(p.answering, host.ID, entry.AnswersRollCalls)
 		p.entryLost = p.entryLost && host.ID != p.self.ID
 	}
 }
 
+// dropEntry removes the entry of a router. Callers hold mu.
+func (p *Presence) dropEntry(id fleet.HostID) {
+	if len(p.listed) > maxDirectFleetSize {
+		p.largeAt = time.Now()
+	}
+	delete(p.listed, id)
+	delete(p.revisions, id)
+	delete(p.outliving, id)
+	delete(p.answering, id)
+}
+
+// setMember adds a router to a set or removes it.
+func setMember(set map[fleet.HostID]bool, id fleet.HostID, isMember bool) {
+	delete(set, id)
+	if isMember {
+		set[id] = true
+	}
+}
+
 // isNewEntry reports whether an entry of a router was written after the known one. Callers hold mu.
 func (p *Presence) isNewEntry(id fleet.HostID, written revision.Revision) bool {
 	known, found := p.revisions[id]
@@ -163,13 +192,13 @@
 // Run sends heartbeats and keeps the router registered until ctx ends.
 func (p *Presence) Run(ctx context.Context) {
 	var loops sync.WaitGroup
-	loops.Go(func() { p.runEvery(ctx, heartbeatInterval, p.sendHeartbeats) })
-	loops.Go(func() { p.runEvery(ctx, leaseCheckInterval, p.renewRegistration) })
+	loops.Go(func() { p.runEvery(ctx, heartbeatInterval, nil, p.sendHeartbeats) })
+	loops.Go(func() { p.runEvery(ctx, leaseCheckInterval, p.rollCalled, p.renewRegistration) })
 	loops.Wait()
 }
 
-// runEvery calls do at an interval until ctx ends, and once more as soon as the router leaves.
-func (p *Presence) runEvery(ctx context.Context, interval time.Duration, do func(context.Context)) {
+// runEvery calls do at an interval until ctx ends, and once more as soon as the router leaves or due has an element.
+func (p *Presence) runEvery(ctx context.Context, interval time.Duration, due <-chan struct{}, do func(context.Context)) {
 	do(ctx)
 	ticker := time.NewTicker(interval)
 	defer ticker.Stop()
@@ -177,6 +206,7 @@
 	for {
 		select {
 		case <-ticker.C:
+		case <-due:
 		case <-leaveStarted:
 			leaveStarted = nil
 		case <-ctx.Done():
--- a/node/presence/routers.go
+++ b/node/presence/routers.go
@@ -44,8 +44,9 @@
 	delete(known, p.self.ID)
 	delete(alive, p.self.ID)
 	// A router that receives heartbeats of less than half of the others may be the one that is
-	// partitioned from the fleet.
-	if len(p.listed) <= maxDirectFleetSize && 2*len(alive) >= len(known) {
+	// partitioned from the fleet. In a fleet that has just shrunk most have not sent any to it yet.
+	isDirect := len(p.listed) <= maxDirectFleetSize && now.Sub(p.largeAt) > unresponsiveTimeout
+	if isDirect && 2*len(alive) >= len(known) {
 		known = alive
 	}
 	if !p.leaving.Load() {
@@ -72,6 +73,19 @@
 	return others
 }
 
+// Responsive returns the other routers with an entry whose heartbeat this one has received lately.
+func (p *Presence) Responsive() []fleet.HostID {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var responsive []fleet.HostID
+	for id := range p.listed {
+		if id != p.self.ID && time.Since(p.heartbeats[id].receivedAt) < unresponsiveTimeout {
+			responsive = append(responsive, id)
+		}
+	}
+	return responsive
+}
+
 // Nearest returns the other routers in random order, those of this one's data centre first.
 func (p *Presence) Nearest() []fleet.HostID {
 	near, far := p.Neighbours()
@@ -95,8 +109,11 @@
 }
 
 // Watchers returns the routers from which this one pulls the changes of the store, or reports that it
-// watches the store itself (dissemination.PlanWatch).
+// watches the store itself (dissemination.PlanWatch). One whose neighbours don't answer can't rely on any other.
 func (p *Presence) Watchers() (watchers []fleet.HostID, self bool) {
+	if p.isolated.Load() {
+		return nil, true
+	}
 	watchers = p.plans().watchers
 	return watchers, len(watchers) == 0
 }
