Await after an outage only entries that their writers could not renew

Cause: every deletion that a router learns after an outage was put off by 2.3 s, as engines write their entries again. Router entries of a small fleet, whose heartbeats tell who lives, data centres, moves and the quarantine's entries, which no lease ends, had the same grace. A router regained a silent store up to 2.8 s late, since its next call waited as long as any other; one whose watchers have ended waited up to 8 s.

Now the grace depends on the kind of entry, calls after a failure are short until the store answers, and a router whose watchers do not answer at all does not wait for them.

--- a/node/edge/edge.go
+++ b/node/edge/edge.go
@@ -80,6 +80,9 @@
 	keys := replica.Keys{
 		Desired: external.Codec.DesiredKey(), Prefixes: append(external.Codec.Prefixes(), presence.RouterKeyPrefix, quarantine.KeyPrefix),
 		Routers: presence.RouterKeyPrefix, Reports: external.Codec.ReportPrefix(), IsOutdated: external.Codec.IsOutdated,
+		RewriteTime: func(key string, value []byte) time.Duration {
+			return max(presence.RewriteTime(key, value), external.Codec.RewriteTime(key))
+		},
 		IsReadable: func(key string, value []byte) bool {
 			return presence.IsReadable(key, value) && quarantine.IsReadable(key, value) && external.Codec.Decode(key, value).Problem == nil
 		},
--- a/node/replica/desired.go
+++ b/node/replica/desired.go
@@ -303,7 +303,8 @@
 	after := revision.Latest(r.desired.asOf, r.desired.held.Revision.Stored())
 	r.mu.Unlock()
 	var newest port.Entry
-	for event := range r.store.Watch(ctx, r.desired.key, after, r.confirmInterval()) {
+	interval, isProbe := r.watchInterval(&r.desired.contact)
+	for event := range r.store.Watch(ctx, r.desired.key, after, interval) {
 		switch {
 		case historyIsGone(event.Err):
 			r.log.Warn("store does not have the history after the last revision; reading the desired state", "after", after, "err", event.Err)
@@ -323,6 +324,9 @@
 			r.confirmDesired(r.heldRevision(), time.Now(), event.Progress)
 		}
 		r.markReachable(r.desired.key, &r.desired.contact)
+		if isProbe {
+			return nil
+		}
 	}
 	return errors.New("watch of the desired state ended without an error")
 }
--- a/node/replica/fakes_test.go
+++ b/node/replica/fakes_test.go
@@ -160,6 +160,9 @@
 	return others
 }
 
+// Responsive implements Peers.
+func (m memberOf) Responsive() []fleet.HostID { return nil }
+
 // AllWatch implements Peers.
 func (m memberOf) AllWatch() bool { return false }
 
--- a/node/replica/pull.go
+++ b/node/replica/pull.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -119,13 +120,19 @@
 	return !r.desired.reachable
 }
 
-// pull pulls from pullFanout routers chosen at random, and returns when all have answered or timed
-// out.
+// pull pulls from pullFanout routers chosen at random and from one that has answered lately, since most of the others may have ended
+// unnoticed. It returns when all have answered or timed out.
 func (r *Replica) pull(ctx context.Context, newest bool) {
 	others := r.peers.Others()
 	rand.Shuffle(len(others), func(i, j int) { others[i], others[j] = others[j], others[i] })
+	asked := others[:min(len(others), pullFanout)]
+	if responsive := r.peers.Responsive(); len(responsive) > 0 {
+		if one := responsive[rand.N(len(responsive))]; !slices.Contains(asked, one) {
+			asked = append(asked, one)
+		}
+	}
 	var calls sync.WaitGroup
-	for _, other := range others[:min(len(others), pullFanout)] {
+	for _, other := range asked {
 		// Each failure is logged, and no answer is needed from every router.
 		calls.Go(func() { _, _ = r.pullFrom(ctx, other, pullRequest{Newest: newest}) })
 	}
@@ -213,6 +220,14 @@
 	return time.Now().Add(time.Duration(remainingMs) * time.Millisecond)
 }
 
+// earliest returns the earlier of two times.
+func earliest(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
+
 // latest returns the later of two times.
 func latest(a, b time.Time) time.Time {
 	if a.After(b) {
--- a/node/replica/replica.go
+++ b/node/replica/replica.go
@@ -83,6 +83,9 @@
 	Routers string
 	// Reports is the one of Prefixes whose entries only routers write, to report to operators.
 	Reports string
+	// RewriteTime returns how long after an outage of the store it may take until the entry of a key with a last value, which
+	// expired meanwhile, is written again: its deletion waits for that. It is at most settlePeriod. Without it, all have that.
+	RewriteTime func(key string, value []byte) time.Duration
 	// IsReadable reports whether a value can be decoded. Entries that can't be give way first when the copy becomes too large.
 	// Without it, all count as readable.
 	IsReadable func(key string, value []byte) bool
@@ -109,6 +112,8 @@
 	// Watchers returns the routers that watch the store for this one. self is true when this router
 	// watches the store itself.
 	Watchers() (watchers []fleet.HostID, self bool)
+	// Responsive returns the routers that have answered lately, as far as this one exchanges heartbeats with them.
+	Responsive() []fleet.HostID
 	// AllWatch reports whether every router of the fleet watches the store.
 	AllWatch() bool
 }
@@ -125,7 +130,9 @@
 	routersPrefix string
 	// isReadable is Keys.IsReadable.
 	isReadable func(key string, value []byte) bool
-	loaded     chan struct{}
+	// rewriteTime is Keys.RewriteTime.
+	rewriteTime func(key string, value []byte) time.Duration
+	loaded      chan struct{}
 
 	subscribers        []func([]Change)
 	desiredSubscribers []func(port.Entry)
@@ -147,6 +154,9 @@
 	// watchersSilentSince is when the first of the last pulls from watchers began, all of which have
 	// failed; zero if the last one has succeeded.
 	watchersSilentSince time.Time
+	// watchersGoneSince is when the first of the last pulls from watchers began, none of which was answered at all; zero if the last
+	// one was.
+	watchersGoneSince time.Time
 	// fallbackRetryAt is the time before which the router does not watch the store if others should watch for
 	// it, and fallbackFailures how often the store has failed it in a row.
 	fallbackRetryAt  time.Time
@@ -169,10 +179,13 @@
 func New(store port.Store, transport port.Peers, peers Peers, keys Keys, deadline time.Duration, logger *log.Logger) *Replica {
 	r := &Replica{
 		store: store, transport: transport, peers: peers, log: logger, loaded: make(chan struct{}),
-		freshness: dissemination.PlanFreshness(deadline), routersPrefix: keys.Routers, isReadable: keys.IsReadable, shedAbove: maxHeldBytes,
+		freshness: dissemination.PlanFreshness(deadline), routersPrefix: keys.Routers, isReadable: keys.IsReadable, rewriteTime: keys.RewriteTime, shedAbove: maxHeldBytes,
 		applying: make(chan struct{}, 1), applyingDesired: make(chan struct{}, 1), confirming: make(chan struct{}, 1),
 		desired: newDesiredCopy(keys.Desired, keys.IsOutdated), postponed: map[string]Change{},
 	}
+	if r.rewriteTime == nil {
+		r.rewriteTime = func(string, []byte) time.Duration { return settlePeriod }
+	}
 	if r.isReadable == nil {
 		r.isReadable = func(string, []byte) bool { return true }
 	}
@@ -271,15 +284,12 @@
 	for _, change := range changes {
 		change.Entry = withoutLargeValue(change.Entry)
 		change.Replayed = r.isReplayed(t, change)
+		last := t.entries[change.Entry.Key].Value
 		if !t.record(change, now) {
 			continue
 		}
-		if change.Deleted && now.Before(t.settledAt()) && t.settledAt().After(change.Settled) {
-			change.Settled = t.settledAt()
-		}
-		if t.isReport {
-			// Nobody but the routers writes it again, once they know that it is missing.
-			change.Settled = time.Time{}
+		if change.Deleted {
+			change.Settled = r.settledAt(t, change, last, now)
 		}
 		applied = append(applied, change)
 	}
@@ -287,6 +297,27 @@
 	return applied
 }
 
+// settledAt returns the time by which a deleted entry with a last value should be written again; zero if it is not awaited. The
+// caller holds mu.
+func (r *Replica) settledAt(t *tree, deletion Change, last []byte, now time.Time) time.Time {
+	if t.isReport {
+		// Nobody but the routers writes it again, once they know that it is missing.
+		return time.Time{}
+	}
+	settled := latest(deletion.Settled, t.settledAt())
+	if rewriteTime := r.rewriteTime(deletion.Entry.Key, last); rewriteTime < settlePeriod && !settled.IsZero() {
+		settled = settled.Add(rewriteTime - settlePeriod)
+		if deletion.Settled.After(settled) {
+			// A restore may have lost entries of any kind.
+			settled = latest(settled, earliest(deletion.Settled, t.restoreSettledAt))
+		}
+	}
+	if settled.Before(now) {
+		return time.Time{}
+	}
+	return settled
+}
+
 // isReplayed reports whether a write has the value that subscribers have from before the store was
 // restored. The caller holds mu.
 func (r *Replica) isReplayed(t *tree, change Change) bool {
--- a/node/replica/tree.go
+++ b/node/replica/tree.go
@@ -10,7 +10,7 @@
 )
 
 const (
-	// settlePeriod is how long after an outage of the store it may take until expired entries are
+	// settlePeriod is how long after an outage of the store it may take at most until expired entries are
 	// written again.
 	settlePeriod = 2300 * time.Millisecond
 	// restoreSettlePeriod is the same after the store was restored from an older copy. It adds what a
--- a/node/replica/watch.go
+++ b/node/replica/watch.go
@@ -49,6 +49,22 @@
 	}
 }
 
+// probeInterval is the interval of confirmations of a watch until the store has answered it, once an earlier one has failed: a call that
+// the store does not answer then delays the next one by little.
+const probeInterval = settlingConfirmInterval
+
+// watchInterval returns how often the next watch has to confirm the copy, and whether it ends with its first answer, because the interval
+// is short to find out whether the store answers again.
+func (r *Replica) watchInterval(c *contact) (interval time.Duration, isProbe bool) {
+	interval = r.confirmInterval()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if c.wasLost && (interval == 0 || interval > probeInterval) {
+		return probeInterval, true
+	}
+	return interval, false
+}
+
 // pullFromWatchers pulls from one of the watchers, and records since when they have not answered. It gives up
 // once the copy is too old.
 func (r *Replica) pullFromWatchers(ctx context.Context, watchers []fleet.HostID) {
@@ -57,6 +73,19 @@
 	startedAt := time.Now()
 	lostStore, err := r.pullFrom(ctx, watchers[rand.N(len(watchers))], pullRequest{})
 	r.setWatchersSilent(lostStore || err != nil, startedAt)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if err == nil {
+		r.watchersGoneSince = time.Time{}
+	} else if r.watchersGoneSince.IsZero() {
+		r.watchersGoneSince = startedAt
+	}
+}
+
+// watchersAreGone reports whether no watcher has answered for some time, not even that it has lost the store. The router does not
+// wait for them to regain it then. The caller holds mu.
+func (r *Replica) watchersAreGone() bool {
+	return !r.watchersGoneSince.IsZero() && time.Since(r.watchersGoneSince) > silentWatchersTimeout
 }
 
 // setWatchersSilent records that watchers did or did not answer a pull that began at a time. One that has
@@ -79,7 +108,7 @@
 	watchers, self = r.peers.Watchers()
 	r.mu.Lock()
 	silent := !r.watchersSilentSince.IsZero() && time.Since(r.watchersSilentSince) > silentWatchersTimeout &&
-		time.Now().After(r.fallbackRetryAt)
+		(time.Now().After(r.fallbackRetryAt) || r.watchersAreGone())
 	r.mu.Unlock()
 	return watchers, self || silent || r.reliesFor() == 0 || len(watchers) == 0
 }
@@ -202,13 +231,16 @@
 }
 
 // postponeFallback sets when a router for which others should watch may watch the store again, after it has
-// failed. It reports false on a router that should watch.
+// failed. It reports false on a router that should watch, and while those that should do not answer.
 func (r *Replica) postponeFallback() bool {
 	if _, planned := r.peers.Watchers(); planned {
 		return false
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if r.watchersAreGone() {
+		return false
+	}
 	if time.Now().Before(r.fallbackRetryAt) {
 		return true
 	}
@@ -222,9 +254,9 @@
 func (r *Replica) awaitFallbackRetry(ctx context.Context) {
 	for ctx.Err() == nil {
 		r.mu.Lock()
-		remaining := time.Until(r.fallbackRetryAt)
+		remaining, isGone := time.Until(r.fallbackRetryAt), r.watchersAreGone()
 		r.mu.Unlock()
-		if _, planned := r.peers.Watchers(); planned || remaining <= 0 {
+		if _, planned := r.peers.Watchers(); planned || isGone || remaining <= 0 {
 			return
 		}
 		sleep(ctx, min(remaining, pullInterval))
@@ -239,7 +271,8 @@
 	after := r.commonRevision()
 	batches := map[*tree][]Change{}
 	var desired port.Entry
-	for event := range r.store.Watch(ctx, "", after, r.confirmInterval()) {
+	interval, isProbe := r.watchInterval(&r.desired.contact)
+	for event := range r.store.Watch(ctx, "", after, interval) {
 		switch {
 		case historyIsGone(event.Err):
 			r.log.Warn("store does not have the history after the last revision; reading all entries", "after", after, "err", event.Err)
@@ -265,6 +298,9 @@
 				return nil
 			}
 			r.confirmDesired(r.heldRevision(), confirmedAt, event.Progress)
+			if isProbe {
+				return nil
+			}
 			clear(batches)
 			desired = port.Entry{}
 		case event.Entry.Key == r.desired.key:
@@ -315,7 +351,8 @@
 	after := t.asOf
 	r.mu.Unlock()
 	var batch []Change
-	for event := range r.store.Watch(ctx, t.prefix, after, r.confirmInterval()) {
+	interval, isProbe := r.watchInterval(&t.contact)
+	for event := range r.store.Watch(ctx, t.prefix, after, interval) {
 		switch {
 		case historyIsGone(event.Err):
 			r.log.Warn("store does not have the history after the last revision; reading all entries", "prefix", t.prefix, "after", after, "err", event.Err)
@@ -325,6 +362,9 @@
 		case !event.Progress.IsZero():
 			r.markReachable(t.prefix, &t.contact)
 			r.apply(t, batch, event.Progress, time.Now())
+			if isProbe {
+				return nil
+			}
 			batch = nil
 		default:
 			batch = append(batch, Change{Entry: event.Entry, Deleted: event.Deleted})
--- a/port/edge.go
+++ b/port/edge.go
@@ -162,6 +162,9 @@
 	// copy, is an earlier state of the key than known, which a router had before. It is false for
 	// values that do not tell.
 	IsOutdated(key string, known, found []byte) bool
+	// RewriteTime returns how long after an outage of the store it may take until the entry of a key that expired meanwhile is
+	// written again. It is 0 for entries that no lease ends: their writers remove them.
+	RewriteTime(key string) time.Duration
 	// DesiredKey returns the key of the desired state.
 	DesiredKey() string
 	// Prefixes returns the prefixes of the keys of all other entries that Decode knows.
