Refuse OPTIONS * instead of letting net/http answer it

Cause: net/http answers this target by itself unless DisableGeneralOptionsHandler is set; the gateway never saw the request.

--- a/node/edge/routers.go
+++ b/node/edge/routers.go
@@ -23,6 +23,7 @@
 // newRouterServer returns the server for requests that other routers have no path for.
 func (s *servers) newRouterServer() *http.Server {
 	return &http.Server{
+		DisableGeneralOptionsHandler: true,
 		Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 			from, _ := r.Context().Value(callingRouterKey{}).(fleet.HostID)
 			s.gateway.ServeDetour(w, r, from)
--- a/node/edge/server.go
+++ b/node/edge/server.go
@@ -96,7 +96,7 @@
 	group, groupContext := errgroup.WithContext(context.Background())
 	for address, handler := range s.handlers {
 		server := &http.Server{
-			Addr: address, Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
+			Addr: address, Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, DisableGeneralOptionsHandler: true,
 			ConnState: intake.OnStateChange, ReadTimeout: smallReadTimeout, WriteTimeout: smallWriteTimeout, MaxHeaderBytes: smallHeaderBytes,
 			ErrorLog: s.log.StandardLog(log.StandardLogOptions{ForceLevel: log.DebugLevel}),
 		}
@@ -122,7 +122,7 @@
 func (s *servers) serveCallers(ctx, groupContext context.Context, routers *http.Server) error {
 	limits := newConnections(s.gateway.Limits, s.log)
 	server := &http.Server{
-		Addr: s.callers, Handler: s.gateway, IdleTimeout: idleTimeout,
+		Addr: s.callers, Handler: s.gateway, IdleTimeout: idleTimeout, DisableGeneralOptionsHandler: true,
 		ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes,
 		ConnState: func(connection net.Conn, state http.ConnState) {
 			intake.OnStateChange(connection, state)
--- a/node/router/router.go
+++ b/node/router/router.go
@@ -114,9 +114,9 @@
 	operatorAPI := &operatorhttp.Server{
 		Token: s.OperatorToken, Config: r.config, Members: r.members, Placer: r.grants,
 	}
-	r.callerServer = &http.Server{Handler: callerAPI.Handler()}
+	r.callerServer = &http.Server{Handler: callerAPI.Handler(), DisableGeneralOptionsHandler: true}
 	callerhttp.ApplyLimits(r.callerServer)
-	r.operatorServer = &http.Server{Handler: r.operatorRoutes(operatorAPI.Handler(), operatorAPI.VersionRoutes(r.moves),
+	r.operatorServer = &http.Server{DisableGeneralOptionsHandler: true, Handler: r.operatorRoutes(operatorAPI.Handler(), operatorAPI.VersionRoutes(r.moves),
 		operatorAPI.OrderRoutes(orders.New(r.config, store, r.members, client, telemetry)))}
 	callerhttp.ApplyLimits(r.operatorServer)
 	return r, r.registerInstruments()
