--- a/node/presence/heartbeats_test.go
+++ b/node/presence/heartbeats_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"strings"
 	"sync"
 	"testing"
@@ -9,6 +10,8 @@
 	"time"
 
 	"agateswitch/core/fleet"
+	"agateswitch/core/revision"
+	"agateswitch/node/replica"
 	"agateswitch/port"
 
 	"github.com/juju/errors"
@@ -138,3 +141,34 @@
 
 // deadRouterLimit is the time after which the directory may no longer name a router that has died.
 const deadRouterLimit = 7 * time.Second
+
+// Routers of earlier builds do not answer roll calls, and one that lives would be removed.
+func TestRollCallSparesRoutersOfEarlierBuilds(t *testing.T) {
+	p := newFleet(t, make([]fleet.Capacity, 20))[0]
+	observe := func(id fleet.HostID, number int64, entry string) {
+		p.Observe([]replica.Change{{Entry: port.Entry{Key: RouterKeyPrefix + string(id), Value: []byte(entry), Revision: revision.Revision{Number: number}}}})
+	}
+	observe("earlier", 2, `{"ID":"earlier","LeaseSeconds":60}`)
+	observe("silent", 3, `{"ID":"silent","LeaseSeconds":60,"AnswersRollCalls":true}`)
+	observe("answering", 4, `{"ID":"answering","LeaseSeconds":60,"AnswersRollCalls":true}`)
+	p.roll.revision = revision.Revision{Number: 5}
+	observe("answering", 6, `{"ID":"answering","LeaseSeconds":60,"AnswersRollCalls":true}`)
+	must.Eq(t, []port.Entry{{Key: RouterKeyPrefix + "silent", Revision: revision.Revision{Number: 3}}}, p.absent())
+}
+
+// What this build writes is what earlier ones read, and the key of roll calls names no router to them.
+func TestEntriesAreUnderstoodByEarlierBuilds(t *testing.T) {
+	value, err := json.Marshal(routerEntry{Host: fleet.Host{ID: "a", DataCentre: "north"}, LeaseSeconds: 60, AnswersRollCalls: true})
+	must.NoError(t, err)
+	var earlier struct {
+		fleet.Host
+		LeaseSeconds float64
+	}
+	must.NoError(t, json.Unmarshal(value, &earlier))
+	must.Eq(t, "a", earlier.ID)
+	must.Eq(t, 60, earlier.LeaseSeconds)
+	value, err = json.Marshal(rollCallMessage{By: "a"})
+	must.NoError(t, err)
+	_, err = decodeRouter("?roll-call", value)
+	must.Error(t, err)
+}
